--- /dev/null
+++ b/src/main/kotlin/azuredale/blackboard/LockRank.kt
@@ -0,0 +1,15 @@
+package azuredale.blackboard
+
+/** Lock order of the blackboard's tables: a thread takes locks in ascending rank. */
+public enum class LockRank {
+    DOCUMENT,
+    MEMBERS,
+    USED_TICKETS,
+    REQUESTS,
+    LOCAL_QUEUE,
+    ALLOTTER_DEMAND,
+    GRANTS,
+    SERVED_COUNTERS,
+    SERVERS,
+    REPORTS,
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/identity/Identifiers.kt
@@ -0,0 +1,113 @@
+package azuredale.identity
+
+import kotlinx.serialization.Serializable
+
+/** Name of a team, as written in the document. */
+@JvmInline
+@Serializable
+public value class TeamId(public val name: String) {
+    override fun toString(): String = name
+}
+
+/** Name of a pool of backend servers. */
+@JvmInline
+@Serializable
+public value class PoolId(public val name: String) {
+    override fun toString(): String = name
+}
+
+/** Name of a backend server. */
+@JvmInline
+@Serializable
+public value class ServerId(public val name: String) {
+    override fun toString(): String = name
+}
+
+/** Name of a batch of parts that can be recalled together. */
+@JvmInline
+@Serializable
+public value class BatchId(public val name: String) {
+    override fun toString(): String = name
+}
+
+/** A model with its version, written `name@version`. */
+@JvmInline
+@Serializable
+public value class ModelVersion(public val name: String) {
+    /** The model's name without its version. */
+    public val model: String get() = name.substringBefore('@')
+
+    override fun toString(): String = name
+}
+
+/** Name of an adapter that is applied to a model. */
+@JvmInline
+@Serializable
+public value class AdapterName(public val name: String) {
+    override fun toString(): String = name
+}
+
+/** Name of a router; unique in the fleet and stable across restarts of its VM. */
+@JvmInline
+@Serializable
+public value class RouterId(public val name: String) {
+    override fun toString(): String = name
+}
+
+/** Name of a failure domain. */
+@JvmInline
+@Serializable
+public value class FailureDomain(public val name: String) {
+    override fun toString(): String = name
+}
+
+/** Name of a region; a region holds several failure domains. */
+@JvmInline
+@Serializable
+public value class Region(public val name: String) {
+    override fun toString(): String = name
+}
+
+/** Start of one router process: microseconds since the epoch, so a restart always has a higher one. */
+@JvmInline
+@Serializable
+public value class Incarnation(public val value: Long) : Comparable<Incarnation> {
+    override fun compareTo(other: Incarnation): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
+
+/** Revision of the accepted document; higher is newer, zero means none. */
+@JvmInline
+@Serializable
+public value class Revision(public val value: Long) : Comparable<Revision> {
+    override fun compareTo(other: Revision): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+
+    public companion object {
+        /** No document has been accepted yet. */
+        public val NONE: Revision = Revision(0)
+    }
+}
+
+/** Number of a request at the router that received it; unique within one incarnation. */
+@JvmInline
+@Serializable
+public value class RequestNumber(public val value: Long) : Comparable<RequestNumber> {
+    override fun compareTo(other: RequestNumber): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
+
+/** Number of an attempt to run one request; the first attempt is 1. */
+@JvmInline
+@Serializable
+public value class AttemptNumber(public val value: Int) : Comparable<AttemptNumber> {
+    /** The number of the attempt after this one. */
+    public fun next(): AttemptNumber = AttemptNumber(value + 1)
+
+    override fun compareTo(other: AttemptNumber): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/identity/NetworkAddress.kt
@@ -0,0 +1,26 @@
+package azuredale.identity
+
+import kotlinx.serialization.Serializable
+
+/** An IP number with a TCP or UDP port. */
+@Serializable
+public data class NetworkAddress(
+    val host: String,
+    val port: Int,
+) {
+    override fun toString(): String = "$host:$port"
+
+    public companion object {
+        private const val LARGEST_PORT = 65_535
+        private val octets = Regex("""\d{1,3}(\.\d{1,3}){3}""")
+        private const val LARGEST_OCTET = 255
+
+        /** Parses `host:port` with an IPv4 number; returns null when [text] is not of that form. */
+        public fun parse(text: String): NetworkAddress? {
+            val host = text.substringBeforeLast(':', missingDelimiterValue = "")
+            val port = text.substringAfterLast(':').toIntOrNull() ?: return null
+            val isHost = octets.matches(host) && host.split('.').all { it.toInt() <= LARGEST_OCTET }
+            return if (isHost && port in 1..LARGEST_PORT) NetworkAddress(host, port) else null
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/node/NodeEffect.kt
@@ -0,0 +1,78 @@
+package azuredale.node
+
+import azuredale.identity.AttemptNumber
+import azuredale.identity.NetworkAddress
+import azuredale.identity.RequestNumber
+import azuredale.identity.RouterId
+import azuredale.identity.ServerId
+import azuredale.outcome.Failure
+import azuredale.protocol.PeerMessage
+import azuredale.protocol.ProbeMessage
+import azuredale.routing.RequestResult
+
+/** Something the edge of a router must do; output of the decision code. */
+public sealed interface NodeEffect {
+    /** Send [message] to [to]; dropped when no connection can be opened. */
+    public data class SendMessage(
+        val to: RouterId,
+        val message: PeerMessage,
+    ) : NodeEffect
+
+    /** Send a datagram of the failure detector. */
+    public data class SendDatagram(
+        val to: NetworkAddress,
+        val message: ProbeMessage,
+    ) : NodeEffect
+
+    /**
+     * Send the request to [server] and report its progress and end.
+     *
+     * @property resumeAt units of the answer that the caller already has.
+     */
+    public data class StartAttempt(
+        val request: RequestNumber,
+        val attempt: AttemptNumber,
+        val server: ServerId,
+        val address: NetworkAddress,
+        val resumeAt: Long = 0,
+    ) : NodeEffect
+
+    /** Stop a running attempt; its later events are dropped. */
+    public data class CancelAttempt(
+        val request: RequestNumber,
+        val attempt: AttemptNumber,
+    ) : NodeEffect
+
+    /** End the answer to the caller. */
+    public data class FinishRequest(
+        val request: RequestNumber,
+        val result: RequestResult,
+    ) : NodeEffect
+
+    /** Claim an idempotency key in the key-value service and answer with [NodeEvent.KeyClaimed]. */
+    public data class ClaimKey(
+        val request: RequestNumber,
+        val key: String,
+    ) : NodeEffect
+
+    /** Read the document from the key-value service. */
+    public data object ReadDocument : NodeEffect
+
+    /** Start or stop watching the document's key. */
+    public data class WatchDocument(val isWatching: Boolean) : NodeEffect
+
+    /** A queued attempt got a slot; handled inside the node, never by the edge. */
+    public data class SlotGranted(
+        val slot: RequestNumber,
+        val server: ServerId,
+    ) : NodeEffect
+
+    /** A queued attempt was refused; handled inside the node, never by the edge. */
+    public data class SlotRefused(
+        val slot: RequestNumber,
+        val failure: Failure,
+    ) : NodeEffect
+
+    /** The node has no work left after a drain request; the process may end. */
+    public data object Drained : NodeEffect
+}
