--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/AllotterController.kt
@@ -0,0 +1,130 @@
+package azuredale.sharing
+
+import azuredale.identity.RouterId
+import azuredale.node.NodeEffect
+import azuredale.protocol.Demand
+import azuredale.protocol.PeerMessage
+import azuredale.protocol.Progress
+import azuredale.protocol.Register
+import azuredale.protocol.Settle
+import azuredale.protocol.ShardId
+import azuredale.protocol.Withdraw
+import azuredale.time.Timestamp
+
+/**
+ * Allots the slots of the shards for which this router is the first in rendezvous order.
+ *
+ * Every entry point returns messages to send. Calls may come from several workers; they take the allotter's tables in
+ * rank order.
+ *
+ * ```
+ * val allotter = AllotterController(context)
+ * val grants = allotter.messageReceived(RouterId("router-2"), demand, now)
+ * ```
+ */
+public class AllotterController(
+    private val context: SharingContext,
+    private val settings: SharingSettings = SharingSettings(),
+) {
+    private val tables = AllotterTables()
+    private val prefixes = PrefixIndex()
+    private val allotments = LinkedHashMap<ShardId, ShardAllotment>()
+    private val topology = Topology()
+    private var lastTick: Timestamp? = null
+
+    /** The shards that this router allots at present. */
+    public fun shards(): Set<ShardId> = tables.locked { allotments.keys.toSet() }
+
+    /** A copy of the allotter's state for operators. */
+    public fun snapshot(): AllotterSnapshot =
+        tables.locked { AllotterSnapshot(allotments.values.map(ShardAllotment::snapshot)) }
+
+    /** Handles [message] of a requester; messages of other kinds are ignored. */
+    public fun messageReceived(from: RouterId, message: PeerMessage, now: Timestamp): List<NodeEffect> = turn(now) {
+        when (message) {
+            is Register -> allotments[message.shard]?.register(from, message, this)
+            is Demand -> demandReceived(from, message)
+            is Withdraw -> allotments[message.shard]?.withdraw(from, message, this)
+            is Progress -> allotments[message.shard]?.progress(from, message, this)
+            is Settle -> allotments[message.shard]?.settle(from, message, this)
+            else -> Unit
+        }
+    }
+
+    /** Asks [router] for registration, since messages to it may be lost. */
+    public fun peerConnected(router: RouterId, now: Timestamp): List<NodeEffect> = turn(now) {
+        allotments.values.forEach { it.connected(router, this) }
+    }
+
+    /** A lost connection changes nothing: the grants of [router] run until membership reports it gone. */
+    @Suppress("UnusedParameter")
+    public fun peerDisconnected(router: RouterId, now: Timestamp): List<NodeEffect> = emptyList()
+
+    /** Adapts the limit of a backend server. */
+    public fun loadReported(report: LoadReport, now: Timestamp): List<NodeEffect> = turn(now) {
+        allotments.values.forEach { it.loadReported(report, this) }
+    }
+
+    /** Records prompt prefixes that backend servers hold or evicted. */
+    public fun cacheEventsReceived(events: List<CacheEvent>, now: Timestamp): List<NodeEffect> = turn(now) {
+        events.forEach(prefixes::apply)
+    }
+
+    /** Adopts the teams, shares and servers of the document in force. */
+    public fun documentChanged(now: Timestamp): List<NodeEffect> = turn(now) {
+        updateShards(this)
+        allotments.values.forEach { it.documentChanged(this) }
+    }
+
+    /** Starts and ends allotments, and frees the grants of routers that are gone. */
+    public fun membersChanged(now: Timestamp): List<NodeEffect> = turn(now) {
+        updateShards(this)
+        allotments.values.forEach { it.membersChanged(this) }
+    }
+
+    /** Handles deadlines; called every 20 ms. */
+    public fun tick(now: Timestamp): List<NodeEffect> = turn(now) {
+        val wasPaused = lastTick?.let { now > it.plusMilliseconds(settings.pauseMilliseconds) } ?: false
+        lastTick = now
+        updateShards(this)
+        allotments.values.filter { wasPaused && it.term.isPrimary }.forEach { it.startPrimary(this) }
+        allotments.values.forEach { it.tick(this) }
+    }
+
+    /** Reads documents and members before the allotter's tables are locked, since those tables rank lower. */
+    private fun turn(now: Timestamp, block: AllotterTurn.() -> Unit): List<NodeEffect> {
+        val document = context.document() ?: return emptyList()
+        val members = context.members().associateBy { it.router }
+        val mayGiveOutWork = context.mayGiveOutWork(now)
+        return tables.locked {
+            val shardMap = topology.shardMap(document)
+            val turn = AllotterTurn(now, document.document, shardMap, members, mayGiveOutWork)
+            turn.block()
+            turn.effects
+        }
+    }
+
+    private fun AllotterTurn.demandReceived(from: RouterId, message: Demand) {
+        val isAsking = message.teams.isEmpty() && message.shard in shardMap.shards
+        if (isAsking && message.shard !in allotments) open(message.shard).startSecondary(this)
+        allotments[message.shard]?.demand(from, message, this)
+    }
+
+    private fun updateShards(turn: AllotterTurn) {
+        val own = topology.shardsLedBy(context.self, turn.shardMap, turn.members)
+        own.forEach { shard ->
+            val allotment = allotments[shard] ?: open(shard)
+            if (!allotment.term.isPrimary) allotment.startPrimary(turn)
+        }
+        allotments.values.filter { it.shard !in own && it.term.isPrimary }.forEach { it.term.handOver(turn.now) }
+        allotments.values
+            .filter { it.shard !in turn.shardMap.shards || it.term.isOver(turn.now) }
+            .forEach { ended ->
+                ended.clear()
+                allotments.remove(ended.shard)
+            }
+    }
+
+    private fun open(shard: ShardId): ShardAllotment =
+        ShardAllotment(shard, context.incarnation, settings, tables, prefixes).also { allotments[shard] = it }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/AllotterSnapshot.kt
@@ -0,0 +1,62 @@
+package azuredale.sharing
+
+import azuredale.identity.RequestNumber
+import azuredale.identity.RouterId
+import azuredale.identity.ServerId
+import azuredale.identity.TeamId
+import azuredale.protocol.ShardId
+
+/** What a router allots at one moment, for operators. */
+public data class AllotterSnapshot(val shards: List<ShardSnapshot>)
+
+/**
+ * One allotted shard.
+ *
+ * @property isPrimary whether the router is the first in order; another one serves routers that cannot reach the first.
+ * @property isCollecting whether grants wait for registrations.
+ * @property droppedOffers offers that passed a bound since the router allots the shard.
+ */
+public data class ShardSnapshot(
+    val shard: ShardId,
+    val isPrimary: Boolean,
+    val isCollecting: Boolean,
+    val droppedOffers: Long,
+    val teams: List<TeamSnapshot>,
+    val grants: List<GrantSnapshot>,
+    val servers: List<ServerSnapshot>,
+)
+
+/** A team's virtual [counter] (cost divided by share) and its numbers of waiting and running requests. */
+public data class TeamSnapshot(
+    val team: TeamId,
+    val counter: Double,
+    val waiting: Int,
+    val running: Int,
+)
+
+/** A slot in use, with the cost [charged] so far in the pool's cost unit. */
+public data class GrantSnapshot(
+    val router: RouterId,
+    val request: RequestNumber,
+    val team: TeamId,
+    val server: ServerId,
+    val charged: Double,
+)
+
+/** A backend server with its present limit of requests in flight. */
+public data class ServerSnapshot(
+    val server: ServerId,
+    val limit: Int,
+    val inFlight: Int,
+    val isEjected: Boolean,
+)
+
+internal fun ShardAllotment.snapshot(): ShardSnapshot = ShardSnapshot(
+    shard = shard,
+    isPrimary = term.isPrimary,
+    isCollecting = term.isCollecting,
+    droppedOffers = demand.droppedOffers,
+    teams = order.teams.map { TeamSnapshot(it.team, it.counter, it.waiting, it.running) },
+    grants = ledger.rows.map { GrantSnapshot(it.key.router, it.key.request, it.team, it.server, it.charged) }.toList(),
+    servers = servers.rows.map { ServerSnapshot(it.id, it.limit.limit, it.inFlight, it.health.isEjected) },
+)
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/DemandBook.kt
@@ -0,0 +1,71 @@
+package azuredale.sharing
+
+import azuredale.configuration.Requirement
+import azuredale.identity.RouterId
+import azuredale.protocol.ShardId
+import azuredale.protocol.TeamDemand
+import azuredale.protocol.WaitingHead
+
+/** Requests that routers offered to one shard, bounded per team and router. */
+internal class DemandBook(
+    private val shard: ShardId,
+    private val settings: SharingSettings,
+    private val tables: AllotterTables,
+    private val order: FairOrder,
+) {
+    private val byRouter = HashMap<RouterId, HashMap<GrantKey, WaitingRow>>()
+    private var arrivals = 0L
+
+    /** Offers dropped at a bound. */
+    var droppedOffers: Long = 0
+        private set
+
+    val isEmpty: Boolean get() = byRouter.isEmpty()
+
+    /** Applies what [router] reported about [team]. */
+    fun apply(router: RouterId, team: TeamRow, demand: TeamDemand): Unit = order.update(team) {
+        demand.heads.forEach { add(router, team, it) }
+        val beyond = demand.waiting - settings.headsPerTeam
+        if (beyond > 0) team.beyond[router] = beyond else team.beyond.remove(router)
+    }
+
+    fun remove(key: GrantKey): WaitingRow? {
+        val own = byRouter[key.router] ?: return null
+        val row = own.remove(key) ?: return null
+        if (own.isEmpty()) byRouter.remove(key.router)
+        tables.demand.remove(key)
+        order[row.team]?.let { team -> order.update(team) { team.remove(row) } }
+        return row
+    }
+
+    /** Forgets all that [router] reported. */
+    fun removeRouter(router: RouterId) {
+        byRouter[router]?.keys?.toList()?.forEach(::remove)
+        order.teams.filter { router in it.beyond }.forEach { team -> order.update(team) { team.beyond.remove(router) } }
+    }
+
+    /** Forgets the requests of [team]. */
+    fun removeTeam(team: TeamRow) {
+        team.classes.values
+            .flatMap { it.keys }
+            .forEach(::remove)
+        order.update(team) { team.beyond.clear() }
+    }
+
+    fun clear(): Unit = byRouter.keys.toList().forEach(::removeRouter)
+
+    private fun add(router: RouterId, team: TeamRow, head: WaitingHead) {
+        val key = GrantKey(router, head.request)
+        val own = byRouter[router]
+        if (own != null && key in own) return
+        val requirement = Requirement(shard.pool, head.modelVersion, head.adapter)
+        val row = WaitingRow(key, team.team, requirement, head, arrivals++)
+        val isWithinBound = (team.heads[router] ?: 0) < settings.headsPerTeam
+        if (!isWithinBound || !tables.demand.put(key, row)) {
+            droppedOffers++
+            return
+        }
+        byRouter.getOrPut(router) { HashMap() }[key] = row
+        team.add(row)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/LocalReserve.kt
@@ -0,0 +1,72 @@
+package azuredale.sharing
+
+import azuredale.configuration.BackendServer
+import azuredale.identity.RouterId
+import azuredale.identity.TeamId
+import azuredale.protocol.ShardId
+
+/**
+ * A bounded part of a shard's slots that a router uses by itself while no allotter is reachable.
+ *
+ * All routers together use at most the reserve's fraction of the slots, so a short time without an allotter neither
+ * leaves capacity idle while work waits nor floods the servers.
+ */
+internal class LocalReserve(
+    private val self: RouterId,
+    private val settings: SharingSettings,
+) {
+    private val served = HashMap<ShardId, HashMap<TeamId, Double>>()
+
+    /** Slots of [shard] that this router may use; a part of a slot is given to a part of the routers. */
+    fun allowance(shard: ShardId, turn: RequesterTurn): Int {
+        val exact = turn.shardMap.slotsOf(shard) * settings.reserveFraction / maxOf(1, turn.members.size)
+        val whole = exact.toInt()
+        val hasExtra = StableHash.fraction(shard.pool.name, shard.shard.toString(), self.name, RESERVE) < exact - whole
+        return if (hasExtra) whole + 1 else whole
+    }
+
+    /** The next request of [queues] to run within the reserve with its server, or null. */
+    fun next(
+        shard: ShardId,
+        queues: Collection<TeamQueue>,
+        running: List<RunningRow>,
+        turn: RequesterTurn,
+    ): Pair<QueuedRow, BackendServer>? {
+        if (running.count { it.isReserve } >= allowance(shard, turn)) return null
+        val used = running.groupingBy { it.server }.eachCount()
+        val free =
+            turn.shardMap
+                .serversOf(shard)
+                .filter { (used[it.id] ?: 0) < it.slots }
+                .sortedWith(compareBy({ used[it.id] ?: 0 }, { StableHash.of(self.name, it.id.name) }))
+        return queues
+            .filter { it.pool == shard.pool }
+            .sortedWith(compareBy({ normalised(shard, it.team, turn) }, { it.team.name }))
+            .firstNotNullOfOrNull { queue -> match(queue, free, turn) }
+    }
+
+    /** Charges [cost] to the team for the order within the reserve. */
+    fun charge(shard: ShardId, team: TeamId, cost: Double) {
+        served.getOrPut(shard) { HashMap() }.merge(team, cost, Double::plus)
+    }
+
+    /** Ends the use of the reserve; its charges are in the served counters that the allotter gets. */
+    fun end(shard: ShardId) {
+        served.remove(shard)
+    }
+
+    private fun match(
+        queue: TeamQueue,
+        free: List<BackendServer>,
+        turn: RequesterTurn,
+    ): Pair<QueuedRow, BackendServer>? = queue.rows.sortedBy { it.arrival }.firstNotNullOfOrNull { row ->
+        free.firstOrNull { turn.document.allows(it.id, row.request.requirement) }?.let { row to it }
+    }
+
+    private fun normalised(shard: ShardId, team: TeamId, turn: RequesterTurn): Double =
+        (served[shard]?.get(team) ?: 0.0) / (turn.document.teams[team]?.share ?: 1.0)
+
+    private companion object {
+        const val RESERVE = "reserve"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/OfferPlanner.kt
@@ -0,0 +1,85 @@
+package azuredale.sharing
+
+import azuredale.configuration.Requirement
+import azuredale.protocol.ShardId
+import azuredale.protocol.TeamDemand
+import azuredale.protocol.WaitingHead
+
+/** Chooses which waiting requests are offered to which shard, and reports the changes. */
+internal class OfferPlanner(
+    private val settings: SharingSettings,
+    private val links: ShardLinks,
+) {
+    /** Offers waiting requests of [queue] up to the bound and records the changes in [turn]. */
+    fun plan(queue: TeamQueue, turn: RequesterTurn) {
+        val added = LinkedHashMap<ShardId, MutableList<QueuedRow>>()
+        while (true) {
+            val row = queue.next(turn.now) { openShards(queue, it, turn).isNotEmpty() } ?: break
+            val shard = openShards(queue, row.request.requirement, turn).minBy { loadOf(queue, it, turn) }
+            queue.offer(row, shard, turn.now)
+            added.getOrPut(shard) { mutableListOf() } += row
+        }
+        uncover(queue, turn, added)
+        shardsOf(queue, turn).forEach { report(queue, it, added[it].orEmpty(), turn) }
+    }
+
+    /** Repeats offers that were not granted for long, in case they or their grants were lost. */
+    fun repeatOld(queue: TeamQueue, turn: RequesterTurn) {
+        val before = turn.now.plusMilliseconds(-settings.repairMilliseconds)
+        shardsOf(queue, turn).forEach { shard ->
+            val old = queue.offeredTo(shard).filter { it.offeredAt < before }
+            old.forEach { it.offeredAt = turn.now }
+            if (old.isNotEmpty()) {
+                turn.demand(
+                    shard,
+                    TeamDemand(queue.team, waiting(queue, shard, turn), old.map(::head)),
+                )
+            }
+        }
+    }
+
+    /** Replaces offers so that every requirement has one, since its servers may be idle. */
+    private fun uncover(queue: TeamQueue, turn: RequesterTurn, added: MutableMap<ShardId, MutableList<QueuedRow>>) {
+        queue.hidden(turn.now).forEach { hidden ->
+            val shard = registeredShards(hidden.request.requirement, turn).firstOrNull { queue.replaceable(it) != null }
+            val replaced = shard?.let(queue::replaceable)
+            if (shard == null || replaced == null) return@forEach
+            queue.takeBack(replaced)
+            if (added[shard]?.remove(replaced) != true) turn.withdraw(shard, replaced.request.number)
+            queue.offer(hidden, shard, turn.now)
+            added.getOrPut(shard) { mutableListOf() } += hidden
+        }
+    }
+
+    private fun report(queue: TeamQueue, shard: ShardId, added: List<QueuedRow>, turn: RequesterTurn) {
+        val waiting = waiting(queue, shard, turn)
+        val isBeyond = waiting > settings.headsPerTeam
+        val wasBeyond = queue.reportedBeyond[shard] ?: false
+        if (added.isEmpty() && isBeyond == wasBeyond) return
+        if (isBeyond) queue.reportedBeyond[shard] = true else queue.reportedBeyond.remove(shard)
+        turn.demand(shard, TeamDemand(queue.team, waiting, added.map(::head)))
+    }
+
+    /** Requests that wait for [shard]; those that are not offered count once the offers are at their bound. */
+    private fun waiting(queue: TeamQueue, shard: ShardId, turn: RequesterTurn): Int {
+        val offered = queue.offeredTo(shard).size
+        if (offered < settings.headsPerTeam) return offered
+        return offered + queue.unofferedCount { shard in turn.shardMap.eligible(it) }
+    }
+
+    private fun shardsOf(queue: TeamQueue, turn: RequesterTurn): List<ShardId> =
+        turn.shardMap.shardsOf(queue.pool).filter { links.isRegistered(it) }
+
+    private fun registeredShards(requirement: Requirement, turn: RequesterTurn): List<ShardId> =
+        turn.shardMap.eligible(requirement).filter { links.isRegistered(it) }
+
+    private fun openShards(queue: TeamQueue, requirement: Requirement, turn: RequesterTurn): List<ShardId> =
+        registeredShards(requirement, turn).filter { queue.offeredTo(it).size < settings.headsPerTeam }
+
+    private fun loadOf(queue: TeamQueue, shard: ShardId, turn: RequesterTurn): Double =
+        queue.offeredTo(shard).size.toDouble() / maxOf(1, turn.shardMap.slotsOf(shard))
+
+    private fun head(row: QueuedRow): WaitingHead = with(row.request) {
+        WaitingHead(number, hint, prefix, requirement.modelVersion, requirement.adapter)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/RequesterTurn.kt
@@ -0,0 +1,46 @@
+package azuredale.sharing
+
+import azuredale.configuration.Document
+import azuredale.identity.RequestNumber
+import azuredale.identity.RouterId
+import azuredale.membership.Member
+import azuredale.node.NodeEffect
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Failure
+import azuredale.protocol.PeerMessage
+import azuredale.protocol.ShardId
+import azuredale.protocol.TeamDemand
+import azuredale.time.Timestamp
+
+/** What the requester reads of other controllers while it handles one event, and the effects it collects. */
+internal class RequesterTurn(
+    val now: Timestamp,
+    val document: Document,
+    val shardMap: ShardMap,
+    val members: Map<RouterId, Member>,
+    val mayGiveOutWork: Boolean,
+) {
+    val effects = mutableListOf<NodeEffect>()
+
+    /** Changes of waiting requests, sent as one message per shard at the end of the turn. */
+    val demands = LinkedHashMap<ShardId, MutableList<TeamDemand>>()
+
+    /** Offers taken back, sent as one message per shard at the end of the turn. */
+    val withdrawals = LinkedHashMap<ShardId, MutableList<RequestNumber>>()
+
+    fun send(to: RouterId, message: PeerMessage) {
+        effects += NodeEffect.SendMessage(to, message)
+    }
+
+    fun refuse(number: RequestNumber, kind: ErrorKind, detail: String = "", retryAt: Timestamp? = null) {
+        effects += NodeEffect.SlotRefused(number, Failure(kind, detail, retryAt))
+    }
+
+    fun demand(shard: ShardId, report: TeamDemand) {
+        demands.getOrPut(shard) { mutableListOf() } += report
+    }
+
+    fun withdraw(shard: ShardId, number: RequestNumber) {
+        withdrawals.getOrPut(shard) { mutableListOf() } += number
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/RouterRegistration.kt
@@ -0,0 +1,88 @@
+package azuredale.sharing
+
+import azuredale.identity.TeamId
+import azuredale.protocol.Register
+import azuredale.protocol.RunningGrant
+import azuredale.protocol.ServedCounter
+import azuredale.protocol.ShardId
+import azuredale.time.Timestamp
+
+/** Replaces what the allotter of one shard holds of a router, and keeps the teams' counters consistent with it. */
+internal class RouterRegistration(
+    private val shard: ShardId,
+    private val settings: SharingSettings,
+    private val order: FairOrder,
+    private val ledger: GrantLedger,
+    private val demand: DemandBook,
+    private val estimator: CostEstimator,
+) {
+    /** The row of [team], or null when the document does not allow it in this pool. */
+    fun team(team: TeamId, turn: AllotterTurn): TeamRow? {
+        val entry = turn.document.teams[team] ?: return null
+        return if (shard.pool in entry.pools) order.row(team, entry.share) else null
+    }
+
+    fun initialCost(turn: AllotterTurn): Double = turn.document.pools[shard.pool]?.initialCost ?: 1.0
+
+    /** Largest counter difference that a team may take over from before this allotter's time. */
+    fun credit(turn: AllotterTurn): Double {
+        val largest =
+            order.teams
+                .filter { it.isBacklogged }
+                .maxOfOrNull { estimator.estimate(it.team, null, initialCost(turn)) / it.share }
+        return settings.creditRequests * (largest ?: 0.0)
+    }
+
+    fun apply(router: RouterRow, message: Register, turn: AllotterTurn, isCollecting: Boolean) {
+        if (router.incarnation != message.incarnation) release(router)
+        router.adopt(message.incarnation)
+        demand.removeRouter(router.router)
+        replaceGrants(router, message.running, turn)
+        val ceiling = if (isCollecting) Double.POSITIVE_INFINITY else order.highest() + credit(turn)
+        message.counters.forEach { account(router, it, ceiling, turn) }
+        message.waiting.forEach { report -> team(report.team, turn)?.let { demand.apply(router.router, it, report) } }
+        router.isRegistered = true
+        router.askAgainAt = Timestamp.DISTANT_PAST
+    }
+
+    /** Frees what a router held that is gone; its teams keep the charges as service delivered. */
+    fun release(router: RouterRow) {
+        router.isRegistered = false
+        demand.removeRouter(router.router)
+        ledger.ofRouter(router.router).forEach { grant ->
+            router.account(grant.team, grant.charged)
+            ledger.close(grant, grant.charged)
+        }
+    }
+
+    private fun replaceGrants(router: RouterRow, running: List<RunningGrant>, turn: AllotterTurn) {
+        val listed = running.associateBy { it.request }
+        ledger.ofRouter(router.router).filter { it.key.request !in listed }.forEach { ledger.close(it, 0.0) }
+        running.forEach { report ->
+            val known = ledger[GrantKey(router.router, report.request)]
+            if (known == null) adopt(router, report, turn) else ledger.progressed(known, report.charged, turn.now)
+        }
+    }
+
+    private fun adopt(router: RouterRow, report: RunningGrant, turn: AllotterTurn) {
+        val entry = turn.document.teams[report.team] ?: return
+        val team = order.row(report.team, entry.share)
+        val estimate = estimator.estimate(report.team, null, initialCost(turn))
+        val charge = maxOf(estimate, report.charged)
+        val key = GrantKey(router.router, report.request)
+        ledger.open(
+            GrantRow(key, shard, report.team, report.server, null, estimate, charge, turn.now, turn.now),
+            team,
+        )
+    }
+
+    /** Charges service that is not in the counter yet; what would pass [ceiling] is waived. */
+    private fun account(router: RouterRow, counter: ServedCounter, ceiling: Double, turn: AllotterTurn) {
+        val entry = turn.document.teams[counter.team]
+        val added = counter.served - (router.accounted[counter.team] ?: 0.0)
+        router.accounted[counter.team] = counter.served
+        if (entry == null || added == 0.0) return
+        val team = order.row(counter.team, entry.share)
+        order.charge(team, minOf(added, maxOf(0.0, (ceiling - team.counter) * team.share)))
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/RunningGrants.kt
@@ -0,0 +1,78 @@
+package azuredale.sharing
+
+import azuredale.blackboard.LockRank
+import azuredale.blackboard.Table
+import azuredale.identity.RequestNumber
+import azuredale.identity.ServerId
+import azuredale.identity.TeamId
+import azuredale.protocol.GrantProgress
+import azuredale.protocol.RunningGrant
+import azuredale.protocol.ServedCounter
+import azuredale.protocol.ShardId
+import azuredale.time.Timestamp
+
+/** A grant in use at this router. */
+internal class RunningRow(
+    val request: QueuedRequest,
+    var shard: ShardId,
+    val server: ServerId,
+    val isReserve: Boolean,
+    val startedAt: Timestamp,
+) {
+    var cost: Double = 0.0
+    var reportedCost: Double = 0.0
+    var reportedAt: Timestamp = startedAt
+
+    /** Whether the allotter should learn the cost: it grew by a factor, or nothing was reported for long. */
+    fun isReportDue(settings: SharingSettings, now: Timestamp): Boolean {
+        val isYoung = now < startedAt.plusMilliseconds(settings.progressMilliseconds)
+        val hasGrown = cost > 0 && cost >= reportedCost * settings.progressGrowth
+        return (hasGrown && !isYoung) || now >= reportedAt.plusMilliseconds(settings.silenceMilliseconds)
+    }
+}
+
+/** Team and shard of a served counter. */
+internal data class ServedKey(
+    val shard: ShardId,
+    val team: TeamId,
+)
+
+/** Grants in use at this router and the service it has delivered in this incarnation. */
+internal class RunningGrants {
+    val table = Table<RequestNumber, RunningRow>("running grants", OWNER, RUNNING_ROWS, LockRank.GRANTS)
+    val served = Table<ServedKey, Double>("served counters", OWNER, SERVED_ROWS, LockRank.SERVED_COUNTERS)
+
+    operator fun get(number: RequestNumber): RunningRow? = table[number]
+
+    fun start(row: RunningRow): Boolean = table.put(row.request.number, row)
+
+    /** Ends a grant and adds its final [cost] to the served counter. */
+    fun settle(number: RequestNumber, cost: Double): RunningRow? {
+        val row = table.remove(number) ?: return null
+        val key = ServedKey(row.shard, row.request.team)
+        served.put(key, (served[key] ?: 0.0) + cost)
+        return row
+    }
+
+    fun ofShard(shard: ShardId): List<RunningRow> = table.entries.values.filter { it.shard == shard }
+
+    fun running(shard: ShardId): List<RunningGrant> =
+        ofShard(shard).map { RunningGrant(it.request.number, it.request.team, it.server, it.cost) }
+
+    fun counters(shard: ShardId): List<ServedCounter> =
+        served.entries.filterKeys { it.shard == shard }.map { ServedCounter(it.key.team, it.value) }
+
+    /** Costs that the allotter of [shard] should learn now. */
+    fun progress(shard: ShardId, settings: SharingSettings, now: Timestamp): List<GrantProgress> =
+        ofShard(shard).filter { it.isReportDue(settings, now) }.map { row ->
+            row.reportedCost = row.cost
+            row.reportedAt = now
+            GrantProgress(row.request.number, row.cost)
+        }
+
+    private companion object {
+        const val OWNER = "RequesterController"
+        const val RUNNING_ROWS = 8_192
+        const val SERVED_ROWS = 131_072
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/ServerSelection.kt
@@ -0,0 +1,43 @@
+package azuredale.sharing
+
+import azuredale.configuration.Document
+import azuredale.configuration.Requirement
+import azuredale.identity.FailureDomain
+import azuredale.time.Timestamp
+
+/** Chooses the backend server for a request among those with a free slot. */
+internal class ServerSelection(private val prefixes: PrefixIndex) {
+    /**
+     * The best free server of [rows] for a request, or null.
+     *
+     * @param prefix fingerprint of the request's prompt prefix.
+     * @param domain failure domain of the router that will send the request.
+     */
+    fun choose(
+        rows: Collection<ServerRow>,
+        document: Document,
+        requirement: Requirement,
+        prefix: Long?,
+        domain: FailureDomain?,
+        now: Timestamp,
+    ): ServerRow? {
+        val free = rows.filter { it.isFree(now) && document.allows(it.id, requirement) }
+        if (free.size <= 1) return free.firstOrNull()
+        val measured = free.map { it.limit.speed }.filter { it > 0 }
+        val usual = if (measured.isEmpty()) 1.0 else measured.average()
+        return free.maxWith(compareBy<ServerRow> { score(it, usual, prefix, domain) }.thenBy { it.id.name })
+    }
+
+    /** Speed that one more request may expect, weighted by the time saved by a cached prefix and a short path. */
+    private fun score(row: ServerRow, usual: Double, prefix: Long?, domain: FailureDomain?): Double {
+        val speed = if (row.limit.speed > 0) row.limit.speed else usual
+        val affinity = if (prefix != null && prefixes.holds(prefix, row.id)) PREFIX_WEIGHT else 1.0
+        val nearness = if (row.failureDomain == domain) DOMAIN_WEIGHT else 1.0
+        return speed / (row.inFlight + 1) * affinity * nearness
+    }
+
+    private companion object {
+        const val PREFIX_WEIGHT = 1.5
+        const val DOMAIN_WEIGHT = 1.1
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
@@ -0,0 +1,271 @@
+package azuredale.sharing
+
+import azuredale.configuration.Requirement
+import azuredale.identity.Incarnation
+import azuredale.identity.RouterId
+import azuredale.protocol.Demand
+import azuredale.protocol.Grant
+import azuredale.protocol.Progress
+import azuredale.protocol.Register
+import azuredale.protocol.RegisterRequest
+import azuredale.protocol.Settle
+import azuredale.protocol.ShardId
+import azuredale.protocol.Withdraw
+
+/** Allots the slots of one shard. All state is soft and is rebuilt from registrations. */
+internal class ShardAllotment(
+    val shard: ShardId,
+    private val incarnation: Incarnation,
+    private val settings: SharingSettings,
+    private val tables: AllotterTables,
+    prefixes: PrefixIndex,
+) {
+    val order = FairOrder()
+    val servers = ServerPool(shard, settings, tables)
+    val ledger = GrantLedger(tables, order)
+    val demand = DemandBook(shard, settings, tables, order)
+    val term = AllotterTerm(settings)
+    private val estimator = CostEstimator()
+    private val selection = ServerSelection(prefixes)
+    private val prefixIndex = prefixes
+    private val routers = HashMap<RouterId, RouterRow>()
+    private val registration =
+        RouterRegistration(shard, settings, order, ledger, demand, estimator)
+
+    /** Asks every member for registration; grants follow when all have answered or a deadline passes. */
+    fun startPrimary(turn: AllotterTurn) {
+        term.startPrimary(turn.now)
+        order.raisesReturning = false
+        documentChanged(turn)
+        routers.values.forEach { it.isRegistered = false }
+        turn.members.keys.forEach { ask(row(it), turn) }
+    }
+
+    /** Serves routers that cannot reach the first router in order. */
+    fun startSecondary(turn: AllotterTurn) {
+        term.startSecondary(turn.now)
+        documentChanged(turn)
+    }
+
+    fun register(from: RouterId, message: Register, turn: AllotterTurn) {
+        val router = row(from)
+        // Only an answer is applied: grants that cross an unasked registration would look lost.
+        if (router.isRegistered) return
+        term.heard(turn.now)
+        registration.apply(router, message, turn, isCollecting = term.isCollecting)
+        finishCollecting(turn)
+        dispatch(turn)
+    }
+
+    /** A demand without teams asks for a request for registration. */
+    fun demand(from: RouterId, message: Demand, turn: AllotterTurn) {
+        val router = row(from)
+        if (message.teams.isEmpty()) router.isRegistered = false
+        if (!requireRegistered(router, turn)) return
+        message.teams.forEach { report ->
+            registration.team(report.team, turn)?.let { team ->
+                val heads = report.heads.filterNot { repeatGrant(GrantKey(from, it.request), turn) }
+                demand.apply(from, team, report.copy(heads = heads))
+            }
+        }
+        dispatch(turn)
+    }
+
+    fun withdraw(from: RouterId, message: Withdraw, turn: AllotterTurn) {
+        if (!requireRegistered(row(from), turn)) return
+        message.requests.forEach { demand.remove(GrantKey(from, it)) }
+    }
+
+    fun progress(from: RouterId, message: Progress, turn: AllotterTurn) {
+        val router = row(from)
+        if (!requireRegistered(router, turn)) return
+        message.grants.forEach { report ->
+            val grant = ledger[GrantKey(from, report.request)]
+            if (grant == null) ask(router, turn) else ledger.progressed(grant, report.charged, turn.now)
+        }
+    }
+
+    fun settle(from: RouterId, message: Settle, turn: AllotterTurn) {
+        val router = row(from)
+        if (!requireRegistered(router, turn)) return
+        val grant = ledger[GrantKey(from, message.request)] ?: return
+        ledger.close(grant, message.cost)
+        router.account(grant.team, message.cost)
+        recordOutcome(grant, message, turn)
+        dispatch(turn)
+    }
+
+    fun connected(router: RouterId, turn: AllotterTurn) {
+        val known = routers[router] ?: return
+        if (known.isRegistered) ask(known, turn)
+    }
+
+    /** Frees the grants of routers that are gone or restarted and asks new ones for registration. */
+    fun membersChanged(turn: AllotterTurn) {
+        routers.values.forEach { router ->
+            val member = turn.members[router.router]
+            val isRestarted = member != null && router.incarnation != null && member.incarnation > router.incarnation!!
+            if (member == null && router.goneSince == null) router.goneSince = turn.now
+            if (member != null) router.goneSince = null
+            if (member == null || isRestarted) registration.release(router)
+        }
+        if (term.isPrimary) {
+            turn.members.keys
+                .map(
+                    ::row,
+                ).filter { !it.isRegistered && it.askAgainAt <= turn.now }
+                .forEach { ask(it, turn) }
+        }
+        finishCollecting(turn)
+        dispatch(turn)
+    }
+
+    fun documentChanged(turn: AllotterTurn) {
+        servers.adopt(turn.shardMap.serversOf(shard))
+        order.teams.toList().forEach { team ->
+            val entry = turn.document.teams[team.team]
+            if (entry == null ||
+                shard.pool !in entry.pools
+            ) {
+                demand.removeTeam(team)
+            } else {
+                order.reweigh(team, entry.share)
+            }
+        }
+        order.retain { it.team in turn.document.teams || it.running > 0 }
+        estimator.retain(turn.document.teams.keys)
+        dispatch(turn)
+    }
+
+    fun loadReported(report: LoadReport, turn: AllotterTurn) {
+        val server = servers[report.server] ?: return
+        server.limit.reported(report, server.inFlight, turn.now)
+        dispatch(turn)
+    }
+
+    fun tick(turn: AllotterTurn) {
+        repair(turn)
+        finishCollecting(turn)
+        dispatch(turn)
+    }
+
+    fun clear() {
+        demand.clear()
+        ledger.rows.toList().forEach { ledger.close(it, it.charged) }
+        servers.clear()
+    }
+
+    private fun row(router: RouterId): RouterRow = routers.getOrPut(router) { RouterRow(router) }
+
+    private fun ask(router: RouterRow, turn: AllotterTurn) {
+        if (!router.isRegistered && turn.now < router.askAgainAt) return
+        router.isRegistered = false
+        router.askAgainAt = turn.now.plusMilliseconds(settings.registrationMilliseconds)
+        turn.send(router.router, RegisterRequest(shard, incarnation))
+    }
+
+    private fun requireRegistered(router: RouterRow, turn: AllotterTurn): Boolean {
+        if (router.isRegistered) term.heard(turn.now) else ask(router, turn)
+        return router.isRegistered
+    }
+
+    /** A router that offers a granted request again did not get the grant. */
+    private fun repeatGrant(key: GrantKey, turn: AllotterTurn): Boolean {
+        val grant = ledger[key] ?: return false
+        turn.send(key.router, Grant(shard, key.request, grant.server))
+        return true
+    }
+
+    private fun recordOutcome(grant: GrantRow, message: Settle, turn: AllotterTurn) {
+        val server = servers[grant.server]
+        if (message.hasServerFailed) {
+            server?.health?.failed(grant.key.router, turn.now)
+        } else if (message.cost > 0) {
+            server?.health?.succeeded()
+            server?.limit?.settled(message.cost, turn.now.secondsSince(grant.grantedAt), server.inFlight + 1)
+            estimator.settled(grant.team, grant.hint, message.cost, registration.initialCost(turn))
+        }
+    }
+
+    private fun finishCollecting(turn: AllotterTurn) {
+        if (!term.isCollecting) return
+        val isComplete = turn.members.keys.all { routers[it]?.isRegistered == true }
+        if (!isComplete && turn.now < term.collectingUntil) return
+        term.finishCollecting()
+        order.raisesReturning = true
+        order.raiseAll(order.highest() - registration.credit(turn))
+    }
+
+    private fun repair(turn: AllotterTurn) {
+        val stale = turn.now.plusMilliseconds(-settings.repairMilliseconds)
+        ledger.rows
+            .filter { it.heardAt < stale }
+            .map { it.key.router }
+            .toSet()
+            .forEach { ask(row(it), turn) }
+        val forgotten = turn.now.plusMilliseconds(-FORGET_MILLISECONDS)
+        routers.values.removeIf { row -> row.goneSince?.let { it < forgotten } == true }
+        if (!term.isPrimary) return
+        routers.values
+            .filter { !it.isRegistered && it.router in turn.members && it.askAgainAt <= turn.now }
+            .forEach { ask(it, turn) }
+    }
+
+    private fun dispatch(turn: AllotterTurn) {
+        if (!turn.mayGiveOutWork || term.isCollecting || demand.isEmpty) return
+        val blocked = HashSet<Requirement>()
+        while (servers.hasFree(turn.now) && ledger.size < term.bound(servers.slots, turn.now)) {
+            if (!grantNext(blocked, turn)) return
+        }
+    }
+
+    /** Grants one request of the backlogged team with the lowest counter that has a grantable one. */
+    private fun grantNext(blocked: MutableSet<Requirement>, turn: AllotterTurn): Boolean {
+        for (team in order.inOrder) {
+            val candidates =
+                team.classes
+                    .filterKeys { it !in blocked }
+                    .values
+                    .mapNotNull(::firstRegistered)
+            for (row in candidates.sortedBy { it.arrival }) {
+                val domain = turn.members[row.key.router]?.failureDomain
+                val server =
+                    selection
+                        .choose(servers.rows, turn.document, row.requirement, row.head.prefix, domain, turn.now)
+                if (server != null) return grant(row, team, server, turn)
+                blocked += row.requirement
+            }
+        }
+        return false
+    }
+
+    private fun firstRegistered(queue: Map<GrantKey, WaitingRow>): WaitingRow? =
+        queue.values.firstOrNull { routers[it.key.router]?.isRegistered == true }
+
+    private fun grant(row: WaitingRow, team: TeamRow, server: ServerRow, turn: AllotterTurn): Boolean {
+        val estimate = estimator.estimate(row.team, row.head.hint, registration.initialCost(turn))
+        val grant =
+            GrantRow(
+                row.key,
+                shard,
+                row.team,
+                server.id,
+                row.head.hint,
+                estimate,
+                estimate,
+                turn.now,
+                turn.now,
+            )
+        order.granting(team, row.requirement)
+        if (!ledger.open(grant, team)) return false
+        demand.remove(row.key)
+        row.head.prefix?.let { prefixIndex.stored(it, server.id) }
+        turn.send(row.key.router, Grant(shard, row.key.request, server.id))
+        return true
+    }
+
+    private companion object {
+        /** Counters of a router that is gone are kept this long, for the case that a partition heals. */
+        const val FORGET_MILLISECONDS = 600_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/StableHash.kt
@@ -0,0 +1,33 @@
+package azuredale.sharing
+
+/** A hash of strings that is equal on every node and in every release. */
+internal object StableHash {
+    private const val OFFSET = -3_750_763_034_362_895_579L
+    private const val PRIME = 1_099_511_628_211L
+    private const val MIX_FIRST = -4_658_895_280_553_007_687L
+    private const val MIX_SECOND = -7_723_592_293_110_705_685L
+    private const val SHIFT_FIRST = 30
+    private const val SHIFT_SECOND = 27
+    private const val SHIFT_THIRD = 31
+    private const val HALF = 0.5
+    private const val MANTISSA_BITS = 53
+    private const val SEPARATOR = 0x1F
+
+    /** FNV-1a over the characters of [parts], finished with the mixer of SplitMix64. */
+    fun of(vararg parts: String): Long {
+        var hash = OFFSET
+        parts.forEach { part ->
+            part.forEach { hash = (hash xor it.code.toLong()) * PRIME }
+            hash = (hash xor SEPARATOR.toLong()) * PRIME
+        }
+        hash = (hash xor (hash ushr SHIFT_FIRST)) * MIX_FIRST
+        hash = (hash xor (hash ushr SHIFT_SECOND)) * MIX_SECOND
+        return hash xor (hash ushr SHIFT_THIRD)
+    }
+
+    /** [of] mapped to the open interval from 0 to 1. */
+    fun fraction(vararg parts: String): Double {
+        val bits = of(*parts) ushr (Long.SIZE_BITS - MANTISSA_BITS)
+        return (bits + HALF) / (1L shl MANTISSA_BITS)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/TeamQueue.kt
@@ -0,0 +1,111 @@
+package azuredale.sharing
+
+import azuredale.configuration.Requirement
+import azuredale.identity.PoolId
+import azuredale.identity.RequestNumber
+import azuredale.identity.TeamId
+import azuredale.protocol.ShardId
+import azuredale.time.Timestamp
+import java.util.TreeMap
+
+/** A request that waits at this router; [arrival] orders requests of one team. */
+internal class QueuedRow(
+    val request: QueuedRequest,
+    val arrival: Long,
+) {
+    /** The shard whose allotter was offered the request. */
+    var offeredTo: ShardId? = null
+
+    var offeredAt: Timestamp = Timestamp.DISTANT_PAST
+
+    /** The request is not offered before this time, because its last grant could not be used. */
+    var heldUntil: Timestamp = Timestamp.DISTANT_PAST
+
+    var isRemoved: Boolean = false
+}
+
+/** Waiting requests of one team for one pool at this router, with the part that is offered to allotters. */
+internal class TeamQueue(
+    val team: TeamId,
+    val pool: PoolId,
+) {
+    private val unoffered = LinkedHashMap<Requirement, TreeMap<Long, QueuedRow>>()
+    private val offered = HashMap<ShardId, LinkedHashMap<RequestNumber, QueuedRow>>()
+
+    /** Requests waiting beyond the offered ones, as last reported to each shard's allotter. */
+    val reportedBeyond = HashMap<ShardId, Boolean>()
+
+    val isEmpty: Boolean get() = unoffered.isEmpty() && offered.isEmpty()
+
+    val rows: List<QueuedRow> get() = (unoffered.values.flatMap { it.values } + offered.values.flatMap { it.values })
+
+    fun add(row: QueuedRow) {
+        unoffered.getOrPut(row.request.requirement) { TreeMap() }[row.arrival] = row
+    }
+
+    fun remove(row: QueuedRow) {
+        takeBack(row)
+        val queue = unoffered[row.request.requirement] ?: return
+        queue.remove(row.arrival)
+        if (queue.isEmpty()) unoffered.remove(row.request.requirement)
+    }
+
+    fun offer(row: QueuedRow, shard: ShardId, now: Timestamp) {
+        remove(row)
+        offered.getOrPut(shard) { LinkedHashMap() }[row.request.number] = row
+        row.offeredTo = shard
+        row.offeredAt = now
+    }
+
+    /** Returns an offered request to the waiting ones that are not offered. */
+    fun takeBack(row: QueuedRow) {
+        val shard = row.offeredTo ?: return
+        val heads = offered[shard]
+        heads?.remove(row.request.number)
+        if (heads?.isEmpty() == true) offered.remove(shard)
+        row.offeredTo = null
+        add(row)
+    }
+
+    /** Returns all requests that are offered to [shard]. */
+    fun takeBackAll(shard: ShardId) {
+        offered[shard]?.values?.toList()?.forEach(::takeBack)
+        reportedBeyond.remove(shard)
+    }
+
+    fun offeredTo(shard: ShardId): Collection<QueuedRow> = offered[shard]?.values.orEmpty()
+
+    fun offeredTo(shard: ShardId, requirement: Requirement): List<QueuedRow> =
+        offeredTo(shard).filter { it.request.requirement == requirement }
+
+    /** Number of waiting requests that are not offered and satisfy [isEligible]. */
+    fun unofferedCount(isEligible: (Requirement) -> Boolean): Int =
+        unoffered.entries.sumOf { if (isEligible(it.key)) it.value.size else 0 }
+
+    /**
+     * The next request to offer: the earliest of the requirement with the fewest offered requests, so that requests for
+     * a busy model do not hide those for an idle one.
+     */
+    fun next(now: Timestamp, isOpen: (Requirement) -> Boolean): QueuedRow? = unoffered.keys
+        .filter(isOpen)
+        .mapNotNull { requirement -> firstReady(requirement, now) }
+        .minWithOrNull(compareBy<QueuedRow> { offeredCount(it.request.requirement) }.thenBy { it.arrival })
+
+    /** The first request of every requirement that has none offered. */
+    fun hidden(now: Timestamp): List<QueuedRow> =
+        unoffered.keys.filter { offeredCount(it) == 0 }.mapNotNull { firstReady(it, now) }
+
+    /** The youngest request offered to [shard] whose requirement has another one offered there. */
+    fun replaceable(shard: ShardId): QueuedRow? = offeredTo(shard)
+        .groupBy { it.request.requirement }
+        .values
+        .filter { it.size > 1 }
+        .maxByOrNull { it.size }
+        ?.maxByOrNull { it.arrival }
+
+    private fun firstReady(requirement: Requirement, now: Timestamp): QueuedRow? =
+        unoffered[requirement]?.values?.firstOrNull { it.heldUntil <= now }
+
+    private fun offeredCount(requirement: Requirement): Int =
+        offered.values.sumOf { heads -> heads.values.count { it.request.requirement == requirement } }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/TeamRow.kt
@@ -0,0 +1,59 @@
+package azuredale.sharing
+
+import azuredale.configuration.Requirement
+import azuredale.identity.RequestNumber
+import azuredale.identity.RouterId
+import azuredale.identity.TeamId
+import azuredale.protocol.WaitingHead
+
+/** Identifies a waiting request or a grant at the allotter. */
+internal data class GrantKey(
+    val router: RouterId,
+    val request: RequestNumber,
+)
+
+/** A request that an allotter may grant; [arrival] orders requests of one team. */
+internal class WaitingRow(
+    val key: GrantKey,
+    val team: TeamId,
+    val requirement: Requirement,
+    val head: WaitingHead,
+    val arrival: Long,
+)
+
+/** Waiting requests and virtual counter of one team at the allotter of one shard. */
+internal class TeamRow(
+    val team: TeamId,
+    var share: Double,
+) {
+    /** Charge divided by share; changed only by [FairOrder]. */
+    var counter: Double = 0.0
+
+    /** Number of running grants. */
+    var running: Int = 0
+
+    /** Waiting requests by what they need of a server, each in order of arrival. */
+    val classes = LinkedHashMap<Requirement, LinkedHashMap<GrantKey, WaitingRow>>()
+
+    /** Number of offered requests by router. */
+    val heads = HashMap<RouterId, Int>()
+
+    /** Requests that wait at a router beyond those it offered. */
+    val beyond = HashMap<RouterId, Int>()
+
+    val isBacklogged: Boolean get() = classes.isNotEmpty() || beyond.isNotEmpty()
+
+    val waiting: Int get() = heads.values.sum() + beyond.values.sum()
+
+    fun add(row: WaitingRow) {
+        classes.getOrPut(row.requirement) { LinkedHashMap() }[row.key] = row
+        heads.merge(row.key.router, 1, Int::plus)
+    }
+
+    fun remove(row: WaitingRow) {
+        val queue = classes[row.requirement] ?: return
+        if (queue.remove(row.key) == null) return
+        if (queue.isEmpty()) classes.remove(row.requirement)
+        heads.computeIfPresent(row.key.router) { _, count -> if (count > 1) count - 1 else null }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/Topology.kt
@@ -0,0 +1,38 @@
+package azuredale.sharing
+
+import azuredale.configuration.AcceptedDocument
+import azuredale.identity.RouterId
+import azuredale.membership.Member
+import azuredale.protocol.ShardId
+
+/** Caches what follows from the document and the members until they change. */
+internal class Topology {
+    private var mappedFor: AcceptedDocument? = null
+    private var map: ShardMap? = null
+    private var orderedMembers: Map<RouterId, Member> = emptyMap()
+    private var orders: Map<ShardId, List<RouterId>> = emptyMap()
+
+    fun shardMap(accepted: AcceptedDocument): ShardMap {
+        val known = map
+        if (known != null && mappedFor === accepted) return known
+        mappedFor = accepted
+        orders = emptyMap()
+        return ShardMap(accepted.document).also { map = it }
+    }
+
+    /** Allotters of [shard] in order of preference. */
+    fun order(shard: ShardId, shardMap: ShardMap, members: Map<RouterId, Member>): List<RouterId> =
+        orders(shardMap, members)[shard].orEmpty()
+
+    /** Shards for which [router] is the first in order. */
+    fun shardsLedBy(router: RouterId, shardMap: ShardMap, members: Map<RouterId, Member>): Set<ShardId> =
+        orders(shardMap, members).filterValues { it.firstOrNull() == router }.keys
+
+    private fun orders(shardMap: ShardMap, members: Map<RouterId, Member>): Map<ShardId, List<RouterId>> {
+        if (orders.isEmpty() || (orderedMembers !== members && orderedMembers != members)) {
+            orders = shardMap.shards.associateWith { AllotterOrder.of(it, shardMap.regionOf(it), members.values) }
+        }
+        orderedMembers = members
+        return orders
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/sharing/SharingFleet.kt
@@ -0,0 +1,297 @@
+package azuredale.sharing
+
+import azuredale.configuration.AcceptedDocument
+import azuredale.configuration.BackendServer
+import azuredale.configuration.Document
+import azuredale.configuration.Pool
+import azuredale.configuration.PoolKind
+import azuredale.configuration.Requirement
+import azuredale.configuration.Team
+import azuredale.identity.FailureDomain
+import azuredale.identity.Incarnation
+import azuredale.identity.ModelVersion
+import azuredale.identity.NetworkAddress
+import azuredale.identity.PoolId
+import azuredale.identity.Region
+import azuredale.identity.RequestNumber
+import azuredale.identity.Revision
+import azuredale.identity.RouterId
+import azuredale.identity.ServerId
+import azuredale.identity.TeamId
+import azuredale.membership.Member
+import azuredale.membership.MemberState
+import azuredale.node.NodeEffect
+import azuredale.outcome.Failure
+import azuredale.outcome.Outcome
+import azuredale.protocol.PeerMessage
+import azuredale.time.Timestamp
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+internal val testPool = PoolId("model")
+internal val testRegion = Region("south")
+
+internal fun testServer(name: String, slots: Int, models: Set<ModelVersion> = emptySet()): BackendServer =
+    BackendServer(
+        ServerId(name),
+        testPool,
+        NetworkAddress("127.0.0.1", 1),
+        FailureDomain("a"),
+        slots,
+        modelVersions = models,
+    )
+
+internal fun testDocument(shares: Map<String, Double>, servers: List<BackendServer>, shards: Int = 1): Document =
+    Document(
+        failureDomains = mapOf(FailureDomain("a") to testRegion),
+        teams = shares.map { (name, share) -> Team(TeamId(name), share, setOf(testPool)) }.associateBy { it.id },
+        pools = mapOf(testPool to Pool(testPool, PoolKind.MODEL, shards, initialCost = 10.0)),
+        servers = servers.associateBy { it.id },
+    )
+
+internal fun testMember(router: RouterId, incarnation: Long = 1): Member =
+    NetworkAddress("127.0.0.1", 1).let { address ->
+        val domain = FailureDomain("a")
+        Member(router, Incarnation(incarnation), MemberState.ALIVE, testRegion, domain, address, address, address)
+    }
+
+/** Runs the controllers of several routers in virtual time, with servers that run requests at a fixed speed. */
+internal class SharingFleet(
+    var document: Document,
+    routerCount: Int,
+    private val latencyMicroseconds: Long = 2_000,
+    private val settings: SharingSettings = SharingSettings(),
+    private val speeds: Map<ServerId, Double> = emptyMap(),
+) {
+    /** A request with its true cost. */
+    data class Work(
+        val team: TeamId,
+        val cost: Double,
+        val hint: Double? = null,
+        val modelVersion: ModelVersion? = null,
+    )
+
+    inner class Router(
+        val id: RouterId,
+        var incarnation: Long,
+    ) {
+        var isRunning = true
+        var mayGiveOutWork = true
+        var members: List<Member> = emptyList()
+        val work = HashMap<RequestNumber, Work>()
+        lateinit var allotter: AllotterController
+        lateinit var requester: RequesterController
+
+        fun start() {
+            val context =
+                SharingContext(
+                    id,
+                    Incarnation(incarnation),
+                    testRegion,
+                    { members },
+                    { accepted },
+                    { mayGiveOutWork },
+                    Random(1),
+                )
+            allotter = AllotterController(context, settings)
+            requester = RequesterController(context, settings)
+        }
+
+        fun submit(item: Work, deadline: Timestamp = now.plusSeconds(10_000)): Outcome<List<NodeEffect>> {
+            val number = RequestNumber(incarnation * 1_000_000 + nextNumber++)
+            work[number] = item
+            val requirement = Requirement(testPool, item.modelVersion)
+            val outcome = requester.submit(QueuedRequest(number, item.team, requirement, deadline, item.hint), now)
+            if (outcome is Outcome.Success) {
+                waiting.merge(item.team, 1, Int::plus)
+                apply(this, outcome.value)
+            }
+            return outcome
+        }
+    }
+
+    class Running(
+        val router: Router,
+        val number: RequestNumber,
+        val work: Work,
+        val server: ServerId,
+        val startedAt: Timestamp,
+        val endsAt: Timestamp,
+    ) {
+        fun delivered(now: Timestamp): Double = work.cost *
+            (now.microsecondsSince(startedAt).toDouble() / endsAt.microsecondsSince(startedAt)).coerceIn(0.0, 1.0)
+    }
+
+    private class Event(
+        val at: Timestamp,
+        val order: Long,
+        val action: () -> Unit,
+    )
+
+    var now = Timestamp(0)
+        private set
+    var accepted = AcceptedDocument(Revision(1), "", document)
+        private set
+    val running = LinkedHashMap<RequestNumber, Running>()
+    val waiting = HashMap<TeamId, Int>()
+    val served = HashMap<TeamId, Double>()
+    val failures = ArrayList<Failure>()
+    val granted = ArrayList<Pair<TeamId, ServerId>>()
+    val sent = ArrayList<Pair<RouterId, PeerMessage>>()
+    var isCut: (RouterId, RouterId) -> Boolean = { _, _ -> false }
+    var onSettled: (Running) -> Unit = {}
+    var fails: (Running) -> Boolean = { false }
+    private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private var nextOrder = 0L
+    private var nextNumber = 1L
+
+    val routers: List<Router> = (1..routerCount).map { Router(RouterId("router-$it"), incarnation = 1) }
+
+    init {
+        routers.forEach { it.members = routers.map { peer -> testMember(peer.id) } }
+        routers.forEach { it.start() }
+        routers.forEach { router -> scheduleTick(router, router.incarnation) }
+    }
+
+    fun router(id: RouterId): Router = routers.first { it.id == id }
+
+    /** The running router that allots the first shard as primary. */
+    fun allotter(): Router = routers.first { router ->
+        router.isRunning &&
+            router.allotter
+                .snapshot()
+                .shards
+                .any { it.isPrimary }
+    }
+
+    fun at(time: Timestamp, action: () -> Unit) {
+        events += Event(time, nextOrder++, action)
+    }
+
+    fun run(milliseconds: Long, onStep: () -> Unit = {}) {
+        val end = now.plusMilliseconds(milliseconds)
+        while (events.isNotEmpty() && events.peek().at <= end) {
+            val event = events.poll()
+            now = event.at
+            event.action()
+            onStep()
+        }
+        now = end
+    }
+
+    /** Service received so far by [team], divided by its share. */
+    fun service(team: Team): Double {
+        val inProgress = running.values.filter { it.work.team == team.id }.sumOf { it.delivered(now) }
+        return ((served[team.id] ?: 0.0) + inProgress) / team.share
+    }
+
+    fun updateDocument(changed: Document) {
+        document = changed
+        accepted = AcceptedDocument(Revision(accepted.revision.value + 1), "", changed)
+        routers.filter { it.isRunning }.forEach { router ->
+            apply(router, router.allotter.documentChanged(now))
+            apply(router, router.requester.documentChanged(now))
+        }
+    }
+
+    fun setMembers(router: Router, members: List<Member>) {
+        router.members = members
+        apply(router, router.allotter.membersChanged(now))
+        apply(router, router.requester.membersChanged(now))
+    }
+
+    /** Ends a router's process; its running requests end without settlement. */
+    fun crash(router: Router) {
+        router.isRunning = false
+        running.values.removeIf { it.router === router }
+    }
+
+    fun restart(router: Router) {
+        router.incarnation++
+        router.isRunning = true
+        router.work.clear()
+        router.start()
+        scheduleTick(router, router.incarnation)
+    }
+
+    /** Stops a process without ending its requests at the servers. */
+    fun pause(router: Router) {
+        router.isRunning = false
+    }
+
+    fun resume(router: Router) {
+        router.isRunning = true
+    }
+
+    fun disconnect(router: Router, peer: Router) {
+        apply(router, router.allotter.peerDisconnected(peer.id, now))
+        apply(router, router.requester.peerDisconnected(peer.id, now))
+    }
+
+    fun connect(router: Router, peer: Router) {
+        apply(router, router.allotter.peerConnected(peer.id, now))
+        apply(router, router.requester.peerConnected(peer.id, now))
+    }
+
+    fun apply(router: Router, effects: List<NodeEffect>): Unit = effects.forEach { effect ->
+        when (effect) {
+            is NodeEffect.SendMessage -> send(router, effect)
+            is NodeEffect.SlotGranted -> begin(router, effect)
+            is NodeEffect.SlotRefused -> {
+                waiting.merge(router.work.remove(effect.slot)!!.team, -1, Int::plus)
+                failures += effect.failure
+            }
+            else -> error("unexpected effect $effect")
+        }
+    }
+
+    private fun send(router: Router, effect: NodeEffect.SendMessage) {
+        sent += router.id to effect.message
+        val target = router(effect.to)
+        val delay = if (target === router) 0 else latencyMicroseconds
+        if (target !== router && isCut(router.id, target.id)) return
+        at(now.plusMicroseconds(delay)) { if (target.isRunning) deliver(target, router.id, effect.message) }
+    }
+
+    private fun deliver(target: Router, from: RouterId, message: PeerMessage) {
+        apply(target, target.allotter.messageReceived(from, message, now))
+        apply(target, target.requester.messageReceived(from, message, now))
+    }
+
+    private fun begin(router: Router, effect: NodeEffect.SlotGranted) {
+        val work = router.work.remove(effect.slot)!!
+        waiting.merge(work.team, -1, Int::plus)
+        granted += work.team to effect.server
+        val micros = (work.cost / (speeds[effect.server] ?: 100.0) * Timestamp.MICROSECONDS_PER_SECOND).toLong()
+        val run = Running(router, effect.slot, work, effect.server, now, now.plusMicroseconds(maxOf(1, micros)))
+        running[effect.slot] = run
+        at(run.endsAt) { end(run, router.incarnation) }
+    }
+
+    private fun end(run: Running, incarnation: Long) {
+        if (!run.router.isRunning && run.router.incarnation == incarnation && run.number in running) {
+            at(now.plusMilliseconds(20)) { end(run, incarnation) }
+            return
+        }
+        if (running.remove(run.number) == null || run.router.incarnation != incarnation) return
+        served.merge(run.work.team, run.work.cost, Double::plus)
+        apply(run.router, run.router.requester.settled(run.number, run.work.cost, fails(run), now))
+        onSettled(run)
+    }
+
+    private fun scheduleTick(router: Router, incarnation: Long) {
+        at(now.plusMilliseconds(20)) {
+            if (router.incarnation != incarnation) return@at
+            if (router.isRunning) tick(router)
+            scheduleTick(router, incarnation)
+        }
+    }
+
+    private fun tick(router: Router) {
+        running.values.filter { it.router === router }.forEach { run ->
+            apply(router, router.requester.progressed(run.number, run.delivered(now), now))
+        }
+        apply(router, router.allotter.tick(now))
+        apply(router, router.requester.tick(now))
+    }
+}
