--- /dev/null
+++ b/src/main/kotlin/azuredale/transport/Handshake.kt
@@ -0,0 +1,102 @@
+@file:OptIn(kotlinx.serialization.ExperimentalSerializationApi::class)
+
+package azuredale.transport
+
+import azuredale.identity.Incarnation
+import azuredale.identity.RouterId
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborLabel
+import java.nio.ByteBuffer
+
+/** Which end of a connection sent a hello. */
+internal enum class HandshakeRole(val number: Int) {
+    DIALER(1),
+    ACCEPTOR(2),
+}
+
+/**
+ * First message of each end of a connection.
+ *
+ * @property target the router that the sender means to reach; catches an address that now belongs to another router.
+ * @property nonce random bytes of this connection, so that frames of another connection have other keys.
+ */
+@Serializable
+internal class Hello(
+    @CborLabel(1) val router: RouterId,
+    @CborLabel(2) val incarnation: Incarnation,
+    @CborLabel(3) val target: RouterId,
+    @CborLabel(4) @ByteString val nonce: ByteArray,
+)
+
+/**
+ * Encodes hellos and derives the keys of a connection from the fleet key and both hellos.
+ *
+ * The acceptor's hello is authenticated together with the dialer's, which proves to the dialer that it is fresh. The
+ * dialer proves the same with its first frame, whose key depends on the acceptor's nonce.
+ */
+internal class Handshake(fleetKey: ByteArray) {
+    private val authenticator = MessageAuthenticator(fleetKey)
+    private val cbor = compactCbor()
+
+    /** A hello with its length field; [peerHello] is the dialer's hello when the acceptor answers it. */
+    fun encode(role: HandshakeRole, hello: Hello, peerHello: ByteArray = NONE): ByteArray {
+        val body = cbor.encodeToByteArray(Hello.serializer(), hello)
+        val content =
+            ByteBuffer
+                .allocate(HEADER_BYTES + body.size)
+                .putInt(HEADER_BYTES - FrameCodec.LENGTH_BYTES + body.size + MessageAuthenticator.CODE_BYTES)
+                .put(FrameCodec.PROTOCOL_VERSION.toByte())
+                .put(role.number.toByte())
+                .put(body)
+                .array()
+        return content + code(content, peerHello)
+    }
+
+    /** The hello in [bytes], or null when it is malformed, of another version or role, or not authentic. */
+    fun decode(role: HandshakeRole, bytes: ByteArray, peerHello: ByteArray = NONE): Hello? {
+        val end = bytes.size - MessageAuthenticator.CODE_BYTES
+        if (end <= HEADER_BYTES) return null
+        val header = ByteBuffer.wrap(bytes)
+        val hasLength = header.getInt() == bytes.size - FrameCodec.LENGTH_BYTES
+        val hasVersion = header.get().toInt() == FrameCodec.PROTOCOL_VERSION
+        val hasRole = header.get().toInt() == role.number
+        if (!hasLength || !hasVersion || !hasRole) return null
+        val code = bytes.copyOfRange(end, bytes.size)
+        if (!java.security.MessageDigest.isEqual(code, code(bytes.copyOf(end), peerHello))) return null
+        val hello =
+            runCatching {
+                cbor.decodeFromByteArray(Hello.serializer(), bytes.copyOfRange(HEADER_BYTES, end))
+            }.getOrNull()
+        return hello?.takeIf { it.nonce.size == NONCE_BYTES }
+    }
+
+    /** Codec of the end with [role] after both hellos were exchanged. */
+    fun codec(role: HandshakeRole, dialerHello: ByteArray, acceptorHello: ByteArray, limits: FrameLimits): FrameCodec {
+        val fromDialer = key(HandshakeRole.DIALER, dialerHello, acceptorHello)
+        val fromAcceptor = key(HandshakeRole.ACCEPTOR, dialerHello, acceptorHello)
+        return when (role) {
+            HandshakeRole.DIALER -> FrameCodec(fromDialer, fromAcceptor, limits)
+            HandshakeRole.ACCEPTOR -> FrameCodec(fromAcceptor, fromDialer, limits)
+        }
+    }
+
+    private fun key(sender: HandshakeRole, dialerHello: ByteArray, acceptorHello: ByteArray): ByteArray =
+        locked { authenticator.full(KEY_LABEL, byteArrayOf(sender.number.toByte()), dialerHello, acceptorHello) }
+
+    private fun code(content: ByteArray, peerHello: ByteArray): ByteArray =
+        locked { authenticator.full(HELLO_LABEL, content, peerHello) }.copyOf(MessageAuthenticator.CODE_BYTES)
+
+    private fun <T> locked(block: () -> T): T = synchronized(authenticator) { block() }
+
+    companion object {
+        const val NONCE_BYTES = 16
+
+        /** Bound on a hello; router names are short. */
+        const val MAXIMUM_BYTES = 1024
+        private const val HEADER_BYTES = FrameCodec.LENGTH_BYTES + 2
+        private val NONE = ByteArray(0)
+        private val HELLO_LABEL = "azuredale hello".encodeToByteArray()
+        private val KEY_LABEL = "azuredale frame key".encodeToByteArray()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/transport/PeerConnection.kt
@@ -0,0 +1,88 @@
+package azuredale.transport
+
+import azuredale.identity.Incarnation
+import azuredale.identity.RouterId
+import azuredale.protocol.PeerMessage
+import io.ktor.network.sockets.Socket
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readFully
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CompletableJob
+import kotlinx.coroutines.Job
+import java.nio.ByteBuffer
+
+/** Reads and writes length-prefixed byte blocks on one socket. */
+internal class BlockStream(
+    private val socket: Socket,
+    private val input: ByteReadChannel,
+    private val output: ByteWriteChannel,
+    private val counters: TransportCounters,
+) {
+    /** The next block with its length field; null when the length is past [maximumBytes], which is then counted. */
+    suspend fun read(maximumBytes: Int): ByteArray? {
+        val length = input.readInt()
+        if (length !in 1..maximumBytes) {
+            counters.refuse(FrameFault.TOO_LONG)
+            return null
+        }
+        val block = ByteArray(FrameCodec.LENGTH_BYTES + length)
+        ByteBuffer.wrap(block).putInt(length)
+        input.readFully(block, FrameCodec.LENGTH_BYTES, block.size)
+        counters.bytesReceived.add(block.size.toLong())
+        return block
+    }
+
+    suspend fun write(block: ByteArray) {
+        output.writeFully(block)
+        output.flush()
+        counters.bytesSent.add(block.size.toLong())
+    }
+
+    fun close(): Unit = socket.close()
+}
+
+/**
+ * An authenticated connection to another router.
+ *
+ * @param hello what the other router said of itself.
+ * @property isDialed whether this router opened the connection.
+ * @property isPreferred whether it was opened by the router with the lower id.
+ */
+internal class PeerConnection(
+    hello: Hello,
+    val isDialed: Boolean,
+    val isPreferred: Boolean,
+    private val stream: BlockStream,
+    private val codec: FrameCodec,
+    private val limits: FrameLimits,
+    private val counters: TransportCounters,
+) {
+    val router: RouterId = hello.router
+    val incarnation: Incarnation = hello.incarnation
+
+    /** Completed when the end of this connection has been reported. */
+    val ended: CompletableJob = Job()
+
+    /** Sends [messages] in one frame, or in several when they exceed the bound. */
+    suspend fun send(messages: List<PeerMessage>): EncodeResult {
+        val result = codec.encode(messages)
+        if (result is EncodeResult.Encoded) {
+            result.frames.forEach { stream.write(it) }
+            counters.framesSent.add(result.frames.size.toLong())
+            counters.messagesSent.add(messages.size.toLong())
+        }
+        return result
+    }
+
+    /** The next frame; refused frames are counted. */
+    suspend fun receive(): FrameResult {
+        val block = stream.read(limits.frameBytes) ?: return FrameResult.Refused(FrameFault.TOO_LONG)
+        val result = codec.decode(block)
+        if (result is FrameResult.Refused) counters.refuse(result.fault)
+        return result
+    }
+
+    fun close(): Unit = stream.close()
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/transport/PeerLink.kt
@@ -0,0 +1,141 @@
+package azuredale.transport
+
+import azuredale.identity.RouterId
+import azuredale.logging.EventLog
+import azuredale.protocol.PeerMessage
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeout
+
+/**
+ * Send queue and present connection of one other router.
+ *
+ * @param dial opens a connection, or returns null when that fails.
+ */
+internal class PeerLink(
+    private val router: RouterId,
+    private val options: TransportOptions,
+    private val counters: TransportCounters,
+    private val dial: suspend (RouterId) -> PeerConnection?,
+) {
+    private val queue = ArrayDeque<PeerMessage>()
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val log = EventLog("azuredale.transport")
+    private var connection: PeerConnection? = null
+    private var connectedAt = 0L
+
+    private var isDialing = false
+
+    /** Adds [message]; a full queue drops its oldest message and resets the connection. */
+    fun enqueue(message: PeerMessage) {
+        val overflowed =
+            synchronized(this) {
+                queue.addLast(message)
+                (queue.size > options.queueMessages).also { if (it) queue.removeFirst() }
+            }
+        if (overflowed) {
+            counters.queueOverflows.increment()
+            counters.messagesDropped.increment()
+            log.write(TransportLogEvent.QUEUE_OVERFLOWED, "router" to router)
+            current()?.close()
+        }
+        wake.trySend(Unit)
+    }
+
+    /** The present connection, or null. */
+    fun current(): PeerConnection? = synchronized(this) { connection }
+
+    /**
+     * Makes [opened] the present connection and returns the one to close, which is [opened] itself when both routers
+     * opened one at the same moment and the other one stays. Both ends choose alike.
+     */
+    fun attach(opened: PeerConnection): PeerConnection? = synchronized(this) {
+        val present = connection
+        val isCrossing = present != null && present.isDialed != opened.isDialed && isYoung()
+        if (present != null && isCrossing && present.isPreferred) return opened
+        connection = opened
+        connectedAt = System.nanoTime()
+        present
+    }
+
+    /** Whether a connection opened by the other router would be replaced by this router's own one at once. */
+    fun refusesIncoming(isOwnPreferred: Boolean): Boolean = synchronized(this) {
+        isOwnPreferred && (isDialing || (connection?.isDialed == true && isYoung()))
+    }
+
+    private fun isYoung(): Boolean = System.nanoTime() - connectedAt < CROSSING_NANOSECONDS
+
+    /** Forgets [closed] if it is the present connection, with all that waits for it; returns whether it was. */
+    fun detach(closed: PeerConnection): Boolean = synchronized(this) {
+        val isCurrent = connection === closed
+        if (isCurrent) {
+            connection = null
+            dropQueue()
+        }
+        isCurrent
+    }
+
+    /** Sends queued messages until cancelled. */
+    suspend fun run() {
+        var backOff = options.firstBackOffMilliseconds
+        while (true) {
+            wake.receive()
+            delay(options.batchMilliseconds)
+            val present = current() ?: open()
+            if (present != null) {
+                backOff = options.firstBackOffMilliseconds
+                flush(present)
+            } else {
+                synchronized(this) { dropQueue() }
+                delay(backOff)
+                backOff = minOf(backOff * 2, options.largestBackOffMilliseconds)
+            }
+        }
+    }
+
+    private suspend fun open(): PeerConnection? {
+        synchronized(this) { isDialing = true }
+        try {
+            return dial(router) ?: current()
+        } finally {
+            synchronized(this) { isDialing = false }
+        }
+    }
+
+    private suspend fun flush(present: PeerConnection) {
+        val batch = synchronized(this) { queue.toList().also { queue.clear() } }
+        if (batch.isEmpty()) return
+        try {
+            when (val result = withTimeout(options.writeMilliseconds) { present.send(batch) }) {
+                is EncodeResult.NamesExhausted -> {
+                    log.write(TransportLogEvent.NAMES_EXHAUSTED, "router" to router)
+                    present.close()
+                }
+
+                is EncodeResult.Encoded ->
+                    if (result.oversized > 0) {
+                        log.write(TransportLogEvent.MESSAGE_TOO_LARGE, "router" to router, "count" to result.oversized)
+                    }
+            }
+        } catch (_: CancellationException) {
+            // A closed socket and a missed write deadline end as cancellation too.
+            present.close()
+            currentCoroutineContext().ensureActive()
+        } catch (_: Exception) {
+            present.close()
+        }
+    }
+
+    private fun dropQueue() {
+        counters.messagesDropped.add(queue.size.toLong())
+        queue.clear()
+    }
+
+    private companion object {
+        /** Longer than a round trip between regions, so both ends see crossing connections as such. */
+        const val CROSSING_NANOSECONDS = 1_000_000_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/transport/PeerTransport.kt
@@ -0,0 +1,252 @@
+package azuredale.transport
+
+import azuredale.identity.Incarnation
+import azuredale.identity.NetworkAddress
+import azuredale.identity.RouterId
+import azuredale.logging.EventLog
+import azuredale.protocol.PeerMessage
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.security.SecureRandom
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Semaphore
+
+/**
+ * Messages to other routers over one TCP connection per pair.
+ *
+ * A connection is opened when a message waits for a router. When two routers open one at the same moment, the one
+ * opened by the lower router id stays. Messages that wait when a connection is lost are dropped: the connected and
+ * disconnected handlers let both sides repair their state.
+ *
+ * ```
+ * val transport = PeerTransport(router, incarnation, settings.peerAddress, key, members::peerAddress, handlers)
+ * transport.start()
+ * transport.send(RouterId("r-2"), DocumentAnnounce(revision))
+ * ```
+ *
+ * @param addressOf TCP address of a router, or null when it is not known.
+ */
+public class PeerTransport(
+    private val self: RouterId,
+    private val incarnation: Incarnation,
+    private val address: NetworkAddress,
+    fleetKey: ByteArray,
+    private val addressOf: (RouterId) -> NetworkAddress?,
+    private val handlers: TransportHandlers,
+    private val options: TransportOptions = TransportOptions(),
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val handshake = Handshake(fleetKey)
+    private val nonces = SecureRandom()
+    private val links = ConcurrentHashMap<RouterId, PeerLink>()
+    private val unfinished = Semaphore(options.unfinishedHandshakes)
+    private val log = EventLog("azuredale.transport")
+
+    /** Counts for metrics. */
+    public val counters: TransportCounters = TransportCounters()
+
+    /** Opens the listening socket and returns its address, which has the chosen port when port 0 was asked for. */
+    public suspend fun start(): NetworkAddress {
+        val server = aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }
+        val bound = NetworkAddress(address.host, (server.localAddress as InetSocketAddress).port)
+        log.write(TransportLogEvent.LISTENING, "address" to bound)
+        scope.launch { acceptAll(server) }
+        return bound
+    }
+
+    /** Queues [message] for [to] and returns at once; it is dropped when no connection can be opened. */
+    public fun send(to: RouterId, message: PeerMessage): Unit = linkOf(to).enqueue(message)
+
+    /** Closes the connection to [router], for example because the failure detector declared it dead. */
+    public fun reset(router: RouterId) {
+        links[router]?.current()?.close()
+    }
+
+    /** Routers with an established connection. */
+    public fun connectedRouters(): Set<RouterId> = links.filterValues { it.current() != null }.keys
+
+    /** Closes all sockets. */
+    public fun stop() {
+        scope.cancel()
+        links.values.forEach { it.current()?.close() }
+        selector.close()
+    }
+
+    private fun linkOf(router: RouterId): PeerLink = links.computeIfAbsent(router) {
+        PeerLink(router, options, counters, ::dial).also { link -> scope.launch { link.run() } }
+    }
+
+    private suspend fun acceptAll(server: ServerSocket) {
+        while (scope.isActive) {
+            try {
+                admit(server.accept())
+            } catch (fault: Exception) {
+                if (!scope.isActive) break
+                log.write(TransportLogEvent.ACCEPT_FAILED, cause = fault)
+                kotlinx.coroutines.delay(options.firstBackOffMilliseconds)
+            }
+        }
+        server.close()
+    }
+
+    private fun admit(socket: Socket): Job = scope.launch {
+        if (!unfinished.tryAcquire()) {
+            log.write(TransportLogEvent.CONNECTIONS_REFUSED, "remote" to socket.remoteAddress)
+            socket.close()
+            return@launch
+        }
+        val connection =
+            try {
+                establish(socket) { answer(it) }
+            } finally {
+                unfinished.release()
+            }
+        if (connection != null) begin(connection)
+    }
+
+    private suspend fun dial(router: RouterId): PeerConnection? {
+        val target = addressOf(router)
+        val connection =
+            target
+                ?.let {
+                    runCatching {
+                        withTimeoutOrNull(options.handshakeMilliseconds) {
+                            aSocket(selector).tcp().connect(it.host, it.port) { noDelay = true }
+                        }
+                    }.getOrNull()
+                }?.let { socket -> establish(socket) { greet(it, router) } }
+        if (connection == null) {
+            log.write(TransportLogEvent.CONNECT_FAILED, "router" to router, "address" to target)
+            return null
+        }
+        return connection.takeIf { begin(it) }
+    }
+
+    /** Makes [connection] the present one and reads from it; false when another one stays. */
+    private fun begin(connection: PeerConnection): Boolean {
+        val replaced = linkOf(connection.router).attach(connection)
+        replaced?.close()
+        if (replaced === connection) return false
+        scope.launch { serve(connection, replaced) }
+        return true
+    }
+
+    /** Runs one side of the handshake within its deadline; closes the socket and returns null when it fails. */
+    private suspend fun establish(
+        socket: Socket,
+        exchange: suspend (BlockStream) -> PeerConnection?,
+    ): PeerConnection? {
+        val input = socket.openReadChannel()
+        val stream = BlockStream(socket, input, socket.openWriteChannel(autoFlush = false), counters)
+        val connection =
+            try {
+                withTimeoutOrNull(options.handshakeMilliseconds) { exchange(stream) }
+            } catch (_: Exception) {
+                null
+            }
+        if (connection == null) {
+            counters.refuse(FrameFault.HANDSHAKE)
+            log.write(TransportLogEvent.HANDSHAKE_REFUSED, "remote" to socket.remoteAddress)
+            socket.close()
+        }
+        return connection
+    }
+
+    private suspend fun greet(stream: BlockStream, router: RouterId): PeerConnection? {
+        val mine = handshake.encode(HandshakeRole.DIALER, Hello(self, incarnation, router, nonce()))
+        stream.write(mine)
+        val theirs = stream.read(Handshake.MAXIMUM_BYTES) ?: return null
+        val hello =
+            handshake
+                .decode(HandshakeRole.ACCEPTOR, theirs, mine)
+                ?.takeIf { it.router == router && it.target == self } ?: return null
+        val codec = handshake.codec(HandshakeRole.DIALER, mine, theirs, options.limits)
+        val connection = connection(hello, isDialed = true, stream, codec)
+        connection.send(emptyList())
+        return connection
+    }
+
+    private suspend fun answer(stream: BlockStream): PeerConnection? {
+        val theirs = stream.read(Handshake.MAXIMUM_BYTES) ?: return null
+        val hello =
+            handshake
+                .decode(HandshakeRole.DIALER, theirs)
+                ?.takeIf { it.target == self && it.router != self && isWelcome(it.router) } ?: return null
+        val mine = handshake.encode(HandshakeRole.ACCEPTOR, Hello(self, incarnation, hello.router, nonce()), theirs)
+        stream.write(mine)
+        val codec = handshake.codec(HandshakeRole.ACCEPTOR, theirs, mine, options.limits)
+        val connection = connection(hello, isDialed = false, stream, codec)
+        val first = connection.receive() as? FrameResult.Decoded ?: return null
+        if (first.messages.isNotEmpty()) return null
+        return connection
+    }
+
+    private fun connection(hello: Hello, isDialed: Boolean, stream: BlockStream, codec: FrameCodec): PeerConnection {
+        val isPreferred = isDialed == (self.name < hello.router.name)
+        return PeerConnection(hello, isDialed, isPreferred, stream, codec, options.limits, counters)
+    }
+
+    private fun isWelcome(router: RouterId): Boolean =
+        links[router]?.refusesIncoming(isOwnPreferred = self.name < router.name) != true
+
+    private suspend fun serve(connection: PeerConnection, replaced: PeerConnection?) {
+        val router = connection.router
+        // The end of the replaced connection is reported first, so that the last report is the present state.
+        replaced?.ended?.join()
+        log.write(TransportLogEvent.PEER_CONNECTED, "router" to router, "incarnation" to connection.incarnation)
+        guarded { handlers.connected(router, connection.incarnation) }
+        try {
+            receiveAll(connection)
+        } catch (fault: Exception) {
+            log.write(TransportLogEvent.CONNECTION_LOST, "router" to router, cause = fault)
+        } finally {
+            connection.close()
+        }
+        linkOf(router).detach(connection)
+        log.write(TransportLogEvent.PEER_DISCONNECTED, "router" to router)
+        guarded { handlers.disconnected(router) }
+        connection.ended.complete()
+    }
+
+    private suspend fun receiveAll(connection: PeerConnection) {
+        var result = connection.receive()
+        while (result is FrameResult.Decoded) {
+            result.messages.forEach { guarded { handlers.message(connection.router, it) } }
+            result = connection.receive()
+        }
+        if (result is FrameResult.Refused) {
+            log.write(
+                TransportLogEvent.FRAME_REFUSED,
+                "router" to connection.router,
+                "fault" to result.fault,
+                "detail" to result.detail,
+            )
+        }
+    }
+
+    private suspend fun guarded(block: suspend () -> Unit) {
+        try {
+            block()
+        } catch (fault: kotlinx.coroutines.CancellationException) {
+            throw fault
+        } catch (fault: Exception) {
+            log.write(TransportLogEvent.HANDLER_FAILED, cause = fault)
+        }
+    }
+
+    private fun nonce(): ByteArray = ByteArray(Handshake.NONCE_BYTES).also(nonces::nextBytes)
+}
