Detect failures of routers with SWIM-style probes over UDP

Cause: nodes need to know which routers are live, with bounded traffic at any fleet size. Change: MembershipController with direct and indirect probes, suspicion, piggybacked claims within a byte budget, joins and exchanges in pieces; DatagramCodec and DatagramEdge. Member has a version that its router raises to refute a claim, so a refutation does not look like a restart. Claims travel as MemberUpdate, whose profile is left out where the receiver knows it.

--- /dev/null
+++ b/src/main/kotlin/azuredale/membership/ClaimHandler.kt
@@ -0,0 +1,161 @@
+package azuredale.membership
+
+import azuredale.identity.NetworkAddress
+import azuredale.identity.RouterId
+import azuredale.time.Timestamp
+
+/** A piece of the member table; [next] is the last router in it, or null at the end of the table. */
+internal class MemberPiece(
+    val updates: List<MemberUpdate>,
+    val next: RouterId?,
+    val bytes: Int,
+)
+
+/** Applies claims about members and about this router, which refutes wrong ones. */
+internal class ClaimHandler(
+    initial: Member,
+    private val table: MemberTable,
+    private val gossip: GossipQueue,
+    private val options: MembershipOptions,
+    private val onEvent: (MembershipLogEvent, RouterId, String) -> Unit,
+) {
+    /** This router. */
+    @Volatile
+    var self: Member = initial
+        private set
+
+    /** Counts changes of [self]. */
+    @Volatile
+    var selfChanges: Long = 0
+        private set
+
+    val hasLeft: Boolean get() = self.state == MemberState.LEFT
+
+    /** Other routers that belong to the fleet, dead ones included unless the platform no longer lists them. */
+    @Volatile
+    var countedMembers: Int = 0
+        private set
+
+    init {
+        gossip.add(self.toUpdate(withProfile = true))
+    }
+
+    /** Applies [update]; a change is passed on to other routers when [spread] is set. */
+    fun apply(update: MemberUpdate, now: Timestamp, spread: Boolean) {
+        if (update.router == self.router) return applyToSelf(update)
+        val before = table[update.router]?.member
+        when (table.apply(update, now)) {
+            UpdateResult.IGNORED -> return
+            UpdateResult.FULL -> return onEvent(MembershipLogEvent.TABLE_FULL, update.router, "")
+            UpdateResult.CHANGED -> Unit
+        }
+        val row = checkNotNull(table[update.router])
+        row.declareDeadAt =
+            when (update.state) {
+                MemberState.SUSPECT -> now.plusMilliseconds(options.suspicionMilliseconds(table.live.size + 1))
+                else -> Timestamp.DISTANT_FUTURE
+            }
+        val isKnownProcess = before != null && before.incarnation == update.incarnation
+        if (spread) gossip.add(if (isKnownProcess) update.copy(profile = null) else update)
+        if (before?.state != update.state || !isKnownProcess) {
+            onEvent(eventOf(update.state), update.router, "incarnation ${update.incarnation} version ${update.version}")
+        }
+        recount()
+    }
+
+    /** Suspects [router] because it did not answer a probe. */
+    fun suspect(router: RouterId, now: Timestamp) {
+        val member = table[router]?.member?.takeIf { it.state == MemberState.ALIVE } ?: return
+        apply(member.copy(state = MemberState.SUSPECT).toUpdate(withProfile = false), now, spread = true)
+    }
+
+    /** Declares members dead that did not refute their suspicion in time. */
+    fun expireSuspicions(now: Timestamp) {
+        table.live
+            .filter { it.state == MemberState.SUSPECT }
+            .filter { member -> table[member.router]?.let { it.declareDeadAt <= now } == true }
+            .forEach { apply(it.copy(state = MemberState.DEAD).toUpdate(withProfile = false), now, spread = true) }
+    }
+
+    /** Gives suspected members the time back in which this process was paused. */
+    fun postponeSuspicions(microseconds: Long): Unit = table.rows.values
+        .filter { it.member.state == MemberState.SUSPECT }
+        .forEach { it.declareDeadAt = it.declareDeadAt.plusMicroseconds(microseconds) }
+
+    fun drain() {
+        if (!self.isDraining) changeSelf(self.copy(isDraining = true))
+    }
+
+    fun leave() {
+        if (!hasLeft) changeSelf(self.copy(state = MemberState.LEFT))
+    }
+
+    /** Members after [after] in order of name, as many as fit into [room] bytes. */
+    fun piece(after: RouterId?, room: Int): MemberPiece {
+        val updates = ArrayList<MemberUpdate>()
+        var bytes = 0
+        val remaining =
+            (table.known + self)
+                .filter { it.state != MemberState.LEFT && (after == null || it.router.name > after.name) }
+                .sortedBy { it.router.name }
+        for (member in remaining) {
+            val update = member.toUpdate(withProfile = true)
+            if (bytes + update.estimatedBytes() > room) break
+            bytes += update.estimatedBytes()
+            updates += update
+        }
+        val next = if (updates.size < remaining.size) updates.lastOrNull()?.router else null
+        return MemberPiece(updates, next, bytes)
+    }
+
+    /** Notes which members the platform lists, and forgets those that ended long ago. */
+    fun virtualMachinesListed(listed: Set<NetworkAddress>, now: Timestamp) {
+        table.rows.values.filter { it.member.state == MemberState.DEAD }.forEach { row ->
+            val member = row.member
+            val isListed = listOf(member.peerAddress, member.probeAddress, member.callerAddress).any { it in listed }
+            // The list lags, so a member that just died may be missing because it is new.
+            row.isGone = !isListed && now.secondsSince(row.changedAt) > GONE_AFTER_SECONDS
+        }
+        table.removeWhere { row ->
+            val isEnded = row.isGone || row.member.state == MemberState.LEFT
+            isEnded && now.secondsSince(row.changedAt) > FORGOTTEN_AFTER_SECONDS
+        }
+        recount()
+    }
+
+    private fun applyToSelf(update: MemberUpdate) {
+        when {
+            update.incarnation > self.incarnation ->
+                onEvent(MembershipLogEvent.DUPLICATE_ROUTER, self.router, "incarnation ${update.incarnation}")
+
+            update.incarnation < self.incarnation -> gossip.add(self.toUpdate(withProfile = true))
+
+            update.state != MemberState.ALIVE && update.version >= self.version && !hasLeft -> {
+                onEvent(MembershipLogEvent.SUSPICION_REFUTED, self.router, "claim ${update.state}")
+                changeSelf(self.copy(version = update.version))
+            }
+        }
+    }
+
+    private fun changeSelf(changed: Member) {
+        self = changed.copy(version = changed.version + 1)
+        selfChanges++
+        gossip.add(self.toUpdate(withProfile = false))
+    }
+
+    private fun recount() {
+        countedMembers = table.rows.values.count { it.member.state != MemberState.LEFT && !it.isGone }
+    }
+
+    private fun eventOf(state: MemberState): MembershipLogEvent = when (state) {
+        MemberState.ALIVE -> MembershipLogEvent.MEMBER_ALIVE
+        MemberState.SUSPECT -> MembershipLogEvent.MEMBER_SUSPECT
+        MemberState.DEAD -> MembershipLogEvent.MEMBER_DEAD
+        MemberState.LEFT -> MembershipLogEvent.MEMBER_LEFT
+    }
+
+    private companion object {
+        const val GONE_AFTER_SECONDS = 30.0
+        const val FORGOTTEN_AFTER_SECONDS = 300.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/membership/DatagramCodec.kt
@@ -0,0 +1,57 @@
+@file:OptIn(kotlinx.serialization.ExperimentalSerializationApi::class)
+
+package azuredale.membership
+
+import azuredale.protocol.ProbeMessage
+import azuredale.transport.FrameFault
+import azuredale.transport.MessageAuthenticator
+import azuredale.transport.compactCbor
+
+/** Result of decoding one datagram. */
+public sealed interface DatagramResult {
+    /** The datagram is authentic. */
+    public data class Decoded(val message: ProbeMessage) : DatagramResult
+
+    /** The datagram must be ignored. */
+    public data class Refused(val fault: FrameFault) : DatagramResult
+}
+
+/** Encodes datagrams of the failure detector: version, CBOR, truncated HMAC-SHA-256. Not thread-safe. */
+public class DatagramCodec(fleetKey: ByteArray) {
+    private val authenticator = MessageAuthenticator(KEY_LABEL + fleetKey)
+    private val cbor = compactCbor()
+
+    /** The bytes of [message]. */
+    public fun encode(message: ProbeMessage): ByteArray {
+        val body = cbor.encodeToByteArray(ProbeMessage.serializer(), message)
+        val end = 1 + body.size
+        val datagram = ByteArray(end + MessageAuthenticator.CODE_BYTES)
+        datagram[0] = VERSION
+        body.copyInto(datagram, 1)
+        authenticator.seal(datagram, end)
+        return datagram
+    }
+
+    /** Decodes a whole [datagram]. Never throws for any content. */
+    public fun decode(datagram: ByteArray): DatagramResult {
+        val end = datagram.size - MessageAuthenticator.CODE_BYTES
+        if (end < 2) return DatagramResult.Refused(FrameFault.TOO_SHORT)
+        if (datagram.size > MAXIMUM_BYTES) return DatagramResult.Refused(FrameFault.TOO_LONG)
+        if (datagram[0] != VERSION) return DatagramResult.Refused(FrameFault.UNKNOWN_VERSION)
+        if (!authenticator.isSealed(datagram)) return DatagramResult.Refused(FrameFault.WRONG_CODE)
+        return try {
+            DatagramResult.Decoded(cbor.decodeFromByteArray(ProbeMessage.serializer(), datagram.copyOfRange(1, end)))
+        } catch (_: RuntimeException) {
+            DatagramResult.Refused(FrameFault.MALFORMED)
+        }
+    }
+
+    public companion object {
+        /** Bound on a datagram that is decoded; senders stay below 1,200 bytes. */
+        public const val MAXIMUM_BYTES: Int = 1_472
+        private const val VERSION: Byte = 1
+
+        // A prefix keeps codes of datagrams apart from those of handshakes, which use the same fleet key.
+        private val KEY_LABEL = "azuredale datagram".encodeToByteArray()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/membership/MembershipController.kt
@@ -0,0 +1,255 @@
+package azuredale.membership
+
+import azuredale.identity.NetworkAddress
+import azuredale.node.NodeEffect
+import azuredale.protocol.Confirmation
+import azuredale.protocol.ProbeKind
+import azuredale.protocol.ProbeMessage
+import azuredale.time.Timestamp
+import kotlin.random.Random
+
+/**
+ * SWIM-style failure detector: direct and indirect probes, suspicion that its subject can refute, and claims
+ * piggybacked on probes within a byte budget.
+ *
+ * ```
+ * val membership = MembershipController(self, settings.seeds, random, MembershipLinks(revision = documents::revision))
+ * perform(membership.tick(clock()))
+ * ```
+ *
+ * @param initial this router as it starts; its state is [MemberState.ALIVE].
+ * @param seeds probe addresses to join through; this router's own address is ignored.
+ */
+public class MembershipController(
+    initial: Member,
+    seeds: List<NetworkAddress>,
+    private val random: Random,
+    private val links: MembershipLinks = MembershipLinks(),
+    private val options: MembershipOptions = MembershipOptions(),
+) {
+    private val seeds = seeds.filter { it != initial.probeAddress }
+    private val table = MemberTable(options.maximumMembers)
+    private val updateBudget = ByteBudget(options.updateBytesPerSecond, options.updateBurstBytes)
+    private val pieceBudget = ByteBudget(options.pieceBytesPerSecond, options.pieceBurstBytes)
+    private val gossip = GossipQueue(updateBudget)
+    private val probes = ProbeTracker(options, random)
+    private val walk = MemberWalk(options)
+    private val claims = ClaimHandler(initial, table, gossip, options, links.onEvent)
+    private val writer = DatagramWriter(claims, table, gossip, options, links)
+    private var nextProbeAt = Timestamp.DISTANT_PAST
+    private var nextDeadProbeAt = Timestamp.DISTANT_PAST
+    private var lastTickAt: Timestamp? = null
+
+    /** This router as others should see it. */
+    public val self: Member get() = claims.self.copy(revision = links.revision())
+
+    /** Alive and suspected members, this router included. */
+    public fun members(): List<Member> = table.live + self
+
+    /** All members that are not forgotten, this router included. */
+    public fun allKnown(): List<Member> = table.known + self
+
+    /** Number of routers that make up the whole fleet: all but those that left or are gone from the VM list. */
+    public fun fleetSize(): Int = 1 + claims.countedMembers
+
+    /** Counter that changes with every visible change of a member. */
+    public val version: Long get() = table.version + claims.selfChanges
+
+    /** Whether a member changed since [version] was read as [earlier]. */
+    public fun hasChangedSince(earlier: Long): Boolean = version != earlier
+
+    /** Number of datagrams whose address was not that of their sender. */
+    public var mismatchedSenders: Long = 0
+        private set
+
+    /** Handles a datagram that arrived from [from]. */
+    public fun datagramReceived(from: NetworkAddress, message: ProbeMessage, now: Timestamp): List<NodeEffect> {
+        if (message.sender == claims.self.router || claims.hasLeft) return emptyList()
+        val context = writer.context(now)
+        var confirmation = Confirmation.NONE
+        val effects =
+            table.locked {
+                val learned = message.kind != ProbeKind.MEMBER_PIECE || walk.hasJoined
+                message.updates.forEach { claims.apply(it, now, spread = learned) }
+                if (isMismatched(from, message)) return@locked null
+                answer(from, message, context).also { confirmation = datedConfirmation(message, now) }
+            } ?: return emptyList()
+        return effects + links.onConfirmation(confirmation, message.sender, message.revision, now)
+    }
+
+    /** Lets time pass; to be called every 20 ms. */
+    public fun tick(now: Timestamp): List<NodeEffect> {
+        if (claims.hasLeft) return emptyList()
+        val context = writer.context(now)
+        return table.locked {
+            notePause(now)
+            updateBudget.refill(now)
+            pieceBudget.refill(now)
+            claims.expireSuspicions(now)
+            buildList {
+                probes.takeLate(now).forEach { (sequence, probe) -> addAll(askOthers(sequence, probe, context)) }
+                probes.takeFailed(now).forEach { claims.suspect(it, now) }
+                if (now >= nextProbeAt) addAll(probeNext(context))
+                if (now >= nextDeadProbeAt) addAll(probeDead(context))
+                if (walk.takeRequest(now)) addAll(requestPiece(context))
+            }
+        }
+    }
+
+    /** Compares members with the platform's list, which lags; [live] and [leaving] hold addresses of routers. */
+    public fun virtualMachinesListed(
+        live: Set<NetworkAddress>,
+        leaving: Set<NetworkAddress>,
+        now: Timestamp,
+    ): List<NodeEffect> = table.locked {
+        claims.virtualMachinesListed(live + leaving, now)
+        emptyList()
+    }
+
+    /** Tells the fleet that this router takes no new work. */
+    public fun drain(now: Timestamp): List<NodeEffect> = announce(now) { claims.drain() }
+
+    /** Tells the fleet that this process ends. */
+    public fun leave(now: Timestamp): List<NodeEffect> = announce(now) { claims.leave() }
+
+    private fun announce(now: Timestamp, change: () -> Unit): List<NodeEffect> {
+        val context = writer.context(now)
+        return table.locked {
+            change()
+            table.live
+                .shuffled(random)
+                .take(ANNOUNCE_TO)
+                .map { writer.ping(it, probes.nextSequence(), context) }
+        }
+    }
+
+    private fun isMismatched(from: NetworkAddress, message: ProbeMessage): Boolean {
+        val known = table[message.sender]?.member ?: return false
+        if (known.probeAddress == from) return false
+        mismatchedSenders++
+        links.onEvent(MembershipLogEvent.SENDER_MISMATCH, message.sender, "from $from")
+        return true
+    }
+
+    private fun answer(from: NetworkAddress, message: ProbeMessage, context: SendContext): List<NodeEffect> {
+        val now = context.now
+        table.reportRevision(message.sender, message.revision)
+        return when (message.kind) {
+            ProbeKind.PING -> listOf(acknowledge(from, message, context))
+            ProbeKind.ACKNOWLEDGEMENT -> acknowledged(message, context)
+            ProbeKind.INDIRECT_PING -> relay(from, message, context)
+            ProbeKind.INDIRECT_ACKNOWLEDGEMENT -> {
+                message.target?.let { probes.acknowledge(message.sequence, it) }
+                emptyList()
+            }
+            ProbeKind.JOIN -> piece(from, message, context)
+            ProbeKind.MEMBER_PIECE -> {
+                walk.pieceReceived(message.target, now)
+                emptyList()
+            }
+        }
+    }
+
+    private fun acknowledge(from: NetworkAddress, message: ProbeMessage, context: SendContext): NodeEffect {
+        val claim = table[message.sender]?.member?.takeIf { it.state != MemberState.ALIVE }
+        return writer.send(from, ProbeKind.ACKNOWLEDGEMENT, message.sequence, context, claim = claim)
+    }
+
+    private fun acknowledged(message: ProbeMessage, context: SendContext): List<NodeEffect> {
+        val relayed = probes.acknowledgeRelayed(message.sequence, message.sender)
+        if (relayed != null) {
+            return listOf(
+                writer.send(
+                    relayed.origin,
+                    ProbeKind.INDIRECT_ACKNOWLEDGEMENT,
+                    relayed.originSequence,
+                    context,
+                    target = relayed.target,
+                ),
+            )
+        }
+        val probe = probes.acknowledge(message.sequence, message.sender) ?: return emptyList()
+        table[message.sender]?.bracket = SendingTime(message.sentMilliseconds, probe.sentAt)
+        walk.compared(message.sender, message.fingerprint == writer.fingerprint(), context.now)
+        return emptyList()
+    }
+
+    private fun relay(from: NetworkAddress, message: ProbeMessage, context: SendContext): List<NodeEffect> {
+        val target = message.target?.let { table[it]?.member } ?: return emptyList()
+        val sequence = probes.relay(target.router, from, message.sequence, context.now) ?: return emptyList()
+        return listOf(writer.ping(target, sequence, context))
+    }
+
+    private fun piece(from: NetworkAddress, message: ProbeMessage, context: SendContext): List<NodeEffect> {
+        val piece = claims.piece(message.target, writer.room)
+        if (!pieceBudget.spend(piece.bytes)) return emptyList()
+        return listOf(
+            writer.send(from, ProbeKind.MEMBER_PIECE, message.sequence, context, piece.next, updates = piece.updates),
+        )
+    }
+
+    private fun askOthers(sequence: Long, probe: PendingProbe, context: SendContext): List<NodeEffect> = table.live
+        .filter { it.state == MemberState.ALIVE && it.router != probe.target }
+        .shuffled(random)
+        .take(options.indirectProbes)
+        .map { writer.send(it.probeAddress, ProbeKind.INDIRECT_PING, sequence, context, target = probe.target) }
+
+    private fun probeNext(context: SendContext): List<NodeEffect> {
+        nextProbeAt =
+            maxOf(nextProbeAt, context.now.plusMilliseconds(-options.probeMilliseconds))
+                .plusMilliseconds(options.probeMilliseconds)
+        val target = probes.nextTarget(table.live) { table[it]?.member } ?: return emptyList()
+        return listOf(writer.ping(target, probes.begin(target.router, context.now), context))
+    }
+
+    private fun probeDead(context: SendContext): List<NodeEffect> {
+        nextDeadProbeAt = context.now.plusMilliseconds(options.deadProbeMilliseconds)
+        val dead = table.known.filter { it.state == MemberState.DEAD }
+        val unknownSeeds = seeds.filter { seed -> table.known.none { it.probeAddress == seed } }
+        val choice = random.nextInt(maxOf(1, dead.size + unknownSeeds.size))
+        return when {
+            choice < dead.size -> listOf(writer.ping(dead[choice], probes.nextSequence(), context))
+            unknownSeeds.isEmpty() -> emptyList()
+            else ->
+                listOf(
+                    writer.joinRequest(unknownSeeds[choice - dead.size], probes.nextSequence(), walk.position, context),
+                )
+        }
+    }
+
+    private fun requestPiece(context: SendContext): List<NodeEffect> {
+        val source = walk.source?.let { table[it]?.member }?.takeIf { it.isLive }
+        walk.forgetSource()
+        val candidates = table.live.map { it.probeAddress }.ifEmpty { seeds }
+        val address = source?.probeAddress ?: candidates.randomOrNull(random) ?: return emptyList()
+        return listOf(writer.joinRequest(address, probes.nextSequence(), walk.position, context))
+    }
+
+    /** The confirmation in [message] with its age at [now], or none when the time of sending is not known. */
+    private fun datedConfirmation(message: ProbeMessage, now: Timestamp): Confirmation {
+        val confirmation = message.confirmation ?: return Confirmation.NONE
+        val bracket = table[message.sender]?.bracket ?: return Confirmation.NONE
+        val sentAt = bracket.notBefore.plusMilliseconds(message.sentMilliseconds - bracket.peerMilliseconds)
+        val sinceBracket = now.microsecondsSince(bracket.notBefore)
+        val underWay = now.microsecondsSince(sentAt) + sinceBracket / CLOCK_DRIFT_DIVISOR
+        val milliseconds = underWay / Timestamp.MICROSECONDS_PER_MILLISECOND + 1
+        return confirmation.copy(ageMilliseconds = confirmation.ageMilliseconds + milliseconds)
+    }
+
+    private fun notePause(now: Timestamp) {
+        val gap = lastTickAt?.let { now.microsecondsSince(it) } ?: 0
+        lastTickAt = now
+        if (gap < options.pauseMilliseconds * Timestamp.MICROSECONDS_PER_MILLISECOND) return
+        links.onEvent(MembershipLogEvent.PROCESS_PAUSED, claims.self.router, "for $gap us")
+        probes.postpone(gap)
+        claims.postponeSuspicions(gap)
+    }
+
+    private companion object {
+        /** Members told directly of a drain or leave, before it spreads by piggybacking. */
+        const val ANNOUNCE_TO = 8
+
+        /** Clocks of two VMs drift by less than 200 parts per million. */
+        const val CLOCK_DRIFT_DIVISOR = 5_000
+    }
+}
--- a/src/main/kotlin/azuredale/protocol/ProbeMessage.kt
+++ b/src/main/kotlin/azuredale/protocol/ProbeMessage.kt
@@ -4,13 +4,27 @@
 
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
-import azuredale.membership.Member
+import azuredale.membership.MemberUpdate
+import azuredale.membership.PositionSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
 /** What a probe datagram asks or answers. */
-@Serializable
-public enum class ProbeKind { PING, ACKNOWLEDGEMENT, INDIRECT_PING, INDIRECT_ACKNOWLEDGEMENT, JOIN }
+@Serializable(with = ProbeKindSerializer::class)
+public enum class ProbeKind {
+    PING,
+    ACKNOWLEDGEMENT,
+    INDIRECT_PING,
+    INDIRECT_ACKNOWLEDGEMENT,
+
+    /** Asks for a piece of the member table; the first one announces the sender. */
+    JOIN,
+
+    /** Answers [JOIN] with a piece of the member table. */
+    MEMBER_PIECE,
+}
+
+internal object ProbeKindSerializer : PositionSerializer<ProbeKind>("azuredale.ProbeKind", ProbeKind.entries)
 
 /**
  * Newest confirmation of a document revision known to the sender.
@@ -21,14 +35,23 @@
 public data class Confirmation(
     @CborLabel(1) val revision: Revision,
     @CborLabel(2) val ageMilliseconds: Long,
-)
+) {
+    public companion object {
+        /** Stands for a datagram whose confirmation is missing or cannot be dated; it confirms nothing. */
+        public val NONE: Confirmation = Confirmation(Revision.NONE, 31_536_000_000L)
+    }
+}
 
 /**
  * Datagram of the failure detector.
  *
  * @property sequence pairs an acknowledgement with its ping.
- * @property target the router to probe on the sender's behalf, for indirect pings.
- * @property updates membership changes piggybacked on the datagram, bounded in number.
+ * @property sentMilliseconds time of sending since the sender's process started, from which a receiver bounds the age
+ *   of a datagram that waited in a socket buffer.
+ * @property target the router to probe or that was probed, for indirect probes; for [ProbeKind.JOIN] and
+ *   [ProbeKind.MEMBER_PIECE] the last router of the piece before, where null means the beginning or the end.
+ * @property fingerprint hash of the sender's table of live members; a difference starts an exchange.
+ * @property updates membership changes, bounded by the datagram's size.
  */
 @Serializable
 public data class ProbeMessage(
@@ -38,5 +61,7 @@
     @CborLabel(4) val target: RouterId? = null,
     @CborLabel(5) val revision: Revision = Revision.NONE,
     @CborLabel(6) val confirmation: Confirmation? = null,
-    @CborLabel(7) val updates: List<Member> = emptyList(),
+    @CborLabel(7) val updates: List<MemberUpdate> = emptyList(),
+    @CborLabel(8) val sentMilliseconds: Long = 0,
+    @CborLabel(9) val fingerprint: Int = 0,
 )
--- /dev/null
+++ b/src/test/kotlin/azuredale/membership/DatagramEdgeSpec.kt
@@ -0,0 +1,44 @@
+package azuredale.membership
+
+import azuredale.identity.NetworkAddress
+import azuredale.identity.RouterId
+import azuredale.protocol.ProbeKind
+import azuredale.protocol.ProbeMessage
+import azuredale.transport.FrameFault
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+
+class DatagramEdgeSpec {
+    private val loopback = NetworkAddress("127.0.0.1", 0)
+    private val received = Channel<Pair<NetworkAddress, ProbeMessage>>(Channel.UNLIMITED)
+    private val key = ByteArray(32) { 7 }
+
+    private fun edge(name: String, key: ByteArray = this.key) =
+        DatagramEdge(RouterId(name), loopback, key) { from, message -> received.send(from to message) }
+
+    @Test
+    fun `delivers authentic datagrams with their source and refuses others`() = runBlocking {
+        // Guards against acting on a datagram of another fleet or on this router's own.
+        val edges = listOf(edge("a"), edge("b"), edge("c", ByteArray(32)))
+        try {
+            val (a, b, c) = edges.map { it.start() }
+            val fromA = ProbeMessage(ProbeKind.PING, RouterId("a"), 5)
+            edges[2].send(b, ProbeMessage(ProbeKind.PING, RouterId("c"), 4))
+            edges[0].send(b, ProbeMessage(ProbeKind.PING, RouterId("b"), 4))
+            withTimeout(10_000) {
+                while (edges[1].datagramsRefused(FrameFault.WRONG_CODE) == 0L) delay(5)
+                while (edges[1].datagramsRefused(FrameFault.HANDSHAKE) == 0L) delay(5)
+                edges[0].send(b, fromA)
+                assertEquals(a to fromA, received.receive())
+            }
+            assertNull(received.tryReceive().getOrNull(), "a datagram from $c was passed on")
+        } finally {
+            edges.forEach { it.stop() }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/membership/VirtualFleet.kt
@@ -0,0 +1,130 @@
+package azuredale.membership
+
+import azuredale.identity.FailureDomain
+import azuredale.identity.Incarnation
+import azuredale.identity.NetworkAddress
+import azuredale.identity.Region
+import azuredale.identity.RouterId
+import azuredale.node.NodeEffect
+import azuredale.protocol.ProbeMessage
+import azuredale.time.Timestamp
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+internal const val UDP_HEADER_BYTES = 28
+
+/** A controller in virtual time; [isRunning] is false while its process is stopped or paused. */
+internal class VirtualNode(
+    val controller: MembershipController,
+    val address: NetworkAddress,
+    var isRunning: Boolean = true,
+    var bytesSent: Long = 0,
+) {
+    val id: RouterId get() = controller.self.router
+    val inbox = ArrayList<Pair<NetworkAddress, ProbeMessage>>()
+
+    fun sees(other: RouterId): MemberState? = controller.allKnown().find { it.router == other }?.state
+
+    fun liveIds(): Set<RouterId> = controller.members().map { it.router }.toSet()
+}
+
+/** Membership controllers joined by a network with delay, loss and partitions, in virtual time and seeded order. */
+internal class VirtualFleet(
+    seed: Int,
+    var lossProbability: Double = 0.0,
+) {
+    private class Arrival(
+        val at: Long,
+        val number: Long,
+        val from: NetworkAddress,
+        val to: NetworkAddress,
+        val message: ProbeMessage,
+    )
+
+    private val random = Random(seed)
+    private val arrivals = PriorityQueue<Arrival>(compareBy({ it.at }, { it.number }))
+    private val codec = DatagramCodec(ByteArray(32))
+    private var sent = 0L
+    val nodes = ArrayList<VirtualNode>()
+    val events = ArrayList<Pair<MembershipLogEvent, RouterId>>()
+
+    /** Whether a datagram from the first node reaches the second one. */
+    var isConnected: (VirtualNode, VirtualNode) -> Boolean = { _, _ -> true }
+    var now = Timestamp(1_700_000_000_000_000)
+    var largestDatagram = 0
+
+    fun node(number: Int): VirtualNode = nodes.last { it.id == idOf(number) }
+
+    fun idOf(number: Int) = RouterId("router-%03d".format(number))
+
+    fun start(number: Int, links: MembershipLinks? = null): VirtualNode {
+        val address = addressOf(number)
+        val member =
+            Member(
+                idOf(number),
+                Incarnation(now.microseconds),
+                MemberState.ALIVE,
+                Region("north"),
+                FailureDomain("north-${number % 3}"),
+                address.copy(port = 7001),
+                address,
+                address.copy(port = 7002),
+            )
+        val own = links ?: MembershipLinks(onEvent = { event, router, _ -> events += event to router })
+        val controller = MembershipController(member, listOf(0, 1, 2).map(::addressOf), Random(random.nextLong()), own)
+        nodes.removeIf { it.address == address }
+        return VirtualNode(controller, address).also { nodes += it }
+    }
+
+    fun startAll(count: Int) {
+        repeat(count) { start(it) }
+    }
+
+    /** Lets [milliseconds] pass and stops early when [until] holds; returns the milliseconds that passed. */
+    fun run(milliseconds: Long, until: () -> Boolean = { false }): Long {
+        var passed = 0L
+        while (passed < milliseconds && !until()) {
+            now = now.plusMilliseconds(TICK)
+            passed += TICK
+            while (arrivals.isNotEmpty() && arrivals.peek().at <= now.microseconds) deliver(arrivals.poll())
+            nodes.filter { it.isRunning }.shuffled(random).forEach { node ->
+                node.inbox.toList().also { node.inbox.clear() }.forEach { (from, message) ->
+                    perform(node, node.controller.datagramReceived(from, message, now))
+                }
+                perform(node, node.controller.tick(now))
+            }
+        }
+        return passed
+    }
+
+    fun perform(node: VirtualNode, effects: List<NodeEffect>) {
+        effects.filterIsInstance<NodeEffect.SendDatagram>().forEach { effect ->
+            val size = codec.encode(effect.message).size
+            largestDatagram = maxOf(largestDatagram, size)
+            node.bytesSent += size + UDP_HEADER_BYTES
+            if (random.nextDouble() < lossProbability) return@forEach
+            val at = now.plusMicroseconds(random.nextLong(500, 2_500)).microseconds
+            arrivals += Arrival(at, sent++, node.address, effect.to, effect.message)
+        }
+    }
+
+    /** Whether every running node sees exactly the running nodes as live. */
+    fun isConverged(): Boolean {
+        val running = nodes.filter { it.isRunning }
+        val ids = running.map { it.id }.toSet()
+        return running.all { it.liveIds() == ids }
+    }
+
+    private fun deliver(arrival: Arrival) {
+        val from = nodes.find { it.address == arrival.from } ?: return
+        val to = nodes.find { it.address == arrival.to } ?: return
+        // A paused process leaves datagrams in its socket's buffer, which is bounded.
+        if (isConnected(from, to) && to.inbox.size < 500) to.inbox += arrival.from to arrival.message
+    }
+
+    private fun addressOf(number: Int) = NetworkAddress("10.0.${number / 250}.${number % 250 + 1}", 7000)
+
+    private companion object {
+        const val TICK = 20L
+    }
+}
