Parse settings and documents from INI with every fault listed

Cause: routers and operators need settings and documents read from INI, with all faults reported at once and with their lines, which commons-configuration does not provide.

Change: a line scan finds sections, keys, lines and faults of form, and hands the library only text on which both agree. Keys are described once, with unit, bound and conversion.

--- /dev/null
+++ b/src/main/kotlin/azuredale/configuration/IniLineScan.kt
@@ -0,0 +1,109 @@
+package azuredale.configuration
+
+/** A section found by the line scan, with the line of each of its keys. */
+internal class ScannedSection(
+    val header: String,
+    val line: Int,
+) {
+    val keys = LinkedHashMap<String, Int>()
+}
+
+/** Finds sections, keys and faults of form line by line. */
+internal class IniLineScan(text: String) {
+    private val lines = text.split("\r\n", "\n", "\r").toMutableList()
+    private val found = LinkedHashMap<String, ScannedSection>()
+    private val foundFaults = mutableListOf<ConfigurationFault>()
+    private var current: ScannedSection? = null
+
+    /** Whether the keys that follow belong to a header that was refused. */
+    private var isSkipping = false
+
+    val sections: List<ScannedSection> get() = found.values.toList()
+    val faults: List<ConfigurationFault> get() = foundFaults
+
+    init {
+        lines.indices.forEach(::scan)
+    }
+
+    /** The text without the lines that have a fault. */
+    fun cleanText(): String = lines.joinToString("\n")
+
+    private fun scan(index: Int) {
+        val line = lines[index].trim { it.isWhitespace() || it == BYTE_ORDER_MARK }
+        val isKept =
+            when {
+                line.isEmpty() || line.first() in COMMENT_CHARACTERS -> false
+                line.any { it.isISOControl() && it != '\t' } ->
+                    refuse(
+                        index,
+                        null,
+                        "the line has a control character",
+                        LINE,
+                    )
+                line.startsWith('[') -> header(index, line)
+                else -> key(index, line)
+            }
+        if (!isKept) lines[index] = ""
+    }
+
+    private fun header(index: Int, line: String): Boolean {
+        isSkipping = true
+        current = null
+        if (!line.endsWith(']')) return refuse(index, null, "the section header has no closing bracket", HEADER)
+        val header = line.substring(1, line.length - 1).trim().replace(spaces, " ")
+        if (header.isEmpty()) return refuse(index, null, "the section header is empty", HEADER)
+        val earlier = found[header]
+        if (earlier != null) {
+            return refuse(index, header, "the section already starts on line ${earlier.line}", "one section of a name")
+        }
+        isSkipping = false
+        current = ScannedSection(header, index + 1).also { found[header] = it }
+        lines[index] = "[$header]"
+        return true
+    }
+
+    private fun key(index: Int, line: String): Boolean {
+        val separator = line.indexOf('=')
+        val key = line.substring(0, separator.coerceAtLeast(0)).trim()
+        val section = current
+        return when {
+            isSkipping && section == null -> false
+            section == null -> refuse(index, null, "the line stands outside any section", HEADER)
+            !keyForm.matches(key) -> refuse(index, null, "the line is not a key with a value", "key = value")
+            key in section.keys -> duplicate(index, section, key)
+            else -> accept(index, section, key, line.substring(separator + 1).trim())
+        }
+    }
+
+    private fun accept(index: Int, section: ScannedSection, key: String, value: String): Boolean {
+        // The library would join a line that ends with a backslash and the next one.
+        if ('\\' in value) return refuse(index, null, "the value has a backslash", "a value without backslashes", key)
+        if (value.isNotEmpty() && value.first() in QUOTES && !quoted.matches(value)) {
+            return refuse(index, null, "the quotes are not closed", "a value that ends with its quote", key)
+        }
+        section.keys[key] = index + 1
+        lines[index] = "$key = $value"
+        return true
+    }
+
+    private fun duplicate(index: Int, section: ScannedSection, key: String): Boolean =
+        refuse(index, null, "$key is already given on line ${section.keys[key]}", "each key once", key)
+
+    private fun refuse(index: Int, header: String?, problem: String, allowed: String, key: String? = null): Boolean {
+        foundFaults += ConfigurationFault(index + 1, header ?: current?.header.orEmpty(), key, problem, allowed)
+        return false
+    }
+
+    private companion object {
+        const val COMMENT_CHARACTERS = "#;"
+        const val QUOTES = "\"'"
+        const val BYTE_ORDER_MARK = '\uFEFF'
+        const val HEADER = "[kind] or [kind name]"
+        const val LINE = "printable characters"
+        val spaces = Regex("\\s+")
+        val keyForm = Regex("[A-Za-z][A-Za-z0-9-]*")
+
+        /** Neither a backslash nor its own quote may stand inside quotes, so no escape rule is needed. */
+        val quoted = Regex("""("[^"\\]*"|'[^'\\]*')(\s+[#;].*)?""")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/configuration/IniReader.kt
@@ -0,0 +1,69 @@
+package azuredale.configuration
+
+import org.apache.commons.configuration2.INIConfiguration
+import org.apache.commons.configuration2.ex.ConfigurationException
+import java.io.StringReader
+
+/** A value with the line on which its key stands. */
+internal data class IniEntry(
+    val value: String,
+    val line: Int,
+)
+
+/** A section; [header] is the text between the brackets with single spaces, such as `server engine-1`. */
+internal data class IniSection(
+    val header: String,
+    val line: Int,
+    val entries: Map<String, IniEntry>,
+) {
+    /** First word of the header. */
+    val kind: String get() = header.substringBefore(' ')
+
+    /** The rest of the header, empty when there is none. */
+    val name: String get() = header.substringAfter(' ', missingDelimiterValue = "")
+}
+
+/** A text split into sections, with the faults of its form. */
+internal data class IniText(
+    val sections: List<IniSection>,
+    val faults: List<ConfigurationFault>,
+)
+
+/**
+ * Reads INI text with commons-configuration and adds line numbers, which that library does not report.
+ *
+ * Lines with a fault of form are blanked before the library sees the text, so that it and the line scan agree: the
+ * library would merge duplicate sections, join continued lines and accept a key without a value.
+ */
+internal object IniReader {
+    fun read(text: String): IniText {
+        val scan = IniLineScan(text)
+        val values = valuesOf(scan.cleanText()) ?: return IniText(emptyList(), scan.faults + unreadable())
+        val sections =
+            scan.sections.map { section ->
+                val keys = values[section.header].orEmpty()
+                IniSection(
+                    header = section.header,
+                    line = section.line,
+                    entries = section.keys.mapValues { (key, line) -> IniEntry(keys[key].orEmpty(), line) },
+                )
+            }
+        return IniText(sections, scan.faults)
+    }
+
+    private fun valuesOf(text: String): Map<String, Map<String, String>>? {
+        val configuration = INIConfiguration()
+        try {
+            configuration.read(StringReader(text))
+        } catch (_: ConfigurationException) {
+            return null
+        }
+        // Raw node values: the library's getters would replace ${...} in them.
+        val root = configuration.nodeModel.nodeHandler.rootNode
+        return root.children.associate { section ->
+            section.nodeName to section.children.associate { it.nodeName to it.value?.toString().orEmpty() }
+        }
+    }
+
+    private fun unreadable() = ConfigurationFault(0, "", null, "the text cannot be read", "INI with sections and keys")
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/configuration/SectionReader.kt
@@ -0,0 +1,82 @@
+package azuredale.configuration
+
+/** Reads the keys of one section and records the faults it finds in [faults]. */
+internal class SectionReader(
+    val section: IniSection,
+    private val rule: SectionRule,
+    private val faults: MutableList<ConfigurationFault>,
+) {
+    val name: String get() = section.name
+
+    init {
+        val known = rule.keys.map { it.name }
+        section.entries.filterKeys { it !in known }.forEach { (key, entry) ->
+            fault(key, entry.line, "the key is unknown", known.joinToString())
+        }
+    }
+
+    /** The value of [key], or null when it is missing or not allowed. */
+    operator fun <T : Any> get(key: Key<T>): T? {
+        val entry = section.entries[key.name]
+        if (entry == null) {
+            if (key.isRequired) fault(key.name, section.line, "the key is missing", key.allowed)
+            return null
+        }
+        val value = key.read(entry.value)
+        if (value == null) {
+            val shown = if (key.isSecret) "the value" else "\"${entry.value.take(SHOWN_CHARACTERS)}\""
+            fault(key.name, entry.line, "$shown is not allowed", key.allowed)
+        }
+        return value
+    }
+
+    /** The value of [key] without recording a fault, for checks after the first reading. */
+    fun <T : Any> valueOf(key: Key<T>): T? = section.entries[key.name]?.let { key.read(it.value) }
+
+    /** Records a fault of [key] that does not concern the form of its value. */
+    fun fault(key: Key<*>, problem: String, allowed: String = key.allowed) {
+        fault(key.name, section.entries[key.name]?.line ?: section.line, problem, allowed)
+    }
+
+    /** Records a fault of the section as a whole. */
+    fun fault(problem: String, allowed: String) {
+        fault(null, section.line, problem, allowed)
+    }
+
+    fun has(key: Key<*>): Boolean = key.name in section.entries
+
+    private fun fault(key: String?, line: Int, problem: String, allowed: String) {
+        faults += ConfigurationFault(line, section.header, key, problem, allowed)
+    }
+
+    companion object {
+        private const val SHOWN_CHARACTERS = 80
+
+        /** Finds the rule of each section; sections without one are recorded as faults. */
+        fun open(
+            text: IniText,
+            rules: List<SectionRule>,
+            faults: MutableList<ConfigurationFault>,
+        ): Map<SectionRule, List<SectionReader>> {
+            val opened =
+                text.sections.mapNotNull { section ->
+                    val rule = rules.find { it.kind == section.kind }
+                    val problem =
+                        when {
+                            rule == null -> "the section is unknown" to rules.joinToString { "[${it.header}]" }
+                            rule.isNamed && !rule.name.matches(section.name) ->
+                                "the name \"${section.name.take(SHOWN_CHARACTERS)}\" is not allowed" to rule.nameAllowed
+                            !rule.isNamed && section.name.isNotEmpty() ->
+                                "the section takes no name" to
+                                    "[${rule.header}]"
+                            else -> null
+                        }
+                    if (problem != null) {
+                        faults += ConfigurationFault(section.line, section.header, null, problem.first, problem.second)
+                    }
+                    rule?.takeIf { problem == null }?.let { it to SectionReader(section, it, faults) }
+                }
+            return opened.groupBy({ it.first }, { it.second })
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/configuration/SettingsParser.kt
@@ -0,0 +1,176 @@
+package azuredale.configuration
+
+import azuredale.identity.FailureDomain
+import azuredale.identity.NetworkAddress
+import azuredale.identity.Region
+import azuredale.identity.RouterId
+
+/**
+ * Reads the settings of a router from INI text; docs/settings.md lists the keys.
+ *
+ * ```
+ * when (val parsed = SettingsParser { path -> File(path).readText() }.parse(text)) {
+ *     is Parsed.Valid -> start(parsed.value)
+ *     is Parsed.Invalid -> parsed.faults.forEach(::println)
+ * }
+ * ```
+ *
+ * @param readFile returns the text of the file that holds a secret, or null when it cannot be read.
+ */
+public class SettingsParser(private val readFile: (path: String) -> String?) {
+    /** Returns the settings, or every fault of [text]. */
+    public fun parse(text: String): Parsed<RouterSettings> {
+        val ini = IniReader.read(text)
+        val faults = ini.faults.toMutableList()
+        val sections = SectionReader.open(ini, SettingsKeys.sections, faults)
+        val settings = SettingsReader(sections, faults, readFile).read()
+        return if (settings != null && faults.isEmpty()) {
+            Parsed.Valid(settings)
+        } else {
+            Parsed.Invalid(faults.sortedBy { it.line })
+        }
+    }
+}
+
+/** Reads the sections of one settings file. */
+private class SettingsReader(
+    private val sections: Map<SectionRule, List<SectionReader>>,
+    private val faults: MutableList<ConfigurationFault>,
+    private val readFile: (String) -> String?,
+) {
+    private val identity = required(SettingsKeys.router)
+    private val addresses = required(SettingsKeys.addresses)
+    private val platform = required(SettingsKeys.platform)
+    private val secrets = required(SettingsKeys.secrets)
+    private val membership = sections[SettingsKeys.membership]?.single()
+    private val limits = sections[SettingsKeys.limits]?.single()
+
+    fun read(): RouterSettings? {
+        val place = place()
+        val listeners = listeners()
+        val fleetKey = secret(SettingsKeys.fleetKey, SettingsKeys.fleetKeyFile)
+        val operatorToken = secret(SettingsKeys.operatorToken, SettingsKeys.operatorTokenFile)
+        val service = platform?.get(SettingsKeys.keyValueService)
+        return withOptional(settings(place, listeners, fleetKey, operatorToken, service))
+    }
+
+    private fun settings(
+        place: Place?,
+        listeners: Listeners?,
+        fleetKey: Secret?,
+        operatorToken: Secret?,
+        service: List<NetworkAddress>?,
+    ): RouterSettings? {
+        if (place == null || listeners == null) return null
+        return RouterSettings(
+            router = place.router,
+            region = place.region,
+            failureDomain = place.failureDomain,
+            callerAddress = listeners.caller,
+            operatorAddress = listeners.operator,
+            peerAddress = listeners.peer,
+            probeAddress = listeners.probe,
+            platform = service ?: return null,
+            fleetKey = fleetKey ?: return null,
+            operatorToken = operatorToken ?: return null,
+        )
+    }
+
+    private fun place(): Place? {
+        val section = identity ?: return null
+        val router = section[SettingsKeys.name]
+        val region = section[SettingsKeys.region]
+        val failureDomain = section[SettingsKeys.failureDomain]
+        return Place(router ?: return null, region ?: return null, failureDomain ?: return null)
+    }
+
+    /** Reads the optional keys even when [settings] is null, so that their faults are reported too. */
+    private fun withOptional(settings: RouterSettings?): RouterSettings? {
+        val list = platform?.get(SettingsKeys.virtualMachineList)
+        val seeds = membership?.get(SettingsKeys.seeds)
+        val weight = identity?.get(SettingsKeys.weight)
+        val workers = identity?.get(SettingsKeys.workers)
+        val size = limits?.get(SettingsKeys.requestSize)
+        val request = limits?.get(SettingsKeys.requestDeadline)
+        val ticket = limits?.get(SettingsKeys.ticketDeadline)
+        val address = limits?.get(SettingsKeys.addressDeadline)
+        if (settings == null) return null
+        return settings.copy(
+            virtualMachineList = list,
+            seeds = seeds ?: settings.seeds,
+            weight = weight ?: settings.weight,
+            workers = workers ?: settings.workers,
+            requestLimitBytes = size ?: settings.requestLimitBytes,
+            requestDeadlineSeconds = request ?: settings.requestDeadlineSeconds,
+            ticketDeadlineSeconds = ticket ?: settings.ticketDeadlineSeconds,
+            addressDeadlineSeconds = address ?: settings.addressDeadlineSeconds,
+        )
+    }
+
+    private fun listeners(): Listeners? {
+        val section = addresses ?: return null
+        val caller = section[SettingsKeys.caller]
+        val operator = section[SettingsKeys.operator]
+        val peer = section[SettingsKeys.peer]
+        val probe = section[SettingsKeys.probe]
+        val ports = listOf(SettingsKeys.caller to caller, SettingsKeys.operator to operator, SettingsKeys.peer to peer)
+        ports.forEachIndexed { index, (key, address) ->
+            val earlier = ports.take(index).find { address != null && it.second == address }
+            if (earlier != null) section.fault(key, "the address is already used by ${earlier.first.name}")
+        }
+        return Listeners(
+            caller = caller ?: return null,
+            operator = operator ?: return null,
+            peer = peer ?: return null,
+            probe = probe ?: return null,
+        )
+    }
+
+    private fun secret(key: Key<Secret>, fileKey: Key<String>): Secret? {
+        val section = secrets ?: return null
+        val given = section[key]
+        val path = section[fileKey]
+        return when {
+            section.has(key) && section.has(fileKey) -> {
+                section.fault(fileKey, "${key.name} is given too", "either ${key.name} or ${fileKey.name}")
+                null
+            }
+            section.has(key) -> given
+            path != null -> fromFile(section, fileKey, path)
+            section.has(fileKey) -> null
+            else -> {
+                section.fault(key, "the key is missing", "either ${key.name} or ${fileKey.name}")
+                null
+            }
+        }
+    }
+
+    private fun fromFile(section: SectionReader, key: Key<String>, path: String): Secret? {
+        val text = readFile(path)
+        val secret = text?.let(SettingsKeys::secret)
+        if (text == null) section.fault(key, "the file \"$path\" cannot be read")
+        if (text != null && secret == null) section.fault(key, "the text in \"$path\" is too short or too long")
+        return secret
+    }
+
+    private fun required(rule: SectionRule): SectionReader? {
+        val section = sections[rule]?.single()
+        if (section == null) {
+            faults += ConfigurationFault(0, rule.kind, null, "the section is missing", "[${rule.header}]")
+        }
+        return section
+    }
+
+    private class Place(
+        val router: RouterId,
+        val region: Region,
+        val failureDomain: FailureDomain,
+    )
+
+    private class Listeners(
+        val caller: NetworkAddress,
+        val operator: NetworkAddress,
+        val peer: NetworkAddress,
+        val probe: NetworkAddress,
+    )
+}
