Add the key-value service client and the platform stand-in

Cause: the document, claims and leases are kept in a key-value service that routers reach through the etcd version 3 JSON gateway, and its lost replies must not be taken for failures.

Change: KeyValueService with results that separate surely not written from unknown, a client for several addresses with deadlines and a call budget, and a stand-in with revisions, leases, watches, call counting and injected faults.

Conclusion: EtcdGatewayClientSpec passes with 9 fault cases of a write and 10 other tests.

--- /dev/null
+++ b/src/main/kotlin/azuredale/standin/PlatformStandIn.kt
@@ -0,0 +1,184 @@
+package azuredale.standin
+
+import azuredale.platform.CallBudget
+import azuredale.time.Clock
+import azuredale.time.systemClock
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServer
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.ext.web.handler.BodyHandler
+import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Stand-in of the platform: the key-value service behind the etcd version 3 JSON gateway, and the VM list.
+ *
+ * `POST /control` changes faults and the VM list, `GET /control` reports the calls counted:
+ *
+ * ```
+ * {"down": true, "delay_milliseconds": 50, "lost_replies": 1, "lost_requests": 0, "error_status": 503,
+ *  "calls_per_second": 100, "end_leases": true, "break_watches": true,
+ *  "vms": {"live": ["127.0.0.1"], "leaving": [], "lag_milliseconds": 500}}
+ * ```
+ *
+ * ```
+ * val standIn = PlatformStandIn(vertx)
+ * val port = standIn.start()
+ * standIn.faults = PlatformFaults(isDown = true)
+ * ```
+ */
+public class PlatformStandIn(
+    private val vertx: Vertx,
+    private val clock: Clock = systemClock(),
+) {
+    internal val store = KeyValueStore(clock)
+    private val gateway = EtcdGatewayStandIn(store)
+    private val list = LaggingList(clock)
+    private val callCount = AtomicLong()
+    private var limit: Pair<Int, CallBudget>? = null
+    private var server: HttpServer? = null
+    private var timer: Long? = null
+
+    /** Faults shown from now on. */
+    @Volatile
+    public var faults: PlatformFaults = PlatformFaults()
+        set(value) {
+            field = value
+            if (value.isDown) breakWatches()
+        }
+
+    /** Calls received so far, failed ones included; a watch is one call. */
+    public val calls: Long get() = callCount.get()
+
+    /** Watches that are open. */
+    public val openWatches: Int get() = gateway.watches
+
+    /** Listens on [port] of the loopback interface, zero for a free one, and returns the port. */
+    public suspend fun start(port: Int = 0): Int {
+        val router = Router.router(vertx)
+        router.get("/control").handler { it.json(JsonObject().put("calls", calls).put("watches", openWatches)) }
+        router.post("/control").handler(BodyHandler.create(false)).handler(::control)
+        router.get("/vms").handler { admit(it) { listMachines(it) } }
+        router.post("/v3/*").handler(BodyHandler.create(false)).handler { admit(it) { call(it) } }
+        val started =
+            vertx
+                .createHttpServer()
+                .requestHandler(router)
+                .listen(port, LOOPBACK)
+                .coAwait()
+        server = started
+        timer = vertx.setPeriodic(EXPIRY_PERIOD_MILLISECONDS) { store.expire() }
+        return started.actualPort()
+    }
+
+    /** Closes the listener and every connection. */
+    public suspend fun stop() {
+        timer?.let(vertx::cancelTimer)
+        server?.close()?.coAwait()
+    }
+
+    /** Changes the VM list; readers see it after [lagMilliseconds]. */
+    public fun setMachines(live: List<String>, leaving: List<String> = emptyList(), lagMilliseconds: Long = 0) {
+        list.set(live, leaving, lagMilliseconds)
+    }
+
+    /** Closes the connection of every watch. */
+    public fun breakWatches() {
+        gateway.breakWatches()
+    }
+
+    /** Ends all leases, as after a pause of their holders. */
+    public fun endLeases() {
+        store.endLeases()
+    }
+
+    private fun admit(context: RoutingContext, handle: () -> Unit) {
+        callCount.incrementAndGet()
+        val status = faults.errorStatus
+        when {
+            faults.isDown -> context.request().connection().close()
+            status != null -> fail(context, status, "etcdserver: injected error")
+            !isWithinLimit() -> fail(context, TOO_MANY_CALLS, "etcdserver: too many requests")
+            else -> handle()
+        }
+    }
+
+    private fun isWithinLimit(): Boolean {
+        val rate = faults.callsPerSecond ?: return true
+        val known =
+            limit?.takeIf { it.first == rate }
+                ?: (rate to CallBudget(rate.toDouble(), rate, clock)).also { limit = it }
+        return known.second.tryTake()
+    }
+
+    private fun call(context: RoutingContext) {
+        val path = context.request().path().orEmpty()
+        val isWrite = path == "/v3/kv/txn"
+        if (isWrite && faults.lostRequests > 0) {
+            faults = faults.copy(lostRequests = faults.lostRequests - 1)
+            context.request().connection().close()
+            return
+        }
+        if (path == "/v3/watch") return gateway.watch(context)
+        val answer = gateway.answer(path, context.body().asJsonObject() ?: JsonObject())
+        if (isWrite && faults.lostReplies > 0) {
+            faults = faults.copy(lostReplies = faults.lostReplies - 1)
+            context.request().connection().close()
+        } else {
+            delayed { reply(context, answer) }
+        }
+    }
+
+    private fun reply(context: RoutingContext, answer: GatewayReply) {
+        if (context.response().closed()) return
+        if (answer.status == OK) context.json(answer.body) else fail(context, answer.status, answer.message)
+    }
+
+    private fun delayed(action: () -> Unit) {
+        val delay = faults.delayMilliseconds
+        if (delay > 0) vertx.setTimer(delay) { action() } else action()
+    }
+
+    private fun listMachines(context: RoutingContext) = delayed {
+        val (live, leaving) = list.visible()
+        context.json(JsonObject().put("live", JsonArray(live)).put("leaving", JsonArray(leaving)))
+    }
+
+    private fun fail(context: RoutingContext, status: Int, message: String) {
+        val body = JsonObject().put("error", message).put("message", message)
+        context.response().setStatusCode(status).end(Buffer.buffer(body.encode()))
+    }
+
+    private fun control(context: RoutingContext) {
+        val order = context.body().asJsonObject() ?: JsonObject()
+        faults =
+            PlatformFaults(
+                isDown = order.getBoolean("down", false),
+                delayMilliseconds = order.getLong("delay_milliseconds", 0),
+                lostReplies = order.getInteger("lost_replies", 0),
+                lostRequests = order.getInteger("lost_requests", 0),
+                errorStatus = order.getInteger("error_status"),
+                callsPerSecond = order.getInteger("calls_per_second"),
+            )
+        if (order.getBoolean("end_leases", false)) endLeases()
+        if (order.getBoolean("break_watches", false)) breakWatches()
+        order.getJsonObject("vms")?.let { vms ->
+            setMachines(names(vms, "live"), names(vms, "leaving"), vms.getLong("lag_milliseconds", 0))
+        }
+        context.json(JsonObject().put("calls", calls))
+    }
+
+    private fun names(body: JsonObject, field: String): List<String> =
+        body.getJsonArray(field, JsonArray()).map { it.toString() }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val OK = 200
+        const val TOO_MANY_CALLS = 429
+        const val EXPIRY_PERIOD_MILLISECONDS = 50L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/platform/EtcdGatewayClientSpec.kt
@@ -0,0 +1,180 @@
+package azuredale.platform
+
+import azuredale.identity.NetworkAddress
+import azuredale.standin.PlatformFaults
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.produceIn
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import java.net.ServerSocket
+import kotlin.test.Test
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class EtcdGatewayClientSpec {
+    private val value = "value \u0000 \u00e9".encodeToByteArray()
+    private val other = "other".encodeToByteArray()
+
+    /** What a caller may conclude from a write under a fault. */
+    enum class Effect { WRITTEN, SURELY_NOT, UNKNOWN }
+
+    /** Fault of the service, what the client must report for a write, and whether the value is stored afterwards. */
+    enum class FaultCase(
+        val faults: PlatformFaults,
+        val effect: Effect,
+        val isStored: Boolean,
+    ) {
+        NONE(PlatformFaults(), Effect.WRITTEN, true),
+        SLOW_WITHIN_DEADLINE(PlatformFaults(delayMilliseconds = 100), Effect.WRITTEN, true),
+        SLOW_PAST_DEADLINE(PlatformFaults(delayMilliseconds = 5_000), Effect.UNKNOWN, true),
+        LOST_REPLY(PlatformFaults(lostReplies = 1), Effect.UNKNOWN, true),
+        LOST_REQUEST(PlatformFaults(lostRequests = 1), Effect.UNKNOWN, false),
+        OUTAGE(PlatformFaults(isDown = true), Effect.UNKNOWN, false),
+        INTERNAL_ERROR(PlatformFaults(errorStatus = 500), Effect.UNKNOWN, false),
+        RATE_LIMITED(PlatformFaults(errorStatus = 429), Effect.SURELY_NOT, false),
+        REFUSED(PlatformFaults(errorStatus = 400), Effect.SURELY_NOT, false),
+    }
+
+    private fun effectOf(result: WriteResult) = when (result) {
+        is WriteResult.Written -> Effect.WRITTEN
+        is WriteResult.NotWritten, is WriteResult.Conflict -> Effect.SURELY_NOT
+        is WriteResult.Unknown -> Effect.UNKNOWN
+    }
+
+    @Nested
+    inner class Writing {
+        @ParameterizedTest
+        @EnumSource(FaultCase::class)
+        fun `reports what is known about the effect`(case: FaultCase) = PlatformFixture.run {
+            // Guards against telling a caller that nothing was written when the value is stored, or the reverse.
+            standIn.faults = case.faults
+            val result = client.write("/k", value, KeyVersion.ABSENT, deadline(600))
+            assertEquals(case.effect, effectOf(result), result.toString())
+            standIn.faults = PlatformFaults()
+            val read = client.read("/k", deadline())
+            if (case.isStored) assertContentEquals(value, assertIs<ReadResult.Found>(read).stored.bytes)
+            if (!case.isStored) assertEquals(ReadResult.Missing, read)
+        }
+
+        @Test
+        fun `returns the present value when the version differs`() = PlatformFixture.run {
+            // Guards against a second writer that replaces the first one's value.
+            val first = assertIs<WriteResult.Written>(client.write("/k", value, KeyVersion.ABSENT, deadline()))
+            val conflict = assertIs<WriteResult.Conflict>(client.write("/k", other, KeyVersion.ABSENT, deadline()))
+            assertEquals(first.version, conflict.current?.version)
+            assertContentEquals(value, conflict.current?.bytes)
+            assertIs<WriteResult.Written>(client.write("/k", other, first.version, deadline()))
+            val late = assertIs<WriteResult.Conflict>(client.write("/k", value, first.version, deadline()))
+            assertContentEquals(other, late.current?.bytes)
+        }
+
+        @Test
+        fun `reports that nothing was written when no address accepts a connection`() = PlatformFixture.run {
+            val free = ServerSocket(0).use { it.localPort }
+            val dead = EtcdGatewayClient(vertx, listOf(NetworkAddress("127.0.0.1", free)), budget, clock)
+            val result = dead.write("/k", value, KeyVersion.ABSENT, deadline())
+            assertEquals(CallFailureReason.NOT_CONNECTED, assertIs<WriteResult.NotWritten>(result).failure.reason)
+        }
+
+        @Test
+        fun `uses another address when the first accepts no connection`() = PlatformFixture.run {
+            val free = ServerSocket(0).use { it.localPort }
+            val addresses = listOf(NetworkAddress("127.0.0.1", free), address)
+            val second = EtcdGatewayClient(vertx, addresses, budget, clock)
+            assertIs<WriteResult.Written>(second.write("/k", value, KeyVersion.ABSENT, deadline()))
+        }
+    }
+
+    @Nested
+    inner class Budget {
+        @Test
+        fun `sends nothing once the budget is used up and counts a watch as one call`() = PlatformFixture.run { scope ->
+            // Guards against a node that takes more than its part of the service's rate.
+            val small = CallBudget(callsPerSecond = 0.001, burst = 3, clock)
+            val limited = EtcdGatewayClient(vertx, listOf(address), small, clock)
+            val watch = limited.watch("/k").produceIn(scope)
+            assertEquals(WatchEvent.Started, watch.receive())
+            assertEquals(ReadResult.Missing, limited.read("/k", deadline()))
+            assertEquals(VersionResult.Found(KeyVersion.ABSENT), limited.readVersion("/k", deadline()))
+            val result = limited.write("/k", value, KeyVersion.ABSENT, deadline())
+            assertEquals(CallFailureReason.BUDGET_EXHAUSTED, assertIs<WriteResult.NotWritten>(result).failure.reason)
+            assertEquals(3, standIn.calls)
+            assertEquals(3, small.allowed)
+            watch.cancel()
+        }
+    }
+
+    @Nested
+    inner class Reading {
+        @Test
+        fun `ends at its deadline and tries the other addresses before it`() = PlatformFixture.run {
+            standIn.faults = PlatformFaults(delayMilliseconds = 60_000)
+            val start = clock()
+            val result = client.read("/k", deadline(300))
+            assertEquals(CallFailureReason.DEADLINE_PASSED, assertIs<ReadResult.Failed>(result).failure.reason)
+            assertTrue(clock().secondsSince(start) < 5, "a read with a deadline of 0.3 s took 5 s")
+        }
+    }
+
+    @Nested
+    inner class Leases {
+        @Test
+        fun `removes the key with its lease and reports the end of the lease`() = PlatformFixture.run {
+            // Guards against a holder that goes on after its lease has ended while it was paused.
+            val held = assertIs<LeaseResult.Held>(client.grantLease(10, deadline()))
+            assertTrue(held.deadline <= clock().plusSeconds(10))
+            assertIs<WriteResult.Written>(client.write("/k", value, KeyVersion.ABSENT, deadline(), held.lease))
+            assertEquals(held.lease, assertIs<LeaseResult.Held>(client.keepAlive(held.lease, deadline())).lease)
+            standIn.endLeases()
+            assertEquals(LeaseResult.Ended, client.keepAlive(held.lease, deadline()))
+            assertEquals(ReadResult.Missing, client.read("/k", deadline()))
+            val late = client.write("/k", value, KeyVersion.ABSENT, deadline(), held.lease)
+            assertEquals(CallFailureReason.LEASE_ENDED, assertIs<WriteResult.NotWritten>(late).failure.reason)
+        }
+
+        @Test
+        fun `ends a lease that is not kept alive`() = PlatformFixture.run {
+            val held = assertIs<LeaseResult.Held>(client.grantLease(1, deadline()))
+            client.write("/k", value, KeyVersion.ABSENT, deadline(), held.lease)
+            while (client.read("/k", deadline()) != ReadResult.Missing) delay(50)
+            assertTrue(clock() >= held.deadline, "the lease ended before the deadline reported to its holder")
+            assertEquals(LeaseResult.Ended, client.revoke(held.lease, deadline()))
+        }
+    }
+
+    @Nested
+    inner class Watching {
+        @Test
+        fun `reports changes in order and the loss of the watch`() = PlatformFixture.run { scope ->
+            // Guards against a broken watch that looks like a quiet one.
+            val watch = client.watch("/k").produceIn(scope)
+            assertEquals(WatchEvent.Started, watch.receive())
+            val first = assertIs<WriteResult.Written>(client.write("/k", value, KeyVersion.ABSENT, deadline()))
+            client.write("/unwatched", value, KeyVersion.ABSENT, deadline())
+            client.write("/k", other, first.version, deadline())
+            val changes = List(2) { assertIs<WatchEvent.Changed>(watch.receive()).stored.bytes.decodeToString() }
+            assertEquals(listOf(value.decodeToString(), other.decodeToString()), changes)
+            standIn.breakWatches()
+            assertIs<WatchEvent.Broken>(watch.receive())
+            assertTrue(watch.receiveCatching().isClosed)
+        }
+
+        @Test
+        fun `ends the call at the service when the reader stops`() = PlatformFixture.run { scope ->
+            // Guards against watches that stay open, and counted, after their reader is gone.
+            val watch = client.watch("/k").produceIn(scope)
+            assertEquals(WatchEvent.Started, watch.receive())
+            watch.cancel()
+            while (standIn.openWatches > 0) delay(10)
+        }
+
+        @Test
+        fun `reports an outage that is present from the start`() = PlatformFixture.run { scope ->
+            standIn.faults = PlatformFaults(isDown = true)
+            assertIs<WatchEvent.Broken>(client.watch("/k").produceIn(scope).receive())
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/platform/PlatformFixture.kt
@@ -0,0 +1,41 @@
+package azuredale.platform
+
+import azuredale.identity.NetworkAddress
+import azuredale.standin.PlatformStandIn
+import azuredale.time.Timestamp
+import azuredale.time.systemClock
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+
+/** A platform stand-in on a free port with a client of the key-value service. */
+internal class PlatformFixture(
+    val vertx: Vertx,
+    val standIn: PlatformStandIn,
+    val address: NetworkAddress,
+) {
+    val clock = systemClock()
+    val budget = CallBudget(callsPerSecond = 10_000.0, burst = 10_000, clock)
+    val client = EtcdGatewayClient(vertx, listOf(address), budget, clock)
+
+    fun deadline(milliseconds: Long = 2_000): Timestamp = clock().plusMilliseconds(milliseconds)
+
+    companion object {
+        private const val TEST_MILLISECONDS = 20_000L
+
+        fun run(test: suspend PlatformFixture.(CoroutineScope) -> Unit) = runBlocking {
+            val vertx = Vertx.vertx()
+            try {
+                withTimeout(TEST_MILLISECONDS) {
+                    val standIn = PlatformStandIn(vertx)
+                    val address = NetworkAddress("127.0.0.1", standIn.start())
+                    PlatformFixture(vertx, standIn, address).test(this)
+                }
+            } finally {
+                vertx.close().coAwait()
+            }
+        }
+    }
+}
