Decide which document is in force and whether it is confirmed

Cause: nodes must hold the highest revision seen, learn it from the service or from peers, and stop new work when they are isolated, while an outage of the service alone stops nobody.

AcceptedDocument carries the submission.

--- a/src/main/kotlin/azuredale/configuration/Document.kt
+++ b/src/main/kotlin/azuredale/configuration/Document.kt
@@ -130,9 +130,14 @@
     val adapter: AdapterName? = null,
 )
 
-/** A document with the [revision] under which it was accepted; [text] is its INI source. */
+/**
+ * A document with the [revision] under which it was accepted; [text] is its INI source.
+ *
+ * @property submission id of the submission that was accepted, empty when not known.
+ */
 public data class AcceptedDocument(
     val revision: Revision,
     val text: String,
     val document: Document,
+    val submission: String = "",
 )
--- /dev/null
+++ b/src/main/kotlin/azuredale/configuration/DocumentStep.kt
@@ -0,0 +1,192 @@
+package azuredale.configuration
+
+import azuredale.identity.FailureDomain
+import azuredale.identity.Revision
+import azuredale.identity.RouterId
+import azuredale.logging.EventLog
+import azuredale.membership.Member
+import azuredale.membership.MemberState
+import azuredale.node.NodeEffect
+import azuredale.protocol.Confirmation
+import azuredale.protocol.DocumentAnnounce
+import azuredale.protocol.DocumentBody
+import azuredale.protocol.DocumentRequest
+import azuredale.protocol.PeerMessage
+import azuredale.time.Timestamp
+
+/** Handles one event of [DocumentController]: starts from its tables and collects their new rows and the effects. */
+internal class DocumentStep(
+    private val self: RouterId,
+    held: HeldDocument?,
+    state: DocumentState,
+    private val now: Timestamp,
+    private val minimumFleetSize: Int,
+) {
+    var held: HeldDocument? = held
+        private set
+    var state: DocumentState = state
+        private set
+    val effects = mutableListOf<NodeEffect>()
+
+    private val revision: Revision get() = held?.revision ?: Revision.NONE
+
+    fun run(action: DocumentStep.() -> Unit) {
+        val observed = state.freshness.observed(now)
+        if (observed.trustedFrom != state.freshness.trustedFrom) log.write(ConfigurationLogEvent.PROCESS_PAUSED)
+        state = state.copy(freshness = observed)
+        action()
+        state = state.copy(fleet = state.fleet.observed(now, minimumFleetSize))
+        askPeer()
+        readService()
+        noteFreshness()
+    }
+
+    fun serviceAnswered(document: AcceptedDocument?) {
+        state = state.copy(schedule = state.schedule.answered(now))
+        when {
+            document == null -> if (held != null) log.write(ConfigurationLogEvent.DOCUMENT_MISSING, "held" to revision)
+            else -> {
+                if (document.revision < revision) {
+                    log.write(ConfigurationLogEvent.DOCUMENT_OLDER, "held" to revision, "read" to document.revision)
+                }
+                adopt(document, isFromService = true)
+                confirmed(ConfirmedRevision(document.revision, now))
+            }
+        }
+    }
+
+    fun serviceConfirmed(revision: Revision) {
+        state = state.copy(schedule = state.schedule.answered(now))
+        confirmed(ConfirmedRevision(revision, now))
+    }
+
+    fun serviceFailed() {
+        val isBackedOff = held != null && state.fleet.hasMajority(now, minimumFleetSize)
+        state = state.copy(schedule = state.schedule.failed(now, isBackedOff))
+    }
+
+    fun peerConfirmed(confirmation: Confirmation) {
+        val age = confirmation.ageMilliseconds.coerceAtLeast(0)
+        confirmed(ConfirmedRevision(confirmation.revision, now.plusMilliseconds(-age)))
+    }
+
+    fun heardFrom(router: RouterId, revision: Revision) {
+        state = state.copy(fleet = state.fleet.heard(now))
+        noteHolder(router, revision)
+    }
+
+    fun announced(from: RouterId, revision: Revision) {
+        noteHolder(from, revision)
+        if (revision < this.revision) send(from, DocumentAnnounce(this.revision))
+    }
+
+    fun requested(from: RouterId, known: Revision) {
+        val document = held ?: return
+        if (document.revision > known) send(from, DocumentBody(document.revision, document.body))
+    }
+
+    fun bodyReceived(from: RouterId, body: ByteArray) {
+        val envelope = DocumentEnvelope.decompress(body)?.let(DocumentEnvelope::decode)
+        if (envelope != null && envelope.revision <= revision) return
+        val document = envelope?.accepted()
+        if (document == null) {
+            log.write(ConfigurationLogEvent.DOCUMENT_MALFORMED, "from" to from, "revision" to envelope?.revision)
+            state = state.copy(fetch = state.fetch.answeredBadly(from))
+        } else {
+            adopt(document, isFromService = false)
+        }
+    }
+
+    fun membersListed(members: List<Member>, failureDomain: FailureDomain) {
+        state = state.copy(fleet = state.fleet.withMembers(members, now))
+        val neighbours =
+            members
+                .filter { it.state == MemberState.ALIVE && it.failureDomain == failureDomain && !it.isDraining }
+                .map { it.router }
+                .toSet() + self
+        val watchers = Rendezvous.choose(neighbours, "watch/$failureDomain", WATCHERS_PER_DOMAIN)
+        val isWatching = self in watchers
+        if (isWatching != state.isWatching) {
+            state = state.copy(isWatching = isWatching)
+            log.write(ConfigurationLogEvent.WATCHER_CHANGED, "watching" to isWatching)
+            effects += NodeEffect.WatchDocument(isWatching)
+        }
+    }
+
+    private fun confirmed(confirmation: ConfirmedRevision) {
+        state = state.copy(freshness = state.freshness.confirmed(confirmation, revision, now))
+    }
+
+    private fun noteHolder(router: RouterId, revision: Revision) {
+        if (revision > this.revision) state = state.copy(fetch = state.fetch.holds(router, revision))
+    }
+
+    private fun adopt(document: AcceptedDocument, isFromService: Boolean) {
+        val present = held
+        if (present != null && present.revision >= document.revision) {
+            if (present.revision == document.revision && present.accepted.text != document.text) {
+                log.write(ConfigurationLogEvent.DOCUMENT_CONFLICT, "revision" to document.revision)
+            }
+            return
+        }
+        val adopted = HeldDocument(document)
+        held = adopted
+        state =
+            state.copy(
+                freshness = state.freshness.adopted(document.revision),
+                fetch = state.fetch.adopted(document.revision),
+            )
+        log.write(ConfigurationLogEvent.DOCUMENT_ADOPTED, "revision" to revision, "service" to isFromService)
+        spread(adopted, isFromService)
+    }
+
+    /**
+     * Tells a few peers, which tell others in turn; datagrams bring the revision to the rest.
+     *
+     * A document from the service is sent in full to the first of them, so that it does not depend on this node alone.
+     */
+    private fun spread(document: HeldDocument, isFromService: Boolean) {
+        val peers = Rendezvous.choose(state.fleet.peers, "$self/${document.revision}", ANNOUNCED_PEERS)
+        val bodies = if (isFromService) PUSHED_PEERS else 0
+        peers.take(bodies).forEach { send(it, DocumentBody(document.revision, document.body)) }
+        peers.drop(bodies).forEach { send(it, DocumentAnnounce(document.revision)) }
+    }
+
+    private fun askPeer() {
+        val peer = state.fetch.next(now) ?: return
+        state = state.copy(fetch = state.fetch.asking(peer, now))
+        send(peer, DocumentRequest(revision))
+    }
+
+    private fun readService() {
+        if (state.schedule.isOverdue(now)) serviceFailed()
+        val isWanted = held == null || state.isWatching || state.freshness.isAging(now)
+        if (isWanted && state.schedule.isDue(now)) {
+            state = state.copy(schedule = state.schedule.started(now))
+            effects += NodeEffect.ReadDocument
+        }
+    }
+
+    private fun noteFreshness() {
+        val isAllowed = held != null && state.mayGiveOutWork(revision, now, minimumFleetSize)
+        if (isAllowed == state.isGivingOutWork) return
+        state = state.copy(isGivingOutWork = isAllowed)
+        val event = if (isAllowed) ConfigurationLogEvent.DOCUMENT_CONFIRMED else ConfigurationLogEvent.DOCUMENT_EXPIRED
+        log.write(event, "revision" to revision)
+    }
+
+    private fun send(to: RouterId, message: PeerMessage) {
+        effects += NodeEffect.SendMessage(to, message)
+    }
+
+    private companion object {
+        val log = EventLog("azuredale.configuration")
+
+        /** One may fail and another be paused. */
+        const val WATCHERS_PER_DOMAIN = 3
+
+        /** A fleet of 390 is reached in three rounds. */
+        const val ANNOUNCED_PEERS = 8
+        const val PUSHED_PEERS = 4
+    }
+}
