Hold fairness and failover to bounds and speed up failover

Cause: after a crash of the allotter nothing but the local reserve used the slots until membership reported it dead, and nothing checked gap and idle time.

Change: a router whose allotter is disconnected or silent for 300 ms moves to the next in order; that one grants from all slots when it has lost the first one too and another router registered.

Conclusion: failover no longer waits for membership when the crash closes connections.

--- a/src/main/kotlin/azuredale/sharing/AllotterController.kt
+++ b/src/main/kotlin/azuredale/sharing/AllotterController.kt
@@ -30,6 +30,7 @@
     private val prefixes = PrefixIndex()
     private val allotments = LinkedHashMap<ShardId, ShardAllotment>()
     private val topology = Topology()
+    private val reachability = Reachability()
     private var lastTick: Timestamp? = null
 
     /** The shards that this router allots at present. */
@@ -41,6 +42,7 @@
 
     /** Handles [message] of a requester; messages of other kinds are ignored. */
     public fun messageReceived(from: RouterId, message: PeerMessage, now: Timestamp): List<NodeEffect> = turn(now) {
+        reachability.reached(from)
         when (message) {
             is Register -> allotments[message.shard]?.register(from, message, this)
             is Demand -> demandReceived(from, message)
@@ -53,12 +55,14 @@
 
     /** Asks [router] for registration, since messages to it may be lost. */
     public fun peerConnected(router: RouterId, now: Timestamp): List<NodeEffect> = turn(now) {
+        reachability.reached(router)
         allotments.values.forEach { it.connected(router, this) }
     }
 
-    /** A lost connection changes nothing: the grants of [router] run until membership reports it gone. */
-    @Suppress("UnusedParameter")
-    public fun peerDisconnected(router: RouterId, now: Timestamp): List<NodeEffect> = emptyList()
+    /** Notes that [router] is unreachable; its grants run until membership reports it gone. */
+    public fun peerDisconnected(router: RouterId, now: Timestamp): List<NodeEffect> = turn(now) {
+        reachability.lost(router, now)
+    }
 
     /** Adapts the limit of a backend server. */
     public fun loadReported(report: LoadReport, now: Timestamp): List<NodeEffect> = turn(now) {
@@ -78,6 +82,7 @@
 
     /** Starts and ends allotments, and frees the grants of routers that are gone. */
     public fun membersChanged(now: Timestamp): List<NodeEffect> = turn(now) {
+        reachability.retain(members.keys)
         updateShards(this)
         allotments.values.forEach { it.membersChanged(this) }
     }
@@ -98,7 +103,10 @@
         val mayGiveOutWork = context.mayGiveOutWork(now)
         return tables.locked {
             val shardMap = topology.shardMap(document)
-            val turn = AllotterTurn(now, document.document, shardMap, members, mayGiveOutWork)
+            val turn =
+                AllotterTurn(now, document.document, shardMap, members, mayGiveOutWork) { shard ->
+                    topology.order(shard, shardMap, members).firstOrNull()?.let { isLost(it, now) } ?: false
+                }
             turn.block()
             turn.effects
         }
@@ -125,6 +133,12 @@
             }
     }
 
+    private fun isLost(router: RouterId, now: Timestamp): Boolean =
+        router != context.self && reachability.isLost(router, settings.lossMilliseconds, now)
+
     private fun open(shard: ShardId): ShardAllotment =
-        ShardAllotment(shard, context.incarnation, settings, tables, prefixes).also { allotments[shard] = it }
+        ShardAllotment(shard, context.self, context.incarnation, settings, tables, prefixes).also {
+            allotments[shard] =
+                it
+        }
 }
--- a/src/main/kotlin/azuredale/sharing/AllotterTerm.kt
+++ b/src/main/kotlin/azuredale/sharing/AllotterTerm.kt
@@ -21,19 +21,17 @@
 
     fun startPrimary(now: Timestamp) {
         isPrimary = true
-        isCollecting = true
-        collectingUntil = now.plusMilliseconds(settings.registrationMilliseconds)
+        collectUntil(now.plusMilliseconds(settings.registrationMilliseconds))
     }
 
     fun startSecondary(now: Timestamp) {
-        isPrimary = false
-        isCollecting = false
-        retireAt = now.plusMilliseconds(settings.handoverMilliseconds)
+        leave(now)
+        collectUntil(now.plusMilliseconds(settings.secondaryMilliseconds))
     }
 
     /** Another router became first in order; this one serves those that have not moved yet. */
     fun handOver(now: Timestamp) {
-        startSecondary(now)
+        leave(now)
         fullUntil = retireAt
     }
 
@@ -48,7 +46,23 @@
 
     fun isOver(now: Timestamp): Boolean = !isPrimary && now >= retireAt
 
-    /** Most grants in use at once: a secondary allotter uses a part of the [slots], since the first uses them too. */
-    fun bound(slots: Int, now: Timestamp): Int =
-        if (isPrimary || now < fullUntil) Int.MAX_VALUE else ceil(slots * settings.reserveFraction).toInt()
+    /**
+     * Most grants in use at once. A secondary allotter uses a part of the [slots], since the first one uses them too,
+     * until [isFirstLost].
+     */
+    fun bound(slots: Int, isFirstLost: Boolean, now: Timestamp): Int {
+        val isFull = isPrimary || isFirstLost || now < fullUntil
+        return if (isFull) Int.MAX_VALUE else ceil(slots * settings.reserveFraction).toInt()
+    }
+
+    private fun leave(now: Timestamp) {
+        isPrimary = false
+        isCollecting = false
+        retireAt = now.plusMilliseconds(settings.handoverMilliseconds)
+    }
+
+    private fun collectUntil(deadline: Timestamp) {
+        isCollecting = true
+        collectingUntil = deadline
+    }
 }
--- a/src/main/kotlin/azuredale/sharing/AllotterTurn.kt
+++ b/src/main/kotlin/azuredale/sharing/AllotterTurn.kt
@@ -1,22 +1,31 @@
 package azuredale.sharing
 
 import azuredale.configuration.Document
+import azuredale.identity.PoolId
 import azuredale.identity.RouterId
 import azuredale.membership.Member
 import azuredale.node.NodeEffect
 import azuredale.protocol.PeerMessage
+import azuredale.protocol.ShardId
 import azuredale.time.Timestamp
 
-/** What the allotter reads of other controllers while it handles one event, and the effects it collects. */
+/**
+ * What the allotter reads of other controllers while it handles one event, and the effects it collects.
+ *
+ * @property isFirstLost whether the first router in order for a shard cannot be reached from here.
+ */
 internal class AllotterTurn(
     val now: Timestamp,
     val document: Document,
     val shardMap: ShardMap,
     val members: Map<RouterId, Member>,
     val mayGiveOutWork: Boolean,
+    val isFirstLost: (ShardId) -> Boolean,
 ) {
     val effects = mutableListOf<NodeEffect>()
 
+    fun initialCost(pool: PoolId): Double = document.pools[pool]?.initialCost ?: 1.0
+
     fun send(to: RouterId, message: PeerMessage) {
         effects += NodeEffect.SendMessage(to, message)
     }
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/GrantDispatcher.kt
@@ -0,0 +1,71 @@
+package azuredale.sharing
+
+import azuredale.configuration.Requirement
+import azuredale.identity.RouterId
+import azuredale.protocol.Grant
+import azuredale.protocol.ShardId
+
+/** Gives free slots of one shard to waiting requests in fair order. */
+internal class GrantDispatcher(
+    private val shard: ShardId,
+    private val order: FairOrder,
+    private val servers: ServerPool,
+    private val ledger: GrantLedger,
+    private val demand: DemandBook,
+    private val estimator: CostEstimator,
+    private val prefixes: PrefixIndex,
+) {
+    private val selection = ServerSelection(prefixes)
+
+    /** Grants until [bound] grants are in use, no slot is free or no offer of a router that [isReady] fits one. */
+    fun dispatch(turn: AllotterTurn, bound: Int, isReady: (RouterId) -> Boolean) {
+        val blocked = HashSet<Requirement>()
+        while (servers.hasFree(turn.now) && ledger.size < bound) {
+            if (!grantNext(blocked, turn, isReady)) return
+        }
+    }
+
+    /** Grants one request of the backlogged team with the lowest counter that has a grantable one. */
+    private fun grantNext(
+        blocked: MutableSet<Requirement>,
+        turn: AllotterTurn,
+        isReady: (RouterId) -> Boolean,
+    ): Boolean {
+        for (team in order.inOrder) {
+            val candidates =
+                team.classes.filterKeys { it !in blocked }.values.mapNotNull { queue ->
+                    queue.values.firstOrNull { isReady(it.key.router) }
+                }
+            for (row in candidates.sortedBy { it.arrival }) {
+                val domain = turn.members[row.key.router]?.failureDomain
+                val server =
+                    selection.choose(servers.rows, turn.document, row.requirement, row.head.prefix, domain, turn.now)
+                if (server != null) return grant(row, team, server, turn)
+                blocked += row.requirement
+            }
+        }
+        return false
+    }
+
+    private fun grant(row: WaitingRow, team: TeamRow, server: ServerRow, turn: AllotterTurn): Boolean {
+        val estimate = estimator.estimate(row.team, row.head.hint, turn.initialCost(shard.pool))
+        order.granting(team, row.requirement)
+        val grant =
+            GrantRow(
+                row.key,
+                shard,
+                row.team,
+                server.id,
+                row.head.hint,
+                estimate,
+                charged = estimate,
+                grantedAt = turn.now,
+                heardAt = turn.now,
+            )
+        if (!ledger.open(grant, team)) return false
+        demand.remove(row.key)
+        row.head.prefix?.let { prefixes.stored(it, server.id) }
+        turn.send(row.key.router, Grant(shard, row.key.request, server.id))
+        return true
+    }
+}
--- a/src/main/kotlin/azuredale/sharing/RequesterState.kt
+++ b/src/main/kotlin/azuredale/sharing/RequesterState.kt
@@ -95,7 +95,7 @@
     }
 
     fun membersChanged(turn: RequesterTurn) {
-        links.all.forEach { links.choose(it, turn) }
+        links.membersChanged(turn)
         releaseUnregistered(turn)
     }
 
--- a/src/main/kotlin/azuredale/sharing/RouterRegistration.kt
+++ b/src/main/kotlin/azuredale/sharing/RouterRegistration.kt
@@ -22,14 +22,12 @@
         return if (shard.pool in entry.pools) order.row(team, entry.share) else null
     }
 
-    fun initialCost(turn: AllotterTurn): Double = turn.document.pools[shard.pool]?.initialCost ?: 1.0
-
     /** Largest counter difference that a team may take over from before this allotter's time. */
     fun credit(turn: AllotterTurn): Double {
         val largest =
             order.teams
                 .filter { it.isBacklogged }
-                .maxOfOrNull { estimator.estimate(it.team, null, initialCost(turn)) / it.share }
+                .maxOfOrNull { estimator.estimate(it.team, null, turn.initialCost(shard.pool)) / it.share }
         return settings.creditRequests * (largest ?: 0.0)
     }
 
@@ -67,7 +65,7 @@
     private fun adopt(router: RouterRow, report: RunningGrant, turn: AllotterTurn) {
         val entry = turn.document.teams[report.team] ?: return
         val team = order.row(report.team, entry.share)
-        val estimate = estimator.estimate(report.team, null, initialCost(turn))
+        val estimate = estimator.estimate(report.team, null, turn.initialCost(shard.pool))
         val charge = maxOf(estimate, report.charged)
         val key = GrantKey(router.router, report.request)
         ledger.open(
--- a/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
+++ b/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
@@ -1,6 +1,5 @@
 package azuredale.sharing
 
-import azuredale.configuration.Requirement
 import azuredale.identity.Incarnation
 import azuredale.identity.RouterId
 import azuredale.protocol.Demand
@@ -15,6 +14,7 @@
 /** Allots the slots of one shard. All state is soft and is rebuilt from registrations. */
 internal class ShardAllotment(
     val shard: ShardId,
+    private val self: RouterId,
     private val incarnation: Incarnation,
     private val settings: SharingSettings,
     private val tables: AllotterTables,
@@ -26,11 +26,9 @@
     val demand = DemandBook(shard, settings, tables, order)
     val term = AllotterTerm(settings)
     private val estimator = CostEstimator()
-    private val selection = ServerSelection(prefixes)
-    private val prefixIndex = prefixes
     private val routers = HashMap<RouterId, RouterRow>()
-    private val registration =
-        RouterRegistration(shard, settings, order, ledger, demand, estimator)
+    private val registration = RouterRegistration(shard, settings, order, ledger, demand, estimator)
+    private val dispatcher = GrantDispatcher(shard, order, servers, ledger, demand, estimator, prefixes)
 
     /** Asks every member for registration; grants follow when all have answered or a deadline passes. */
     fun startPrimary(turn: AllotterTurn) {
@@ -44,6 +42,7 @@
     /** Serves routers that cannot reach the first router in order. */
     fun startSecondary(turn: AllotterTurn) {
         term.startSecondary(turn.now)
+        order.raisesReturning = false
         documentChanged(turn)
     }
 
@@ -183,13 +182,13 @@
         } else if (message.cost > 0) {
             server?.health?.succeeded()
             server?.limit?.settled(message.cost, turn.now.secondsSince(grant.grantedAt), server.inFlight + 1)
-            estimator.settled(grant.team, grant.hint, message.cost, registration.initialCost(turn))
+            estimator.settled(grant.team, grant.hint, message.cost, turn.initialCost(shard.pool))
         }
     }
 
     private fun finishCollecting(turn: AllotterTurn) {
         if (!term.isCollecting) return
-        val isComplete = turn.members.keys.all { routers[it]?.isRegistered == true }
+        val isComplete = term.isPrimary && turn.members.keys.all { routers[it]?.isRegistered == true }
         if (!isComplete && turn.now < term.collectingUntil) return
         term.finishCollecting()
         order.raisesReturning = true
@@ -213,56 +212,17 @@
 
     private fun dispatch(turn: AllotterTurn) {
         if (!turn.mayGiveOutWork || term.isCollecting || demand.isEmpty) return
-        val blocked = HashSet<Requirement>()
-        while (servers.hasFree(turn.now) && ledger.size < term.bound(servers.slots, turn.now)) {
-            if (!grantNext(blocked, turn)) return
-        }
-    }
-
-    /** Grants one request of the backlogged team with the lowest counter that has a grantable one. */
-    private fun grantNext(blocked: MutableSet<Requirement>, turn: AllotterTurn): Boolean {
-        for (team in order.inOrder) {
-            val candidates =
-                team.classes
-                    .filterKeys { it !in blocked }
-                    .values
-                    .mapNotNull(::firstRegistered)
-            for (row in candidates.sortedBy { it.arrival }) {
-                val domain = turn.members[row.key.router]?.failureDomain
-                val server =
-                    selection
-                        .choose(servers.rows, turn.document, row.requirement, row.head.prefix, domain, turn.now)
-                if (server != null) return grant(row, team, server, turn)
-                blocked += row.requirement
-            }
+        dispatcher.dispatch(turn, term.bound(servers.slots, isFirstLost(turn), turn.now)) { router ->
+            routers[router]?.isRegistered == true
         }
-        return false
     }
 
-    private fun firstRegistered(queue: Map<GrantKey, WaitingRow>): WaitingRow? =
-        queue.values.firstOrNull { routers[it.key.router]?.isRegistered == true }
-
-    private fun grant(row: WaitingRow, team: TeamRow, server: ServerRow, turn: AllotterTurn): Boolean {
-        val estimate = estimator.estimate(row.team, row.head.hint, registration.initialCost(turn))
-        val grant =
-            GrantRow(
-                row.key,
-                shard,
-                row.team,
-                server.id,
-                row.head.hint,
-                estimate,
-                estimate,
-                turn.now,
-                turn.now,
-            )
-        order.granting(team, row.requirement)
-        if (!ledger.open(grant, team)) return false
-        demand.remove(row.key)
-        row.head.prefix?.let { prefixIndex.stored(it, server.id) }
-        turn.send(row.key.router, Grant(shard, row.key.request, server.id))
-        return true
-    }
+    /**
+     * Whether the first router in order is unreachable for this one and for another one that therefore registered here.
+     * One router alone may have lost only its own connections.
+     */
+    private fun isFirstLost(turn: AllotterTurn): Boolean =
+        !term.isPrimary && turn.isFirstLost(shard) && routers.values.any { it.isRegistered && it.router != self }
 
     private companion object {
         /** Counters of a router that is gone are kept this long, for the case that a partition heals. */
--- a/src/main/kotlin/azuredale/sharing/ShardLinks.kt
+++ b/src/main/kotlin/azuredale/sharing/ShardLinks.kt
@@ -25,7 +25,7 @@
     }
 
     /** Uses the first allotter in order that is reachable, or the first one when none is. */
-    fun choose(link: ShardLink, turn: RequesterTurn) {
+    private fun choose(link: ShardLink, turn: RequesterTurn) {
         val candidates = candidates(link.shard, turn)
         val reachable = candidates.firstOrNull { !isLost(it, turn.now) }
         val target = reachable ?: candidates.firstOrNull()
@@ -47,8 +47,6 @@
         link.register()
     }
 
-    fun reached(router: RouterId): Unit = reachability.reached(router)
-
     fun lost(router: RouterId, now: Timestamp) {
         reachability.lost(router, now)
         links.values.filter { it.target == router }.forEach { it.unregister() }
@@ -63,6 +61,12 @@
         }
     }
 
+    /** Chooses the allotters again among the present members. */
+    fun membersChanged(turn: RequesterTurn) {
+        reachability.retain(turn.members.keys)
+        links.values.forEach { choose(it, turn) }
+    }
+
     /** Drops links of shards that the document no longer has. */
     fun retain(shardMap: ShardMap) {
         links.keys.retainAll(shardMap.shards)
@@ -91,7 +95,7 @@
     }
 
     private fun markSilent(router: RouterId, since: Timestamp, now: Timestamp) {
-        if (now >= since.plusMilliseconds(settings.retryMilliseconds)) reachability.lost(router, since)
+        if (now >= since.plusMilliseconds(settings.lossMilliseconds)) reachability.lost(router, since)
     }
 
     private fun tryPreferred(link: ShardLink, turn: RequesterTurn) {
@@ -103,7 +107,7 @@
     }
 
     private fun isLost(router: RouterId, now: Timestamp): Boolean =
-        router != self && reachability.isLost(router, settings.retryMilliseconds, now)
+        router != self && reachability.isLost(router, settings.lossMilliseconds, now)
 
     private fun candidates(shard: ShardId, turn: RequesterTurn): List<RouterId> =
         topology.order(shard, turn.shardMap, turn.members).take(CANDIDATES)
--- a/src/main/kotlin/azuredale/sharing/SharingSettings.kt
+++ b/src/main/kotlin/azuredale/sharing/SharingSettings.kt
@@ -9,11 +9,13 @@
  * @property lookAhead requests that may wait inside a backend server to hide the round trip from settlement to the next
  * grant; they count against the server's slots, so they need slots above the number that the server runs at once.
  * @property registrationMilliseconds longest time for which a new allotter waits for registrations.
+ * @property secondaryMilliseconds time for which an allotter that is not the first in order collects registrations.
  * @property handoverMilliseconds time for which a replaced allotter still serves routers that have not moved.
  * @property pauseMilliseconds an allotter whose ticks stood still for this time asks all routers to register again.
  * @property creditRequests bound on the counter difference taken over by registration, in largest estimates per share.
  * @property reserveFraction part of a shard's slots that all routers together use while no allotter is reachable.
  * @property reserveDelayMilliseconds time without an allotter before the local reserve is used.
+ * @property lossMilliseconds time after which a router that is disconnected or does not answer counts as unreachable.
  * @property retryMilliseconds time before an unreachable allotter is tried again.
  * @property progressMilliseconds least time between two progress reports for one shard.
  * @property progressGrowth a grant is reported when its cost has grown by this factor since the last report.
@@ -27,11 +29,13 @@
     val queueTotal: Int = 4_096,
     val lookAhead: Int = 1,
     val registrationMilliseconds: Long = 400,
+    val secondaryMilliseconds: Long = 100,
     val handoverMilliseconds: Long = 2_000,
     val pauseMilliseconds: Long = 1_000,
     val creditRequests: Double = 1.0,
     val reserveFraction: Double = 0.25,
     val reserveDelayMilliseconds: Long = 200,
+    val lossMilliseconds: Long = 300,
     val retryMilliseconds: Long = 1_000,
     val progressMilliseconds: Long = 2_000,
     val progressGrowth: Double = 1.5,
--- /dev/null
+++ b/src/test/kotlin/azuredale/sharing/FailoverSpec.kt
@@ -0,0 +1,117 @@
+package azuredale.sharing
+
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+internal class FailoverSpec {
+    /** A fault with its recovery; [mostRunning] bounds the requests in flight at 8 slots and a reserve of 2. */
+    enum class Fault(
+        val mostRunning: Int,
+        val play: FailoverScene.() -> Unit,
+    ) {
+        ALLOTTER_CRASH(10, {
+            val lost = fleet.allotter()
+            dropWaiting(lost)
+            fleet.crash(lost)
+            others(lost).forEach { fleet.disconnect(it, lost) }
+            run(1_000)
+            agree(others(lost))
+        }),
+        ALLOTTER_ISOLATED(16, {
+            val lost = fleet.allotter()
+            cutOff(lost)
+            run(1_000)
+            others(lost).forEach { fleet.setMembers(it, others(lost).map { peer -> testMember(peer.id) }) }
+            fleet.setMembers(lost, listOf(testMember(lost.id)))
+            run(1_000)
+            lost.mayGiveOutWork = false
+            run(3_000)
+            rejoin(lost)
+        }),
+        ALLOTTER_PAUSED_AND_BACK(16, {
+            val lost = fleet.allotter()
+            fleet.pause(lost)
+            run(2_000)
+            others(lost).forEach { fleet.setMembers(it, others(lost).map { peer -> testMember(peer.id) }) }
+            run(4_000)
+            lost.mayGiveOutWork = false
+            fleet.resume(lost)
+            run(500)
+            rejoin(lost)
+        }),
+        ALLOTTER_RESTARTED_EMPTY(10, {
+            val lost = fleet.allotter()
+            dropWaiting(lost)
+            fleet.crash(lost)
+            others(lost).forEach { fleet.disconnect(it, lost) }
+            fleet.restart(lost)
+            run(300)
+            rejoin(lost)
+        }),
+        TWO_ALLOTTERS(16, {
+            val first = fleet.allotter()
+            val half = others(first).take(3)
+            val visible = others(first).map { testMember(it.id) }
+            half.forEach { fleet.setMembers(it, visible) }
+            run(3_000)
+            rejoin(first)
+        }),
+        REQUESTER_ALONE(10, {
+            val alone = others(fleet.allotter()).first()
+            cutOff(alone)
+            run(2_000)
+            others(alone).forEach { fleet.setMembers(it, others(alone).map { peer -> testMember(peer.id) }) }
+            alone.mayGiveOutWork = false
+            run(2_000)
+            rejoin(alone)
+        }),
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `returns to one consistent allotter, full use and bounded gap`(fault: Fault) {
+        // Guards against lost slots, slots given twice for long, grants that stop, and credit from a rebuilt counter.
+        val scene = FailoverScene()
+        scene.run(4_000)
+        scene.probe = FairnessProbe(scene.fleet)
+        fault.play(scene)
+        scene.run(maxOf(0, 10_000 - scene.fleet.now.toMilliseconds() + 4_000))
+        println("$fault, 10 s around: gap ${scene.probe.gap}, utilisation ${scene.probe.utilisation}")
+        scene.run(5_000)
+        val probe = FairnessProbe(scene.fleet)
+        scene.probe = probe
+        scene.run(10_000)
+        val primaries =
+            scene.fleet.routers.filter { router ->
+                router.isRunning &&
+                    router.allotter
+                        .snapshot()
+                        .shards
+                        .any { it.isPrimary }
+            }
+        println("$fault, after: most running ${scene.mostRunning}, gap ${probe.gap}, utilisation ${probe.utilisation}")
+        assertEquals(1, primaries.size, "$fault: primaries ${primaries.map { it.id }}")
+        assertTrue(scene.mostRunning <= fault.mostRunning, "$fault: ${scene.mostRunning} requests in flight")
+        assertTrue(probe.utilisation > 0.95, "$fault: utilisation ${probe.utilisation}")
+        val bound = probe.bound(perRequest = 2 * 20.0)
+        assertTrue(probe.gap <= bound, "$fault: gap ${probe.gap} exceeds $bound")
+        scene.fleet.run(30_000)
+        val shard =
+            primaries
+                .single()
+                .allotter
+                .snapshot()
+                .shards
+                .single()
+        assertEquals(emptyList(), shard.grants, "$fault: grants without a request")
+        assertTrue(shard.servers.all { it.inFlight == 0 }, "$fault: ${shard.servers}")
+        assertEquals(
+            0,
+            scene.fleet.waiting.values
+                .sum(),
+            "$fault: requests still waiting",
+        )
+    }
+}
