--- a/src/main/kotlin/azuredale/transport/FrameCodec.kt
+++ b/src/main/kotlin/azuredale/transport/FrameCodec.kt
@@ -19,14 +19,17 @@
  * ```
  * val frames = codec.encode(listOf(DocumentAnnounce(Revision(3))))
  * ```
+ *
+ * @param intern returns one instance for equal names, which saves memory over many connections.
  */
 public class FrameCodec(
     sendKey: ByteArray,
     receiveKey: ByteArray,
-    private val limits: FrameLimits = FrameLimits(),
+    limits: FrameLimits = FrameLimits(),
+    intern: (String) -> String = { it },
 ) {
     private val sender = FrameEncoder(MessageAuthenticator(sendKey), limits)
-    private val receiver = FrameDecoder(MessageAuthenticator(receiveKey), limits)
+    private val receiver = FrameDecoder(MessageAuthenticator(receiveKey), limits, intern)
 
     /** Encodes [messages] into as few frames as the bound allows; an empty list gives one empty frame. */
     public fun encode(messages: List<PeerMessage>): EncodeResult = try {
@@ -58,11 +61,11 @@
     }
 }
 
-private class FrameEncoder(
+internal class FrameEncoder(
     private val authenticator: MessageAuthenticator,
     private val limits: FrameLimits,
 ) {
-    private val table = NameTable(limits)
+    private val table = SentNames(limits)
     private val cbor = frameCbor(table)
     private var sequence = 0L
 
@@ -91,14 +94,14 @@
 
     /** Bytes left for messages in a frame that defines the names added since the last one. */
     private fun capacity(): Int {
-        val nameBytes = table.undefined().sumOf { it.length * UTF8_BYTES_PER_CHARACTER + NAME_HEAD_BYTES }
+        val nameBytes = table.undefined.sumOf { it.length * UTF8_BYTES_PER_CHARACTER + NAME_HEAD_BYTES }
         return limits.frameBytes - FIXED_BYTES - nameBytes
     }
 
     private fun frame(messages: List<ByteArray>): ByteArray {
         val body = ByteArrayOutputStream()
         body.write(ARRAY_OF_TWO)
-        body.writeBytes(cbor.encodeToByteArray(ListSerializer(String.serializer()), table.undefined()))
+        body.writeBytes(cbor.encodeToByteArray(ListSerializer(String.serializer()), table.undefined))
         writeArrayHead(body, messages.size)
         messages.forEach(body::writeBytes)
         table.markDefined()
@@ -143,8 +146,9 @@
 private class FrameDecoder(
     private val authenticator: MessageAuthenticator,
     private val limits: FrameLimits,
+    intern: (String) -> String,
 ) {
-    private val cbor = frameCbor(NameTable(limits))
+    private val cbor = frameCbor(ReceivedNames(limits, intern))
     private var expected = 0L
 
     fun decode(frame: ByteArray): FrameResult {
--- a/src/main/kotlin/azuredale/transport/Handshake.kt
+++ b/src/main/kotlin/azuredale/transport/Handshake.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborLabel
 import java.nio.ByteBuffer
+import java.security.MessageDigest
 
 /** Which end of a connection sent a hello. */
 internal enum class HandshakeRole(val number: Int) {
@@ -35,7 +36,11 @@
  * The acceptor's hello is authenticated together with the dialer's, which proves to the dialer that it is fresh. The
  * dialer proves the same with its first frame, whose key depends on the acceptor's nonce.
  */
-internal class Handshake(fleetKey: ByteArray) {
+internal class Handshake(
+    fleetKey: ByteArray,
+    private val limits: FrameLimits,
+) {
+    private val interner = NameInterner()
     private val authenticator = MessageAuthenticator(fleetKey)
     private val cbor = compactCbor()
 
@@ -63,7 +68,7 @@
         val hasRole = header.get().toInt() == role.number
         if (!hasLength || !hasVersion || !hasRole) return null
         val code = bytes.copyOfRange(end, bytes.size)
-        if (!java.security.MessageDigest.isEqual(code, code(bytes.copyOf(end), peerHello))) return null
+        if (!MessageDigest.isEqual(code, code(bytes.copyOf(end), peerHello))) return null
         val hello =
             runCatching {
                 cbor.decodeFromByteArray(Hello.serializer(), bytes.copyOfRange(HEADER_BYTES, end))
@@ -72,12 +77,12 @@
     }
 
     /** Codec of the end with [role] after both hellos were exchanged. */
-    fun codec(role: HandshakeRole, dialerHello: ByteArray, acceptorHello: ByteArray, limits: FrameLimits): FrameCodec {
+    fun codec(role: HandshakeRole, dialerHello: ByteArray, acceptorHello: ByteArray): FrameCodec {
         val fromDialer = key(HandshakeRole.DIALER, dialerHello, acceptorHello)
         val fromAcceptor = key(HandshakeRole.ACCEPTOR, dialerHello, acceptorHello)
         return when (role) {
-            HandshakeRole.DIALER -> FrameCodec(fromDialer, fromAcceptor, limits)
-            HandshakeRole.ACCEPTOR -> FrameCodec(fromAcceptor, fromDialer, limits)
+            HandshakeRole.DIALER -> FrameCodec(fromDialer, fromAcceptor, limits, interner)
+            HandshakeRole.ACCEPTOR -> FrameCodec(fromAcceptor, fromDialer, limits, interner)
         }
     }
 
--- a/src/main/kotlin/azuredale/transport/PeerTransport.kt
+++ b/src/main/kotlin/azuredale/transport/PeerTransport.kt
@@ -50,7 +50,7 @@
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val selector = SelectorManager(Dispatchers.IO)
-    private val handshake = Handshake(fleetKey)
+    private val handshake = Handshake(fleetKey, options.limits)
     private val nonces = SecureRandom()
     private val links = ConcurrentHashMap<RouterId, PeerLink>()
     private val unfinished = Semaphore(options.unfinishedHandshakes)
@@ -174,7 +174,7 @@
             handshake
                 .decode(HandshakeRole.ACCEPTOR, theirs, mine)
                 ?.takeIf { it.router == router && it.target == self } ?: return null
-        val codec = handshake.codec(HandshakeRole.DIALER, mine, theirs, options.limits)
+        val codec = handshake.codec(HandshakeRole.DIALER, mine, theirs)
         val connection = connection(hello, isDialed = true, stream, codec)
         connection.send(emptyList())
         return connection
@@ -188,7 +188,7 @@
                 ?.takeIf { it.target == self && it.router != self && isWelcome(it.router) } ?: return null
         val mine = handshake.encode(HandshakeRole.ACCEPTOR, Hello(self, incarnation, hello.router, nonce()), theirs)
         stream.write(mine)
-        val codec = handshake.codec(HandshakeRole.ACCEPTOR, theirs, mine, options.limits)
+        val codec = handshake.codec(HandshakeRole.ACCEPTOR, theirs, mine)
         val connection = connection(hello, isDialed = false, stream, codec)
         val first = connection.receive() as? FrameResult.Decoded ?: return null
         if (first.messages.isNotEmpty()) return null
--- a/src/test/kotlin/azuredale/transport/FrameCodecSpec.kt
+++ b/src/test/kotlin/azuredale/transport/FrameCodecSpec.kt
@@ -6,6 +6,7 @@
 import azuredale.identity.PoolId
 import azuredale.identity.RequestNumber
 import azuredale.identity.Revision
+import azuredale.identity.RouterId
 import azuredale.identity.ServerId
 import azuredale.identity.TeamId
 import azuredale.protocol.BurnCount
@@ -32,6 +33,7 @@
 import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 
 private val shard = ShardId(PoolId("models"), 1)
 
@@ -107,4 +109,76 @@
             }
         }
     }
+
+    @Nested
+    inner class Names {
+        private val grant = Grant(shard, RequestNumber(9), ServerId("a-server-with-a-long-name"))
+
+        @Test
+        fun `sends a name once per connection and direction`() {
+            // Guards against names that travel in every message and dominate the control bytes.
+            val (first, second) = List(2) { frames(here, listOf(grant)).single() }
+            val names = grant.server.name.length + grant.shard.pool.name.length
+            assertEquals(names + 3, first.size - second.size)
+            messages(there, first)
+            assertEquals(grant, messages(there, second).single())
+        }
+
+        @Test
+        fun `asks for a new connection when the table is full`() {
+            val small = FrameCodec(testKey, testKey, FrameLimits(names = 2))
+            frames(small, listOf(grant))
+            val other = grant.copy(server = ServerId("s-9"))
+            assertIs<EncodeResult.NamesExhausted>(small.encode(listOf(other)))
+        }
+
+        @Test
+        fun `refuses more names than the bound`() {
+            val small = FrameCodec(testKey, testKey, FrameLimits(names = 1))
+            val refused = assertIs<FrameResult.Refused>(small.decode(frames(here, listOf(grant)).single()))
+            assertEquals(FrameFault.TOO_MANY_NAMES, refused.fault)
+        }
+
+        @Test
+        fun `counts the same bytes without sockets`() {
+            val sizes = MessageSizes()
+            val (a, b) = listOf("a", "b").map { RouterId(it) }
+            repeat(2) { assertEquals(frames(here, listOf(grant)).single().size, sizes(a, b, grant)) }
+            val empty = frames(here, emptyList()).single().size
+            assertEquals(MessageSizes.FRAME_OVERHEAD_BYTES, empty)
+            sampleMessages.forEach { sizes(b, a, it) }
+            sampleMessages.forEach { println("${it::class.simpleName}: ${sizes(b, a, it) - empty} bytes in a frame") }
+        }
+    }
+
+    @Nested
+    inner class Bounds {
+        private val limits = FrameLimits(frameBytes = 2_000)
+        private val sender = FrameCodec(testKey, testKey, limits)
+        private val body = DocumentBody(Revision(1), ByteArray(900))
+
+        @Test
+        fun `splits a batch that exceeds one frame and leaves out a message that exceeds it alone`() {
+            val huge = DocumentBody(Revision(2), ByteArray(2_000))
+            val result = assertIs<EncodeResult.Encoded>(sender.encode(listOf(body, huge, body, body)))
+            assertEquals(1, result.oversized)
+            assertTrue(result.frames.all { it.size <= limits.frameBytes + FrameCodec.LENGTH_BYTES })
+            val receiver = FrameCodec(testKey, testKey, limits)
+            assertEquals(listOf(2, 1), result.frames.map { messages(receiver, it).size })
+        }
+
+        @Test
+        fun `refuses a repeated, a reordered and a foreign frame`() {
+            val (first, second) = List(2) { frames(here, listOf(DocumentAnnounce(Revision(1)))).single() }
+
+            fun fault(codec: FrameCodec, frame: ByteArray) = assertIs<FrameResult.Refused>(codec.decode(frame)).fault
+            assertEquals(FrameFault.WRONG_SEQUENCE, fault(there, second))
+            messages(there, first)
+            assertEquals(FrameFault.WRONG_SEQUENCE, fault(there, first))
+            assertEquals(FrameFault.WRONG_CODE, fault(FrameCodec(testKey, ByteArray(1)), first))
+            val changed = first.copyOf().also { it[FrameCodec.LENGTH_BYTES] = 9 }
+            assertEquals(FrameFault.UNKNOWN_VERSION, fault(FrameCodec(testKey, testKey), changed))
+            assertEquals(FrameFault.LENGTH_MISMATCH, fault(FrameCodec(testKey, testKey), first + 0))
+        }
+    }
 }
