--- a/src/main/kotlin/azuredale/configuration/ReadSchedule.kt
+++ b/src/main/kotlin/azuredale/configuration/ReadSchedule.kt
@@ -22,12 +22,13 @@
         copy(pendingUntil = null, failures = 0, nextAt = now.plusMicroseconds(PERIOD_MICROSECONDS))
 
     /**
-     * Delays the next read after a failure.
+     * Delays the next read after a failed one; failures of other calls change nothing.
      *
      * While [isBackedOff] the delay doubles, so that an outage does not end with the whole fleet calling at once. A
      * node that depends on the service alone keeps the shortest delay.
      */
     fun failed(now: Timestamp, isBackedOff: Boolean): ReadSchedule {
+        if (pendingUntil == null) return this
         val doublings = if (isBackedOff) failures.coerceAtMost(MAXIMUM_DOUBLINGS) else 0
         val delay = PERIOD_MICROSECONDS shl doublings
         val spread = Math.floorMod("$self/$failures".hashCode().toLong(), delay / SPREAD)
--- /dev/null
+++ b/src/test/kotlin/azuredale/configuration/DocumentControllerSpec.kt
@@ -0,0 +1,276 @@
+package azuredale.configuration
+
+import azuredale.identity.FailureDomain
+import azuredale.identity.Revision
+import azuredale.identity.RouterId
+import azuredale.membership.MemberState
+import azuredale.node.NodeEffect
+import azuredale.protocol.Confirmation
+import azuredale.protocol.DocumentAnnounce
+import azuredale.protocol.DocumentBody
+import azuredale.protocol.DocumentRequest
+import azuredale.protocol.PeerMessage
+import azuredale.time.Timestamp
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class DocumentControllerSpec {
+    private val start = Timestamp(1_000_000_000)
+    private val peers = (1..7).map { "r$it" }
+
+    private fun at(milliseconds: Long) = start.plusMilliseconds(milliseconds)
+
+    private fun controller() = DocumentController(DocumentFixture.self, DocumentFixture.domain)
+
+    private fun fleet(state: MemberState = MemberState.ALIVE) = peers.map { DocumentFixture.member(it, state) }
+
+    /** Ticks from [from] to [to]; [perTick] adds what a node hears meanwhile. */
+    private fun DocumentController.run(
+        from: Long,
+        to: Long,
+        perTick: (Timestamp) -> List<NodeEffect> = { emptyList() },
+    ): List<NodeEffect> = (from..to step 20).flatMap { perTick(at(it)) + tick(at(it)) }
+
+    private fun messages(effects: List<NodeEffect>): List<Pair<String, PeerMessage>> =
+        effects.filterIsInstance<NodeEffect.SendMessage>().map { it.to.name to it.message }
+
+    @Nested
+    inner class Restart {
+        @Test
+        fun `gets the document from a peer while the service is down and starts work with a majority`() {
+            // Guards against a fleet that cannot restart nodes during an outage of the service.
+            val controller = controller()
+            assertTrue(NodeEffect.ReadDocument in controller.tick(at(0)))
+            controller.platformFailed(at(10))
+            assertFalse(controller.mayGiveOutWork(at(10)))
+            controller.membersChanged(fleet(), at(20))
+            val asked = messages(controller.peerRevision(RouterId("r3"), Revision(5), at(40)))
+            assertEquals(listOf<Pair<String, PeerMessage>>("r3" to DocumentRequest(Revision.NONE)), asked)
+            controller.messageReceived(RouterId("r3"), DocumentFixture.body(5), at(60))
+            assertEquals(Revision(5), controller.document()?.revision)
+            controller.run(60, 3_000) { controller.peerRevision(RouterId("r1"), Revision(5), it) }
+            assertTrue(controller.mayGiveOutWork(at(3_000)))
+        }
+
+        @Test
+        fun `asks another peer when the first one does not answer or answers with rubbish`() {
+            // Guards against a node that stays without a document because one peer died.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            val heard = listOf("r1", "r2").flatMap { controller.peerRevision(RouterId(it), Revision(5), at(0)) }
+            val asked =
+                messages(
+                    heard + controller.run(20, 700),
+                ).filter { it.second is DocumentRequest }.map { it.first }
+            assertEquals(listOf("r1", "r2"), asked.sorted())
+            val rubbish = DocumentBody(Revision(5), byteArrayOf(1, 2, 3))
+            val next = messages(controller.messageReceived(RouterId(asked.last()), rubbish, at(710)))
+            assertTrue(next.any { it.second is DocumentRequest }, "no further peer was asked: $next")
+            assertNull(controller.document())
+        }
+
+        @Test
+        fun `does not count itself as a majority when seeds are configured`() {
+            // Guards against an isolated restart that takes itself for the whole fleet.
+            val controller = DocumentController(DocumentFixture.self, DocumentFixture.domain) { 3 }
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            controller.run(0, 5_000)
+            assertFalse(controller.mayGiveOutWork(at(5_000)))
+        }
+    }
+
+    @Nested
+    inner class Isolation {
+        @Test
+        fun `stops within two seconds of its last confirmation when it hears nobody`() {
+            // Guards against an isolated router that keeps sending work to a recalled server.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            controller.run(0, 1_000) { controller.peerRevision(RouterId("r1"), Revision(1), it) }
+            val last = 1_000L
+            controller.revisionConfirmed(Revision(1), at(last))
+            controller.run(last + 20, last + 1_980)
+            assertTrue(controller.mayGiveOutWork(at(last + 1_980)))
+            controller.run(last + 2_000, last + 10_000) { now ->
+                assertFalse(now > at(last + 2_000) && controller.mayGiveOutWork(now), "work given out at $now")
+                emptyList()
+            }
+        }
+
+        @Test
+        fun `stops when it hears peers but is connected with fewer than half of the fleet`() {
+            // Guards against a minority that goes on during a partition because its members hear each other.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            val hear = { now: Timestamp -> controller.peerRevision(RouterId("r1"), Revision(1), now) }
+            controller.run(0, 500, hear)
+            // The members fail one after another, as a failure detector finds them.
+            (2..7).forEach { last ->
+                controller.membersChanged(listOf(DocumentFixture.member("r1")) + dead(last), at(500L + last * 20))
+            }
+            // Dropped from the list altogether, as after the failure detector's retention.
+            controller.membersChanged(listOf(DocumentFixture.member("r1")), at(900))
+            controller.run(900, 60_000, hear)
+            assertFalse(controller.isConnectedWithMajority(at(60_000)))
+            assertFalse(controller.mayGiveOutWork(at(60_000)))
+        }
+
+        private fun dead(last: Int) = (2..7).map {
+            DocumentFixture.member("r$it", if (it <= last) MemberState.DEAD else MemberState.ALIVE)
+        }
+
+        @Test
+        fun `does not trust confirmations that waited in the buffers during a pause of the process`() {
+            // Guards against a paused process that resumes work under a document recalled meanwhile.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            controller.run(0, 1_000) { controller.peerRevision(RouterId("r1"), Revision(1), it) }
+            val resumed = 9_000L
+            controller.confirmationReceived(Confirmation(Revision(1), 50), at(resumed))
+            controller.peerRevision(RouterId("r1"), Revision(1), at(resumed))
+            assertFalse(controller.mayGiveOutWork(at(resumed)))
+            controller.run(resumed, resumed + 400)
+            controller.confirmationReceived(Confirmation(Revision(1), 50), at(resumed + 400))
+            assertTrue(controller.mayGiveOutWork(at(resumed + 400)))
+        }
+
+        @Test
+        fun `stops when peers hold a newer document that it cannot fetch`() {
+            // Guards against a majority that counts as proof although a newer document is known to exist.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            controller.run(0, 5_000) { controller.peerRevision(RouterId("r1"), Revision(2), it) }
+            assertFalse(controller.mayGiveOutWork(at(5_000)))
+        }
+    }
+
+    @Nested
+    inner class Outage {
+        @Test
+        fun `stops nobody while the node is connected with a majority`() {
+            // Guards against an outage of the key-value service that stops the fleet.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            val effects =
+                controller.run(0, 60_000) { now ->
+                    assertTrue(controller.mayGiveOutWork(now), "stopped at $now")
+                    controller.peerRevision(RouterId("r1"), Revision(1), now) + controller.platformFailed(now)
+                }
+            val reads = effects.count { it == NodeEffect.ReadDocument }
+            assertTrue(reads in 10..30, "$reads reads in 60 s of an outage")
+        }
+
+        @Test
+        fun `reads the service at most twice a second`() {
+            // Guards against call rates that grow when the service answers fast or not at all.
+            val controller = controller()
+            val answered = controller.run(0, 10_000) { controller.documentRead(DocumentFixture.accepted(1), it) }
+            assertTrue(answered.count { it == NodeEffect.ReadDocument } <= 21)
+            val silent = controller().run(0, 10_000).count { it == NodeEffect.ReadDocument }
+            assertTrue(silent in 5..21, "$silent reads in 10 s without an answer")
+        }
+    }
+
+    @Nested
+    inner class Confirmations {
+        @Test
+        fun `keep a node fresh through peers and carry their age on`() {
+            // Guards against a confirmation that becomes younger on its way through the fleet.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            controller.messageReceived(RouterId("r1"), DocumentFixture.body(3), at(0))
+            assertFalse(controller.mayGiveOutWork(at(0)))
+            controller.confirmationReceived(Confirmation(Revision(3), 1_500), at(100))
+            assertTrue(controller.mayGiveOutWork(at(500)))
+            assertEquals(Confirmation(Revision(3), 1_900), controller.confirmation(at(500)))
+            assertFalse(controller.mayGiveOutWork(at(700)))
+        }
+
+        @Test
+        fun `of a newer revision do not confirm an older document`() {
+            // Guards against a node that works under a superseded document because the service is known to answer.
+            val controller = controller()
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            (0L..4_000L step 20).forEach {
+                controller.confirmationReceived(Confirmation(Revision(2), 0), at(it))
+                controller.tick(at(it))
+            }
+            assertFalse(controller.mayGiveOutWork(at(4_000)))
+        }
+
+        @Test
+        fun `of the previous revision confirm a document that was just adopted`() {
+            // Guards against a pause of all nodes after every change of the document.
+            val controller = controller()
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            controller.messageReceived(RouterId("r1"), DocumentFixture.body(2), at(100))
+            assertTrue(controller.mayGiveOutWork(at(1_900)))
+        }
+    }
+
+    @Nested
+    inner class Spreading {
+        @Test
+        fun `answers requests and corrects peers that announce less`() {
+            val controller = controller()
+            controller.documentRead(DocumentFixture.accepted(4), at(0))
+            val answer = messages(controller.messageReceived(RouterId("r1"), DocumentRequest(Revision(3)), at(10)))
+            val body = assertIs<DocumentBody>(answer.single().second)
+            val copy = controller()
+            copy.messageReceived(DocumentFixture.self, body, at(20))
+            assertEquals(controller.document(), copy.document())
+            assertTrue(
+                messages(controller.messageReceived(RouterId("r1"), DocumentRequest(Revision(4)), at(30))).isEmpty(),
+            )
+            val corrected = messages(controller.messageReceived(RouterId("r2"), DocumentAnnounce(Revision(2)), at(40)))
+            assertEquals(listOf<Pair<String, PeerMessage>>("r2" to DocumentAnnounce(Revision(4))), corrected)
+        }
+
+        @Test
+        fun `sends a document of the service to a few peers only`() {
+            // Guards against a change that costs one node a message to every other node.
+            val controller = controller()
+            controller.membersChanged((1..389).map { DocumentFixture.member("r$it") }, at(0))
+            val sent = messages(controller.documentRead(DocumentFixture.accepted(1), at(0)))
+            assertEquals(8, sent.map { it.first }.distinct().size)
+            assertEquals(4, sent.count { it.second is DocumentBody })
+        }
+
+        @Test
+        fun `chooses a few watchers in each failure domain and the same ones on every node`() {
+            // Guards against a watch of every node at the service, and against a domain without one.
+            val domains = listOf("a", "b").map(::FailureDomain)
+            val names = (1..20).map { "node-$it" }
+            val watching =
+                names.filter { name ->
+                    val own = domains[name.hashCode().mod(2)]
+                    val members =
+                        names.map {
+                            DocumentFixture.member(
+                                it,
+                                MemberState.ALIVE,
+                                domains[it.hashCode().mod(2)],
+                            )
+                        }
+                    val effects = DocumentController(RouterId(name), own).membersChanged(members, at(0))
+                    NodeEffect.WatchDocument(true) in effects
+                }
+            assertEquals(
+                listOf(3, 3),
+                domains.indices.map { index ->
+                    watching.count { it.hashCode().mod(2) == index }
+                },
+            )
+        }
+    }
+}
