Submit documents by compare-and-swap and read them from the service

Cause: operators need one accepted submission in a race, and a lost reply told from a lost race.

Change: DocumentSubmitter validates, writes on the version read, settles unknown results by writing the same bytes again, and pushes before it answers. DocumentSource turns reads and watches into events and confirms unchanged documents by version only.

--- /dev/null
+++ b/src/main/kotlin/azuredale/configuration/DocumentSource.kt
@@ -0,0 +1,93 @@
+package azuredale.configuration
+
+import azuredale.identity.Revision
+import azuredale.logging.EventLog
+import azuredale.node.NodeEvent
+import azuredale.platform.KeyValueService
+import azuredale.platform.KeyVersion
+import azuredale.platform.ReadResult
+import azuredale.platform.StoredValue
+import azuredale.platform.VersionResult
+import azuredale.platform.WatchEvent
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Reads and watches the document's key and turns the answers into events of the decision code.
+ *
+ * ```
+ * is NodeEffect.ReadDocument -> scope.launch { dispatch(source.read()) }
+ * is NodeEffect.WatchDocument -> scope.launch { source.watch().collect(::dispatch) }
+ * ```
+ */
+public class DocumentSource(
+    private val service: KeyValueService,
+    private val clock: Clock,
+) {
+    /** The last document that was returned, by its version at the service. */
+    private val known = AtomicReference<Pair<KeyVersion, Revision>>()
+
+    /** Answers `ReadDocument`; an unchanged document is confirmed by its version, without its text. */
+    public suspend fun read(): NodeEvent {
+        val deadline = clock().plusMilliseconds(READ_MILLISECONDS)
+        return known.get()?.let { confirm(it, deadline) } ?: readAll(deadline)
+    }
+
+    /** Watches the key until the collector is cancelled; a lost watch is opened again after a growing delay. */
+    public fun watch(): Flow<NodeEvent> = flow {
+        var wait = FIRST_WAIT_MILLISECONDS
+        while (true) {
+            service.watch(DocumentEnvelope.KEY).collect { event ->
+                if (event == WatchEvent.Started) wait = FIRST_WAIT_MILLISECONDS
+                eventOf(event)?.let { emit(it) }
+            }
+            delay(wait)
+            wait = (wait * 2).coerceAtMost(LONGEST_WAIT_MILLISECONDS)
+        }
+    }
+
+    /** Reads after the start of the watch, so that a change before it is not missed. */
+    private suspend fun eventOf(event: WatchEvent): NodeEvent? = when (event) {
+        is WatchEvent.Started -> read()
+        is WatchEvent.Changed -> documentOf(event.stored)
+        is WatchEvent.Removed -> NodeEvent.DocumentRead(null)
+        is WatchEvent.Broken -> null
+    }
+
+    private suspend fun confirm(last: Pair<KeyVersion, Revision>, deadline: Timestamp): NodeEvent? =
+        when (val result = service.readVersion(DocumentEnvelope.KEY, deadline)) {
+            is VersionResult.Failed -> NodeEvent.PlatformFailed
+            is VersionResult.Found -> NodeEvent.RevisionConfirmed(last.second).takeIf { result.version == last.first }
+        }
+
+    private suspend fun readAll(deadline: Timestamp): NodeEvent =
+        when (val result = service.read(DocumentEnvelope.KEY, deadline)) {
+            is ReadResult.Failed -> NodeEvent.PlatformFailed
+            is ReadResult.Missing -> NodeEvent.DocumentRead(null)
+            is ReadResult.Found -> documentOf(result.stored)
+        }
+
+    /** A stored value that cannot be read is a failure of the platform, never a missing document. */
+    private fun documentOf(stored: StoredValue): NodeEvent {
+        val document = DocumentEnvelope.decode(stored.bytes)?.accepted()
+        if (document == null) {
+            log.write(ConfigurationLogEvent.DOCUMENT_MALFORMED, "from" to "service", "version" to stored.version)
+            return NodeEvent.PlatformFailed
+        }
+        known.set(stored.version to document.revision)
+        return NodeEvent.DocumentRead(document)
+    }
+
+    private companion object {
+        val log = EventLog("azuredale.configuration")
+
+        /** Below [ReadSchedule.PENDING_MICROSECONDS], so every read ends before the next starts. */
+        const val READ_MILLISECONDS = 800L
+        const val FIRST_WAIT_MILLISECONDS = 250L
+        const val LONGEST_WAIT_MILLISECONDS = 4_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/configuration/DocumentSubmitter.kt
@@ -0,0 +1,191 @@
+package azuredale.configuration
+
+import azuredale.identity.Revision
+import azuredale.logging.EventLog
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Failure
+import azuredale.platform.KeyValueService
+import azuredale.platform.KeyVersion
+import azuredale.platform.ReadResult
+import azuredale.platform.StoredValue
+import azuredale.platform.WriteResult
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+
+/**
+ * Submits documents: validated as a whole, stored by compare-and-swap, pushed to peers before the answer.
+ *
+ * ```
+ * val result = submitter.submit(text, base = Revision(41), submission = "form-7f3a")
+ * if (result is SubmissionResult.Raced) show(result.winner, result.revision)
+ * ```
+ *
+ * @param held the document in force on this node.
+ * @param isConnectedWithMajority whether this node is connected with more than half of the fleet.
+ * @param push hands an accepted document to the node, which sends it to peers; returns when it is sent.
+ */
+public class DocumentSubmitter(
+    private val service: KeyValueService,
+    private val clock: Clock,
+    private val held: () -> AcceptedDocument?,
+    private val isConnectedWithMajority: () -> Boolean,
+    private val push: suspend (AcceptedDocument) -> Unit,
+) {
+    /**
+     * Submits [text] as the successor of revision [base], which the operator read.
+     *
+     * Submitting again with the same [submission] is safe: it is accepted at most once. A repeat is marked with
+     * [isRepeat]; its result is unknown when more submissions followed than the envelope records.
+     */
+    public suspend fun submit(
+        text: String,
+        base: Revision,
+        submission: String,
+        isRepeat: Boolean = false,
+    ): SubmissionResult {
+        val document =
+            when (val parsed = DocumentParser.parse(text)) {
+                is Parsed.Invalid -> return noted(SubmissionResult.Invalid(parsed.faults), submission)
+                is Parsed.Valid -> parsed.value
+            }
+        val accepted = AcceptedDocument(Revision(base.value + 1), text, document, submission)
+        val result = store(accepted, isRepeat, clock().plusMilliseconds(SUBMISSION_MILLISECONDS))
+        if (result is SubmissionResult.Accepted) withTimeoutOrNull(PUSH_MILLISECONDS) { push(result.document) }
+        return noted(result, submission)
+    }
+
+    private suspend fun store(document: AcceptedDocument, isRepeat: Boolean, deadline: Timestamp): SubmissionResult {
+        if (!isConnectedWithMajority()) return minority()
+        val stored =
+            when (val read = service.read(DocumentEnvelope.KEY, callDeadline(deadline))) {
+                is ReadResult.Failed -> return failed(ErrorKind.PLATFORM_UNAVAILABLE, read.failure.detail)
+                is ReadResult.Missing -> null
+                is ReadResult.Found -> read.stored
+            }
+        val envelope =
+            stored?.let {
+                DocumentEnvelope.decode(it.bytes)
+                    ?: return failed(ErrorKind.PLATFORM_UNAVAILABLE, "the stored document is malformed")
+            }
+        raceBefore(document, envelope, isRepeat)?.let { return it }
+        val next =
+            DocumentEnvelope(document.revision, document.submission, earlierOf(document, envelope), document.text)
+        val bytes = next.encode()
+        return when {
+            bytes.size > DocumentEnvelope.MAXIMUM_BYTES -> tooLarge(bytes.size)
+            // The read may have taken long enough for the connections to be lost.
+            !isConnectedWithMajority() -> minority()
+            else -> write(document, bytes, stored?.version ?: KeyVersion.ABSENT, deadline)
+        }
+    }
+
+    /**
+     * Compares the base with what the service and this node hold.
+     *
+     * The service may hold less than this node after it lost data; the submission then restores it. It must never be
+     * accepted below a revision that is in force anywhere.
+     */
+    private fun raceBefore(
+        document: AcceptedDocument,
+        envelope: DocumentEnvelope?,
+        isRepeat: Boolean,
+    ): SubmissionResult? {
+        if (envelope != null && envelope.revision >= document.revision) return raced(document, envelope, isRepeat)
+        val present = held()
+        return present
+            ?.takeIf { it.revision >= document.revision }
+            ?.let { SubmissionResult.Raced(it.submission, it.revision) }
+    }
+
+    private suspend fun write(
+        document: AcceptedDocument,
+        bytes: ByteArray,
+        expected: KeyVersion,
+        deadline: Timestamp,
+    ): SubmissionResult {
+        var wait = FIRST_WAIT_MILLISECONDS
+        var isPossiblyWritten = false
+        while (clock() < deadline) {
+            val result = service.write(DocumentEnvelope.KEY, bytes, expected, callDeadline(deadline))
+            when (result) {
+                is WriteResult.Written -> return SubmissionResult.Accepted(document)
+                is WriteResult.Conflict -> return afterConflict(document, result.current)
+                is WriteResult.Unknown -> isPossiblyWritten = true
+                is WriteResult.NotWritten ->
+                    if (!isPossiblyWritten) return failed(ErrorKind.PLATFORM_UNAVAILABLE, result.failure.detail)
+            }
+            // Writing the same bytes on the same version again is safe, and its conflict shows what was stored.
+            delay(wait)
+            wait *= 2
+        }
+        return failed(ErrorKind.SUBMISSION_UNKNOWN, "submission ${document.submission}")
+    }
+
+    private fun afterConflict(document: AcceptedDocument, current: StoredValue?): SubmissionResult {
+        val envelope =
+            current?.let { DocumentEnvelope.decode(it.bytes) }
+                ?: return failed(ErrorKind.SUBMISSION_UNKNOWN, "the stored document is missing or malformed")
+        return raced(document, envelope, isRepeat = true)
+    }
+
+    /** Tells from the submissions recorded in [envelope] whether this one was accepted. */
+    private fun raced(document: AcceptedDocument, envelope: DocumentEnvelope, isRepeat: Boolean): SubmissionResult {
+        val recorded = envelope.submissionOf(document.revision)
+        return when {
+            recorded == document.submission -> SubmissionResult.Accepted(document)
+            recorded == null && isRepeat ->
+                failed(ErrorKind.SUBMISSION_UNKNOWN, "revision ${envelope.revision} is in force")
+            else -> SubmissionResult.Raced(envelope.submission, envelope.revision)
+        }
+    }
+
+    private fun earlierOf(document: AcceptedDocument, envelope: DocumentEnvelope?): List<String> =
+        if (envelope == null || envelope.revision.value + 1 != document.revision.value) {
+            emptyList()
+        } else {
+            (listOf(envelope.submission) + envelope.earlier).take(DocumentEnvelope.MAXIMUM_EARLIER)
+        }
+
+    private fun callDeadline(deadline: Timestamp): Timestamp =
+        minOf(deadline, clock().plusMilliseconds(CALL_MILLISECONDS))
+
+    private fun minority() = failed(ErrorKind.DOCUMENT_MINORITY, "")
+
+    private fun tooLarge(bytes: Int) = SubmissionResult.Invalid(
+        listOf(
+            ConfigurationFault(
+                line = 0,
+                section = "",
+                key = null,
+                problem = "the document takes $bytes bytes",
+                allowed = "at most ${DocumentEnvelope.MAXIMUM_BYTES} bytes",
+            ),
+        ),
+    )
+
+    private fun failed(kind: ErrorKind, detail: String) = SubmissionResult.Failed(Failure(kind, detail))
+
+    private fun noted(result: SubmissionResult, submission: String): SubmissionResult {
+        val failure = result.failure
+        val event =
+            when (failure?.kind) {
+                null -> ConfigurationLogEvent.SUBMISSION_ACCEPTED
+                ErrorKind.SUBMISSION_UNKNOWN -> ConfigurationLogEvent.SUBMISSION_UNKNOWN
+                else -> ConfigurationLogEvent.SUBMISSION_REFUSED
+            }
+        log.write(event, "submission" to submission, "kind" to failure?.kind, "detail" to failure?.detail)
+        return result
+    }
+
+    private companion object {
+        val log = EventLog("azuredale.configuration")
+
+        /** An operator waits for the answer at a form. */
+        const val SUBMISSION_MILLISECONDS = 5_000L
+        const val CALL_MILLISECONDS = 1_000L
+        const val PUSH_MILLISECONDS = 1_000L
+        const val FIRST_WAIT_MILLISECONDS = 50L
+    }
+}
