Balance offers over shards and measure look-ahead and control traffic

Cause: with several shards per pool every router filled the first shard in order, so shards idled while requests queued at others.

Change: an offer goes to the shard whose offers of this router wait least, ties by hash, and moves to a shard without waiting offers after 200 ms, each time with four times the patience. Progress is reported after 5 s and when the cost has doubled.

--- a/src/main/kotlin/azuredale/sharing/LocalQueue.kt
+++ b/src/main/kotlin/azuredale/sharing/LocalQueue.kt
@@ -22,6 +22,7 @@
             settings.queueTotal,
             LockRank.LOCAL_QUEUE,
         )
+    val outstanding = OutstandingOffers()
     private val queues = LinkedHashMap<QueueKey, TeamQueue>()
     private val waitingOfTeam = HashMap<TeamId, Int>()
     private val drains = HashMap<TeamId, DrainRate>()
@@ -34,7 +35,7 @@
     operator fun get(number: RequestNumber): QueuedRow? = table[number]
 
     fun queueOf(row: QueuedRow): TeamQueue = QueueKey(row.request.team, row.request.requirement.pool).let { key ->
-        queues.getOrPut(key) { TeamQueue(key.team, key.pool) }
+        queues.getOrPut(key) { TeamQueue(key.team, key.pool, outstanding) }
     }
 
     /** Adds [request], or returns null when a bound is reached. */
--- /dev/null
+++ b/src/main/kotlin/azuredale/sharing/OfferBalancer.kt
@@ -0,0 +1,58 @@
+package azuredale.sharing
+
+import azuredale.identity.PoolId
+import azuredale.protocol.ShardId
+import azuredale.time.Timestamp
+
+/**
+ * Moves offers that wait at one shard of a pool to another that has granted all its offers of this router.
+ *
+ * Every move of a request quadruples the time before its next one, since a shard without offers of this router
+ * may be busy with those of others.
+ */
+internal class OfferBalancer(
+    private val settings: SharingSettings,
+    private val links: ShardLinks,
+    private val queue: LocalQueue,
+    private val planner: OfferPlanner,
+) {
+    fun balance(turn: RequesterTurn): Unit =
+        links.all.filter { it.isRegistered }.groupBy({ it.shard.pool }, { it.shard }).forEach { (pool, shards) ->
+            if (shards.size > 1) balance(pool, shards, turn)
+        }
+
+    private fun balance(pool: PoolId, shards: List<ShardId>, turn: RequesterTurn) {
+        val (free, used) = shards.partition { queue.outstanding.of(it).isEmpty() }
+        if (free.isEmpty()) return
+        val places = free.associateWith { settings.headsPerTeam }.toMutableMap()
+        val movable =
+            used
+                .flatMap { queue.outstanding.of(it) }
+                .filter { isDue(it, turn.now) }
+                .sortedBy { it.offeredAt }
+        val touched = LinkedHashSet<TeamQueue>()
+        movable.forEach { row ->
+            val target =
+                turn.shardMap
+                    .eligible(row.request.requirement)
+                    .filter { (places[it] ?: 0) > 0 }
+                    .maxByOrNull { places.getValue(it) }
+            if (target != null) {
+                places[target] = places.getValue(target) - 1
+                val owner = queue.queueOf(row)
+                planner.move(owner, row, target, turn)
+                touched += owner
+            }
+        }
+        if (touched.isNotEmpty()) queue.teamQueues.filter { it.pool == pool }.forEach { planner.plan(it, turn) }
+    }
+
+    private fun isDue(row: QueuedRow, now: Timestamp): Boolean {
+        val patience = settings.moveMilliseconds shl (2 * minOf(row.moves, MOST_DOUBLINGS))
+        return now >= row.offeredAt.plusMilliseconds(patience)
+    }
+
+    private companion object {
+        const val MOST_DOUBLINGS = 6
+    }
+}
--- a/src/main/kotlin/azuredale/sharing/OfferPlanner.kt
+++ b/src/main/kotlin/azuredale/sharing/OfferPlanner.kt
@@ -9,13 +9,20 @@
 internal class OfferPlanner(
     private val settings: SharingSettings,
     private val links: ShardLinks,
+    private val outstanding: OutstandingOffers,
 ) {
     /** Offers waiting requests of [queue] up to the bound and records the changes in [turn]. */
     fun plan(queue: TeamQueue, turn: RequesterTurn) {
         val added = LinkedHashMap<ShardId, MutableList<QueuedRow>>()
         while (true) {
             val row = queue.next(turn.now) { openShards(queue, it, turn).isNotEmpty() } ?: break
-            val shard = openShards(queue, row.request.requirement, turn).minBy { loadOf(queue, it, turn) }
+            val shard =
+                openShards(queue, row.request.requirement, turn).minWith(
+                    compareBy({
+                        outstanding.age(it, turn.now) /
+                            AGE_STEP
+                    }, { loadOf(it, turn) }, { tieOf(row, it) }),
+                )
             queue.offer(row, shard, turn.now)
             added.getOrPut(shard) { mutableListOf() } += row
         }
@@ -27,8 +34,8 @@
     fun repeatOld(queue: TeamQueue, turn: RequesterTurn) {
         val before = turn.now.plusMilliseconds(-settings.repairMilliseconds)
         shardsOf(queue, turn).forEach { shard ->
-            val old = queue.offeredTo(shard).filter { it.offeredAt < before }
-            old.forEach { it.offeredAt = turn.now }
+            val old = queue.offeredTo(shard).filter { it.sentAt < before }
+            old.forEach { it.sentAt = turn.now }
             if (old.isNotEmpty()) {
                 turn.demand(
                     shard,
@@ -38,6 +45,15 @@
         }
     }
 
+    /** Offers [row] of [queue] to [shard] instead of the shard it was offered to. */
+    fun move(queue: TeamQueue, row: QueuedRow, shard: ShardId, turn: RequesterTurn) {
+        row.offeredTo?.let { turn.withdraw(it, row.request.number) }
+        queue.takeBack(row)
+        queue.offer(row, shard, turn.now)
+        row.moves++
+        report(queue, shard, listOf(row), turn)
+    }
+
     /** Replaces offers so that every requirement has one, since its servers may be idle. */
     private fun uncover(queue: TeamQueue, turn: RequesterTurn, added: MutableMap<ShardId, MutableList<QueuedRow>>) {
         queue.hidden(turn.now).forEach { hidden ->
@@ -76,10 +92,21 @@
     private fun openShards(queue: TeamQueue, requirement: Requirement, turn: RequesterTurn): List<ShardId> =
         registeredShards(requirement, turn).filter { queue.offeredTo(it).size < settings.headsPerTeam }
 
-    private fun loadOf(queue: TeamQueue, shard: ShardId, turn: RequesterTurn): Double =
-        queue.offeredTo(shard).size.toDouble() / maxOf(1, turn.shardMap.slotsOf(shard))
+    private fun loadOf(shard: ShardId, turn: RequesterTurn): Double =
+        outstanding.of(shard).size.toDouble() / maxOf(1, turn.shardMap.slotsOf(shard))
+
+    private fun tieOf(row: QueuedRow, shard: ShardId): Long = StableHash.of(
+        row.request.number.value
+            .toString(),
+        shard.shard.toString(),
+    )
 
     private fun head(row: QueuedRow): WaitingHead = with(row.request) {
         WaitingHead(number, hint, prefix, requirement.modelVersion, requirement.adapter)
     }
+
+    private companion object {
+        /** Waits that differ by less than this do not order two shards. */
+        const val AGE_STEP = 50_000L
+    }
 }
--- a/src/main/kotlin/azuredale/sharing/RequesterState.kt
+++ b/src/main/kotlin/azuredale/sharing/RequesterState.kt
@@ -28,7 +28,8 @@
     val grants = RunningGrants()
     val links = ShardLinks(context.self, settings, topology)
     private val admission = Admission(settings)
-    private val planner = OfferPlanner(settings, links)
+    private val planner = OfferPlanner(settings, links, queue.outstanding)
+    private val balancer = OfferBalancer(settings, links, queue, planner)
     private val reserve = LocalReserve(context.self, settings)
     private var shardsInUse: Set<ShardId> = emptySet()
     private var repairAt = Timestamp.DISTANT_PAST
@@ -121,6 +122,7 @@
     fun tick(turn: RequesterTurn) {
         expire(turn)
         queue.heldQueues(turn.now).forEach { planner.plan(it, turn) }
+        balancer.balance(turn)
         links.all.forEach { link ->
             reportProgress(link, turn)
             useReserve(link, turn)
--- a/src/main/kotlin/azuredale/sharing/SharingSettings.kt
+++ b/src/main/kotlin/azuredale/sharing/SharingSettings.kt
@@ -13,6 +13,7 @@
  * @property handoverMilliseconds time for which a replaced allotter still serves routers that have not moved.
  * @property pauseMilliseconds an allotter whose ticks stood still for this time asks all routers to register again.
  * @property creditRequests bound on the counter difference taken over by registration, in largest estimates per share.
+ * @property moveMilliseconds an offer that waits this long moves to a shard of the pool that has no offer waiting.
  * @property reserveFraction part of a shard's slots that all routers together use while no allotter is reachable.
  * @property reserveDelayMilliseconds time without an allotter before the local reserve is used.
  * @property lossMilliseconds time after which a router that is disconnected or does not answer counts as unreachable.
@@ -33,12 +34,13 @@
     val handoverMilliseconds: Long = 2_000,
     val pauseMilliseconds: Long = 1_000,
     val creditRequests: Double = 1.0,
+    val moveMilliseconds: Long = 200,
     val reserveFraction: Double = 0.25,
     val reserveDelayMilliseconds: Long = 200,
     val lossMilliseconds: Long = 300,
     val retryMilliseconds: Long = 1_000,
-    val progressMilliseconds: Long = 2_000,
-    val progressGrowth: Double = 1.5,
+    val progressMilliseconds: Long = 5_000,
+    val progressGrowth: Double = 2.0,
     val silenceMilliseconds: Long = 10_000,
     val repairMilliseconds: Long = 30_000,
 )
--- a/src/main/kotlin/azuredale/sharing/TeamQueue.kt
+++ b/src/main/kotlin/azuredale/sharing/TeamQueue.kt
@@ -18,6 +18,12 @@
 
     var offeredAt: Timestamp = Timestamp.DISTANT_PAST
 
+    /** Last time at which the offer was sent. */
+    var sentAt: Timestamp = Timestamp.DISTANT_PAST
+
+    /** Number of times the offer was moved to another shard. */
+    var moves: Int = 0
+
     /** The request is not offered before this time, because its last grant could not be used. */
     var heldUntil: Timestamp = Timestamp.DISTANT_PAST
 
@@ -28,6 +34,7 @@
 internal class TeamQueue(
     val team: TeamId,
     val pool: PoolId,
+    private val outstanding: OutstandingOffers,
 ) {
     private val unoffered = LinkedHashMap<Requirement, TreeMap<Long, QueuedRow>>()
     private val offered = HashMap<ShardId, LinkedHashMap<RequestNumber, QueuedRow>>()
@@ -55,11 +62,14 @@
         offered.getOrPut(shard) { LinkedHashMap() }[row.request.number] = row
         row.offeredTo = shard
         row.offeredAt = now
+        row.sentAt = now
+        outstanding.add(row, shard)
     }
 
     /** Returns an offered request to the waiting ones that are not offered. */
     fun takeBack(row: QueuedRow) {
         val shard = row.offeredTo ?: return
+        outstanding.remove(row, shard)
         val heads = offered[shard]
         heads?.remove(row.request.number)
         if (heads?.isEmpty() == true) offered.remove(shard)
@@ -75,9 +85,6 @@
 
     fun offeredTo(shard: ShardId): Collection<QueuedRow> = offered[shard]?.values.orEmpty()
 
-    fun offeredTo(shard: ShardId, requirement: Requirement): List<QueuedRow> =
-        offeredTo(shard).filter { it.request.requirement == requirement }
-
     /** Number of waiting requests that are not offered and satisfy [isEligible]. */
     fun unofferedCount(isEligible: (Requirement) -> Boolean): Int =
         unoffered.entries.sumOf { if (isEligible(it.key)) it.value.size else 0 }
--- a/src/test/kotlin/azuredale/sharing/SharingFleet.kt
+++ b/src/test/kotlin/azuredale/sharing/SharingFleet.kt
@@ -55,13 +55,20 @@
         Member(router, Incarnation(incarnation), MemberState.ALIVE, testRegion, domain, address, address, address)
     }
 
-/** Runs the controllers of several routers in virtual time, with servers that run requests at a fixed speed. */
+/**
+ * Runs the controllers of several routers in virtual time, with servers that run requests at a fixed speed.
+ *
+ * @param concurrency requests that a server runs at once; more wait inside it. Its slots by default.
+ * @param reportMilliseconds period of load reports to every router, which arrive one period late; null for none.
+ */
 internal class SharingFleet(
     var document: Document,
     routerCount: Int,
     private val latencyMicroseconds: Long = 2_000,
     private val settings: SharingSettings = SharingSettings(),
     private val speeds: Map<ServerId, Double> = emptyMap(),
+    private val concurrency: Map<ServerId, Int> = emptyMap(),
+    private val reportMilliseconds: Long? = null,
 ) {
     /** A request with its true cost. */
     data class Work(
@@ -115,11 +122,22 @@
         val number: RequestNumber,
         val work: Work,
         val server: ServerId,
-        val startedAt: Timestamp,
-        val endsAt: Timestamp,
     ) {
-        fun delivered(now: Timestamp): Double = work.cost *
-            (now.microsecondsSince(startedAt).toDouble() / endsAt.microsecondsSince(startedAt)).coerceIn(0.0, 1.0)
+        private var startedAt: Timestamp? = null
+        var endsAt: Timestamp = Timestamp.DISTANT_FUTURE
+            private set
+        val isStarted: Boolean get() = startedAt != null
+
+        fun start(now: Timestamp, speed: Double) {
+            startedAt = now
+            endsAt = now.plusMicroseconds(maxOf(1, (work.cost / speed * Timestamp.MICROSECONDS_PER_SECOND).toLong()))
+        }
+
+        fun delivered(now: Timestamp): Double {
+            val start = startedAt ?: return 0.0
+            val part = now.microsecondsSince(start).toDouble() / endsAt.microsecondsSince(start)
+            return work.cost * part.coerceIn(0.0, 1.0)
+        }
     }
 
     private class Event(
@@ -138,6 +156,7 @@
     val failures = ArrayList<Failure>()
     val granted = ArrayList<Pair<TeamId, ServerId>>()
     val sent = ArrayList<Pair<RouterId, PeerMessage>>()
+    var onSend: (RouterId, RouterId, PeerMessage, Timestamp) -> Unit = { _, _, _, _ -> }
     var isCut: (RouterId, RouterId) -> Boolean = { _, _ -> false }
     var onSettled: (Running) -> Unit = {}
     var fails: (Running) -> Boolean = { false }
@@ -151,6 +170,7 @@
         routers.forEach { it.members = routers.map { peer -> testMember(peer.id) } }
         routers.forEach { it.start() }
         routers.forEach { router -> scheduleTick(router, router.incarnation) }
+        reportMilliseconds?.let(::scheduleReports)
     }
 
     fun router(id: RouterId): Router = routers.first { it.id == id }
@@ -247,6 +267,7 @@
 
     private fun send(router: Router, effect: NodeEffect.SendMessage) {
         sent += router.id to effect.message
+        onSend(router.id, effect.to, effect.message, now)
         val target = router(effect.to)
         val delay = if (target === router) 0 else latencyMicroseconds
         if (target !== router && isCut(router.id, target.id)) return
@@ -262,10 +283,19 @@
         val work = router.work.remove(effect.slot)!!
         waiting.merge(work.team, -1, Int::plus)
         granted += work.team to effect.server
-        val micros = (work.cost / (speeds[effect.server] ?: 100.0) * Timestamp.MICROSECONDS_PER_SECOND).toLong()
-        val run = Running(router, effect.slot, work, effect.server, now, now.plusMicroseconds(maxOf(1, micros)))
-        running[effect.slot] = run
-        at(run.endsAt) { end(run, router.incarnation) }
+        running[effect.slot] = Running(router, effect.slot, work, effect.server)
+        startNext(effect.server)
+    }
+
+    private fun startNext(server: ServerId) {
+        val present = running.values.filter { it.server == server }
+        val limit = concurrency[server] ?: Int.MAX_VALUE
+        if (present.count { it.isStarted } >= limit) return
+        val next = present.firstOrNull { !it.isStarted } ?: return
+        next.start(now, speeds[server] ?: 100.0)
+        val incarnation = next.router.incarnation
+        at(next.endsAt) { end(next, incarnation) }
+        startNext(server)
     }
 
     private fun end(run: Running, incarnation: Long) {
@@ -274,6 +304,7 @@
             return
         }
         if (running.remove(run.number) == null || run.router.incarnation != incarnation) return
+        startNext(run.server)
         served.merge(run.work.team, run.work.cost, Double::plus)
         apply(run.router, run.router.requester.settled(run.number, run.work.cost, fails(run), now))
         onSettled(run)
@@ -294,4 +325,17 @@
         apply(router, router.allotter.tick(now))
         apply(router, router.requester.tick(now))
     }
+
+    private fun scheduleReports(period: Long): Unit = at(now.plusMilliseconds(period)) {
+        document.servers.values.forEach { server ->
+            val present = running.values.filter { it.server == server.id }
+            val started = present.count { it.isStarted }
+            val speed = started * (speeds[server.id] ?: 100.0)
+            val report = LoadReport(server.id, server.failureDomain, started, present.size - started, speed, now)
+            at(now.plusMilliseconds(period)) {
+                routers.filter { it.isRunning }.forEach { apply(it, it.allotter.loadReported(report, now)) }
+            }
+        }
+        scheduleReports(period)
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/azuredale/sharing/TrafficMeter.kt
@@ -0,0 +1,88 @@
+@file:OptIn(kotlinx.serialization.ExperimentalSerializationApi::class)
+
+package azuredale.sharing
+
+import azuredale.identity.AdapterName
+import azuredale.identity.ModelVersion
+import azuredale.identity.PoolId
+import azuredale.identity.RouterId
+import azuredale.identity.ServerId
+import azuredale.identity.TeamId
+import azuredale.protocol.Demand
+import azuredale.protocol.Grant
+import azuredale.protocol.PeerMessage
+import azuredale.protocol.Progress
+import azuredale.protocol.Register
+import azuredale.protocol.RegisterRequest
+import azuredale.protocol.Settle
+import azuredale.protocol.Withdraw
+import azuredale.time.Timestamp
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
+import kotlinx.serialization.modules.SerializersModule
+import kotlinx.serialization.modules.contextual
+
+/** Counts the bytes of messages as design section 3.2 encodes them; messages within 5 ms share a frame. */
+internal class TrafficMeter {
+    /** Writes a name by its number on the connection. */
+    private class NumberedName<T : Any> : KSerializer<T> {
+        override val descriptor = PrimitiveSerialDescriptor("NumberedName", PrimitiveKind.INT)
+
+        override fun serialize(encoder: Encoder, value: T): Unit = encoder.encodeInt(value.hashCode() and 0x3FF)
+
+        override fun deserialize(decoder: Decoder): T = error("names are not read")
+    }
+
+    private val cbor =
+        Cbor {
+            preferCborLabelsOverNames = true
+            encodeDefaults = false
+            serializersModule =
+                SerializersModule {
+                    contextual(NumberedName<TeamId>())
+                    contextual(NumberedName<PoolId>())
+                    contextual(NumberedName<ServerId>())
+                    contextual(NumberedName<ModelVersion>())
+                    contextual(NumberedName<AdapterName>())
+                }
+        }
+    private val frames = HashMap<Pair<RouterId, RouterId>, Timestamp>()
+    val bytesOfNode = HashMap<RouterId, Long>()
+    val bytesOfKind = LinkedHashMap<String, Long>()
+    var bytes = 0L
+        private set
+
+    fun sent(from: RouterId, to: RouterId, message: PeerMessage, now: Timestamp) {
+        if (from == to) return
+        val size = TYPE_BYTES + encode(message).size
+        val startedAt = frames[from to to]
+        val isNewFrame = startedAt == null || now > startedAt.plusMilliseconds(5)
+        if (isNewFrame) frames[from to to] = now
+        val count = size + if (isNewFrame) FRAME_BYTES else 0
+        bytes += count
+        bytesOfKind.merge(message::class.simpleName!!, count.toLong(), Long::plus)
+        listOf(from, to).forEach { bytesOfNode.merge(it, count.toLong(), Long::plus) }
+    }
+
+    private fun encode(message: PeerMessage): ByteArray = when (message) {
+        is Register -> cbor.encodeToByteArray(Register.serializer(), message)
+        is RegisterRequest -> cbor.encodeToByteArray(RegisterRequest.serializer(), message)
+        is Demand -> cbor.encodeToByteArray(Demand.serializer(), message)
+        is Withdraw -> cbor.encodeToByteArray(Withdraw.serializer(), message)
+        is Grant -> cbor.encodeToByteArray(Grant.serializer(), message)
+        is Progress -> cbor.encodeToByteArray(Progress.serializer(), message)
+        is Settle -> cbor.encodeToByteArray(Settle.serializer(), message)
+        else -> error("unexpected message $message")
+    }
+
+    private companion object {
+        const val TYPE_BYTES = 2
+
+        /** Length, version, sequence number, array head and authentication code. */
+        const val FRAME_BYTES = 45
+    }
+}
