--- a/src/main/kotlin/azuredale/configuration/DocumentSubmitter.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentSubmitter.kt
@@ -25,6 +25,7 @@
  * @param held the document in force on this node.
  * @param isConnectedWithMajority whether this node is connected with more than half of the fleet.
  * @param push hands an accepted document to the node, which sends it to peers; returns when it is sent.
+ * @param longestMilliseconds time after which an unsettled submission is answered as unknown.
  */
 public class DocumentSubmitter(
     private val service: KeyValueService,
@@ -32,6 +33,7 @@
     private val held: () -> AcceptedDocument?,
     private val isConnectedWithMajority: () -> Boolean,
     private val push: suspend (AcceptedDocument) -> Unit,
+    private val longestMilliseconds: Long = SUBMISSION_MILLISECONDS,
 ) {
     /**
      * Submits [text] as the successor of revision [base], which the operator read.
@@ -51,7 +53,7 @@
                 is Parsed.Valid -> parsed.value
             }
         val accepted = AcceptedDocument(Revision(base.value + 1), text, document, submission)
-        val result = store(accepted, isRepeat, clock().plusMilliseconds(SUBMISSION_MILLISECONDS))
+        val result = store(accepted, isRepeat, clock().plusMilliseconds(longestMilliseconds))
         if (result is SubmissionResult.Accepted) withTimeoutOrNull(PUSH_MILLISECONDS) { push(result.document) }
         return noted(result, submission)
     }
