--- /dev/null
+++ b/src/main/kotlin/azuredale/platform/VirtualMachineListClient.kt
@@ -0,0 +1,97 @@
+package azuredale.platform
+
+import azuredale.identity.NetworkAddress
+import azuredale.logging.EventLog
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import io.vertx.core.Vertx
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.withTimeout
+
+/** Result of reading the platform's list of VMs. */
+public sealed interface MachineListResult {
+    /**
+     * The list as the platform shows it, which lags behind the actual state.
+     *
+     * An entry without a port has port 0 and stands for every port of that IP number.
+     */
+    public data class Listed(
+        val live: Set<NetworkAddress>,
+        val leaving: Set<NetworkAddress>,
+    ) : MachineListResult
+
+    /** The platform gave no usable answer. */
+    public data class Failed(val failure: CallFailure) : MachineListResult
+}
+
+/**
+ * Reads the platform's list of VMs: `GET /vms` answers `{"live": ["10.0.0.1"], "leaving": []}`.
+ *
+ * ```
+ * val result = VirtualMachineListClient(vertx, address, budget, clock).list(deadline)
+ * ```
+ */
+public class VirtualMachineListClient(
+    vertx: Vertx,
+    private val address: NetworkAddress,
+    private val budget: CallBudget,
+    private val clock: Clock,
+) : AutoCloseable {
+    private val client = WebClient.create(vertx)
+
+    /** Reads the list; ends at [deadline] at the latest. */
+    public suspend fun list(deadline: Timestamp): MachineListResult {
+        if (!budget.tryTake()) return failed(CallFailureReason.BUDGET_EXHAUSTED, "the call budget is used up")
+        val remaining = deadline.microsecondsSince(clock()) / Timestamp.MICROSECONDS_PER_MILLISECOND
+        return try {
+            withTimeout(remaining) {
+                val response = client.get(address.port, address.host, "/vms").send().coAwait()
+                if (response.statusCode() ==
+                    OK
+                ) {
+                    listed(response.bodyAsJsonObject() ?: JsonObject())
+                } else {
+                    refused(response.statusCode())
+                }
+            }
+        } catch (exception: TimeoutCancellationException) {
+            failed(CallFailureReason.DEADLINE_PASSED, exception.message.orEmpty())
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: Exception) {
+            log.write(PlatformLogEvent.CALL_FAILED, "path" to "/vms", "address" to address, cause = exception)
+            failed(EtcdGateway.reasonOf(exception), exception.message.orEmpty())
+        }
+    }
+
+    override fun close() {
+        client.close()
+    }
+
+    private fun listed(body: JsonObject) =
+        MachineListResult.Listed(addresses(body.getJsonArray("live")), addresses(body.getJsonArray("leaving")))
+
+    /** A malformed entry fails the whole list, since acting on a part could take live VMs for gone. */
+    private fun addresses(entries: JsonArray): Set<NetworkAddress> = entries
+        .map { entry ->
+            val text = entry.toString()
+            NetworkAddress.parse(text)
+                ?: NetworkAddress.parse("$text:1")?.copy(port = 0)
+                ?: throw IllegalArgumentException("the entry \"$text\" is not an IP number")
+        }.toSet()
+
+    private fun refused(status: Int) = failed(CallFailureReason.REFUSED, "status $status")
+
+    private fun failed(reason: CallFailureReason, detail: String) =
+        MachineListResult.Failed(CallFailure(reason, detail))
+
+    private companion object {
+        val log = EventLog("azuredale.platform")
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/platform/CallBudgetSpec.kt
@@ -0,0 +1,31 @@
+package azuredale.platform
+
+import azuredale.time.Timestamp
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class CallBudgetSpec {
+    private var now = Timestamp(1_000_000)
+
+    @Test
+    fun `allows the burst, then the rate, and says when the next call is allowed`() {
+        // Guards against a budget that an idle hour turns into an unbounded burst.
+        val budget = CallBudget(callsPerSecond = 10.0, burst = 5) { now }
+        now = now.plusSeconds(3_600)
+        assertEquals(5, (1..20).count { budget.tryTake() })
+        assertEquals(now.plusMilliseconds(100), budget.nextCallAt())
+        now = now.plusMilliseconds(99)
+        assertFalse(budget.tryTake())
+        now = now.plusMilliseconds(1)
+        assertTrue(budget.tryTake())
+        val later =
+            (1..10_000).count {
+                now = now.plusMilliseconds(1)
+                budget.tryTake()
+            }
+        assertEquals(100, later)
+        assertEquals(106, budget.allowed)
+    }
+}
