--- a/src/main/kotlin/azuredale/measure/BaselineRun.kt
+++ b/src/main/kotlin/azuredale/measure/BaselineRun.kt
@@ -22,7 +22,7 @@
                 profile.document.pools
                     .getValue(entry.pool)
                     .kind
-            index to FakeServer(entry, profile.speeds.getValue(entry.id), kind, queue, recorder)
+            index to FakeServer(entry, profile.servers.getValue(entry.id), kind, queue, recorder)
         }
     private val schedulers =
         List(parts) { part ->
@@ -50,7 +50,7 @@
 
     /** Slots of a server that do not divide evenly go to parts that differ from server to server. */
     private fun slotsOf(server: FakeServer, index: Int, part: Int): Int {
-        val slots = server.entry.slots
+        val slots = server.plan.concurrency
         return slots / parts + if ((part + index * slots) % parts < slots % parts) 1 else 0
     }
 
@@ -65,7 +65,7 @@
                         count
                 }
             }
-        private val bySpeed = slots.keys.sortedByDescending { it.speed }
+        private val bySpeed = slots.keys.sortedByDescending { it.plan.speed }
         private val order = FairOrder(profile.teams.associate { it.id to it.share })
 
         fun offer(item: WorkItem) {
--- a/src/main/kotlin/azuredale/measure/FakeServer.kt
+++ b/src/main/kotlin/azuredale/measure/FakeServer.kt
@@ -26,7 +26,10 @@
 
 /** What a server reports of its jobs to the run's records. */
 internal interface ServerObserver {
-    fun jobStarted(server: FakeServer, job: Job)
+    /** The request reached [server]; it may run from now on. */
+    fun jobArrived(server: FakeServer, job: Job)
+
+    fun jobStarted(job: Job)
 
     fun jobServed(job: Job, units: Int)
 
@@ -37,14 +40,14 @@
 }
 
 /**
- * A backend server with [BackendServer.slots] running jobs; further ones wait in order of arrival.
+ * A backend server that runs [ServerPlan.concurrency] jobs at once; further ones wait in order of arrival.
  *
  * A model engine batches continuously: each step gives one unit to every running job, and the step takes longer with
  * a larger batch and with prompts that are not in the prefix cache. A plain service runs each job for its duration.
  */
 internal class FakeServer(
     val entry: BackendServer,
-    val speed: Double,
+    val plan: ServerPlan,
     private val kind: PoolKind,
     private val queue: EventQueue,
     private val observer: ServerObserver,
@@ -65,12 +68,12 @@
     var isMismatching: Boolean = false
     val runningCount: Int get() = running.size
     val waitingCount: Int get() = waiting.size
-    val freeSlots: Int get() = if (isDead) 0 else entry.slots - running.size - waiting.size
+    val freeSlots: Int get() = if (isDead) 0 else plan.concurrency - running.size - waiting.size
 
     fun submit(job: Job) {
         if (isDead) return job.onEnd(JobEnd.BROKEN)
         job.isMismatched = isMismatching
-        observer.jobStarted(this, job)
+        observer.jobArrived(this, job)
         waiting.add(job)
         admit()
     }
@@ -103,10 +106,11 @@
     fun takeUnits(): Int = unitsSinceReport.also { unitsSinceReport = 0 }
 
     private fun admit() {
-        while (running.size < entry.slots && waiting.isNotEmpty()) {
+        while (running.size < plan.concurrency && waiting.isNotEmpty()) {
             val job = waiting.removeFirst()
             observer.slotsChanging(this)
             running.add(job)
+            observer.jobStarted(job)
             when (kind) {
                 PoolKind.MODEL -> rememberPrefix(job.work.prefix)
                 PoolKind.SERVICE -> runCall(job)
@@ -124,7 +128,7 @@
 
     private fun runCall(job: Job) {
         val started = life
-        queue.after((job.work.duration * slowdown / speed).toLong()) {
+        queue.after((job.work.duration * slowdown / plan.speed).toLong()) {
             if (started == life && !job.isCancelled) deliver(job, job.remaining)
         }
     }
@@ -132,7 +136,7 @@
     private fun scheduleStep() {
         isStepping = true
         val started = life
-        val step = (STEP_BASE + STEP_PER_JOB * running.size + PROMPT * uncachedPrompts) * slowdown / speed
+        val step = (STEP_BASE + STEP_PER_JOB * running.size + PROMPT * uncachedPrompts) * slowdown / plan.speed
         uncachedPrompts = 0
         val batch = running.toList()
         queue.after(step.toLong()) {
--- a/src/main/kotlin/azuredale/measure/Fleet.kt
+++ b/src/main/kotlin/azuredale/measure/Fleet.kt
@@ -44,7 +44,7 @@
                 profile.document.pools
                     .getValue(entry.pool)
                     .kind
-            entry.id to FakeServer(entry, profile.speeds.getValue(entry.id), kind, queue, recorder)
+            entry.id to FakeServer(entry, profile.servers.getValue(entry.id), kind, queue, recorder)
         }
     private val effects = EdgeEffects(this)
     val hosts: List<RouterHost> =
@@ -86,7 +86,7 @@
 
     init {
         recorder.attach(servers.values.toList())
-        recorder.onStart = { server, _ -> checkEligibility(server) }
+        recorder.onArrival = { server, _ -> checkEligibility(server) }
         store(profile.document)
         hosts.forEach { host -> queue.at(random.nextLong(START_SPREAD)) { host.start(random.nextLong()) } }
         FleetReports(this, Random(random.nextLong())).schedule()
--- a/src/main/kotlin/azuredale/measure/LoadPlan.kt
+++ b/src/main/kotlin/azuredale/measure/LoadPlan.kt
@@ -102,19 +102,19 @@
     /** Units per second of [pool] when every slot is busy. */
     private fun capacity(pool: PoolPlan): Double {
         val speeds =
-            profile.speeds
+            profile.servers
                 .filterKeys {
                     profile.document.servers
                         .getValue(it)
                         .pool == pool.id
                 }.values
-                .sum()
+                .sumOf { it.speed }
         val unitTime =
             when (pool.kind) {
                 PoolKind.MODEL -> FULL_STEP
                 PoolKind.SERVICE -> MEDIAN_CALL * exp(CALL_SPREAD * CALL_SPREAD / 2)
             }
-        return speeds * pool.slots / unitTime * EventQueue.SECOND
+        return speeds * pool.concurrency / unitTime * EventQueue.SECOND
     }
 
     /** Routers of one team: a random order with falling weights, so that each team is uneven in its own way. */
--- a/src/main/kotlin/azuredale/measure/Measure.kt
+++ b/src/main/kotlin/azuredale/measure/Measure.kt
@@ -1,5 +1,9 @@
 package azuredale.measure
 
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
+
 /** Exit codes of `azuredale measure`. */
 internal object MeasureExit {
     const val KEPT: Int = 0
@@ -10,19 +14,17 @@
 /**
  * Runs a profile or a scenario and prints its result to [output].
  *
- * Returns 0 when all promises are kept, 1 when one is broken, 2 for options that name nothing known. A missed target
- * is printed and does not change the exit code.
+ * Returns 0 when all promises and expectations are kept, 1 when one is broken, 2 for options that name nothing known.
+ * A missed target is printed and does not change the exit code.
  */
 public fun runMeasure(options: MeasureOptions, output: Appendable): Int {
-    val fleetOptions =
-        FleetOptions(
-            seed = options.seed,
-            createCore = options.createCore,
-            messageSize = options.messageSize,
-            datagramSize = options.datagramSize,
-            documentText = options.documentText,
-        )
-    return runProfile(options, fleetOptions, output)
+    val createOptions = { seed: Long ->
+        FleetOptions(seed, options.createCore, options.messageSize, options.datagramSize, options.documentText)
+    }
+    return when (val file = options.scenario) {
+        null -> runProfile(options, createOptions(options.seed), output)
+        else -> runScenario(file, options.seed, createOptions, output)
+    }
 }
 
 private fun runProfile(options: MeasureOptions, fleetOptions: FleetOptions, output: Appendable): Int {
@@ -41,3 +43,29 @@
     ReportPrinter(result, broken).run { if (options.isJson) printJson(output) else printText(output) }
     return if (broken.isEmpty()) MeasureExit.KEPT else MeasureExit.PROMISE_BROKEN
 }
+
+/** Runs the scenario in [file]; the output names the seed, and holds the last events, when it fails. */
+internal fun runScenario(file: Path, seed: Long, createOptions: (Long) -> FleetOptions, output: Appendable): Int {
+    val scenario =
+        try {
+            ScenarioParser(file.toString(), seed).parse(file.readText())
+        } catch (failure: ScenarioException) {
+            output.appendLine(failure.message)
+            return MeasureExit.USAGE
+        } catch (failure: IOException) {
+            output.appendLine("scenario $file cannot be read: ${failure.message}")
+            return MeasureExit.USAGE
+        }
+    val run = ScenarioRun(scenario, createOptions)
+    val failures = run.run()
+    if (failures.isEmpty()) {
+        output.appendLine("$file passed, seed ${scenario.seed}, ${run.count(null)} complete answers")
+        return MeasureExit.KEPT
+    }
+    output.appendLine("$file failed, seed ${scenario.seed}")
+    failures.forEach { output.appendLine("  $it") }
+    output.appendLine("last events:")
+    run.fleet.promises.trace
+        .forEach { output.appendLine("  $it") }
+    return MeasureExit.PROMISE_BROKEN
+}
--- a/src/main/kotlin/azuredale/measure/PoolMeter.kt
+++ b/src/main/kotlin/azuredale/measure/PoolMeter.kt
@@ -68,7 +68,7 @@
         if (elapsed <= 0 || waitingTotal == 0) return
         val eligible = servers.filter(isEligible)
         val busy = eligible.sumOf { it.runningCount }
-        val slots = eligible.sumOf { it.entry.slots }
+        val slots = eligible.sumOf { it.plan.concurrency }
         utilisations.forEach { if (begin >= it.start && now <= it.end) it.add(busy * elapsed, slots * elapsed) }
     }
 
--- a/src/main/kotlin/azuredale/measure/Profile.kt
+++ b/src/main/kotlin/azuredale/measure/Profile.kt
@@ -32,12 +32,18 @@
     val role: TeamRole,
 )
 
+/** What only the fake knows of a server: its speed and how many requests it runs at once. */
+internal data class ServerPlan(
+    val speed: Double,
+    val concurrency: Int,
+)
+
 /** A pool of a profile; the speeds of its servers differ by a factor of four. */
 internal data class PoolPlan(
     val id: PoolId,
     val kind: PoolKind,
     val servers: Int,
-    val slots: Int,
+    val concurrency: Int,
     val initialCost: Double,
     val minimumUtilisation: Double,
 )
@@ -57,7 +63,7 @@
 ) {
     val scale: Double = routers.toDouble() / TODAY_ROUTERS
     val pools: List<PoolPlan> = pools.map { it.copy(servers = (it.servers * scale).toInt()) }
-    val speeds: Map<ServerId, Double> = this.pools.flatMap(::speedsOf).toMap()
+    val servers: Map<ServerId, ServerPlan> = this.pools.flatMap(::plansOf).toMap()
     val document: Document = buildDocument()
 
     /** The team with the smallest share among those that stay within it. */
@@ -69,9 +75,10 @@
     private fun serverName(pool: PoolPlan, index: Int) = ServerId("${pool.id}-${index + 1}")
 
     /** Speeds run from 1 to [SPEED_RATIO]; the stride spreads them over failure domains and batches. */
-    private fun speedsOf(pool: PoolPlan) = List(pool.servers) { index ->
+    private fun plansOf(pool: PoolPlan) = List(pool.servers) { index ->
         val rank = index * SPEED_STRIDE % pool.servers
-        serverName(pool, index) to SPEED_RATIO.pow(rank.toDouble() / (pool.servers - 1).coerceAtLeast(1))
+        val speed = SPEED_RATIO.pow(rank.toDouble() / (pool.servers - 1).coerceAtLeast(1))
+        serverName(pool, index) to ServerPlan(speed, pool.concurrency)
     }
 
     private fun buildDocument(): Document {
@@ -83,7 +90,7 @@
                         pool = pool.id,
                         address = FleetAddresses.serverAddress(poolIndex, index),
                         failureDomain = domainOf(index),
-                        slots = pool.slots,
+                        slots = pool.concurrency + LOOK_AHEAD,
                         batch = BatchId(if (index % 4 == 0) "blue" else "green"),
                     )
                 }
@@ -107,6 +114,9 @@
     companion object {
         const val TODAY_ROUTERS: Int = 8
         const val FAILURE_DOMAINS: Int = 3
+
+        /** Slots of the document above the requests that a server runs at once, so that one may wait inside it. */
+        private const val LOOK_AHEAD = 1
         private const val SPEED_RATIO = 4.0
 
         /** Coprime to every pool size in use, so each rank occurs once. */
@@ -141,7 +151,7 @@
                         MODELS,
                         PoolKind.MODEL,
                         servers = 13,
-                        slots = 8,
+                        concurrency = 8,
                         initialCost = 100.0,
                         minimumUtilisation = 0.97,
                     ),
@@ -149,7 +159,7 @@
                         PoolId("herd"),
                         PoolKind.SERVICE,
                         3,
-                        slots = 4,
+                        concurrency = 4,
                         initialCost = 1.0,
                         minimumUtilisation = 0.97,
                     ),
@@ -169,8 +179,22 @@
                 ),
             pools =
                 listOf(
-                    PoolPlan(MODELS, PoolKind.MODEL, 8, slots = 8, initialCost = 100.0, minimumUtilisation = 0.98),
-                    PoolPlan(PoolId("lockers"), PoolKind.SERVICE, 3, 4, initialCost = 1.0, minimumUtilisation = 0.98),
+                    PoolPlan(
+                        MODELS,
+                        PoolKind.MODEL,
+                        8,
+                        concurrency = 8,
+                        initialCost = 100.0,
+                        minimumUtilisation = 0.98,
+                    ),
+                    PoolPlan(
+                        PoolId("lockers"),
+                        PoolKind.SERVICE,
+                        3,
+                        concurrency = 4,
+                        initialCost = 1.0,
+                        minimumUtilisation = 0.98,
+                    ),
                 ),
         )
 
--- a/src/main/kotlin/azuredale/measure/RunRecorder.kt
+++ b/src/main/kotlin/azuredale/measure/RunRecorder.kt
@@ -25,7 +25,7 @@
         private set
 
     /** Called when a job reaches a server, before it runs. */
-    var onStart: (FakeServer, Job) -> Unit = { _, _ -> }
+    var onArrival: (FakeServer, Job) -> Unit = { _, _ -> }
 
     /** Number of executions of the non-idempotent request [key]. */
     fun executionsOf(key: String): Int = executions[key] ?: 0
@@ -84,11 +84,15 @@
         if (queue.now >= from) meters.getValue(item.pool).completed++
     }
 
-    override fun jobStarted(server: FakeServer, job: Job) {
+    override fun jobArrived(server: FakeServer, job: Job) {
         val item = job.work
         item.key?.let { executions.merge(it, 1, Int::plus) }
-        onStart(server, job)
+        onArrival(server, job)
         meters.getValue(item.pool).inFlightChanged(item.team, 1)
+    }
+
+    override fun jobStarted(job: Job) {
+        val item = job.work
         if (startedAt[item.index] != NEVER) return
         startedAt[item.index] = queue.now
         if (item.arrival >= from) meters.getValue(item.pool).waited(item.team, queue.now - item.arrival)
