Count control bytes with the transport's own encoding

Cause: the harness estimated message sizes with its own CBOR settings.

Change: sizes of messages come from transport.MessageSizes, less one frame overhead per message that shares a frame, and sizes of datagrams from DatagramCodec. Documents carry the text of DocumentWriter, since routers pass it on to each other.

Conclusion: byte figures now follow the transport without another copy of its format.

--- a/src/main/kotlin/azuredale/measure/FakeNetwork.kt
+++ b/src/main/kotlin/azuredale/measure/FakeNetwork.kt
@@ -4,9 +4,10 @@
 import azuredale.identity.RouterId
 import azuredale.protocol.PeerMessage
 import azuredale.protocol.ProbeMessage
+import azuredale.transport.MessageSizes
 import kotlin.random.Random
 
-/** Size in bytes of a message between two routers, without the frame around it. */
+/** Size in bytes of a frame with one message between two routers. */
 public typealias MessageSize = (RouterId, RouterId, PeerMessage) -> Int
 
 /** Size in bytes of a datagram of the failure detector. */
@@ -155,7 +156,8 @@
         if (!isReachable(from.name, to.name)) return scheduleFlush(connection, direction, from, to)
         val messages = direction.pending.toList()
         direction.pending.clear()
-        val size = FRAME_BYTES + messages.sumOf { messageSize(from, to, it) }
+        val separate = messages.sumOf { messageSize(from, to, it) }
+        val size = separate - (messages.size - 1) * MessageSizes.FRAME_OVERHEAD_BYTES
         traffic.getValue(from).let {
             it.bytesSent += size
             it.messages += messages.size
@@ -178,8 +180,5 @@
 
         /** Messages to one peer wait this long to share a frame. */
         private const val BATCHING = 2 * EventQueue.MILLISECOND
-
-        /** Length (4), version (1), sequence number (8), array header (2), authentication code (32). */
-        private const val FRAME_BYTES = 47
     }
 }
--- a/src/main/kotlin/azuredale/measure/Fleet.kt
+++ b/src/main/kotlin/azuredale/measure/Fleet.kt
@@ -2,6 +2,7 @@
 
 import azuredale.configuration.AcceptedDocument
 import azuredale.configuration.Document
+import azuredale.configuration.DocumentWriter
 import azuredale.configuration.PoolKind
 import azuredale.identity.NetworkAddress
 import azuredale.identity.Revision
@@ -21,7 +22,6 @@
     val createCore: CoreFactory,
     val messageSize: MessageSize,
     val datagramSize: DatagramSize,
-    val documentText: (Document) -> String,
 )
 
 /**
@@ -105,7 +105,7 @@
             servers.values
                 .filter { it.isDead || !FleetAddresses.isActive(document, it.entry.id) }
                 .map { it.entry.id }
-        platform.store(AcceptedDocument(revision, options.documentText(document), document))
+        platform.store(AcceptedDocument(revision, DocumentWriter.write(document), document))
         servers.keys.forEach { id ->
             if (FleetAddresses.isActive(
                     document,
--- a/src/main/kotlin/azuredale/measure/Measure.kt
+++ b/src/main/kotlin/azuredale/measure/Measure.kt
@@ -19,7 +19,7 @@
  */
 public fun runMeasure(options: MeasureOptions, output: Appendable): Int {
     val createOptions = { seed: Long ->
-        FleetOptions(seed, options.createCore, options.messageSize, options.datagramSize, options.documentText)
+        FleetOptions(seed, options.createCore, options.messageSize, options.datagramSize)
     }
     return when (val file = options.scenario) {
         null -> runProfile(options, createOptions(options.seed), output)
--- a/src/main/kotlin/azuredale/measure/MeasureOptions.kt
+++ b/src/main/kotlin/azuredale/measure/MeasureOptions.kt
@@ -1,6 +1,7 @@
 package azuredale.measure
 
-import azuredale.configuration.Document
+import azuredale.membership.DatagramCodec
+import azuredale.transport.MessageSizes
 import java.nio.file.Path
 
 /**
@@ -15,17 +16,15 @@
  * @property createCore the decision code of one router.
  * @property messageSize bytes of a message in the transport's encoding.
  * @property datagramSize bytes of a datagram in the transport's encoding.
- * @property documentText INI source of a document, as routers pass it on to each other.
  */
 public class MeasureOptions(
     public val createCore: CoreFactory,
-    public val documentText: (Document) -> String,
     public val profile: String = "pampa-sinal",
     public val fault: String? = null,
     public val seed: Long = 1,
     public val isJson: Boolean = false,
     public val routers: Int = 8,
     public val scenario: Path? = null,
-    public val messageSize: MessageSize = { _, _, message -> MessageSizes.ofMessage(message) },
-    public val datagramSize: DatagramSize = MessageSizes::ofDatagram,
+    public val messageSize: MessageSize = MessageSizes(),
+    public val datagramSize: DatagramSize = DatagramCodec(ByteArray(1)).let { codec -> { codec.encode(it).size } },
 )
--- a/src/test/kotlin/azuredale/measure/MeasureSpec.kt
+++ b/src/test/kotlin/azuredale/measure/MeasureSpec.kt
@@ -12,9 +12,8 @@
     private fun options(seed: Long = 1, misbehaviour: Misbehaviour = Misbehaviour.NONE) = FleetOptions(
         seed = seed,
         createCore = { settings, _, _ -> QuotaCore(settings, misbehaviour) },
-        messageSize = { _, _, message -> MessageSizes.ofMessage(message) },
-        datagramSize = MessageSizes::ofDatagram,
-        documentText = { "" },
+        messageSize = { _, _, _ -> 1 },
+        datagramSize = { 1 },
     )
 
     private fun experiment(seed: Long, fault: Fault? = null) =
@@ -109,7 +108,7 @@
     inner class CommandLine {
         private fun run(profile: String, fault: String?): Pair<Int, String> {
             val output = StringBuilder()
-            val options = MeasureOptions({ settings, _, _ -> QuotaCore(settings) }, { "" }, profile, fault)
+            val options = MeasureOptions({ settings, _, _ -> QuotaCore(settings) }, profile, fault)
             return runMeasure(options, output) to output.toString()
         }
 
--- a/src/test/kotlin/azuredale/measure/ScenarioSpec.kt
+++ b/src/test/kotlin/azuredale/measure/ScenarioSpec.kt
@@ -10,7 +10,7 @@
     private fun parse(text: String) = ScenarioParser("x.scenario", defaultSeed = 9).parse(text.trimIndent())
 
     private fun run(text: String): List<String> = ScenarioRun(parse(text)) { seed ->
-        FleetOptions(seed, { settings, _, _ -> QuotaCore(settings) }, { _, _, _ -> 1 }, { 1 }, { "" })
+        FleetOptions(seed, { settings, _, _ -> QuotaCore(settings) }, { _, _, _ -> 1 }, { 1 })
     }.run()
 
     @Nested
@@ -96,7 +96,7 @@
             val file = kotlin.io.path.createTempFile(suffix = ".scenario")
             file.toFile().writeText("profile helmsway\nseed 5\nload for 2s\nexpect some answer DRAINING\n")
             val output = StringBuilder()
-            val options = MeasureOptions({ settings, _, _ -> QuotaCore(settings) }, { "" }, scenario = file)
+            val options = MeasureOptions({ settings, _, _ -> QuotaCore(settings) }, scenario = file)
             assertEquals(MeasureExit.PROMISE_BROKEN, runMeasure(options, output))
             assertContains(output.toString(), "failed, seed 5")
             assertContains(output.toString(), "router-1 ->")
