--- a/src/main/kotlin/azuredale/measure/Fleet.kt
+++ b/src/main/kotlin/azuredale/measure/Fleet.kt
@@ -2,6 +2,7 @@
 
 import azuredale.configuration.AcceptedDocument
 import azuredale.configuration.Document
+import azuredale.configuration.DocumentWriter
 import azuredale.configuration.PoolKind
 import azuredale.identity.NetworkAddress
 import azuredale.identity.Revision
@@ -21,7 +22,6 @@
     val createCore: CoreFactory,
     val messageSize: MessageSize,
     val datagramSize: DatagramSize,
-    val documentText: (Document) -> String,
 )
 
 /**
@@ -44,7 +44,7 @@
                 profile.document.pools
                     .getValue(entry.pool)
                     .kind
-            entry.id to FakeServer(entry, profile.speeds.getValue(entry.id), kind, queue, recorder)
+            entry.id to FakeServer(entry, profile.servers.getValue(entry.id), kind, queue, recorder)
         }
     private val effects = EdgeEffects(this)
     val hosts: List<RouterHost> =
@@ -86,7 +86,7 @@
 
     init {
         recorder.attach(servers.values.toList())
-        recorder.onStart = { server, _ -> checkEligibility(server) }
+        recorder.onArrival = { server, _ -> checkEligibility(server) }
         store(profile.document)
         hosts.forEach { host -> queue.at(random.nextLong(START_SPREAD)) { host.start(random.nextLong()) } }
         FleetReports(this, Random(random.nextLong())).schedule()
@@ -105,7 +105,7 @@
             servers.values
                 .filter { it.isDead || !FleetAddresses.isActive(document, it.entry.id) }
                 .map { it.entry.id }
-        platform.store(AcceptedDocument(revision, options.documentText(document), document))
+        platform.store(AcceptedDocument(revision, DocumentWriter.write(document), document))
         servers.keys.forEach { id ->
             if (FleetAddresses.isActive(
                     document,
