--- /dev/null
+++ b/src/main/kotlin/azuredale/command/CheckCommand.kt
@@ -0,0 +1,67 @@
+package azuredale.command
+
+import azuredale.configuration.DocumentParser
+import azuredale.configuration.Parsed
+import azuredale.configuration.SettingsParser
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.put
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.Option
+import java.nio.file.Path
+import kotlin.io.path.exists
+import kotlin.io.path.isRegularFile
+import kotlin.io.path.readText
+
+/** `azuredale check FILE`. */
+internal class CheckCommand : Command("check a settings file or a document and print every fault") {
+    @field:Argument(required = true, metaVar = "FILE", usage = "settings or document in INI")
+    var file: String = ""
+
+    @field:Option(name = "--json", usage = "print faults as JSON")
+    var isJson: Boolean = false
+
+    override fun run(terminal: Terminal): Int {
+        val text = readInput(file)
+        val parsed = if (isSettings(text)) settingsParser().parse(text) else DocumentParser.parse(text)
+        val faults = (parsed as? Parsed.Invalid)?.faults.orEmpty()
+        if (isJson) {
+            val rows =
+                buildJsonArray {
+                    faults.forEach { fault ->
+                        addJsonObject {
+                            put("line", fault.line)
+                            put("section", fault.section)
+                            put("key", fault.key)
+                            put("problem", fault.problem)
+                            put("allowed", fault.allowed)
+                        }
+                    }
+                }
+            terminal.output.appendLine(rows.toString())
+        } else {
+            faults.forEach { terminal.output.appendLine("$file: $it") }
+            if (faults.isEmpty()) terminal.output.appendLine("$file: no faults")
+        }
+        return if (faults.isEmpty()) ExitCode.SUCCESS else ExitCode.FAILURE
+    }
+
+    /** Only settings have an `[addresses]` or a `[secrets]` section. */
+    private fun isSettings(text: String): Boolean =
+        text.lineSequence().any { it.trim() in setOf("[router]", "[addresses]", "[secrets]") }
+}
+
+/** Reads a file named on the command line; a missing file is a usage error. */
+internal fun readInput(file: String): String {
+    val path = Path.of(file)
+    if (!path.exists() || !path.isRegularFile()) throw usageError("file \"$file\" does not exist")
+    return path.readText()
+}
+
+/** A parser that reads secrets from files on this VM. */
+internal fun settingsParser(): SettingsParser = SettingsParser { path ->
+    Path
+        .of(path)
+        .takeIf { it.isRegularFile() }
+        ?.readText()
+}
--- a/src/main/kotlin/azuredale/command/Main.kt
+++ b/src/main/kotlin/azuredale/command/Main.kt
@@ -1,6 +1,9 @@
 package azuredale.command
 
+import kotlin.system.exitProcess
+
 /** Entry point of the `azuredale` binary. */
 public fun main(arguments: Array<String>) {
-    require(arguments.isNotEmpty()) { "a command is required" }
+    val terminal = Terminal(System.out, System.err)
+    exitProcess(CommandLine().run(arguments.toList(), terminal))
 }
--- /dev/null
+++ b/src/main/kotlin/azuredale/command/MeasureCommand.kt
@@ -0,0 +1,50 @@
+package azuredale.command
+
+import azuredale.measure.MeasureOptions
+import azuredale.measure.runMeasure
+import azuredale.membership.DatagramCodec
+import azuredale.node.RouterNode
+import azuredale.transport.MessageSizes
+import org.kohsuke.args4j.Option
+import java.nio.file.Path
+
+/** `azuredale measure`. */
+internal class MeasureCommand : Command("measure fairness, utilisation and control traffic in virtual time") {
+    @field:Option(name = "--profile", metaVar = "NAME", usage = "pampa-sinal or helmsway")
+    var profile: String = "pampa-sinal"
+
+    @field:Option(name = "--fault", metaVar = "NAME", usage = "fault to inject, such as allotter-lost")
+    var fault: String? = null
+
+    @field:Option(name = "--seed", metaVar = "N", usage = "seed of load, delays and decisions")
+    var seed: Long = 1
+
+    @field:Option(name = "--routers", metaVar = "N", usage = "size of the fleet; load and servers grow with it")
+    var routers: Int = 8
+
+    @field:Option(name = "--json", usage = "print JSON")
+    var isJson: Boolean = false
+
+    @field:Option(name = "--scenario", metaVar = "FILE", usage = "run a scenario instead of a profile")
+    var scenario: String? = null
+
+    override fun run(terminal: Terminal): Int {
+        scenario?.let { readInput(it) }
+        return runMeasure(measureOptions(), terminal.output)
+    }
+
+    private fun measureOptions(): MeasureOptions {
+        val datagrams = DatagramCodec(ByteArray(1))
+        return MeasureOptions(
+            createCore = { settings, incarnation, random -> RouterNode(settings, incarnation, random) },
+            profile = profile,
+            fault = fault,
+            seed = seed,
+            isJson = isJson,
+            routers = routers,
+            scenario = scenario?.let { Path.of(it) },
+            messageSize = MessageSizes(),
+            datagramSize = { datagrams.encode(it).size },
+        )
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/command/OperatorClient.kt
@@ -0,0 +1,101 @@
+package azuredale.command
+
+import azuredale.identity.NetworkAddress
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.runBlocking
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.Option
+import java.nio.file.Path
+import kotlin.io.path.exists
+import kotlin.io.path.readText
+
+/** Options of every command that talks to a router's operator interface. */
+internal abstract class OperatorCommand(summary: String) : Command(summary) {
+    @field:Option(
+        name = "--router",
+        metaVar = "HOST:PORT",
+        usage = "operator address of any router (default: environment variable AZUREDALE_ROUTER)",
+    )
+    var router: String? = System.getenv("AZUREDALE_ROUTER")
+
+    @field:Option(
+        name = "--token-file",
+        metaVar = "FILE",
+        usage = "file with the operator token (default: environment variable AZUREDALE_TOKEN)",
+    )
+    var tokenFile: String? = null
+
+    /** Sends one request and passes the answer to [block], which returns the exit code. */
+    protected fun call(
+        terminal: Terminal,
+        method: HttpMethod,
+        path: String,
+        parameters: Map<String, String> = emptyMap(),
+        body: String? = null,
+        block: (HttpResponse<Buffer>) -> Int,
+    ): Int {
+        val address = parseAddress()
+        val token = readToken()
+        return runBlocking {
+            val vertx = Vertx.vertx()
+            try {
+                val response = send(vertx, address, token, method, path, parameters, body)
+                if (response.statusCode() in SUCCESSFUL) block(response) else reportFailure(terminal, response)
+            } catch (failure: java.io.IOException) {
+                terminal.errors.appendLine("no answer from router at $address: ${failure.message}")
+                ExitCode.FAILURE
+            } finally {
+                vertx.close().coAwait()
+            }
+        }
+    }
+
+    private suspend fun send(
+        vertx: Vertx,
+        address: NetworkAddress,
+        token: String,
+        method: HttpMethod,
+        path: String,
+        parameters: Map<String, String>,
+        body: String?,
+    ): HttpResponse<Buffer> {
+        val request =
+            WebClient
+                .create(vertx)
+                .request(method, address.port, address.host, path)
+                .putHeader("Authorization", "Bearer $token")
+                .timeout(REQUEST_LIMIT_MILLISECONDS)
+        parameters.forEach { (name, value) -> request.addQueryParam(name, value) }
+        return if (body == null) request.send().coAwait() else request.sendBuffer(Buffer.buffer(body)).coAwait()
+    }
+
+    private fun reportFailure(terminal: Terminal, response: HttpResponse<Buffer>): Int {
+        terminal.errors.appendLine("the router answered ${response.statusCode()}: ${response.bodyAsString().orEmpty()}")
+        return ExitCode.FAILURE
+    }
+
+    private fun parseAddress(): NetworkAddress {
+        val text = router ?: throw usageError("--router is required")
+        return NetworkAddress.parse(text) ?: throw usageError("--router: \"$text\" is not of the form HOST:PORT")
+    }
+
+    private fun readToken(): String {
+        val file = tokenFile ?: return System.getenv("AZUREDALE_TOKEN") ?: throw usageError("--token-file is required")
+        val path = Path.of(file)
+        if (!path.exists()) throw usageError("--token-file: file \"$file\" does not exist")
+        return path.readText().trim()
+    }
+
+    private companion object {
+        const val REQUEST_LIMIT_MILLISECONDS = 15_000L
+        val SUCCESSFUL = 200..299
+    }
+}
+
+/** An error in the command line that is found after parsing; ends with exit code 2. */
+internal fun usageError(message: String): CmdLineException = CmdLineException(null, message, null)
--- /dev/null
+++ b/src/main/kotlin/azuredale/command/OperatorCommands.kt
@@ -0,0 +1,103 @@
+package azuredale.command
+
+import azuredale.console.FleetStatus
+import azuredale.console.OperatorEdge
+import io.vertx.core.http.HttpMethod
+import kotlinx.serialization.json.Json
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.Option
+import java.util.UUID
+
+/** `azuredale submit FILE`. */
+internal class SubmitCommand : OperatorCommand("submit a document; it is accepted or refused as a whole") {
+    @field:Argument(required = true, metaVar = "FILE", usage = "document in INI")
+    var file: String = ""
+
+    @field:Option(
+        name = "--revision",
+        metaVar = "N",
+        usage = "revision the document was edited from (default: the one in force)",
+    )
+    var revision: Long? = null
+
+    override fun run(terminal: Terminal): Int {
+        val text = readInput(file)
+        var based = revision
+        if (based == null) {
+            val status =
+                call(terminal, HttpMethod.GET, "/v1/show") {
+                    based = Json.decodeFromString(FleetStatus.serializer(), it.bodyAsString().orEmpty()).revision
+                    ExitCode.SUCCESS
+                }
+            if (status != ExitCode.SUCCESS) return status
+        }
+        val parameters = mapOf("revision" to based.toString(), "submission" to UUID.randomUUID().toString())
+        return call(terminal, HttpMethod.PUT, "/v1/document", parameters, text) {
+            terminal.output.appendLine(it.bodyAsString())
+            ExitCode.SUCCESS
+        }
+    }
+}
+
+/** `azuredale show`. */
+internal class ShowCommand :
+    OperatorCommand("show document, members, pools, teams and grants as one router sees them") {
+    @field:Option(name = "--json", usage = "print JSON")
+    var isJson: Boolean = false
+
+    @field:Option(name = "--document", usage = "print the document in force instead")
+    var isDocument: Boolean = false
+
+    override fun run(terminal: Terminal): Int = if (isDocument) {
+        call(terminal, HttpMethod.GET, "/v1/document") {
+            terminal.errors.appendLine("revision ${it.getHeader(OperatorEdge.REVISION_HEADER)}")
+            terminal.output.append(it.bodyAsString())
+            ExitCode.SUCCESS
+        }
+    } else {
+        call(terminal, HttpMethod.GET, "/v1/show") {
+            val status = Json.decodeFromString(FleetStatus.serializer(), it.bodyAsString().orEmpty())
+            if (isJson) terminal.output.appendLine(it.bodyAsString()) else printStatus(status, terminal.output)
+            ExitCode.SUCCESS
+        }
+    }
+}
+
+/** `azuredale recall BATCH`. */
+internal class RecallCommand : OperatorCommand("withdraw a batch of servers, model versions or adapters from service") {
+    @field:Argument(required = true, metaVar = "BATCH", usage = "name of the batch in the document")
+    var batch: String = ""
+
+    @field:Option(name = "--reason", metaVar = "TEXT", usage = "shown to other operators")
+    var reason: String = ""
+
+    override fun run(terminal: Terminal): Int {
+        val parameters = mapOf("batch" to batch, "reason" to reason, "submission" to UUID.randomUUID().toString())
+        return call(terminal, HttpMethod.POST, "/v1/recall", parameters) {
+            terminal.output.appendLine(it.bodyAsString())
+            ExitCode.SUCCESS
+        }
+    }
+}
+
+/** `azuredale drain`. */
+internal class DrainCommand : OperatorCommand("shut a router down gracefully: no new work, running requests end") {
+    override fun run(terminal: Terminal): Int = call(terminal, HttpMethod.POST, "/v1/drain") {
+        terminal.output.appendLine(it.bodyAsString())
+        ExitCode.SUCCESS
+    }
+}
+
+/** `azuredale report burn`. */
+internal class ReportBurnCommand : OperatorCommand("report how fast teams use up their service-level objectives") {
+    @field:Option(name = "--json", usage = "print JSON")
+    var isJson: Boolean = false
+
+    override fun run(terminal: Terminal): Int {
+        val parameters = mapOf("format" to if (isJson) "json" else "text")
+        return call(terminal, HttpMethod.GET, "/v1/report/burn", parameters) {
+            terminal.output.appendLine(it.bodyAsString())
+            ExitCode.SUCCESS
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/command/RouterCommand.kt
@@ -0,0 +1,55 @@
+package azuredale.command
+
+import azuredale.configuration.Parsed
+import azuredale.configuration.RouterSettings
+import azuredale.node.RouterDaemon
+import io.vertx.core.Vertx
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.kohsuke.args4j.Option
+
+/** `azuredale router --settings FILE`. */
+internal class RouterCommand : Command("run one router until it is drained or terminated") {
+    @field:Option(name = "--settings", required = true, metaVar = "FILE", usage = "settings in INI")
+    var settings: String = ""
+
+    override fun run(terminal: Terminal): Int = when (val parsed = settingsParser().parse(readInput(settings))) {
+        is Parsed.Valid -> serve(parsed.value, terminal)
+        is Parsed.Invalid -> {
+            parsed.faults.forEach { terminal.errors.appendLine("$settings: $it") }
+            ExitCode.FAILURE
+        }
+    }
+
+    private fun serve(settings: RouterSettings, terminal: Terminal): Int = runBlocking {
+        val daemon = RouterDaemon(settings, Vertx.vertx())
+        try {
+            daemon.start()
+        } catch (failure: java.io.IOException) {
+            terminal.errors.appendLine("router ${settings.router} cannot start: ${failure.message}")
+            return@runBlocking ExitCode.FAILURE
+        }
+        drainOnTermination(daemon, settings)
+        daemon.awaitDrained()
+        daemon.stop()
+        ExitCode.SUCCESS
+    }
+
+    /** SIGTERM and SIGINT run the shutdown hooks, which hold the process until running requests have ended. */
+    private fun drainOnTermination(daemon: RouterDaemon, settings: RouterSettings) {
+        val hook =
+            Thread {
+                runBlocking {
+                    daemon.drain()
+                    withTimeoutOrNull(settings.requestDeadlineSeconds * MILLISECONDS_PER_SECOND) {
+                        daemon.awaitDrained()
+                    }
+                }
+            }
+        Runtime.getRuntime().addShutdownHook(hook)
+    }
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/command/StandInCommands.kt
@@ -0,0 +1,74 @@
+package azuredale.command
+
+import azuredale.identity.NetworkAddress
+import azuredale.standin.EngineSettings
+import azuredale.standin.EngineStandIn
+import azuredale.standin.PlatformStandIn
+import azuredale.standin.ServiceStandIn
+import io.vertx.core.Vertx
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import org.kohsuke.args4j.Option
+
+/** Options of every stand-in; stand-ins listen on the loopback interface only. */
+internal abstract class StandInCommand(summary: String) : Command(summary) {
+    @field:Option(name = "--port", required = true, metaVar = "PORT", usage = "port on 127.0.0.1; 0 takes a free one")
+    var port: Int = 0
+
+    override fun run(terminal: Terminal): Int {
+        if (port !in 0..LARGEST_PORT) throw usageError("--port: $port is not between 0 and $LARGEST_PORT")
+        return runBlocking {
+            try {
+                val actual = start(Vertx.vertx())
+                terminal.output.appendLine("listening on $LOOPBACK:$actual")
+                awaitCancellation()
+            } catch (failure: java.io.IOException) {
+                terminal.errors.appendLine("cannot listen on $LOOPBACK:$port: ${failure.message}")
+                ExitCode.FAILURE
+            }
+        }
+    }
+
+    /** Starts the stand-in and returns its port. */
+    protected abstract suspend fun start(vertx: Vertx): Int
+
+    protected companion object {
+        const val LOOPBACK: String = "127.0.0.1"
+        private const val LARGEST_PORT = 65_535
+    }
+}
+
+/** `azuredale stand-in platform`. */
+internal class PlatformStandInCommand : StandInCommand("run a stand-in of the key-value service and the VM list") {
+    override suspend fun start(vertx: Vertx): Int = PlatformStandIn(vertx).start(port)
+}
+
+/** `azuredale stand-in engine`. */
+internal class EngineStandInCommand : StandInCommand("run a stand-in of a model engine") {
+    @field:Option(name = "--slots", metaVar = "N", usage = "requests that run at the same time")
+    var slots: Int = EngineSettings().slots
+
+    @field:Option(name = "--tokens-per-second", metaVar = "N", usage = "speed of each running request")
+    var tokensPerSecond: Double = EngineSettings().tokensPerSecond
+
+    @field:Option(name = "--checks-fencing", usage = "refuse orders with an old fencing token")
+    var checksFencing: Boolean = false
+
+    override suspend fun start(vertx: Vertx): Int {
+        val address = NetworkAddress(LOOPBACK, port)
+        val settings =
+            EngineSettings(
+                address = address,
+                slots = slots,
+                tokensPerSecond = tokensPerSecond,
+                checksFencing = checksFencing,
+            )
+        return EngineStandIn(vertx, settings).also { it.start() }.port
+    }
+}
+
+/** `azuredale stand-in service`. */
+internal class ServiceStandInCommand : StandInCommand("run a stand-in of a plain service that records executions") {
+    override suspend fun start(vertx: Vertx): Int =
+        ServiceStandIn(vertx, NetworkAddress(LOOPBACK, port)).also { it.start() }.port
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/console/ConsoleSession.kt
@@ -0,0 +1,46 @@
+package azuredale.console
+
+import azuredale.configuration.Secret
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import java.security.MessageDigest
+import java.util.Base64
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/**
+ * Cookie of a signed-in operator: an expiry deadline with an authentication code, so that any router accepts it as long
+ * as the operator token in the settings is the same.
+ */
+internal class ConsoleSession(
+    private val operatorToken: Secret,
+    private val clock: Clock,
+) {
+    /** A cookie value that is valid for [VALID_SECONDS]. */
+    fun issue(): String {
+        val deadline = clock().plusSeconds(VALID_SECONDS).microseconds.toString()
+        return "$deadline.${code(deadline)}"
+    }
+
+    /** Whether [cookie] was issued with the same token and has not expired. */
+    fun accepts(cookie: String?): Boolean {
+        val deadline = cookie?.substringBefore('.')?.toLongOrNull() ?: return false
+        val expected = code(deadline.toString()).encodeToByteArray()
+        val isAuthentic = MessageDigest.isEqual(expected, cookie.substringAfter('.').encodeToByteArray())
+        return isAuthentic && clock() < Timestamp(deadline)
+    }
+
+    private fun code(deadline: String): String {
+        val mac = Mac.getInstance(ALGORITHM)
+        mac.init(SecretKeySpec(operatorToken.bytes(), ALGORITHM))
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(
+            mac.doFinal("console $deadline".encodeToByteArray()),
+        )
+    }
+
+    companion object {
+        const val COOKIE = "azuredale-session"
+        const val VALID_SECONDS: Long = 8 * 3_600
+        private const val ALGORITHM = "HmacSHA256"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/console/OperatorEdge.kt
@@ -0,0 +1,205 @@
+package azuredale.console
+
+import azuredale.configuration.ConfigurationFault
+import azuredale.configuration.DocumentWriter
+import azuredale.configuration.Documents
+import azuredale.configuration.Parsed
+import azuredale.configuration.RouterSettings
+import azuredale.configuration.SubmissionResult
+import azuredale.identity.BatchId
+import azuredale.identity.Revision
+import azuredale.logging.EventLog
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Failure
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.ext.web.handler.BodyHandler
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import java.util.UUID
+
+/**
+ * HTTP interface for operators: health, metrics, status, document, recall, drain and the burn report.
+ *
+ * Health and metrics need no token; everything else needs `Authorization: Bearer <operator token>`.
+ */
+internal class OperatorEdge(
+    private val vertx: Vertx,
+    private val settings: RouterSettings,
+    private val port: OperatorPort,
+    private val scope: CoroutineScope,
+    private val extension: (Router) -> Unit = {},
+) {
+    private val log = EventLog("azuredale.console")
+    private val token = OperatorToken(settings.operatorToken)
+    private var server: HttpServer? = null
+
+    /** Opens the listening socket. */
+    suspend fun start() {
+        val options = HttpServerOptions().setHost(settings.operatorAddress.host).setPort(settings.operatorAddress.port)
+        server =
+            vertx
+                .createHttpServer(options)
+                .requestHandler(routes())
+                .listen()
+                .coAwait()
+        log.write(ConsoleLogEvent.OPERATOR_INTERFACE_STARTED, "address" to settings.operatorAddress)
+    }
+
+    /** Closes the listening socket. */
+    suspend fun stop() {
+        server?.close()?.coAwait()
+    }
+
+    private fun routes(): Router {
+        val router = Router.router(vertx)
+        router.route().handler(BodyHandler.create(false).setBodyLimit(MAXIMUM_BODY_BYTES))
+        router.get("/healthz").handler { it.text("ok\n") }
+        router.get("/readyz").handler(::readiness)
+        router.get("/metrics").handler { it.text(port.metrics()) }
+        extension(router)
+        router.route("/v1/*").handler(::authorize)
+        router.get("/v1/show").handler { it.json(Json.encodeToString(FleetStatus.serializer(), port.status())) }
+        router.get("/v1/document").handler(::document)
+        router.put("/v1/document").handler { answer(it) { submit(it) } }
+        router.post("/v1/recall").handler { answer(it) { recall(it) } }
+        router.post("/v1/drain").handler(::drain)
+        router.get("/v1/report/burn").handler(::burnReport)
+        return router
+    }
+
+    private fun authorize(context: RoutingContext) {
+        if (token.accepts(context.request().getHeader("Authorization"))) {
+            context.next()
+        } else {
+            log.write(ConsoleLogEvent.OPERATOR_UNAUTHORIZED, "remote" to context.request().remoteAddress())
+            context.failure(Failure(ErrorKind.UNAUTHORIZED))
+        }
+    }
+
+    private fun readiness(context: RoutingContext) {
+        val status = port.status()
+        val isReady = status.isReady && !status.isDraining
+        context.response().setStatusCode(if (isReady) STATUS_OK else ErrorKind.NOT_READY.status)
+        context.text(if (isReady) "ready\n" else "not ready\n")
+    }
+
+    private fun document(context: RoutingContext) {
+        val accepted = port.document()
+        if (accepted == null) {
+            context.failure(Failure(ErrorKind.NOT_READY, "no document has been accepted yet"))
+        } else {
+            context.response().putHeader(REVISION_HEADER, accepted.revision.toString())
+            context.text(accepted.text)
+        }
+    }
+
+    private suspend fun submit(context: RoutingContext) {
+        val based = context.queryParam("revision").firstOrNull()?.toLongOrNull()
+        val text = context.body().asString().orEmpty()
+        if (based == null) {
+            val detail = "query parameter \"revision\" must be the revision that was read"
+            context.failure(Failure(ErrorKind.INVALID_REQUEST, detail))
+        } else {
+            submit(context, Submission(text, Revision(based), submissionId(context)))
+        }
+    }
+
+    private suspend fun recall(context: RoutingContext) {
+        val batch = context.queryParam("batch").firstOrNull()?.takeIf { it.isNotBlank() }
+        val reason = context.queryParam("reason").firstOrNull().orEmpty()
+        val accepted = port.document()
+        when {
+            batch == null -> context.failure(Failure(ErrorKind.INVALID_REQUEST, "query parameter \"batch\" is missing"))
+            accepted == null -> context.failure(Failure(ErrorKind.NOT_READY, "no document has been accepted yet"))
+            else ->
+                when (val changed = Documents.withRecall(accepted.document, BatchId(batch), reason)) {
+                    is Parsed.Invalid -> context.failure(Failure(ErrorKind.DOCUMENT_INVALID), changed.faults)
+                    is Parsed.Valid -> {
+                        val text = DocumentWriter.write(changed.value)
+                        submit(context, Submission(text, accepted.revision, submissionId(context)))
+                    }
+                }
+        }
+    }
+
+    private suspend fun submit(context: RoutingContext, submission: Submission) {
+        val result = port.submit(submission)
+        val failure = result.failure
+        log.write(
+            ConsoleLogEvent.DOCUMENT_SUBMITTED,
+            "submission" to submission.submissionId,
+            "based_on" to submission.basedOn,
+            "result" to (failure?.kind ?: "accepted"),
+        )
+        when (result) {
+            is SubmissionResult.Accepted ->
+                context.json(buildJsonObject { put("revision", result.document.revision.value) }.toString())
+            is SubmissionResult.Invalid -> context.failure(result.failure, result.faults)
+            is SubmissionResult.Raced -> context.failure(result.failure)
+            is SubmissionResult.Failed -> context.failure(result.failure)
+        }
+    }
+
+    private fun submissionId(context: RoutingContext): String =
+        context.queryParam("submission").firstOrNull() ?: UUID.randomUUID().toString()
+
+    private fun drain(context: RoutingContext) {
+        log.write(ConsoleLogEvent.DRAIN_REQUESTED, "remote" to context.request().remoteAddress())
+        port.drain()
+        context.json(buildJsonObject { put("draining", true) }.toString())
+    }
+
+    private fun burnReport(context: RoutingContext) {
+        val format = context.queryParam("format").firstOrNull() ?: "text"
+        val report = port.burnReport(format)
+        if (format == "json") context.json(report) else context.text(report)
+    }
+
+    private fun answer(context: RoutingContext, block: suspend () -> Unit) {
+        scope.launch {
+            try {
+                block()
+            } catch (failure: Exception) {
+                log.write(ConsoleLogEvent.OPERATOR_REQUEST_FAILED, cause = failure)
+                context.response().setStatusCode(STATUS_INTERNAL_ERROR).end()
+            }
+        }
+    }
+
+    private fun RoutingContext.text(body: String) {
+        response().putHeader("Content-Type", "text/plain; charset=utf-8").end(body)
+    }
+
+    private fun RoutingContext.json(body: String) {
+        response().putHeader("Content-Type", "application/json").end(body)
+    }
+
+    private fun RoutingContext.failure(failure: Failure, faults: List<ConfigurationFault> = emptyList()) {
+        val body =
+            buildJsonObject {
+                put("kind", failure.kind.name)
+                put("message", failure.kind.text)
+                put("detail", failure.detail)
+                if (faults.isNotEmpty()) putJsonArray("faults") { faults.forEach { add(it.toString()) } }
+            }
+        response().setStatusCode(failure.kind.status)
+        json(body.toString())
+    }
+
+    internal companion object {
+        const val REVISION_HEADER = "Azuredale-Revision"
+        private const val MAXIMUM_BODY_BYTES = 1_048_576L
+        private const val STATUS_OK = 200
+        private const val STATUS_INTERNAL_ERROR = 500
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/console/OperatorPort.kt
@@ -0,0 +1,27 @@
+package azuredale.console
+
+import azuredale.configuration.AcceptedDocument
+import azuredale.configuration.SubmissionResult
+import azuredale.identity.Revision
+
+/** A document that an operator submits, based on the revision that the operator read. */
+public data class Submission(
+    val text: String,
+    val basedOn: Revision,
+    val submissionId: String,
+)
+
+/**
+ * What the operator interface needs of the router.
+ *
+ * @property submit answers once the document is accepted and pushed to the connected routers, or refused.
+ * @property burnReport renders the burn report as `text`, `json` or `html`.
+ */
+public class OperatorPort(
+    public val document: () -> AcceptedDocument?,
+    public val submit: suspend (Submission) -> SubmissionResult,
+    public val status: () -> FleetStatus,
+    public val drain: () -> Unit,
+    public val metrics: () -> String,
+    public val burnReport: (format: String) -> String,
+)
--- /dev/null
+++ b/src/main/kotlin/azuredale/demo/DemoCaller.kt
@@ -0,0 +1,178 @@
+package azuredale.demo
+
+import azuredale.identity.NetworkAddress
+import azuredale.identity.TeamId
+import azuredale.standin.AnswerText
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.core.json.JsonObject
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+
+/** Callers of the demo: they ask a router for addresses, connect there, and check every answer. */
+internal class DemoCaller(
+    vertx: Vertx,
+    private val entry: List<NetworkAddress>,
+    private val ledger: DemoLedger,
+    private val random: Random,
+) {
+    private val client = vertx.createHttpClient(HttpClientOptions(), PoolOptions().setHttp1MaxSize(CONNECTIONS))
+    private val lastId = AtomicLong()
+
+    /** Sends one streamed completion and records how it ended. */
+    suspend fun complete(team: TeamId) {
+        val prompt = "${team.name} question ${lastId.incrementAndGet()}"
+        val count = random.nextInt(SHORTEST, LONGEST)
+        val body = JsonObject().put("model", DemoFleet.MODEL).put("prompt", prompt).put("max_tokens", count)
+        val answer = StreamedAnswer(team, ledger)
+        ledger.waits(team)
+        val outcome =
+            try {
+                val address = address(team, tickets = 0).first
+                val request = options(address, "/v1/completions").putHeader("Azuredale-Team", team.name)
+                val response = send(request, body.put("stream", true).toBuffer(), answer::received)
+                outcomeOf(response, answer.hasEnded)
+            } catch (failure: java.io.IOException) {
+                "no answer (${failure.javaClass.simpleName})"
+            }
+        answer.stopWaiting()
+        val isWhole = answer.text == AnswerText.whole(prompt, count)
+        ledger.completionEnded(team, outcome, count, isWhole)
+        if (outcome != DemoLedger.COMPLETED) delay(PAUSE_MILLISECONDS)
+    }
+
+    /** Sends one non-idempotent call with a ticket, and repeats it once with the same ticket. */
+    suspend fun releaseLocker(team: TeamId) {
+        val id = "release-${lastId.incrementAndGet()}"
+        val (address, ticket) = address(team, tickets = 1)
+        val request =
+            options(address, "/service/${DemoFleet.LOCKERS}/release")
+                .putHeader("Azuredale-Team", team.name)
+                .putHeader("Azuredale-Ticket", ticket.orEmpty())
+        repeat(2) {
+            val call =
+                try {
+                    val response = send(request, Buffer.buffer(id)) { }
+                    val isNotRun = response.getHeader("Azuredale-Execution") == "not-run"
+                    ServiceCall(outcomeOf(response, hasEnded = response.statusCode() < FAILURES), isNotRun)
+                } catch (failure: java.io.IOException) {
+                    ServiceCall("no answer (${failure.javaClass.simpleName})", isNotRun = false)
+                }
+            ledger.serviceCallEnded(id, call)
+        }
+    }
+
+    /** Closes the connections. */
+    fun close() {
+        client.close()
+    }
+
+    private suspend fun address(team: TeamId, tickets: Int): Pair<NetworkAddress, String?> {
+        val router = entry.random(random)
+        val request = options(router, "/v1/address?team=$team&count=1&tickets=$tickets").setMethod(HttpMethod.GET)
+        var answer = Buffer.buffer()
+        send(request, Buffer.buffer()) { answer = answer.appendBuffer(it) }
+        val chosen = answer.toJsonObject().getJsonArray("addresses").getJsonObject(0)
+        val ticket = chosen.getJsonArray("tickets").firstOrNull() as String?
+        return checkNotNull(NetworkAddress.parse(chosen.getString("address"))) to ticket
+    }
+
+    private fun options(address: NetworkAddress, path: String): RequestOptions = RequestOptions()
+        .setHost(address.host)
+        .setPort(address.port)
+        .setURI(path)
+        .setMethod(HttpMethod.POST)
+
+    private suspend fun send(options: RequestOptions, body: Buffer, chunk: (Buffer) -> Unit): HttpClientResponse {
+        // The inner composition runs on the connection's event loop, before it can deliver the end of the response.
+        return client
+            .request(options)
+            .compose { request ->
+                request.send(body).compose { response ->
+                    response.handler(chunk)
+                    response.end().map(response)
+                }
+            }.coAwait()
+    }
+
+    private fun outcomeOf(response: HttpClientResponse, hasEnded: Boolean): String = when {
+        response.statusCode() < FAILURES && hasEnded -> DemoLedger.COMPLETED
+        else -> response.getHeader("Azuredale-Outcome") ?: "status ${response.statusCode()}"
+    }
+
+    private companion object {
+        const val CONNECTIONS = 256
+        const val SHORTEST = 8
+        const val LONGEST = 60
+        const val FAILURES = 400
+        const val PAUSE_MILLISECONDS = 100L
+    }
+}
+
+/** Collects a streamed completion. */
+internal class StreamedAnswer(
+    private val team: TeamId,
+    private val ledger: DemoLedger,
+) {
+    private val lines = StringBuilder()
+    private val collected = StringBuilder()
+    private var isWaiting = true
+
+    /** Whether the end marker arrived. */
+    var hasEnded: Boolean = false
+        private set
+
+    /** The text so far. */
+    val text: String get() = collected.toString()
+
+    /** Takes a part of the stream. */
+    fun received(chunk: Buffer) {
+        lines.append(chunk.toString(Charsets.UTF_8))
+        var tokens = 0
+        while (true) {
+            val end = lines.indexOf("\n")
+            if (end < 0) break
+            if (takeLine(lines.substring(0, end).trim())) tokens++
+            lines.delete(0, end + 1)
+        }
+        if (tokens > 0) {
+            stopWaiting()
+            ledger.received(team, tokens)
+        }
+    }
+
+    /** Tells the ledger that the request no longer waits. */
+    fun stopWaiting() {
+        if (isWaiting) ledger.noLongerWaits(team)
+        isWaiting = false
+    }
+
+    /** Returns whether [line] carried a token. */
+    private fun takeLine(line: String): Boolean {
+        val data = line.takeIf { it.startsWith(PREFIX) }?.removePrefix(PREFIX)
+        if (data == null || data == END) {
+            hasEnded = hasEnded || data == END
+            return false
+        }
+        val part =
+            JsonObject(data)
+                .getJsonArray("choices")
+                ?.getJsonObject(0)
+                ?.getString("text")
+                .orEmpty()
+        collected.append(part)
+        return part.isNotEmpty()
+    }
+
+    private companion object {
+        const val PREFIX = "data: "
+        const val END = "[DONE]"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/demo/DemoFleet.kt
@@ -0,0 +1,171 @@
+package azuredale.demo
+
+import azuredale.configuration.BackendServer
+import azuredale.configuration.Document
+import azuredale.configuration.DocumentWriter
+import azuredale.configuration.ModelVersionEntry
+import azuredale.configuration.Pool
+import azuredale.configuration.PoolKind
+import azuredale.configuration.RouterSettings
+import azuredale.configuration.Secret
+import azuredale.configuration.SubmissionResult
+import azuredale.configuration.Team
+import azuredale.console.Submission
+import azuredale.identity.BatchId
+import azuredale.identity.FailureDomain
+import azuredale.identity.ModelVersion
+import azuredale.identity.NetworkAddress
+import azuredale.identity.PoolId
+import azuredale.identity.Region
+import azuredale.identity.Revision
+import azuredale.identity.RouterId
+import azuredale.identity.ServerId
+import azuredale.identity.TeamId
+import azuredale.node.RouterDaemon
+import azuredale.standin.EngineSettings
+import azuredale.standin.EngineStandIn
+import azuredale.standin.PlatformStandIn
+import azuredale.standin.ServiceStandIn
+import io.vertx.core.Vertx
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.UUID
+
+/** Three routers, the platform's stand-in, four engines of unequal speed and a plain service, all on loopback. */
+internal class DemoFleet(private val vertx: Vertx) {
+    private val platform = PlatformStandIn(vertx)
+    private val engines = engineSpeeds.map { speed -> EngineStandIn(vertx, engineSettings(speed)) }
+    val service: ServiceStandIn = ServiceStandIn(vertx)
+    lateinit var routers: List<RouterDaemon>
+        private set
+
+    /** Addresses where callers connect. */
+    lateinit var callerAddresses: List<NetworkAddress>
+        private set
+
+    /** Slots of all engines together. */
+    val engineSlots: Int = engineSpeeds.size * SLOTS
+
+    /** Requests that run at the engines at this moment. */
+    fun busySlots(): Int = engines.sumOf { it.open.coerceAtMost(SLOTS) }
+
+    /** Starts everything and returns once every router is ready to take work; throws when that takes too long. */
+    suspend fun start() {
+        val platformPort = platform.start()
+        engines.forEach { it.start() }
+        service.start()
+        val settings = routerSettings(platformPort)
+        callerAddresses = settings.map { it.callerAddress }
+        routers = settings.map { RouterDaemon(it, vertx) }
+        routers.forEach { it.start() }
+        val text = DocumentWriter.write(document())
+        checkNotNull(withTimeoutOrNull(START_MILLISECONDS) { submitUntilAccepted(text) }) { "no document was accepted" }
+        checkNotNull(withTimeoutOrNull(START_MILLISECONDS) { awaitReady() }) { "the routers did not become ready" }
+    }
+
+    /** Drains every router and returns whether all of them ended within the time allowed. */
+    suspend fun drain(): Boolean {
+        routers.forEach { it.drain() }
+        return withTimeoutOrNull(START_MILLISECONDS) { routers.forEach { it.awaitDrained() } } != null
+    }
+
+    /** Closes all sockets. */
+    suspend fun stop() {
+        routers.forEach { it.stop() }
+        engines.forEach { it.stop() }
+        service.stop()
+        platform.stop()
+    }
+
+    private suspend fun submitUntilAccepted(text: String) {
+        while (true) {
+            val submission = Submission(text, Revision.NONE, UUID.randomUUID().toString())
+            if (routers.first().submit(submission) is SubmissionResult.Accepted) return
+            delay(RETRY_MILLISECONDS)
+        }
+    }
+
+    private suspend fun awaitReady() {
+        while (!routers.all { it.isReady() }) delay(RETRY_MILLISECONDS)
+    }
+
+    private fun document(): Document {
+        val version = ModelVersion("small@1")
+        val engineServers =
+            engines.mapIndexed { index, engine ->
+                BackendServer(
+                    id = ServerId("engine-${index + 1}"),
+                    pool = MODELS,
+                    address = NetworkAddress(LOOPBACK, engine.port),
+                    failureDomain = domains[index % domains.size],
+                    slots = SLOTS,
+                    batch = BatchId(if (index == 0) "blue" else "green"),
+                    modelVersions = setOf(version),
+                )
+            }
+        val lockers =
+            BackendServer(
+                ServerId("lockers-1"),
+                LOCKERS,
+                NetworkAddress(LOOPBACK, service.port),
+                domains.first(),
+                SLOTS,
+            )
+        return Document(
+            failureDomains = domains.associateWith { Region("south") },
+            teams = teamShares.mapValues { (id, share) -> Team(id, share, setOf(MODELS, LOCKERS)) },
+            pools =
+                listOf(Pool(MODELS, PoolKind.MODEL, initialCost = 60.0), Pool(LOCKERS, PoolKind.SERVICE))
+                    .associateBy { it.id },
+            servers = (engineServers + lockers).associateBy { it.id },
+            modelVersions = mapOf(version to ModelVersionEntry(version)),
+        )
+    }
+
+    private fun routerSettings(platformPort: Int): List<RouterSettings> {
+        val probeAddresses = domains.map { freeAddress() }
+        return domains.mapIndexed { index, domain ->
+            RouterSettings(
+                router = RouterId("router-${index + 1}"),
+                region = Region("south"),
+                failureDomain = domain,
+                callerAddress = freeAddress(),
+                operatorAddress = freeAddress(),
+                peerAddress = freeAddress(),
+                probeAddress = probeAddresses[index],
+                platform = listOf(NetworkAddress(LOOPBACK, platformPort)),
+                fleetKey = fleetKey,
+                operatorToken = operatorToken,
+                virtualMachineList = NetworkAddress(LOOPBACK, platformPort),
+                seeds = probeAddresses - probeAddresses[index],
+            )
+        }
+    }
+
+    private fun engineSettings(speed: Double) =
+        EngineSettings(slots = SLOTS, tokensPerSecond = speed, firstTokenMilliseconds = FIRST_TOKEN_MILLISECONDS)
+
+    /** A port that was free a moment ago. */
+    private fun freeAddress(): NetworkAddress =
+        ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { NetworkAddress(LOOPBACK, it.localPort) }
+
+    companion object {
+        const val SLOTS = 4
+        val MODELS = PoolId("models")
+        val LOCKERS = PoolId("lockers")
+        const val MODEL = "small"
+
+        /** Shares of the demo's teams. */
+        val teamShares = mapOf(TeamId("outlets") to 3.0, TeamId("counter") to 2.0, TeamId("kiosk") to 1.0)
+        private const val LOOPBACK = "127.0.0.1"
+        private const val FIRST_TOKEN_MILLISECONDS = 15L
+        private const val START_MILLISECONDS = 15_000L
+        private const val RETRY_MILLISECONDS = 100L
+        private val engineSpeeds = listOf(50.0, 80.0, 120.0, 200.0)
+        private val domains = listOf("south-a", "south-b", "south-c").map(::FailureDomain)
+        private val fleetKey = Secret(UUID.randomUUID().toString())
+        private val operatorToken = Secret(UUID.randomUUID().toString())
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/node/DrainProgress.kt
@@ -0,0 +1,33 @@
+package azuredale.node
+
+import azuredale.time.Timestamp
+
+/** Steps of a graceful shutdown: requested, idle, left. */
+internal class DrainProgress {
+    @Volatile
+    var isRequested: Boolean = false
+        private set
+    private var hasLeft = false
+    private var quietUntil = Timestamp.DISTANT_PAST
+
+    /** Begins the shutdown. */
+    fun request() {
+        isRequested = true
+    }
+
+    /**
+     * Leaves the fleet once no work has been left for [QUIET_MILLISECONDS], so that settlements already queued reach
+     * the allotters before the connections close.
+     */
+    fun tick(now: Timestamp, hasWork: Boolean, leave: (Timestamp) -> List<NodeEffect>): List<NodeEffect> {
+        if (!isRequested || hasLeft) return emptyList()
+        if (hasWork || quietUntil == Timestamp.DISTANT_PAST) quietUntil = now.plusMilliseconds(QUIET_MILLISECONDS)
+        if (now < quietUntil) return emptyList()
+        hasLeft = true
+        return leave(now) + NodeEffect.Drained
+    }
+
+    private companion object {
+        const val QUIET_MILLISECONDS = 500L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -0,0 +1,249 @@
+package azuredale.node
+
+import azuredale.blackboard.WorkerPool
+import azuredale.configuration.AcceptedDocument
+import azuredale.configuration.DocumentSource
+import azuredale.configuration.DocumentSubmitter
+import azuredale.configuration.RouterSettings
+import azuredale.configuration.SubmissionResult
+import azuredale.console.OperatorEdge
+import azuredale.console.OperatorPort
+import azuredale.console.Submission
+import azuredale.identity.Incarnation
+import azuredale.identity.Revision
+import azuredale.identity.RouterId
+import azuredale.logging.EventLog
+import azuredale.membership.DatagramEdge
+import azuredale.platform.CallBudget
+import azuredale.platform.EtcdGatewayClient
+import azuredale.routing.AddressPlanner
+import azuredale.routing.EdgeSettings
+import azuredale.routing.HttpEdge
+import azuredale.time.Clock
+import azuredale.time.systemClock
+import azuredale.transport.PeerTransport
+import azuredale.transport.TransportHandlers
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+
+/**
+ * One router process: sockets, workers and timers around a [RouterNode].
+ *
+ * ```
+ * val daemon = RouterDaemon(settings, Vertx.vertx())
+ * daemon.start()
+ * daemon.drain()
+ * daemon.awaitDrained()
+ * daemon.stop()
+ * ```
+ */
+public class RouterDaemon(
+    private val settings: RouterSettings,
+    private val vertx: Vertx,
+    private val clock: Clock = systemClock(),
+    random: Random = Random.Default,
+) {
+    private val log = EventLog("azuredale.node")
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val incarnation = Incarnation(clock().microseconds)
+    private val drained = CompletableDeferred<Unit>()
+
+    /** The decisions of this router. */
+    public val node: RouterNode = RouterNode(settings, incarnation, random)
+
+    private val workers =
+        WorkerPool<NodeEvent>(
+            workers = settings.workers,
+            capacity = QUEUED_EVENTS,
+            keyOf = { RouterNode.lane(it).ordinal },
+            handle = ::handle,
+            onFailure = { event, failure ->
+                log.write(NodeLogEvent.EVENT_FAILED, "type" to event::class.simpleName, cause = failure)
+            },
+        )
+    private val transport =
+        PeerTransport(
+            self = settings.router,
+            incarnation = incarnation,
+            address = settings.peerAddress,
+            fleetKey = settings.fleetKey.bytes(),
+            addressOf = ::peerAddress,
+            handlers =
+                TransportHandlers(
+                    message = { from, message -> workers.post(NodeEvent.MessageReceived(from, message)) },
+                    connected = { router, _ -> workers.post(NodeEvent.PeerConnected(router)) },
+                    disconnected = { router -> workers.post(NodeEvent.PeerDisconnected(router)) },
+                ),
+        )
+    private val datagrams =
+        DatagramEdge(settings.router, settings.probeAddress, settings.fleetKey.bytes()) { from, message ->
+            offer(NodeEvent.DatagramReceived(from, message))
+        }
+    private val budget = CallBudget(PLATFORM_CALLS_PER_SECOND, PLATFORM_CALL_BURST, clock)
+    private val keyValueService = EtcdGatewayClient(vertx, settings.platform, budget, clock)
+    private val platform =
+        PlatformEdge(
+            source = DocumentSource(keyValueService, clock),
+            claim = { ClaimResult.UNAVAILABLE },
+            scope = scope,
+            post = ::offer,
+        )
+    private val addresses =
+        AddressPlanner(
+            region = settings.region,
+            members = node.membership::members,
+            document = node.documents::document,
+            tickets = node.tickets,
+            load = { 0.0 },
+            random = random,
+            validSeconds = settings.addressDeadlineSeconds,
+        )
+    private val callers =
+        HttpEdge(
+            settings =
+                EdgeSettings(
+                    router = settings.router,
+                    incarnation = incarnation,
+                    address = settings.callerAddress,
+                    requestBytes = settings.requestLimitBytes,
+                    requestDeadlineSeconds = settings.requestDeadlineSeconds,
+                ),
+            vertx = vertx,
+            port = ::offer,
+            document = node.documents::document,
+            addresses = addresses::plan,
+            clock = clock,
+        )
+    private val submitter =
+        DocumentSubmitter(
+            service = keyValueService,
+            clock = clock,
+            held = node.documents::document,
+            isConnectedWithMajority = { node.documents.isConnectedWithMajority(clock()) },
+            push = ::pushAccepted,
+        )
+    private val operators = OperatorEdge(vertx, settings, operatorPort(), scope)
+
+    /** Bytes of messages and datagrams sent to other routers. */
+    public val controlBytesSent: Long
+        get() = transport.counters.bytesSent.sum() + datagrams.bytesSent.sum()
+
+    /** Opens all sockets and starts the workers. */
+    public suspend fun start() {
+        workers.start(scope, Dispatchers.Default)
+        transport.start()
+        datagrams.start()
+        operators.start()
+        callers.start()
+        scope.launch { tick() }
+        log.write(NodeLogEvent.ROUTER_STARTED, "router" to settings.router, "incarnation" to incarnation)
+    }
+
+    /** Begins a graceful shutdown: no new work, running requests end. */
+    public fun drain() {
+        log.write(NodeLogEvent.DRAIN_STARTED, "router" to settings.router)
+        offer(NodeEvent.DrainRequested)
+    }
+
+    /** Returns once a graceful shutdown has left no work. */
+    public suspend fun awaitDrained() {
+        drained.await()
+        log.write(NodeLogEvent.DRAIN_COMPLETED, "router" to settings.router)
+    }
+
+    /** Closes all sockets at once. */
+    public suspend fun stop() {
+        callers.stop()
+        operators.stop()
+        scope.cancel()
+        workers.close()
+        transport.stop()
+        datagrams.stop()
+        keyValueService.close()
+        log.write(NodeLogEvent.ROUTER_STOPPED, "router" to settings.router)
+    }
+
+    private suspend fun tick() {
+        while (scope.isActive) {
+            offer(NodeEvent.Tick)
+            delay(NodeEvent.TICK_MILLISECONDS)
+        }
+    }
+
+    /** Whether this router takes new work at this moment. */
+    public fun isReady(): Boolean = node.documents.mayGiveOutWork(clock()) && !node.isDraining
+
+    /** Submits a document on behalf of an operator. */
+    public suspend fun submit(submission: Submission): SubmissionResult =
+        submitter.submit(submission.text, submission.basedOn, submission.submissionId)
+
+    /** Hands an accepted document to the node, whose effects send it to the peers, and waits until that is done. */
+    private suspend fun pushAccepted(document: AcceptedDocument) {
+        workers.post(NodeEvent.DocumentRead(document))
+        while ((node.documents.document()?.revision ?: Revision.NONE) < document.revision) {
+            delay(NodeEvent.TICK_MILLISECONDS)
+        }
+    }
+
+    private fun operatorPort(): OperatorPort = OperatorPort(
+        document = node.documents::document,
+        submit = ::submit,
+        status = { describeFleet(node, settings, incarnation, isReady()) },
+        drain = ::drain,
+        metrics = { "" },
+        burnReport = { "" },
+    )
+
+    private fun offer(event: NodeEvent) {
+        if (!workers.offer(event)) {
+            log.write(NodeLogEvent.EVENT_QUEUE_FULL, "type" to event::class.simpleName)
+        }
+    }
+
+    private suspend fun handle(event: NodeEvent) {
+        node.handle(event, clock()).forEach { effect ->
+            try {
+                execute(effect)
+            } catch (failure: Exception) {
+                log.write(NodeLogEvent.EFFECT_FAILED, "type" to effect::class.simpleName, cause = failure)
+            }
+        }
+    }
+
+    private suspend fun execute(effect: NodeEffect) {
+        when (effect) {
+            is NodeEffect.SendMessage -> transport.send(effect.to, effect.message)
+            is NodeEffect.SendDatagram -> datagrams.send(effect.to, effect.message)
+            is NodeEffect.ReadDocument -> platform.readDocument()
+            is NodeEffect.WatchDocument -> platform.watchDocument(effect.isWatching)
+            is NodeEffect.ClaimKey -> platform.claimKey(effect)
+            is NodeEffect.Drained -> drained.complete(Unit)
+            is NodeEffect.StartAttempt, is NodeEffect.CancelAttempt, is NodeEffect.FinishRequest ->
+                callers.execute(
+                    effect,
+                )
+            is NodeEffect.SlotGranted, is NodeEffect.SlotRefused -> error("$effect must stay inside the node")
+        }
+    }
+
+    private fun peerAddress(router: RouterId) = node.membership
+        .allKnown()
+        .firstOrNull { it.router == router }
+        ?.peerAddress
+
+    private companion object {
+        const val QUEUED_EVENTS = 8_192
+
+        /** At 390 routers this stays below the service's rate, because only the watchers of a domain call regularly. */
+        const val PLATFORM_CALLS_PER_SECOND = 20.0
+        const val PLATFORM_CALL_BURST = 40
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/node/RouterNode.kt
@@ -0,0 +1,243 @@
+package azuredale.node
+
+import azuredale.configuration.DocumentController
+import azuredale.configuration.RouterSettings
+import azuredale.identity.Incarnation
+import azuredale.identity.Revision
+import azuredale.identity.RouterId
+import azuredale.logging.EventLog
+import azuredale.membership.Member
+import azuredale.membership.MemberState
+import azuredale.membership.MembershipController
+import azuredale.membership.MembershipLinks
+import azuredale.outcome.OutcomeBounds
+import azuredale.outcome.TicketController
+import azuredale.outcome.TicketSigner
+import azuredale.protocol.BurnCounts
+import azuredale.protocol.Confirmation
+import azuredale.protocol.Demand
+import azuredale.protocol.DocumentAnnounce
+import azuredale.protocol.DocumentBody
+import azuredale.protocol.DocumentRequest
+import azuredale.protocol.Grant
+import azuredale.protocol.PeerMessage
+import azuredale.protocol.Progress
+import azuredale.protocol.Register
+import azuredale.protocol.RegisterRequest
+import azuredale.protocol.Settle
+import azuredale.protocol.Withdraw
+import azuredale.routing.RequestController
+import azuredale.routing.SlotFunctions
+import azuredale.sharing.AllotterController
+import azuredale.sharing.RequesterController
+import azuredale.sharing.SharingContext
+import azuredale.sharing.SharingSettings
+import azuredale.time.Timestamp
+import kotlin.random.Random
+
+/**
+ * The controllers of one router, wired to each other.
+ *
+ * Effects that concern another controller of the same router are handled here; the rest is returned to the edge. Events
+ * of different [lane]s may be handled by different workers at the same time; events of one lane must stay in order.
+ *
+ * ```
+ * val node = RouterNode(settings, Incarnation(startedAt.microseconds), Random.Default)
+ * node.handle(NodeEvent.Tick, clock()).forEach(edge::execute)
+ * ```
+ */
+public class RouterNode(
+    private val settings: RouterSettings,
+    private val incarnation: Incarnation,
+    random: Random,
+    sharingSettings: SharingSettings = SharingSettings(),
+) : DecisionCore {
+    private val log = EventLog("azuredale.node")
+    private val self =
+        Member(
+            router = settings.router,
+            incarnation = incarnation,
+            state = MemberState.ALIVE,
+            region = settings.region,
+            failureDomain = settings.failureDomain,
+            peerAddress = settings.peerAddress,
+            probeAddress = settings.probeAddress,
+            callerAddress = settings.callerAddress,
+            weight = settings.weight,
+        )
+
+    /** Holds the document in force. */
+    public val documents: DocumentController =
+        DocumentController(settings.router, settings.failureDomain) { settings.seeds.size }
+
+    /** Failure detector. */
+    public val membership: MembershipController =
+        MembershipController(
+            initial = self,
+            seeds = settings.seeds,
+            random = random,
+            links =
+                MembershipLinks(
+                    revision = { documents.document()?.revision ?: Revision.NONE },
+                    confirmation = documents::confirmation,
+                    onConfirmation = ::heardFromPeer,
+                    onEvent = { event, router, detail -> log.write(event, "router" to router, "detail" to detail) },
+                ),
+        )
+
+    private val sharing =
+        SharingContext(
+            self = settings.router,
+            incarnation = incarnation,
+            region = settings.region,
+            members = membership::members,
+            document = documents::document,
+            mayGiveOutWork = documents::mayGiveOutWork,
+            random = random,
+        )
+
+    /** Allots slots of the shards that this router leads. */
+    public val allotter: AllotterController = AllotterController(sharing, sharingSettings)
+
+    /** Queues this router's requests for slots. */
+    public val requester: RequesterController = RequesterController(sharing, sharingSettings)
+
+    /** Tickets and kept outcomes. */
+    public val tickets: TicketController =
+        TicketController(
+            settings.router,
+            incarnation,
+            TicketSigner(settings.fleetKey),
+            OutcomeBounds(ticketSeconds = settings.ticketDeadlineSeconds),
+        )
+
+    /** Requests of this router's callers. */
+    public val requests: RequestController =
+        RequestController(
+            slots =
+                SlotFunctions(
+                    submit = requester::submit,
+                    withdraw = requester::withdraw,
+                    progressed = requester::progressed,
+                    settled = requester::settled,
+                ),
+            document = documents::document,
+            mayGiveOutWork = documents::mayGiveOutWork,
+            tickets = tickets,
+        )
+
+    private val drain = DrainProgress()
+    private var knownMembership = -1L
+    private var knownRevision = Revision.NONE
+
+    /** Whether a graceful shutdown has begun. */
+    public val isDraining: Boolean get() = drain.isRequested
+
+    override fun handle(event: NodeEvent, now: Timestamp): List<NodeEffect> {
+        val output = mutableListOf<NodeEffect>()
+        val pending = ArrayDeque(decide(event, now))
+        if (lane(event) == Lane.REQUESTS) pending += propagateChanges(now)
+        while (pending.isNotEmpty()) {
+            val effect = pending.removeFirst()
+            val followUps = handleInside(effect, now)
+            if (followUps == null) output += effect else pending += followUps
+        }
+        return output
+    }
+
+    private fun decide(event: NodeEvent, now: Timestamp): List<NodeEffect> = when (event) {
+        is NodeEvent.Tick -> tick(now)
+        is NodeEvent.RequestReceived -> requests.requestReceived(event.request, now)
+        is NodeEvent.CallerGone -> requests.callerGone(event.request, now)
+        is NodeEvent.AttemptProgressed -> requests.attemptProgressed(event.request, event.attempt, event.cost, now)
+        is NodeEvent.AttemptEnded -> requests.attemptEnded(event.request, event.attempt, event.result, now)
+        is NodeEvent.KeyClaimed -> requests.keyClaimed(event.request, event.result, now)
+        is NodeEvent.MessageReceived -> messageReceived(event.from, event.message, now)
+        is NodeEvent.PeerConnected -> peerConnected(event.router, now)
+        is NodeEvent.PeerDisconnected -> peerDisconnected(event.router, now)
+        is NodeEvent.DatagramReceived -> membership.datagramReceived(event.from, event.message, now)
+        is NodeEvent.DocumentRead -> documents.documentRead(event.document, now)
+        is NodeEvent.RevisionConfirmed -> documents.revisionConfirmed(event.revision, now)
+        is NodeEvent.PlatformFailed -> documents.platformFailed(now)
+        is NodeEvent.VirtualMachinesListed -> membership.virtualMachinesListed(event.live, event.leaving, now)
+        is NodeEvent.LoadReported -> allotter.loadReported(event.report, now)
+        is NodeEvent.CacheEventsReceived -> allotter.cacheEventsReceived(event.events, now)
+        is NodeEvent.DrainRequested -> drainRequested(now)
+    }
+
+    private fun tick(now: Timestamp): List<NodeEffect> = membership.tick(now) +
+        documents.tick(now) +
+        allotter.tick(now) +
+        requester.tick(now) +
+        requests.tick(now) +
+        drain.tick(now, hasWork = !requests.isIdle(), leave = membership::leave)
+
+    private fun drainRequested(now: Timestamp): List<NodeEffect> {
+        drain.request()
+        return membership.drain(now) + requests.drain(now)
+    }
+
+    private fun peerConnected(router: RouterId, now: Timestamp): List<NodeEffect> =
+        allotter.peerConnected(router, now) + requester.peerConnected(router, now)
+
+    private fun peerDisconnected(router: RouterId, now: Timestamp): List<NodeEffect> =
+        allotter.peerDisconnected(router, now) + requester.peerDisconnected(router, now)
+
+    private fun messageReceived(from: RouterId, message: PeerMessage, now: Timestamp): List<NodeEffect> =
+        when (message) {
+            is Register, is Demand, is Withdraw, is Progress, is Settle -> allotter.messageReceived(from, message, now)
+            is Grant, is RegisterRequest -> requester.messageReceived(from, message, now)
+            is DocumentAnnounce, is DocumentRequest, is DocumentBody -> documents.messageReceived(from, message, now)
+            is BurnCounts -> emptyList()
+        }
+
+    private fun heardFromPeer(
+        confirmation: Confirmation,
+        router: RouterId,
+        revision: Revision,
+        now: Timestamp,
+    ): List<NodeEffect> =
+        documents.confirmationReceived(confirmation, now) + documents.peerRevision(router, revision, now)
+
+    /** Tells the other controllers of changes to the members and document tables since the last call. */
+    private fun propagateChanges(now: Timestamp): List<NodeEffect> {
+        val effects = mutableListOf<NodeEffect>()
+        if (membership.hasChangedSince(knownMembership)) {
+            knownMembership = membership.version
+            effects += documents.membersChanged(membership.allKnown(), now)
+            effects += allotter.membersChanged(now)
+            effects += requester.membersChanged(now)
+        }
+        val revision = documents.document()?.revision ?: Revision.NONE
+        if (revision != knownRevision) {
+            knownRevision = revision
+            effects += allotter.documentChanged(now)
+            effects += requester.documentChanged(now)
+        }
+        return effects
+    }
+
+    /** Handles an effect that stays inside this router; returns null for one that concerns the edge. */
+    private fun handleInside(effect: NodeEffect, now: Timestamp): List<NodeEffect>? = when (effect) {
+        is NodeEffect.SlotGranted -> requests.slotGranted(effect.slot, effect.server, now)
+        is NodeEffect.SlotRefused -> requests.slotRefused(effect.slot, effect.failure, now)
+        is NodeEffect.SendMessage ->
+            if (effect.to == settings.router) messageReceived(settings.router, effect.message, now) else null
+        else -> null
+    }
+
+    public companion object {
+        /** The lane of [event]. */
+        public fun lane(event: NodeEvent): Lane = when (event) {
+            is NodeEvent.DatagramReceived, is NodeEvent.VirtualMachinesListed -> Lane.MEMBERSHIP
+            is NodeEvent.DocumentRead, is NodeEvent.RevisionConfirmed, is NodeEvent.PlatformFailed -> Lane.DOCUMENT
+            else -> Lane.REQUESTS
+        }
+    }
+}
+
+/**
+ * Groups of events that must stay in order. Sharing and requests are one lane, because messages to an allotter change
+ * its state step by step and must leave in the order of the decisions.
+ */
+public enum class Lane { MEMBERSHIP, DOCUMENT, REQUESTS }
