Add the request life cycle, HTTP edge, tickets and engine stand-ins

Cause: the daemon needs a path from a caller to a backend server. Change: add TicketSigner and TicketController with the used-tickets and kept-outcomes tables, RequestController with admission, retries and resumption, HttpEdge with its engine and service clients, AddressPlanner, EngineStandIn and ServiceStandIn. Failure states its execution, which is weaker than the kind's own when this router cannot vouch that the request was not run. RequestIdentity.Missing marks a non-idempotent request without ticket or key.

--- /dev/null
+++ b/src/main/kotlin/azuredale/outcome/KeptOutcomes.kt
@@ -0,0 +1,54 @@
+package azuredale.outcome
+
+import azuredale.blackboard.LockRank
+import azuredale.blackboard.Table
+import azuredale.logging.EventLog
+
+/** Outcomes of ended requests, bounded in rows and bytes; used inside the lock of the used tickets. */
+internal class KeptOutcomes(
+    private val bounds: OutcomeBounds,
+    private val log: EventLog,
+) {
+    private val rows = Table<OutcomeId, RunEnd>("kept outcomes", OWNER, bounds.keptRows, LockRank.USED_TICKETS)
+    private var bytes = 0L
+
+    fun find(id: OutcomeId): OutcomeUse? = rows.locked {
+        when (val end = rows[id]) {
+            is RunEnd.Answered -> end.answer?.let { OutcomeUse.Answer(it) }
+            is RunEnd.Failed -> OutcomeUse.Refused(end.failure)
+            RunEnd.NotRun, null -> null
+        }
+    }
+
+    /** Keeps [end], dropping the oldest outcomes when rows or bytes run out. */
+    fun keep(id: OutcomeId, end: RunEnd): Unit = rows.locked {
+        val size = sizeOf(end)
+        val isTooLarge = end is RunEnd.Answered && (end.answer == null || size > bounds.answerBytes)
+        if (isTooLarge) {
+            log.write(OutcomeLogEvent.OUTCOME_NOT_KEPT, "bytes" to size)
+        } else {
+            while (rows.isFull || (bytes + size > bounds.totalBytes && rows.size > 0)) dropOldest()
+            if (rows.put(id, end)) bytes += size
+        }
+    }
+
+    fun remove(id: OutcomeId): Unit = rows.locked {
+        rows.remove(id)?.let { bytes -= sizeOf(it) }
+    }
+
+    private fun dropOldest() {
+        val oldest = rows.entries.keys.first()
+        log.write(OutcomeLogEvent.OUTCOME_NOT_KEPT, "bytes" to bytes)
+        remove(oldest)
+    }
+
+    private fun sizeOf(end: RunEnd): Long = (end as? RunEnd.Answered)
+        ?.answer
+        ?.body
+        ?.size
+        ?.toLong() ?: 0L
+
+    private companion object {
+        const val OWNER = "TicketController"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/outcome/TicketSigner.kt
@@ -0,0 +1,96 @@
+package azuredale.outcome
+
+import azuredale.configuration.Secret
+import azuredale.identity.Incarnation
+import azuredale.identity.RouterId
+import azuredale.identity.TeamId
+import azuredale.time.Timestamp
+import java.io.ByteArrayInputStream
+import java.io.ByteArrayOutputStream
+import java.io.DataInputStream
+import java.io.DataOutputStream
+import java.io.IOException
+import java.security.MessageDigest
+import java.util.Base64
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/**
+ * Writes tickets as text and reads them back, authenticated with HMAC-SHA-256 under the fleet key.
+ *
+ * The text is base64url without padding: the ticket's fields followed by the 32-byte code.
+ *
+ * ```
+ * val text = signer.sign(ticket)
+ * val same = signer.verify(text) // null when the text was changed or signed with another key
+ * ```
+ */
+public class TicketSigner(fleetKey: Secret) {
+    private val key = SecretKeySpec(fleetKey.bytes(), ALGORITHM)
+
+    /** The signed text form of [ticket]. */
+    public fun sign(ticket: Ticket): String {
+        val fields = encode(ticket)
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(fields + code(fields))
+    }
+
+    /** The ticket in [text], or null when the text is malformed or its code is wrong. */
+    public fun verify(text: String): Ticket? {
+        if (text.length > LONGEST_TEXT) return null
+        val bytes =
+            try {
+                Base64.getUrlDecoder().decode(text)
+            } catch (_: IllegalArgumentException) {
+                return null
+            }
+        if (bytes.size <= CODE_BYTES) return null
+        val fields = bytes.copyOfRange(0, bytes.size - CODE_BYTES)
+        val isGenuine = MessageDigest.isEqual(code(fields), bytes.copyOfRange(fields.size, bytes.size))
+        return if (isGenuine) decode(fields) else null
+    }
+
+    private fun code(fields: ByteArray): ByteArray = Mac.getInstance(ALGORITHM).run {
+        init(key)
+        // The purpose is part of the authenticated bytes, so a code of a peer frame is never a valid ticket code.
+        update(PURPOSE)
+        doFinal(fields)
+    }
+
+    private fun encode(ticket: Ticket): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        DataOutputStream(bytes).run {
+            writeByte(VERSION)
+            writeUTF(ticket.target.name)
+            writeLong(ticket.targetIncarnation.value)
+            writeUTF(ticket.number.issuer.name)
+            writeLong(ticket.number.issuerIncarnation.value)
+            writeLong(ticket.number.number)
+            writeUTF(ticket.team.name)
+            writeLong(ticket.deadline.microseconds)
+        }
+        return bytes.toByteArray()
+    }
+
+    private fun decode(fields: ByteArray): Ticket? = try {
+        DataInputStream(ByteArrayInputStream(fields)).run {
+            if (readByte().toInt() == VERSION) readTicket() else null
+        }
+    } catch (_: IOException) {
+        null
+    }
+
+    private fun DataInputStream.readTicket(): Ticket {
+        val target = RouterId(readUTF())
+        val targetIncarnation = Incarnation(readLong())
+        val number = TicketNumber(RouterId(readUTF()), Incarnation(readLong()), readLong())
+        return Ticket(target, targetIncarnation, number, TeamId(readUTF()), Timestamp(readLong()))
+    }
+
+    private companion object {
+        const val ALGORITHM = "HmacSHA256"
+        const val CODE_BYTES = 32
+        const val VERSION = 1
+        const val LONGEST_TEXT = 1_024
+        val PURPOSE = "azuredale ticket".encodeToByteArray()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/AddressPlanner.kt
@@ -0,0 +1,76 @@
+package azuredale.routing
+
+import azuredale.configuration.AcceptedDocument
+import azuredale.identity.Region
+import azuredale.identity.RouterId
+import azuredale.membership.Member
+import azuredale.membership.MemberState
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Outcome
+import azuredale.outcome.TicketController
+import azuredale.outcome.refused
+import azuredale.time.Timestamp
+import kotlin.math.ln
+import kotlin.random.Random
+
+/**
+ * Chooses the routers that a caller connects to.
+ *
+ * Routers that are alive and not draining are drawn at random, weighted by VM size and present load, and taken from the
+ * failure domains in turn, those of the own region first. A caller so spreads its requests over failure domains.
+ *
+ * ```
+ * val plan = planner.plan(AddressQuery(TeamId("counter"), count = 3, tickets = 2), now)
+ * ```
+ *
+ * @param load share of a router's capacity in use, from 0 to 1, as far as known.
+ */
+public class AddressPlanner(
+    private val region: Region,
+    private val members: () -> List<Member>,
+    private val document: () -> AcceptedDocument?,
+    private val tickets: TicketController,
+    private val load: (RouterId) -> Double,
+    private val random: Random,
+    private val validSeconds: Long = 30,
+) {
+    /** Answers [query]; fails with `NOT_READY`, `UNKNOWN_TEAM` or `DRAINING` (no router takes new work). */
+    public fun plan(query: AddressQuery, now: Timestamp): Outcome<AddressPlan> {
+        val teams = document()?.document?.teams ?: return refused(ErrorKind.NOT_READY)
+        if (query.team !in teams) return refused(ErrorKind.UNKNOWN_TEAM, query.team.name)
+        val usable = members().filter { it.state == MemberState.ALIVE && !it.isDraining }
+        if (usable.isEmpty()) return refused(ErrorKind.DRAINING, "no router takes new work")
+        val count = query.count.coerceIn(1, MOST_ADDRESSES)
+        val ticketCount = query.tickets.coerceIn(0, MOST_TICKETS)
+        val (near, far) = usable.partition { it.region == region }
+        val chosen = (mixed(near) + mixed(far)).take(count)
+        val addresses = chosen.map { member -> planned(member, query, ticketCount, now) }
+        return Outcome.Success(AddressPlan(addresses, now.plusSeconds(validSeconds)))
+    }
+
+    private fun planned(member: Member, query: AddressQuery, ticketCount: Int, now: Timestamp): PlannedAddress {
+        val issued = List(ticketCount) { tickets.issue(member.router, member.incarnation, query.team, now) }
+        return PlannedAddress(member.router, member.callerAddress, member.failureDomain, issued)
+    }
+
+    /** [candidates] in drawn order, failure domains taking turns. */
+    private fun mixed(candidates: List<Member>): List<Member> {
+        val drawn = candidates.sortedBy { -ln(1.0 - random.nextDouble()) / weight(it) }
+        val turns = HashMap<String, Int>()
+        return drawn
+            .map { member -> member to turns.merge(member.failureDomain.name, 1, Int::plus) }
+            .sortedBy { (_, turn) -> turn }
+            .map { (member, _) -> member }
+    }
+
+    // A fully loaded router keeps a small weight, so that its load is noticed to fall.
+    private fun weight(member: Member): Double =
+        maxOf(member.weight, SMALLEST_WEIGHT) * maxOf(1.0 - load(member.router), SMALLEST_FREE_SHARE)
+
+    private companion object {
+        const val MOST_ADDRESSES = 16
+        const val MOST_TICKETS = 64
+        const val SMALLEST_WEIGHT = 0.001
+        const val SMALLEST_FREE_SHARE = 0.05
+    }
+}
--- a/src/main/kotlin/azuredale/routing/CallerRequest.kt
+++ b/src/main/kotlin/azuredale/routing/CallerRequest.kt
@@ -10,6 +10,9 @@
     /** The request is idempotent; a repeat is a new request. */
     public data object Idempotent : RequestIdentity
 
+    /** The request is non-idempotent and carries neither ticket nor key, so it is refused. */
+    public data object Missing : RequestIdentity
+
     /** A ticket from the address answer, as the caller sent it. */
     public data class Ticket(val text: String) : RequestIdentity
 
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/CompletionAnswer.kt
@@ -0,0 +1,152 @@
+package azuredale.routing
+
+import azuredale.outcome.Failure
+import azuredale.time.Clock
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+
+/**
+ * A completion for a caller: server-sent events as they arrive, or one JSON object at the end.
+ *
+ * The chunk with the finish reason is held back until the engine's end marker has arrived, so a resumed answer has one.
+ */
+internal class CompletionAnswer(
+    override val stream: CallerStream,
+    private val body: CompletionBody,
+    private val id: String,
+    private val settings: EdgeSettings,
+    private val isKept: Boolean,
+    private val clock: Clock,
+) : CallerAnswer {
+    private val response = stream.response
+    private val text = StringBuilder()
+    private var isTooLong = false
+    private var finish: CompletionChunk? = null
+    private var refusal: KeptAnswer? = null
+
+    override var hasBegun = false
+        private set
+
+    /** Tokens that this answer holds, over all attempts. */
+    var delivered = 0L
+        private set
+
+    /** Adds a chunk of the engine's answer; false when the collected text passes its bound. */
+    suspend fun deliver(chunk: CompletionChunk): Boolean {
+        if (chunk.finishReason != null) finish = chunk
+        if (chunk.text.isEmpty()) return true
+        if (!collect(chunk.text)) return false
+        delivered += chunk.tokens
+        if (body.isStream) write(chunk.withId(id))
+        return true
+    }
+
+    /** Takes the engine's own refusal of a request, which becomes the answer; false when text was already delivered. */
+    fun refusedByEngine(answer: KeptAnswer): Boolean {
+        if (delivered > 0) return false
+        refusal = answer
+        return true
+    }
+
+    /** The whole answer for repeats, or null when it is not kept or too large. */
+    fun kept(): KeptAnswer? {
+        if (!isKept || isTooLong) return null
+        refusal?.let { return it }
+        val bytes = whole().toBuffer().bytes
+        return KeptAnswer(HTTP_OK, JSON, bytes).takeIf { bytes.size <= settings.keptBytes }
+    }
+
+    override fun finish(result: RequestResult) {
+        if (response.ended() || response.closed()) return
+        when (result) {
+            RequestResult.Completed -> complete()
+            is RequestResult.Repeated -> repeat(result.answer)
+            is RequestResult.Failed -> fail(result.failure)
+        }
+    }
+
+    private fun collect(piece: String): Boolean {
+        val isNeeded = !body.isStream || isKept
+        if (!isNeeded) return true
+        if (isTooLong) return body.isStream
+        if (text.length + piece.length <= settings.answerBytes) {
+            text.append(piece)
+            return true
+        }
+        isTooLong = true
+        return body.isStream
+    }
+
+    private suspend fun write(json: JsonObject) {
+        begin()
+        stream.write(Buffer.buffer("data: ${json.encode()}\n\n"))
+    }
+
+    private fun begin() {
+        if (hasBegun || response.closed()) return
+        hasBegun = true
+        response.isChunked = true
+        response.putHeader("content-type", "text/event-stream").putHeader("cache-control", "no-cache")
+    }
+
+    private fun complete() {
+        val refused = refusal
+        if (refused != null) {
+            sendJson(Buffer.buffer(refused.body), refused.status)
+        } else if (body.isStream) {
+            begin()
+            response.end("${finish?.let { "data: ${it.withId(id).encode()}\n\n" }.orEmpty()}$DONE")
+        } else {
+            sendJson(whole().toBuffer(), HTTP_OK)
+        }
+    }
+
+    private fun repeat(answer: KeptAnswer) {
+        val bytes = Buffer.buffer(answer.body)
+        if (!body.isStream || answer.status != HTTP_OK) return sendJson(bytes, answer.status)
+        begin()
+        val whole = JsonObject(bytes)
+        val kept = whole.getJsonArray("choices").getJsonObject(0)
+        val piece = kept.getString("text") ?: kept.getJsonObject("message")?.getString("content").orEmpty()
+        val chunk =
+            head(if (body.isChat) "chat.completion.chunk" else "text_completion")
+                .put(
+                    "choices",
+                    JsonArray().add(choice(piece, "delta").put("finish_reason", kept.getString("finish_reason"))),
+                )
+        response.end("data: ${chunk.encode()}\n\n$DONE")
+    }
+
+    private fun fail(failure: Failure) {
+        if (!hasBegun) return FailureAnswer.send(response, failure, clock())
+        response.end(FailureAnswer.event(failure))
+    }
+
+    private fun sendJson(bytes: Buffer, status: Int) {
+        response.statusCode = status
+        response
+            .putHeader("content-type", JSON)
+            .putHeader(Headers.OUTCOME, "COMPLETED")
+            .putHeader(Headers.EXECUTION, "run")
+        response.end(bytes)
+    }
+
+    private fun whole(): JsonObject = head(if (body.isChat) "chat.completion" else "text_completion")
+        .put("choices", JsonArray().add(choice(text.toString(), "message").put("finish_reason", finish?.finishReason)))
+        .put("usage", JsonObject().put("completion_tokens", delivered))
+
+    private fun head(kind: String) = JsonObject().put("id", id).put("object", kind).put("model", body.model)
+
+    private fun choice(piece: String, chatField: String): JsonObject {
+        val choice = JsonObject().put("index", 0)
+        if (!body.isChat) return choice.put("text", piece)
+        return choice.put(chatField, JsonObject().put("role", "assistant").put("content", piece))
+    }
+
+    companion object {
+        const val HTTP_OK = 200
+        const val JSON = "application/json"
+        const val DONE = "data: [DONE]\n\n"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/EngineClient.kt
@@ -0,0 +1,128 @@
+package azuredale.routing
+
+import azuredale.node.NodeEffect
+import azuredale.node.NodeEvent
+import azuredale.time.Clock
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.json.JsonObject
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Runs attempts at model engines and delivers their tokens to the caller. */
+internal class EngineClient(
+    private val backends: BackendClient,
+    private val port: NodePort,
+    private val settings: EdgeSettings,
+    private val clock: Clock,
+) {
+    suspend fun run(exchange: Exchange, answer: CompletionAnswer, start: NodeEffect.StartAttempt): AttemptResult =
+        backends.run(exchange, start.address, EngineReading(exchange, answer, start))
+
+    private inner class EngineReading(
+        private val exchange: Exchange,
+        private val answer: CompletionAnswer,
+        private val start: NodeEffect.StartAttempt,
+    ) : AttemptReading {
+        private var cost = 0L
+        private var reportedAt = clock()
+
+        override suspend fun read(request: HttpClientRequest): AttemptResult {
+            val response =
+                withTimeoutOrNull(settings.stallMilliseconds) { send(request) }
+                    ?: return broken("the server sent no answer in time")
+            val isOwn =
+                response.getHeader(Headers.REQUEST) == exchange.requestId &&
+                    response.getHeader(Headers.ATTEMPT) == start.attempt.toString()
+            return when {
+                !isOwn -> wrong("the answer names request ${response.getHeader(Headers.REQUEST)}")
+                response.statusCode() != CompletionAnswer.HTTP_OK -> refused(response)
+                !resumes(response) -> broken("the server cannot continue the answer")
+                else -> readEvents(ResponseReader(response))
+            }
+        }
+
+        override fun broken(detail: String): AttemptResult =
+            AttemptResult.Broken(cost.toDouble(), answer.delivered, detail)
+
+        private suspend fun send(request: HttpClientRequest): HttpClientResponse {
+            request
+                .putHeader("content-type", CompletionAnswer.JSON)
+                .putHeader(Headers.REQUEST, exchange.requestId)
+                .putHeader(Headers.ATTEMPT, start.attempt.toString())
+            if (start.resumeAt > 0) request.putHeader(Headers.RESUME_AT, start.resumeAt.toString())
+            return backends.send(request, exchange.call.body)
+        }
+
+        private fun resumes(response: HttpClientResponse): Boolean = start.resumeAt == answer.delivered &&
+            (start.resumeAt == 0L || response.getHeader(Headers.RESUME_AT) == start.resumeAt.toString())
+
+        /** An error in the request itself is the engine's answer; anything else is a failure of the engine. */
+        private suspend fun refused(response: HttpClientResponse): AttemptResult {
+            val status = response.statusCode()
+            if (status !in CALLER_ERRORS || status in PASSING_ERRORS) return broken("the server answered $status")
+            val bytes = readBounded(ResponseReader(response)) ?: return broken("the refusal is too long")
+            val kept = KeptAnswer(status, response.getHeader("content-type"), bytes.bytes)
+            if (!answer.refusedByEngine(kept)) return broken("the server answered $status")
+            return AttemptResult.Completed(0.0, answer.kept())
+        }
+
+        private suspend fun readBounded(reader: ResponseReader): Buffer? {
+            val whole = Buffer.buffer()
+            while (whole.length() <= settings.keptBytes) whole.appendBuffer(reader.next() ?: return whole)
+            return null
+        }
+
+        private suspend fun readEvents(reader: ResponseReader): AttemptResult {
+            val decoder = SseDecoder()
+            while (true) {
+                val next =
+                    withTimeoutOrNull(settings.stallMilliseconds) { Piece(reader.next()) }
+                        ?: return broken("the server stalled")
+                val bytes = next.bytes ?: return broken("the stream ended without its end marker")
+                for (event in decoder.feed(bytes)) {
+                    if (event == END) return AttemptResult.Completed(cost.toDouble(), answer.kept())
+                    deliver(
+                        CompletionChunk(
+                            io.vertx.core.json
+                                .JsonObject(event),
+                        ),
+                    )?.let { return it }
+                }
+                report()
+            }
+        }
+
+        /** Delivers one chunk; a result ends the attempt. */
+        private suspend fun deliver(chunk: CompletionChunk): AttemptResult? = when {
+            chunk.hasError -> broken("the server reported an error in the stream")
+            chunk.id != null && chunk.id != exchange.requestId -> wrong("the stream holds a chunk of ${chunk.id}")
+            chunk.offset != null && chunk.offset != answer.delivered -> broken("the stream skips or repeats tokens")
+            else -> {
+                cost += chunk.tokens
+                if (answer.deliver(chunk)) null else broken("the answer is longer than the limit")
+            }
+        }
+
+        /** A foreign answer; when own tokens of this attempt came before it, the answer broke off after them. */
+        private fun wrong(detail: String): AttemptResult =
+            if (cost > 0) broken(detail) else AttemptResult.WrongAnswer(0.0, detail)
+
+        private fun report() {
+            val now = clock()
+            if (now < reportedAt.plusMilliseconds(settings.progressMilliseconds)) return
+            reportedAt = now
+            port.post(NodeEvent.AttemptProgressed(exchange.number, start.attempt, cost.toDouble()))
+        }
+    }
+
+    private class Piece(val bytes: Buffer?)
+
+    private companion object {
+        const val END = "[DONE]"
+        val CALLER_ERRORS = 400..499
+
+        // Request timeout, conflict and too many requests describe the server's state, not the request.
+        val PASSING_ERRORS = setOf(408, 409, 429)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/FollowUps.kt
@@ -0,0 +1,23 @@
+package azuredale.routing
+
+import azuredale.node.NodeEffect
+import azuredale.time.Timestamp
+
+/**
+ * Effects and calls of other controllers that a change of the requests table leads to.
+ *
+ * The calls run after the table is unlocked, because other controllers take locks of lower rank.
+ */
+internal class FollowUps {
+    private val steps = mutableListOf<(Timestamp) -> List<NodeEffect>>()
+
+    fun emit(effect: NodeEffect) {
+        steps += { listOf(effect) }
+    }
+
+    fun call(step: (Timestamp) -> List<NodeEffect>) {
+        steps += step
+    }
+
+    fun run(now: Timestamp): List<NodeEffect> = steps.flatMap { it(now) }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/HttpEdge.kt
@@ -0,0 +1,162 @@
+package azuredale.routing
+
+import azuredale.configuration.AcceptedDocument
+import azuredale.identity.RequestNumber
+import azuredale.logging.EventLog
+import azuredale.node.NodeEffect
+import azuredale.node.NodeEvent
+import azuredale.outcome.Outcome
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/**
+ * HTTP towards callers and backend servers. Events go to [port]; the daemon hands the resulting effects to [execute].
+ *
+ * ```
+ * val edge = HttpEdge(settings, vertx, port, document, planner::plan, clock)
+ * edge.start()
+ * effects.forEach { edge.execute(it) }
+ * edge.stop()
+ * ```
+ */
+public class HttpEdge(
+    private val settings: EdgeSettings,
+    private val vertx: Vertx,
+    private val port: NodePort,
+    document: () -> AcceptedDocument?,
+    addresses: (AddressQuery, Timestamp) -> Outcome<AddressPlan>,
+    clock: Clock,
+) {
+    private val log = EventLog("azuredale.routing")
+    private val scope = CoroutineScope(SupervisorJob())
+    private val exchanges = ConcurrentHashMap<RequestNumber, Exchange>()
+    private val backends = BackendClient(vertx, settings)
+    private val engines = EngineClient(backends, port, settings, clock)
+    private val services = ServiceClient(backends, settings)
+    private val callers = CallerEdge(vertx, settings, CallerEdgePorts(document, addresses, ::accept, clock))
+    private var server: HttpServer? = null
+
+    /** Port on which callers are accepted; zero before [start]. */
+    public val actualPort: Int get() = server?.actualPort() ?: 0
+
+    /** Number of requests whose answer has not ended. */
+    public val openRequests: Int get() = exchanges.size
+
+    /** Starts to accept callers. */
+    public suspend fun start() {
+        val options =
+            HttpServerOptions()
+                .setMaxHeaderSize(settings.headerBytes)
+                .setIdleTimeout((settings.requestDeadlineSeconds + IDLE_MARGIN_SECONDS).toInt())
+                .setIdleTimeoutUnit(TimeUnit.SECONDS)
+                .setTcpNoDelay(true)
+        val router = callers.router()
+        server =
+            vertx
+                .createHttpServer(options)
+                .connectionHandler(::limitFirstHead)
+                .requestHandler { request ->
+                    request.connection().let(firstHeads::remove)?.let(vertx::cancelTimer)
+                    router.handle(request)
+                }.listen(settings.address.port, settings.address.host)
+                .coAwait()
+        log.write(RoutingLogEvent.EDGE_STARTED, "host" to settings.address.host, "port" to actualPort)
+    }
+
+    /** Does what [effect] asks; effects that concern no caller or backend server are ignored. */
+    public suspend fun execute(effect: NodeEffect) {
+        when (effect) {
+            is NodeEffect.StartAttempt -> start(effect)
+            is NodeEffect.CancelAttempt -> onLoop(exchanges[effect.request]) { it.cancel(effect.attempt) }
+            is NodeEffect.FinishRequest -> onLoop(exchanges.remove(effect.request)) { it.finish(effect.result) }
+            else -> Unit
+        }
+    }
+
+    /** Stops accepting callers and closes all connections; a graceful shutdown drains the node first. */
+    public suspend fun stop() {
+        server?.close()?.coAwait()
+        scope.cancel()
+        backends.close()
+        log.write(RoutingLogEvent.EDGE_STOPPED, "open" to exchanges.size)
+    }
+
+    private val firstHeads = ConcurrentHashMap<HttpConnection, Long>()
+
+    /** Closes a connection that sends no whole head in time. */
+    private fun limitFirstHead(connection: HttpConnection) {
+        val timer =
+            vertx.setTimer(settings.headSeconds * MILLISECONDS_PER_SECOND) {
+                if (firstHeads.remove(connection) != null) connection.close()
+            }
+        firstHeads[connection] = timer
+        connection.closeHandler { firstHeads.remove(connection)?.let(vertx::cancelTimer) }
+    }
+
+    private fun accept(exchange: Exchange, request: CallerRequest) {
+        exchanges[exchange.number] = exchange
+        exchange.answer.stream.response.closeHandler {
+            if (!exchange.isFinished) {
+                exchange.answer.stream.callerGone()
+                port.post(NodeEvent.CallerGone(exchange.number))
+            }
+        }
+        port.post(NodeEvent.RequestReceived(request))
+    }
+
+    private fun start(effect: NodeEffect.StartAttempt) {
+        val exchange = exchanges[effect.request]
+        if (exchange == null) {
+            ended(effect, AttemptResult.NotConnected("the request has ended"))
+            return
+        }
+        onLoop(exchange) {
+            val job = scope.launch(exchange.context.dispatcher(), CoroutineStart.LAZY) { attempt(exchange, effect) }
+            exchange.started(effect.attempt, job)
+            job.start()
+        }
+    }
+
+    private suspend fun attempt(exchange: Exchange, effect: NodeEffect.StartAttempt) {
+        val result =
+            try {
+                when (val answer = exchange.answer) {
+                    is CompletionAnswer -> engines.run(exchange, answer, effect)
+                    is ServiceAnswer -> services.run(exchange, answer, effect)
+                    else -> error("no client for ${answer.javaClass.simpleName}")
+                }
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (failure: Exception) {
+                log.write(RoutingLogEvent.EDGE_FAULT, "request" to effect.request, cause = failure)
+                AttemptResult.Broken(0.0, effect.resumeAt, failure.javaClass.simpleName)
+            }
+        ended(effect, result)
+    }
+
+    private fun ended(effect: NodeEffect.StartAttempt, result: AttemptResult): Unit =
+        port.post(NodeEvent.AttemptEnded(effect.request, effect.attempt, result))
+
+    private fun onLoop(exchange: Exchange?, block: (Exchange) -> Unit) {
+        exchange?.context?.runOnContext { block(exchange) }
+    }
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000L
+        const val IDLE_MARGIN_SECONDS = 30L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/RequestAdmission.kt
@@ -0,0 +1,32 @@
+package azuredale.routing
+
+import azuredale.configuration.AcceptedDocument
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Failure
+import azuredale.time.Timestamp
+
+/** What the checks read of the document's state, taken before the requests table is locked. */
+internal class DocumentView(
+    val accepted: AcceptedDocument?,
+    val mayGiveOutWork: Boolean,
+)
+
+/** Checks of a request against the document; null means admitted. */
+internal object RequestAdmission {
+    fun refusal(request: CallerRequest, view: DocumentView, now: Timestamp): Failure? {
+        val document = view.accepted?.document ?: return Failure(ErrorKind.NOT_READY)
+        val team = document.teams[request.team]
+        val pool = request.requirement.pool
+        return when {
+            team == null -> Failure(ErrorKind.UNKNOWN_TEAM, request.team.name)
+            pool !in document.pools -> Failure(ErrorKind.UNKNOWN_POOL, pool.name)
+            pool !in team.pools -> Failure(ErrorKind.POOL_NOT_ALLOWED, pool.name)
+            request.identity == RequestIdentity.Missing -> Failure(ErrorKind.IDENTITY_REQUIRED)
+            !view.mayGiveOutWork -> Failure(ErrorKind.STALE_DOCUMENT)
+            document.serversOf(pool).none { document.allows(it.id, request.requirement) } ->
+                Failure(ErrorKind.NO_ELIGIBLE_SERVER, pool.name)
+            now >= request.deadline -> Failure(ErrorKind.DEADLINE_BEFORE_START)
+            else -> null
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/RequestEndings.kt
@@ -0,0 +1,97 @@
+package azuredale.routing
+
+import azuredale.identity.RequestNumber
+import azuredale.logging.EventLog
+import azuredale.node.NodeEffect
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Execution
+import azuredale.outcome.Failure
+import azuredale.outcome.RunEnd
+import azuredale.outcome.TicketController
+import azuredale.time.Timestamp
+
+/** Ends requests: decides what the caller may conclude, records the outcome and answers those that wait for it. */
+internal class RequestEndings(
+    private val table: RequestTable,
+    private val tickets: TicketController,
+    private val settings: RequestSettings,
+    private val log: EventLog,
+) {
+    /** Ends [row] with a whole answer. */
+    fun complete(row: RequestRow, answer: KeptAnswer?, out: FollowUps, now: Timestamp) {
+        record(row, RunEnd.Answered(answer), now)
+        table.remove(row.request.number)
+        out.emit(NodeEffect.FinishRequest(row.request.number, RequestResult.Completed))
+        val repeated =
+            answer?.let { RequestResult.Repeated(it) }
+                ?: RequestResult.Failed(Failure(ErrorKind.OUTCOME_DROPPED))
+        finishJoiners(row, repeated, out)
+    }
+
+    /** Ends [row] with [cause], weakened when this router cannot vouch that the request was not run. */
+    fun fail(row: RequestRow, cause: Failure, out: FollowUps, now: Timestamp) {
+        val failure = withRetry(vouched(row, cause), now)
+        if (row.phase is RequestPhase.Joined) {
+            leave(row, row.phase.original)
+        } else {
+            record(row, if (row.mayHaveRun) RunEnd.Failed(failure) else RunEnd.NotRun, now)
+        }
+        table.remove(row.request.number)
+        emitFailure(row.request.number, failure, out)
+        finishJoiners(row, RequestResult.Failed(failure), out)
+    }
+
+    /** Refuses a request that never entered the table. */
+    fun refuse(request: RequestNumber, failure: Failure, out: FollowUps, now: Timestamp): Unit =
+        emitFailure(request, withRetry(failure, now), out)
+
+    /** The failure of a request whose deadline has passed. */
+    fun deadlineFailure(row: RequestRow): Failure {
+        val isWaiting = !row.mayHaveRun && row.phase !is RequestPhase.Joined
+        return Failure(if (isWaiting) ErrorKind.DEADLINE_BEFORE_START else ErrorKind.DEADLINE_DURING_RUN)
+    }
+
+    private fun vouched(row: RequestRow, cause: Failure): Failure = when {
+        row.mayHaveRun && row.resumeAt > 0 && cause.execution == Execution.NOT_RUN ->
+            Failure(ErrorKind.STREAM_BROKEN, cause.kind.text)
+        row.mayHaveRun || !row.isOnlyRun -> cause.copy(execution = Execution.UNKNOWN)
+        else -> cause
+    }
+
+    private fun record(row: RequestRow, end: RunEnd, now: Timestamp) {
+        when (val identity = row.request.identity) {
+            is RequestIdentity.Ticket -> tickets.ticketEnded(identity.text, end, now)
+            is RequestIdentity.Key -> tickets.keyEnded(row.request.team, identity.text, row.isOnlyRun, end, now)
+            RequestIdentity.Idempotent, RequestIdentity.Missing -> Unit
+        }
+    }
+
+    private fun leave(row: RequestRow, original: RequestNumber) {
+        val leader = table[original] ?: return
+        table.update(leader.copy(joiners = leader.joiners - row.request.number))
+    }
+
+    private fun finishJoiners(row: RequestRow, result: RequestResult, out: FollowUps) {
+        for (joiner in row.joiners) {
+            if (table.remove(joiner) != null) out.emit(NodeEffect.FinishRequest(joiner, result))
+        }
+    }
+
+    private fun emitFailure(request: RequestNumber, failure: Failure, out: FollowUps) {
+        log.write(
+            RoutingLogEvent.REQUEST_FAILED,
+            "request" to request,
+            "kind" to failure.kind,
+            "execution" to failure.execution,
+        )
+        out.emit(NodeEffect.FinishRequest(request, RequestResult.Failed(failure)))
+    }
+
+    private fun withRetry(failure: Failure, now: Timestamp): Failure = if (failure.kind.isRetryable &&
+        failure.retryAt == null
+    ) {
+        failure.copy(retryAt = now.plusMilliseconds(settings.retryAfterMilliseconds))
+    } else {
+        failure
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/ServiceAnswer.kt
@@ -0,0 +1,70 @@
+package azuredale.routing
+
+import azuredale.time.Clock
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+
+/** The answer of a plain service: held until it is whole when it is small, else passed on as it arrives. */
+internal class ServiceAnswer(
+    override val stream: CallerStream,
+    private val clock: Clock,
+) : CallerAnswer {
+    private val response = stream.response
+    private var whole: Whole? = null
+
+    override var hasBegun = false
+        private set
+
+    /** Holds a whole answer for [finish]. */
+    fun hold(status: Int, headers: MultiMap, body: Buffer) {
+        whole = Whole(status, headers, body)
+    }
+
+    /** Starts to pass on an answer that is too large to hold. */
+    fun begin(status: Int, headers: MultiMap) {
+        if (hasBegun || response.closed()) return
+        hasBegun = true
+        head(status, headers)
+        response.isChunked = true
+    }
+
+    override fun finish(result: RequestResult) {
+        if (response.ended() || response.closed()) return
+        when (result) {
+            RequestResult.Completed -> complete()
+            is RequestResult.Repeated -> repeat(result.answer)
+            is RequestResult.Failed ->
+                // Without its last chunk the answer is visibly incomplete.
+                if (hasBegun) response.reset() else FailureAnswer.send(response, result.failure, clock())
+        }
+    }
+
+    private fun complete() {
+        val answer = whole
+        if (hasBegun || answer == null) {
+            response.end()
+        } else {
+            head(answer.status, answer.headers)
+            response.end(answer.body)
+        }
+    }
+
+    private fun repeat(answer: KeptAnswer) {
+        val headers = MultiMap.caseInsensitiveMultiMap()
+        answer.contentType?.let { headers.add("content-type", it) }
+        head(answer.status, headers)
+        response.end(Buffer.buffer(answer.body))
+    }
+
+    private fun head(status: Int, headers: MultiMap) {
+        response.statusCode = status
+        headers.forEach { (name, value) -> if (Headers.isReturned(name)) response.headers().add(name, value) }
+        response.putHeader(Headers.OUTCOME, "COMPLETED").putHeader(Headers.EXECUTION, "run")
+    }
+
+    private class Whole(
+        val status: Int,
+        val headers: MultiMap,
+        val body: Buffer,
+    )
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/routing/SseDecoder.kt
@@ -0,0 +1,43 @@
+package azuredale.routing
+
+import io.vertx.core.buffer.Buffer
+
+/** Splits the bytes of a server-sent event stream into the data of its events. */
+internal class SseDecoder(private val longestEvent: Int = 1_048_576) {
+    private var rest: Buffer = Buffer.buffer()
+
+    /**
+     * Adds received [bytes] and returns the data of the events that are complete now.
+     *
+     * @throws IllegalStateException when an event is longer than the limit.
+     */
+    fun feed(bytes: Buffer): List<String> {
+        rest.appendBuffer(bytes)
+        val events = mutableListOf<String>()
+        var start = 0
+        var lineStart = 0
+        for (index in 0 until rest.length()) {
+            if (rest.getByte(index) != NEWLINE) continue
+            val isBlank = index == lineStart || (index == lineStart + 1 && rest.getByte(lineStart) == RETURN)
+            if (isBlank) {
+                data(rest.getString(start, lineStart))?.let(events::add)
+                start = index + 1
+            }
+            lineStart = index + 1
+        }
+        rest = rest.getBuffer(start, rest.length())
+        check(rest.length() <= longestEvent) { "an event is longer than $longestEvent bytes" }
+        return events
+    }
+
+    private fun data(event: String): String? {
+        val lines = event.lineSequence().filter { it.startsWith("data:") }
+        val data = lines.joinToString("\n") { it.removePrefix("data:").removePrefix(" ") }
+        return data.takeIf { it.isNotEmpty() }
+    }
+
+    private companion object {
+        const val NEWLINE = '\n'.code.toByte()
+        const val RETURN = '\r'.code.toByte()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/standin/EngineStandIn.kt
@@ -0,0 +1,185 @@
+package azuredale.standin
+
+import azuredale.logging.EventLog
+import azuredale.routing.PromptPrefix
+import azuredale.routing.value
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.kotlin.coroutines.coAwait
+
+/**
+ * A model engine for tests and measurements: completions with server-sent events, continuous batching, prefix cache,
+ * load report, orders and injected faults. All state is used on one event loop.
+ *
+ * ```
+ * val engine = EngineStandIn(vertx, EngineSettings(slots = 8))
+ * engine.start()
+ * engine.fault = { EngineFault.DieAfter(3) } // for the next answers
+ * ```
+ */
+public class EngineStandIn(
+    private val vertx: Vertx,
+    private val settings: EngineSettings = EngineSettings(),
+) {
+    private val log = EventLog("azuredale.standin")
+    private val context = vertx.getOrCreateContext()
+    private val waiting = ArrayDeque<Pending>()
+    private val running = mutableListOf<Batched>()
+    private val cache = PrefixCache(settings)
+    private val orders = EngineOrders(settings.checksFencing)
+    private var server: HttpServer? = null
+    private var timer: Long? = null
+    private var report = JsonObject()
+    private var reportedAt = Long.MIN_VALUE / 2
+    private var generated = 0L
+
+    /** Chooses the fault of an answer by its request id and prompt; null means none. */
+    @Volatile
+    public var fault: (request: String, prompt: String) -> EngineFault? = { _, _ -> null }
+
+    /** Number of completion requests received. */
+    @Volatile
+    public var received: Int = 0
+        private set
+
+    /** Number of sequences that wait or run. */
+    @Volatile
+    public var open: Int = 0
+        private set
+
+    /** Port on which the stand-in listens. */
+    public val port: Int get() = server?.actualPort() ?: 0
+
+    /** Starts to listen. */
+    public suspend fun start() {
+        val started =
+            io.vertx.core.Future.future { promise ->
+                context.runOnContext {
+                    vertx
+                        .createHttpServer()
+                        .requestHandler(::route)
+                        .listen(settings.address.port, settings.address.host)
+                        .onComplete(promise)
+                }
+            }
+        server = started.coAwait()
+        log.write(StandInLogEvent.ENGINE_STARTED, "port" to port)
+    }
+
+    /** Closes the server with its connections. */
+    public suspend fun stop() {
+        timer?.let(vertx::cancelTimer)
+        server?.close()?.coAwait()
+    }
+
+    private fun route(request: HttpServerRequest) {
+        when (request.path()) {
+            "/v1/completions" -> request.body().onSuccess { complete(request, JsonObject(it), isChat = false) }
+            "/v1/chat/completions" -> request.body().onSuccess { complete(request, JsonObject(it), isChat = true) }
+            "/load" -> request.response().end(load().encode())
+            "/cache-events" -> {
+                val after = request.params().value("after")?.toLongOrNull() ?: 0
+                request.response().end(cache.published(after, now()).encode())
+            }
+            "/orders" -> request.body().onSuccess { order(request, JsonObject(it)) }
+            else -> request.response().setStatusCode(NOT_FOUND).end()
+        }
+    }
+
+    private fun complete(request: HttpServerRequest, body: JsonObject, isChat: Boolean) {
+        received++
+        val prompt = if (isChat) chatPrompt(body.getJsonArray("messages")) else body.getString("prompt")
+        val fault = fault(request.getHeader("Azuredale-Request").orEmpty(), prompt)
+        if (fault != null) log.write(StandInLogEvent.FAULT_INJECTED, "fault" to fault)
+        if (fault is EngineFault.Status) {
+            return answerStatus(request, fault.status)
+        }
+        val sequence = EngineSequence(request, body, prompt, isChat, fault, settings.defaultTokens)
+        request.response().closeHandler { sequence.cancelled() }
+        waiting.addLast(Pending(sequence, (fault as? EngineFault.AnswerLate)?.milliseconds ?: 0))
+        step()
+        if (timer == null) timer = vertx.setPeriodic(STEP_MILLISECONDS) { step() }
+    }
+
+    private fun answerStatus(request: HttpServerRequest, status: Int) {
+        val response = request.response().setStatusCode(status)
+        listOf("Azuredale-Request", "Azuredale-Attempt").forEach { name ->
+            request.headers().value(name)?.let { response.putHeader(name, it) }
+        }
+        response.putHeader("content-type", "application/json").end("{\"error\":{\"message\":\"status $status\"}}")
+    }
+
+    /** One step of the batch: admits waiting sequences, generates the tokens that are due, removes ended sequences. */
+    private fun step() {
+        val now = now()
+        while (running.size < settings.slots && waiting.isNotEmpty()) running += admit(waiting.removeFirst(), now)
+        for (batched in running) {
+            val elapsed = now - batched.startAt
+            if (elapsed < 0 || batched.sequence.isBlocked) continue
+            val due = (elapsed * settings.tokensPerSecond / MILLISECONDS_PER_SECOND).toInt() + 1
+            val before = batched.sequence.generated
+            batched.sequence.advance((due - batched.sequence.generated).coerceAtLeast(0))
+            generated += batched.sequence.generated - before
+        }
+        running.removeAll { it.sequence.isOver }
+        waiting.removeAll { it.sequence.isOver }
+        open = running.size + waiting.size
+    }
+
+    private fun admit(pending: Pending, now: Long): Batched {
+        val isCached = cache.use(PromptPrefix.fingerprint(pending.sequence.prompt), now)
+        val first = if (isCached) settings.firstTokenMilliseconds / CACHED_DIVISOR else settings.firstTokenMilliseconds
+        return Batched(pending.sequence, now + first + pending.delay)
+    }
+
+    private fun load(): JsonObject {
+        val now = now()
+        if (now - reportedAt >= settings.loadLagMilliseconds) {
+            reportedAt = now
+            val speed = settings.tokensPerSecond * settings.slots
+            report =
+                JsonObject()
+                    .put("running", running.size)
+                    .put("waiting", waiting.size)
+                    .put("unitsPerSecond", speed)
+                    .put("generated", generated)
+        }
+        return orders.report(report.copy().put("ageMilliseconds", now - reportedAt))
+    }
+
+    private fun order(request: HttpServerRequest, order: JsonObject) {
+        val isApplied = orders.apply(order)
+        if (!isApplied) log.write(StandInLogEvent.ORDER_REJECTED, "token" to order.getValue("fencingToken"))
+        request.response().setStatusCode(if (isApplied) OK else CONFLICT).end(orders.report(JsonObject()).encode())
+    }
+
+    private fun chatPrompt(messages: JsonArray): String = messages.joinToString("\n") { message ->
+        val fields = message as JsonObject
+        "${fields.getString("role")}: ${fields.getValue("content")}"
+    }
+
+    private fun now(): Long = System.nanoTime() / NANOSECONDS_PER_MILLISECOND
+
+    private class Pending(
+        val sequence: EngineSequence,
+        val delay: Long,
+    )
+
+    private class Batched(
+        val sequence: EngineSequence,
+        val startAt: Long,
+    )
+
+    private companion object {
+        const val STEP_MILLISECONDS = 2L
+        const val CACHED_DIVISOR = 4
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+        const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val CONFLICT = 409
+    }
+}
