--- a/src/main/kotlin/azuredale/routing/BackendClient.kt
+++ b/src/main/kotlin/azuredale/routing/BackendClient.kt
@@ -2,9 +2,11 @@
 
 import azuredale.identity.NetworkAddress
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -50,12 +52,20 @@
         }
     }
 
+    /** Sends [body] and returns the head of the answer, whose body is read piece by piece. */
+    suspend fun send(request: HttpClientRequest, body: Buffer): HttpClientResponse = request
+        .send(body)
+        // Paused before the event loop reads on; the failure handler covers answers that are given up unread.
+        .map { it.pause().exceptionHandler { } }
+        .coAwait()
+
     /**
      * Opens a connection; null with the reason when none could be opened, so that no byte was written.
      *
      * A non-idempotent request gets a new connection: when a server closes a reused one, that cannot be told from a
      * failure after the request was read.
      */
+
     private suspend fun open(target: Target): Opened = try {
         val client: HttpClient = if (target.isIdempotent) reusing else fresh
         val options =
--- a/src/main/kotlin/azuredale/routing/EngineClient.kt
+++ b/src/main/kotlin/azuredale/routing/EngineClient.kt
@@ -7,7 +7,6 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.json.JsonObject
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Runs attempts at model engines and delivers their tokens to the caller. */
@@ -52,7 +51,7 @@
                 .putHeader(Headers.REQUEST, exchange.requestId)
                 .putHeader(Headers.ATTEMPT, start.attempt.toString())
             if (start.resumeAt > 0) request.putHeader(Headers.RESUME_AT, start.resumeAt.toString())
-            return request.send(exchange.call.body).map { it.pause() }.coAwait()
+            return backends.send(request, exchange.call.body)
         }
 
         private fun resumes(response: HttpClientResponse): Boolean = start.resumeAt == answer.delivered &&
--- a/src/main/kotlin/azuredale/routing/RequestAttempts.kt
+++ b/src/main/kotlin/azuredale/routing/RequestAttempts.kt
@@ -109,7 +109,8 @@
             "kind" to failure.kind,
             "detail" to failure.detail,
         )
-        val mayRepeat = if (row.hasWritten) row.isIdempotent && row.canContinue else true
+        val isSafe = if (row.hasWritten) row.isIdempotent && row.canContinue else true
+        val mayRepeat = isSafe && row.attempt.value < settings.attempts
         when {
             now >= row.request.deadline -> endings.fail(row, endings.deadlineFailure(row), out, now)
             row.isCallerGone && row.joiners.isEmpty() -> endings.fail(row, Failure(ErrorKind.CALLER_GONE), out, now)
--- a/src/main/kotlin/azuredale/routing/ServiceClient.kt
+++ b/src/main/kotlin/azuredale/routing/ServiceClient.kt
@@ -5,7 +5,6 @@
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
-import io.vertx.kotlin.coroutines.coAwait
 
 /** Runs attempts at plain services; the cost of a call is 1. */
 internal class ServiceClient(
@@ -43,7 +42,7 @@
             request
                 .putHeader(Headers.REQUEST, exchange.requestId)
                 .putHeader(Headers.ATTEMPT, start.attempt.toString())
-            return request.send(exchange.call.body).map { it.pause() }.coAwait()
+            return backends.send(request, exchange.call.body)
         }
 
         private suspend fun readBody(response: HttpClientResponse): AttemptResult {
