--- a/src/main/kotlin/azuredale/membership/ClaimHandler.kt
+++ b/src/main/kotlin/azuredale/membership/ClaimHandler.kt
@@ -110,9 +110,11 @@
 
     /** Notes which members the platform lists, and forgets those that ended long ago. */
     fun virtualMachinesListed(listed: Set<NetworkAddress>, now: Timestamp) {
+        // An empty list is a fault of the platform: this VM itself is missing from it.
+        if (listed.isEmpty()) return
         table.rows.values.filter { it.member.state == MemberState.DEAD }.forEach { row ->
             val member = row.member
-            val isListed = listOf(member.peerAddress, member.probeAddress, member.callerAddress).any { it in listed }
+            val isListed = isListed(member, listed)
             // The list lags, so a member that just died may be missing because it is new.
             row.isGone = !isListed && now.secondsSince(row.changedAt) > GONE_AFTER_SECONDS
         }
@@ -123,6 +125,12 @@
         recount()
     }
 
+    /** The platform lists VMs by IP number; an entry with port 0 stands for every port. */
+    private fun isListed(member: Member, listed: Set<NetworkAddress>): Boolean =
+        listOf(member.peerAddress, member.probeAddress, member.callerAddress).any { address ->
+            address in listed || address.copy(port = 0) in listed
+        }
+
     private fun applyToSelf(update: MemberUpdate) {
         when {
             update.incarnation > self.incarnation ->
