--- a/src/main/kotlin/azuredale/sharing/AllotterController.kt
+++ b/src/main/kotlin/azuredale/sharing/AllotterController.kt
@@ -25,6 +25,7 @@
 public class AllotterController(
     private val context: SharingContext,
     private val settings: SharingSettings = SharingSettings(),
+    private val log: SharingLog = { _, _ -> },
 ) {
     private val tables = AllotterTables()
     private val prefixes = PrefixIndex()
@@ -92,6 +93,7 @@
         val wasPaused = lastTick?.let { now > it.plusMilliseconds(settings.pauseMilliseconds) } ?: false
         lastTick = now
         updateShards(this)
+        if (wasPaused && allotments.isNotEmpty()) log(SharingLogEvent.ALLOTTER_PAUSED, emptyMap())
         allotments.values.filter { wasPaused && it.term.isPrimary }.forEach { it.startPrimary(this) }
         allotments.values.forEach { it.tick(this) }
     }
@@ -104,7 +106,7 @@
         return tables.locked {
             val shardMap = topology.shardMap(document)
             val turn =
-                AllotterTurn(now, document.document, shardMap, members, mayGiveOutWork) { shard ->
+                AllotterTurn(now, document.document, shardMap, members, mayGiveOutWork, log) { shard ->
                     topology.order(shard, shardMap, members).firstOrNull()?.let { isLost(it, now) } ?: false
                 }
             turn.block()
@@ -128,6 +130,7 @@
         allotments.values
             .filter { it.shard !in turn.shardMap.shards || it.term.isOver(turn.now) }
             .forEach { ended ->
+                log(SharingLogEvent.ALLOTMENT_ENDED, mapOf("shard" to ended.shard))
                 ended.clear()
                 allotments.remove(ended.shard)
             }
--- a/src/main/kotlin/azuredale/sharing/AllotterTurn.kt
+++ b/src/main/kotlin/azuredale/sharing/AllotterTurn.kt
@@ -20,6 +20,7 @@
     val shardMap: ShardMap,
     val members: Map<RouterId, Member>,
     val mayGiveOutWork: Boolean,
+    val log: SharingLog,
     val isFirstLost: (ShardId) -> Boolean,
 ) {
     val effects = mutableListOf<NodeEffect>()
--- a/src/main/kotlin/azuredale/sharing/LocalReserve.kt
+++ b/src/main/kotlin/azuredale/sharing/LocalReserve.kt
@@ -47,13 +47,14 @@
 
     /** Charges [cost] to the team for the order within the reserve. */
     fun charge(shard: ShardId, team: TeamId, cost: Double) {
-        served.getOrPut(shard) { HashMap() }.merge(team, cost, Double::plus)
+        served[shard]?.merge(team, cost, Double::plus)
     }
 
-    /** Ends the use of the reserve; its charges are in the served counters that the allotter gets. */
-    fun end(shard: ShardId) {
-        served.remove(shard)
-    }
+    /** Begins the use of the reserve of [shard]; returns false when it is in use already. */
+    fun begin(shard: ShardId): Boolean = served.put(shard, served[shard] ?: HashMap()) == null
+
+    /** Ends the use of the reserve and returns whether it was in use; the allotter gets its charges as served. */
+    fun end(shard: ShardId): Boolean = served.remove(shard) != null
 
     private fun match(
         queue: TeamQueue,
--- a/src/main/kotlin/azuredale/sharing/RequesterController.kt
+++ b/src/main/kotlin/azuredale/sharing/RequesterController.kt
@@ -29,6 +29,7 @@
 public class RequesterController(
     private val context: SharingContext,
     private val settings: SharingSettings = SharingSettings(),
+    private val log: SharingLog = { _, _ -> },
 ) {
     private val topology = Topology()
     private val state = RequesterState(context, settings, topology)
@@ -108,7 +109,7 @@
         val members = context.members().associateBy { it.router }
         val mayGiveOutWork = context.mayGiveOutWork(now)
         return state.locked {
-            RequesterTurn(now, accepted.document, topology.shardMap(accepted), members, mayGiveOutWork).block()
+            RequesterTurn(now, accepted.document, topology.shardMap(accepted), members, mayGiveOutWork, log).block()
         }
     }
 }
--- a/src/main/kotlin/azuredale/sharing/RequesterState.kt
+++ b/src/main/kotlin/azuredale/sharing/RequesterState.kt
@@ -85,7 +85,7 @@
             return
         }
         links.registerWith(link, from, turn)
-        reserve.end(shard)
+        if (reserve.end(shard)) turn.log(SharingLogEvent.RESERVE_ENDED, mapOf("shard" to shard))
         teamQueues(shard.pool).forEach { it.takeBackAll(shard) }
         teamQueues(shard.pool).forEach { planner.plan(it, turn) }
         val waiting = turn.demands.remove(shard).orEmpty()
@@ -201,6 +201,7 @@
             val running = grants.ofShard(link.shard)
             val (row, server) = reserve.next(link.shard, queue.teamQueues, running, turn) ?: return
             if (!start(row, link.shard, server.id, isReserve = true, turn)) return
+            if (reserve.begin(link.shard)) turn.log(SharingLogEvent.RESERVE_STARTED, mapOf("shard" to link.shard))
         }
     }
 
--- a/src/main/kotlin/azuredale/sharing/RequesterTurn.kt
+++ b/src/main/kotlin/azuredale/sharing/RequesterTurn.kt
@@ -19,6 +19,7 @@
     val shardMap: ShardMap,
     val members: Map<RouterId, Member>,
     val mayGiveOutWork: Boolean,
+    val log: SharingLog,
 ) {
     val effects = mutableListOf<NodeEffect>()
 
--- a/src/main/kotlin/azuredale/sharing/ServerHealth.kt
+++ b/src/main/kotlin/azuredale/sharing/ServerHealth.kt
@@ -25,11 +25,14 @@
         return if (now < until) 0 else 1
     }
 
-    fun succeeded() {
+    /** Records a success; returns true when it ends an ejection. */
+    fun succeeded(): Boolean {
+        val wasEjected = isEjected
         failures = 0
         level = 0
         witnesses.clear()
         ejectedUntil = null
+        return wasEjected
     }
 
     /** Records a failure seen by [router]; returns true when the server becomes ejected by it. */
--- a/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
+++ b/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
@@ -32,6 +32,7 @@
 
     /** Asks every member for registration; grants follow when all have answered or a deadline passes. */
     fun startPrimary(turn: AllotterTurn) {
+        if (!term.isPrimary) turn.log(SharingLogEvent.ALLOTMENT_STARTED, mapOf("shard" to shard, "role" to "primary"))
         term.startPrimary(turn.now)
         order.raisesReturning = false
         documentChanged(turn)
@@ -41,6 +42,7 @@
 
     /** Serves routers that cannot reach the first router in order. */
     fun startSecondary(turn: AllotterTurn) {
+        turn.log(SharingLogEvent.ALLOTMENT_STARTED, mapOf("shard" to shard, "role" to "secondary"))
         term.startSecondary(turn.now)
         order.raisesReturning = false
         documentChanged(turn)
@@ -178,9 +180,11 @@
     private fun recordOutcome(grant: GrantRow, message: Settle, turn: AllotterTurn) {
         val server = servers[grant.server]
         if (message.hasServerFailed) {
-            server?.health?.failed(grant.key.router, turn.now)
+            val isEjected = server?.health?.failed(grant.key.router, turn.now) == true
+            if (isEjected) turn.log(SharingLogEvent.SERVER_EJECTED, mapOf("server" to grant.server))
         } else if (message.cost > 0) {
-            server?.health?.succeeded()
+            val isRestored = server?.health?.succeeded() == true
+            if (isRestored) turn.log(SharingLogEvent.SERVER_RESTORED, mapOf("server" to grant.server))
             server?.limit?.settled(message.cost, turn.now.secondsSince(grant.grantedAt), server.inFlight + 1)
             estimator.settled(grant.team, grant.hint, message.cost, turn.initialCost(shard.pool))
         }
@@ -188,8 +192,11 @@
 
     private fun finishCollecting(turn: AllotterTurn) {
         if (!term.isCollecting) return
-        val isComplete = term.isPrimary && turn.members.keys.all { routers[it]?.isRegistered == true }
-        if (!isComplete && turn.now < term.collectingUntil) return
+        val missing = turn.members.keys.count { routers[it]?.isRegistered != true }
+        if ((!term.isPrimary || missing > 0) && turn.now < term.collectingUntil) return
+        if (term.isPrimary && missing > 0) {
+            turn.log(SharingLogEvent.REGISTRATIONS_MISSING, mapOf("shard" to shard, "missing" to missing))
+        }
         term.finishCollecting()
         order.raisesReturning = true
         order.raiseAll(order.highest() - registration.credit(turn))
