Add specs for queues, servers, order, flood and lost messages

Cause: bounds, deadlines, last-moment checks, limits, ejection and repair were only covered by whole-fleet runs.

--- a/src/main/kotlin/azuredale/sharing/AllotterSnapshot.kt
+++ b/src/main/kotlin/azuredale/sharing/AllotterSnapshot.kt
@@ -14,12 +14,14 @@
  *
  * @property isPrimary whether the router is the first in order; another one serves routers that cannot reach the first.
  * @property isCollecting whether grants wait for registrations.
+ * @property offers waiting requests that the allotter holds.
  * @property droppedOffers offers that passed a bound since the router allots the shard.
  */
 public data class ShardSnapshot(
     val shard: ShardId,
     val isPrimary: Boolean,
     val isCollecting: Boolean,
+    val offers: Int,
     val droppedOffers: Long,
     val teams: List<TeamSnapshot>,
     val grants: List<GrantSnapshot>,
@@ -55,6 +57,7 @@
     shard = shard,
     isPrimary = term.isPrimary,
     isCollecting = term.isCollecting,
+    offers = demand.size,
     droppedOffers = demand.droppedOffers,
     teams = order.teams.map { TeamSnapshot(it.team, it.counter, it.waiting, it.running) },
     grants = ledger.rows.map { GrantSnapshot(it.key.router, it.key.request, it.team, it.server, it.charged) }.toList(),
--- a/src/main/kotlin/azuredale/sharing/DemandBook.kt
+++ b/src/main/kotlin/azuredale/sharing/DemandBook.kt
@@ -20,6 +20,8 @@
     var droppedOffers: Long = 0
         private set
 
+    val size: Int get() = byRouter.values.sumOf { it.size }
+
     val isEmpty: Boolean get() = byRouter.isEmpty()
 
     /** Applies what [router] reported about [team]. */
--- /dev/null
+++ b/src/test/kotlin/azuredale/sharing/FairOrderSpec.kt
@@ -0,0 +1,81 @@
+package azuredale.sharing
+
+import azuredale.configuration.Requirement
+import azuredale.identity.RequestNumber
+import azuredale.identity.RouterId
+import azuredale.identity.TeamId
+import azuredale.protocol.WaitingHead
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class FairOrderSpec {
+    private val order = FairOrder()
+    private val requirement = Requirement(testPool)
+    private val teams = listOf("a" to 1.0, "b" to 2.0).map { (name, share) -> order.row(TeamId(name), share) }
+
+    private fun head(team: TeamRow): WaitingRow {
+        val number = RequestNumber(team.team.hashCode().toLong())
+        return WaitingRow(GrantKey(RouterId("r"), number), team.team, requirement, WaitingHead(number), arrival = 0)
+    }
+
+    private fun queue(team: TeamRow): Unit = head(team).let { row -> order.update(team) { team.add(row) } }
+
+    private fun drain(team: TeamRow): Unit = head(team).let { row -> order.update(team) { team.remove(row) } }
+
+    @Nested
+    inner class Counters {
+        @Test
+        fun `grow by cost over share and order the backlogged teams`() {
+            // Guards against shares that do not count.
+            teams.forEach(::queue)
+            order.charge(teams[0], 10.0)
+            order.charge(teams[1], 10.0)
+            assertEquals(listOf(5.0, 10.0), order.inOrder.map { it.counter })
+        }
+
+        @Test
+        fun `of a returning team start at the lowest backlogged one and never below an earlier grant`() {
+            // Guards against credit from idle time, also after a correction lowered the counter of a waiting team.
+            queue(teams[0])
+            order.charge(teams[0], 100.0)
+            order.granting(teams[0], requirement)
+            order.charge(teams[0], -40.0)
+            queue(teams[1])
+            assertEquals(100.0, teams[1].counter)
+        }
+
+        @Test
+        fun `start at the highest one when no team is backlogged`() {
+            // Guards against credit over a team that was served while nobody waited.
+            order.charge(teams[0], 100.0)
+            queue(teams[1])
+            drain(teams[1])
+            assertEquals(100.0, teams[1].counter)
+        }
+    }
+
+    @Nested
+    inner class Estimates {
+        private val estimator = CostEstimator()
+        private val team = TeamId("a")
+
+        @Test
+        fun `follow the average of ended requests and correct the hint`() {
+            // Guards against estimates that keep the initial cost or trust a hint that is always wrong.
+            repeat(60) { estimator.settled(team, hint = 10.0, cost = 40.0, initial = 5.0) }
+            assertEquals(40.0, estimator.estimate(team, null, 5.0), absoluteTolerance = 0.1)
+            assertEquals(80.0, estimator.estimate(team, 20.0, 5.0), absoluteTolerance = 0.1)
+        }
+
+        @Test
+        fun `stay in bounds for hints that are not usable`() {
+            // Guards against a team that gets many grants before its first settlement by hints near zero.
+            listOf(1e-30, -1.0, 0.0, Double.NaN, Double.POSITIVE_INFINITY, 1e30).forEach { hint ->
+                val estimate = estimator.estimate(team, hint, initial = 16.0)
+                assertTrue(estimate in 1.0..256.0, "hint $hint gives estimate $estimate")
+            }
+        }
+    }
+}
--- a/src/test/kotlin/azuredale/sharing/SharingFleet.kt
+++ b/src/test/kotlin/azuredale/sharing/SharingFleet.kt
@@ -158,7 +158,7 @@
     val sent = ArrayList<Pair<RouterId, PeerMessage>>()
     var onSend: (RouterId, RouterId, PeerMessage, Timestamp) -> Unit = { _, _, _, _ -> }
     var isCut: (RouterId, RouterId) -> Boolean = { _, _ -> false }
-    var onSettled: (Running) -> Unit = {}
+    var drops: (PeerMessage) -> Boolean = { false }
     var fails: (Running) -> Boolean = { false }
     private val events = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
     private var nextOrder = 0L
@@ -265,12 +265,15 @@
         }
     }
 
+    fun messages(effects: List<NodeEffect>): List<PeerMessage> =
+        effects.filterIsInstance<NodeEffect.SendMessage>().map { it.message }
+
     private fun send(router: Router, effect: NodeEffect.SendMessage) {
         sent += router.id to effect.message
         onSend(router.id, effect.to, effect.message, now)
         val target = router(effect.to)
         val delay = if (target === router) 0 else latencyMicroseconds
-        if (target !== router && isCut(router.id, target.id)) return
+        if (target !== router && (isCut(router.id, target.id) || drops(effect.message))) return
         at(now.plusMicroseconds(delay)) { if (target.isRunning) deliver(target, router.id, effect.message) }
     }
 
@@ -307,7 +310,6 @@
         startNext(run.server)
         served.merge(run.work.team, run.work.cost, Double::plus)
         apply(run.router, run.router.requester.settled(run.number, run.work.cost, fails(run), now))
-        onSettled(run)
     }
 
     private fun scheduleTick(router: Router, incarnation: Long) {
