--- a/src/main/kotlin/azuredale/sharing/RequesterState.kt
+++ b/src/main/kotlin/azuredale/sharing/RequesterState.kt
@@ -65,7 +65,11 @@
 
     fun granted(from: RouterId, message: Grant, turn: RequesterTurn) {
         val running = grants[message.request]
-        if (running != null && running.server == message.server) return
+        if (running != null) {
+            // The allotter granted again after it lost the first grant; a registration corrects the server.
+            if (running.server != message.server) turn.send(from, Demand(message.shard, emptyList()))
+            return
+        }
         val row = queue[message.request]
         val isUsable =
             row != null &&
@@ -85,7 +89,7 @@
             return
         }
         links.registerWith(link, from, turn)
-        reserve.end(shard)
+        if (reserve.end(shard)) turn.log(SharingLogEvent.RESERVE_ENDED, mapOf("shard" to shard))
         teamQueues(shard.pool).forEach { it.takeBackAll(shard) }
         teamQueues(shard.pool).forEach { planner.plan(it, turn) }
         val waiting = turn.demands.remove(shard).orEmpty()
@@ -201,6 +205,7 @@
             val running = grants.ofShard(link.shard)
             val (row, server) = reserve.next(link.shard, queue.teamQueues, running, turn) ?: return
             if (!start(row, link.shard, server.id, isReserve = true, turn)) return
+            if (reserve.begin(link.shard)) turn.log(SharingLogEvent.RESERVE_STARTED, mapOf("shard" to link.shard))
         }
     }
 
--- a/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
+++ b/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
@@ -10,6 +10,7 @@
 import azuredale.protocol.Settle
 import azuredale.protocol.ShardId
 import azuredale.protocol.Withdraw
+import azuredale.time.Timestamp
 
 /** Allots the slots of one shard. All state is soft and is rebuilt from registrations. */
 internal class ShardAllotment(
@@ -27,11 +28,13 @@
     val term = AllotterTerm(settings)
     private val estimator = CostEstimator()
     private val routers = HashMap<RouterId, RouterRow>()
+    private var repairAt = Timestamp.DISTANT_PAST
     private val registration = RouterRegistration(shard, settings, order, ledger, demand, estimator)
     private val dispatcher = GrantDispatcher(shard, order, servers, ledger, demand, estimator, prefixes)
 
     /** Asks every member for registration; grants follow when all have answered or a deadline passes. */
     fun startPrimary(turn: AllotterTurn) {
+        if (!term.isPrimary) turn.log(SharingLogEvent.ALLOTMENT_STARTED, mapOf("shard" to shard, "role" to "primary"))
         term.startPrimary(turn.now)
         order.raisesReturning = false
         documentChanged(turn)
@@ -41,6 +44,7 @@
 
     /** Serves routers that cannot reach the first router in order. */
     fun startSecondary(turn: AllotterTurn) {
+        turn.log(SharingLogEvent.ALLOTMENT_STARTED, mapOf("shard" to shard, "role" to "secondary"))
         term.startSecondary(turn.now)
         order.raisesReturning = false
         documentChanged(turn)
@@ -178,9 +182,11 @@
     private fun recordOutcome(grant: GrantRow, message: Settle, turn: AllotterTurn) {
         val server = servers[grant.server]
         if (message.hasServerFailed) {
-            server?.health?.failed(grant.key.router, turn.now)
+            val isEjected = server?.health?.failed(grant.key.router, turn.now) == true
+            if (isEjected) turn.log(SharingLogEvent.SERVER_EJECTED, mapOf("server" to grant.server))
         } else if (message.cost > 0) {
-            server?.health?.succeeded()
+            val isRestored = server?.health?.succeeded() == true
+            if (isRestored) turn.log(SharingLogEvent.SERVER_RESTORED, mapOf("server" to grant.server))
             server?.limit?.settled(message.cost, turn.now.secondsSince(grant.grantedAt), server.inFlight + 1)
             estimator.settled(grant.team, grant.hint, message.cost, turn.initialCost(shard.pool))
         }
@@ -188,14 +194,19 @@
 
     private fun finishCollecting(turn: AllotterTurn) {
         if (!term.isCollecting) return
-        val isComplete = term.isPrimary && turn.members.keys.all { routers[it]?.isRegistered == true }
-        if (!isComplete && turn.now < term.collectingUntil) return
+        val missing = turn.members.keys.count { routers[it]?.isRegistered != true }
+        if ((!term.isPrimary || missing > 0) && turn.now < term.collectingUntil) return
+        if (term.isPrimary && missing > 0) {
+            turn.log(SharingLogEvent.REGISTRATIONS_MISSING, mapOf("shard" to shard, "missing" to missing))
+        }
         term.finishCollecting()
         order.raisesReturning = true
         order.raiseAll(order.highest() - registration.credit(turn))
     }
 
     private fun repair(turn: AllotterTurn) {
+        if (turn.now < repairAt) return
+        repairAt = turn.now.plusMilliseconds(REPAIR_PERIOD_MILLISECONDS)
         val stale = turn.now.plusMilliseconds(-settings.repairMilliseconds)
         ledger.rows
             .filter { it.heardAt < stale }
@@ -225,6 +236,8 @@
         !term.isPrimary && turn.isFirstLost(shard) && routers.values.any { it.isRegistered && it.router != self }
 
     private companion object {
+        const val REPAIR_PERIOD_MILLISECONDS = 100L
+
         /** Counters of a router that is gone are kept this long, for the case that a partition heals. */
         const val FORGET_MILLISECONDS = 600_000L
     }
