--- /dev/null
+++ b/src/test/kotlin/azuredale/configuration/ReferencePagesSpec.kt
@@ -0,0 +1,99 @@
+package azuredale.configuration
+
+import azuredale.identity.PoolId
+import azuredale.identity.ServerId
+import java.io.File
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class ReferencePagesSpec {
+    private class Row(
+        val unit: String,
+        val default: String,
+        val bound: String,
+    )
+
+    /** Tables of a page by the first word of their section, keys in the order of the page. */
+    private fun tables(page: String): Map<String, Map<String, Row>> {
+        val tables = LinkedHashMap<String, LinkedHashMap<String, Row>>()
+        var rows: LinkedHashMap<String, Row>? = null
+        File("docs/$page").forEachLine { line ->
+            val cells = line.trim('|').split('|').map { it.trim() }
+            if (line.startsWith("## [")) {
+                rows =
+                    LinkedHashMap<String, Row>().also {
+                        tables[line.substring(4).substringBefore(']').substringBefore(' ')] =
+                            it
+                    }
+            } else if (line.startsWith("| ") && cells.first() != "key") {
+                rows?.put(cells[0], Row(cells[1], cells[2], cells[3]))
+            }
+        }
+        return tables
+    }
+
+    /** Compares a page with the rules; [defaults] holds the values that the data classes state. */
+    private fun check(page: String, rules: List<SectionRule>, defaults: Map<Key<*>, Any>) {
+        val tables = tables(page)
+        assertEquals(rules.map { it.kind }.toSet(), tables.keys, "sections of $page")
+        rules.forEach { rule ->
+            val rows = tables.getValue(rule.kind)
+            assertEquals(rule.keys.map { it.name }, rows.keys.toList(), "keys of [${rule.kind}] in $page")
+            rule.keys.forEach { key ->
+                val row = rows.getValue(key.name)
+                assertEquals(key.unit to key.allowed, row.unit to row.bound, "[${rule.kind}] ${key.name} in $page")
+                assertEquals(key.isRequired, row.default == "required", "[${rule.kind}] ${key.name} in $page")
+                val given = row.default.takeIf { it !in setOf("required", "none", "one of the two") }
+                assertEquals(
+                    defaults[key],
+                    given?.let { key.read(it) },
+                    "default of [${rule.kind}] ${key.name} in $page",
+                )
+            }
+        }
+    }
+
+    @Test
+    fun `settings page states the keys, units, defaults and bounds of the parser`() {
+        // Guards against a page that promises a key, unit or default that the router does not have.
+        val text = File("samples/router.ini").readText()
+        val minimal = text.lines().filter { line -> "weight" !in line && "request-" !in line }.joinToString("\n")
+        val parsed = SettingsParser { "operator-token-of-a-file" }.parse(minimal)
+        val settings = assertIs<Parsed.Valid<RouterSettings>>(parsed, parsed.toString()).value
+        check(
+            "settings.md",
+            SettingsKeys.sections,
+            mapOf(
+                SettingsKeys.weight to settings.weight,
+                SettingsKeys.workers to settings.workers,
+                SettingsKeys.requestSize to settings.requestLimitBytes,
+                SettingsKeys.requestDeadline to settings.requestDeadlineSeconds,
+                SettingsKeys.ticketDeadline to settings.ticketDeadlineSeconds,
+                SettingsKeys.addressDeadline to settings.addressDeadlineSeconds,
+            ),
+        )
+    }
+
+    @Test
+    fun `document page states the keys, units, defaults and bounds of the parser`() {
+        val document = DocumentFixture.accepted(1).document
+        val pool = document.pools.getValue(PoolId("models"))
+        val server = document.servers.getValue(ServerId("s1"))
+        val objective = Objective(pool.id)
+        check(
+            "document.md",
+            DocumentKeys.sections,
+            mapOf(
+                DocumentKeys.shards to pool.shards,
+                DocumentKeys.initialCost to pool.initialCost,
+                DocumentKeys.retired to false,
+                DocumentKeys.state to server.state,
+                DocumentKeys.checksFencing to server.checksFencing,
+                DocumentKeys.firstToken to objective.firstTokenMilliseconds,
+                DocumentKeys.betweenTokens to objective.betweenTokensMilliseconds,
+                DocumentKeys.percent to objective.percent,
+            ),
+        )
+    }
+}
