Serve the console of forms

Cause: operators had only the command line. Change: forms for teams, pools, servers, recalls, model versions, adapters, failure domains and objectives; the draft travels in the page, errors stand beside their field, the review shows the difference and the faults, and a lost race shows the other operator's changes and keeps the own ones. The parser reads drafts whose references are not complete yet.

--- a/src/main/kotlin/azuredale/configuration/DocumentParser.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentParser.kt
@@ -20,11 +20,22 @@
     /** Returns the document, or every fault of [text]. */
     public fun parse(text: String): Parsed<Document> {
         if (text.length > MAXIMUM_CHARACTERS) return Parsed.Invalid(listOf(tooLong(text)))
+        return read(text) { sections, document, faults -> DocumentReferences(sections, document, faults).check() }
+    }
+
+    /** Returns a draft whose sections are well formed; references between them are not checked yet. */
+    internal fun parseDraft(text: String): Parsed<Document> =
+        if (text.length > MAXIMUM_CHARACTERS) Parsed.Invalid(listOf(tooLong(text))) else read(text) { _, _, _ -> }
+
+    private fun read(
+        text: String,
+        check: (Map<SectionRule, List<SectionReader>>, Document, MutableList<ConfigurationFault>) -> Unit,
+    ): Parsed<Document> {
         val ini = IniReader.read(text)
         val faults = ini.faults.toMutableList()
         val sections = SectionReader.open(ini, DocumentKeys.sections, faults)
         val document = DocumentReader(sections).read()
-        DocumentReferences(sections, document, faults).check()
+        check(sections, document, faults)
         return if (faults.isEmpty()) Parsed.Valid(document) else Parsed.Invalid(faults.sortedBy { it.line })
     }
 
--- a/src/main/kotlin/azuredale/console/OperatorEdge.kt
+++ b/src/main/kotlin/azuredale/console/OperatorEdge.kt
@@ -11,6 +11,7 @@
 import azuredale.logging.EventLog
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
+import azuredale.time.Clock
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
@@ -37,15 +38,24 @@
     private val settings: RouterSettings,
     private val port: OperatorPort,
     private val scope: CoroutineScope,
-    private val extension: (Router) -> Unit = {},
+    clock: Clock,
 ) {
     private val log = EventLog("azuredale.console")
     private val token = OperatorToken(settings.operatorToken)
+    private val console = ConsoleEdge(port, token, ConsoleSession(settings.operatorToken, clock), scope)
     private var server: HttpServer? = null
 
+    /** Port of the interface; zero before [start]. */
+    val actualPort: Int get() = server?.actualPort() ?: 0
+
     /** Opens the listening socket. */
     suspend fun start() {
-        val options = HttpServerOptions().setHost(settings.operatorAddress.host).setPort(settings.operatorAddress.port)
+        val options =
+            HttpServerOptions()
+                .setHost(settings.operatorAddress.host)
+                .setPort(settings.operatorAddress.port)
+                .setMaxFormAttributeSize(MAXIMUM_BODY_BYTES.toInt())
+                .setMaxFormBufferedBytes(MAXIMUM_BODY_BYTES.toInt())
         server =
             vertx
                 .createHttpServer(options)
@@ -66,7 +76,7 @@
         router.get("/healthz").handler { it.text("ok\n") }
         router.get("/readyz").handler(::readiness)
         router.get("/metrics").handler { it.text(port.metrics()) }
-        extension(router)
+        console.install(router)
         router.route("/v1/*").handler(::authorize)
         router.get("/v1/show").handler { it.json(Json.encodeToString(FleetStatus.serializer(), port.status())) }
         router.get("/v1/document").handler(::document)
@@ -198,7 +208,9 @@
 
     internal companion object {
         const val REVISION_HEADER = "Azuredale-Revision"
-        private const val MAXIMUM_BODY_BYTES = 1_048_576L
+
+        /** A console form carries two documents, URL-encoded. */
+        private const val MAXIMUM_BODY_BYTES = 8_388_608L
         private const val STATUS_OK = 200
         private const val STATUS_INTERNAL_ERROR = 500
     }
--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -130,7 +130,7 @@
             isConnectedWithMajority = { node.documents.isConnectedWithMajority(clock()) },
             push = ::pushAccepted,
         )
-    private val operators = OperatorEdge(vertx, settings, operatorPort(), scope)
+    private val operators = OperatorEdge(vertx, settings, operatorPort(), scope, clock)
 
     /** Bytes of messages and datagrams sent to other routers. */
     public val controlBytesSent: Long
