--- a/src/main/kotlin/azuredale/outcome/KeptOutcomes.kt
+++ b/src/main/kotlin/azuredale/outcome/KeptOutcomes.kt
@@ -4,7 +4,7 @@
 import azuredale.blackboard.Table
 import azuredale.logging.EventLog
 
-/** Outcomes of ended requests, bounded in rows and bytes; used inside the lock of the used tickets. */
+/** Outcomes of ended requests, bounded in rows and bytes. */
 internal class KeptOutcomes(
     private val bounds: OutcomeBounds,
     private val log: EventLog,
@@ -12,6 +12,8 @@
     private val rows = Table<OutcomeId, RunEnd>("kept outcomes", OWNER, bounds.keptRows, LockRank.USED_TICKETS)
     private var bytes = 0L
 
+    fun <R> locked(block: () -> R): R = rows.locked(block)
+
     fun find(id: OutcomeId): OutcomeUse? = rows.locked {
         when (val end = rows[id]) {
             is RunEnd.Answered -> end.answer?.let { OutcomeUse.Answer(it) }
--- a/src/main/kotlin/azuredale/outcome/TicketController.kt
+++ b/src/main/kotlin/azuredale/outcome/TicketController.kt
@@ -45,7 +45,7 @@
     private val issued = AtomicLong()
 
     /** Runs [block] with the tables' lock held, so that other tables of higher rank change together with these. */
-    internal fun <R> locked(block: () -> R): R = used.locked(block)
+    internal fun <R> locked(block: () -> R): R = used.locked { kept.locked(block) }
 
     /** A new signed ticket for [team] that only the process [targetIncarnation] of [target] accepts. */
     public fun issue(target: RouterId, targetIncarnation: Incarnation, team: TeamId, now: Timestamp): String {
@@ -59,7 +59,7 @@
         if (ticket == null || ticket.team != team) return refuse(ErrorKind.TICKET_INVALID)
         if (ticket.target != self || ticket.targetIncarnation != incarnation) return refuse(ErrorKind.TICKET_FOREIGN)
         val id = OutcomeId.ByTicket(ticket.number)
-        return used.locked {
+        return locked {
             val earlier = used[id]
             when {
                 earlier != null -> repeat(id, earlier, request)
@@ -72,7 +72,7 @@
     /** Decides about [request], which carries the idempotency key [key]. */
     public fun useKey(team: TeamId, key: String, request: RequestNumber, now: Timestamp): OutcomeUse {
         val id = OutcomeId.ByKey(team, key)
-        return used.locked {
+        return locked {
             val earlier = used[id]
             if (earlier != null) {
                 repeat(id, earlier, request)
@@ -85,17 +85,17 @@
     /** Records how the run of the ticket [text] ended. */
     public fun ticketEnded(text: String, end: RunEnd, now: Timestamp) {
         val ticket = signer.verify(text) ?: return
-        used.locked { end(OutcomeId.ByTicket(ticket.number), end, isClaimed = false, now) }
+        locked { end(OutcomeId.ByTicket(ticket.number), end, isClaimed = false, now) }
     }
 
     /** Records how the run of [key] ended; [isClaimed] tells whether this process holds the claim. */
     public fun keyEnded(team: TeamId, key: String, isClaimed: Boolean, end: RunEnd, now: Timestamp) {
-        used.locked { end(OutcomeId.ByKey(team, key), end, isClaimed, now) }
+        locked { end(OutcomeId.ByKey(team, key), end, isClaimed, now) }
     }
 
     /** Drops records whose time has passed; a record in progress stays. */
     public fun tick(now: Timestamp) {
-        used.locked {
+        locked {
             used.removeWhere { id, row ->
                 val isOver = row.state !is UseState.Running && now > row.keepUntil
                 if (isOver) kept.remove(id)
--- a/src/main/kotlin/azuredale/routing/BackendClient.kt
+++ b/src/main/kotlin/azuredale/routing/BackendClient.kt
@@ -12,6 +12,7 @@
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Sends one request to a backend server and reads its answer. */
 internal interface AttemptReading {
@@ -66,7 +67,7 @@
      * failure after the request was read.
      */
 
-    private suspend fun open(target: Target): Opened = try {
+    private suspend fun open(target: Target): Opened {
         val client: HttpClient = if (target.isIdempotent) reusing else fresh
         val options =
             RequestOptions()
@@ -75,11 +76,20 @@
                 .setPort(target.address.port)
                 .setURI(target.uri)
                 .setConnectTimeout(settings.connectMilliseconds.toLong())
-        Opened(client.request(options).coAwait(), "")
-    } catch (cancelled: CancellationException) {
-        throw cancelled
-    } catch (failure: Exception) {
-        Opened(null, failure.message ?: failure.javaClass.simpleName)
+        val opening = client.request(options)
+        var request: HttpClientRequest? = null
+        try {
+            // The pool's own wait has no limit, so the whole step gets one.
+            request = withTimeoutOrNull(OPEN_FACTOR * settings.connectMilliseconds) { opening.coAwait() }
+            return Opened(request, if (request == null) "no connection in time" else "")
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failure: Exception) {
+            return Opened(null, failure.message ?: failure.javaClass.simpleName)
+        } finally {
+            // A connection that arrives after the wait was given up goes back to the pool.
+            if (request == null) opening.onSuccess { it.reset() }
+        }
     }
 
     suspend fun close() {
@@ -107,5 +117,6 @@
     private companion object {
         // Shorter than the 60 s after which common HTTP servers close an idle connection.
         const val IDLE_SECONDS = 30
+        const val OPEN_FACTOR = 2L
     }
 }
--- /dev/null
+++ b/src/test/kotlin/azuredale/routing/OutcomeRulesSpec.kt
@@ -0,0 +1,308 @@
+package azuredale.routing
+
+import azuredale.configuration.Requirement
+import azuredale.identity.AttemptNumber
+import azuredale.identity.Incarnation
+import azuredale.identity.RequestNumber
+import azuredale.identity.RouterId
+import azuredale.identity.ServerId
+import azuredale.node.ClaimResult
+import azuredale.node.NodeEffect
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Execution
+import azuredale.outcome.Failure
+import azuredale.outcome.Outcome
+import azuredale.outcome.TicketController
+import azuredale.outcome.TicketSigner
+import azuredale.outcome.refused
+import azuredale.time.Timestamp
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/**
+ * Random orders of events at one request controller, among them late, repeated and foreign ones. jqwik prints the seed of
+ * a failure; repeat it with `@Property(seed = "...")`.
+ */
+class OutcomeRulesSpec {
+    enum class Kind {
+        ASK,
+        GONE,
+        GRANT,
+        REFUSE,
+        PROGRESS,
+        COMPLETE,
+        UNCONNECTED,
+        BREAK,
+        WRONG,
+        CLAIM,
+        CLAIM_FAILS,
+        TIME,
+        DRAIN,
+        RECALL,
+        STALE,
+        FULL,
+        REPLAY,
+    }
+
+    data class Step(
+        val kind: Kind,
+        val number: Int,
+    )
+
+    @Provide
+    fun steps(): Arbitrary<List<Step>> {
+        val kinds =
+            Arbitraries.frequency(
+                *Kind.entries
+                    .map {
+                        net.jqwik.api.Tuple
+                            .of(if (it in rare) 1 else 6, it)
+                    }.toTypedArray(),
+            )
+        val step =
+            net.jqwik.api.Combinators
+                .combine(kinds, Arbitraries.integers().between(0, 11))
+                .`as`(::Step)
+        return step.list().ofMinSize(10).ofMaxSize(120)
+    }
+
+    @Property(tries = 3_000)
+    fun `keeps the outcome rules in every order of events`(
+        @ForAll("steps") steps: List<Step>,
+    ) {
+        val run = Run()
+        steps.forEach(run::apply)
+        run.settle()
+    }
+
+    private class Attempt(
+        val start: NodeEffect.StartAttempt,
+        var isOver: Boolean = false,
+    )
+
+    /** One controller with a model of what its callers and servers see. */
+    private class Run {
+        private var now = Timestamp(1_000_000)
+        private var accepted = document(server("s1", HERD, 1), server("s2", HERD, 2))
+        private var isFresh = true
+        private var isFull = false
+        private val tickets = TicketController(RouterId("r1"), Incarnation(1), TicketSigner(FLEET_KEY))
+        private val identities =
+            List(2) {
+                RequestIdentity.Ticket(tickets.issue(RouterId("r1"), Incarnation(1), COUNTER, now))
+            } + listOf(RequestIdentity.Key("k1"), RequestIdentity.Key("k2"))
+        private val requests = HashMap<RequestNumber, CallerRequest>()
+        private val results = HashMap<RequestNumber, RequestResult>()
+        private val waiting = LinkedHashSet<RequestNumber>()
+        private val heldSlots = HashSet<RequestNumber>()
+        private val attempts = ArrayList<Attempt>()
+        private val claims = ArrayList<RequestNumber>()
+
+        /** Identities or idempotent requests with an attempt that may have written a byte. */
+        private val written = HashSet<Any>()
+        private val delivered = HashMap<RequestNumber, Long>()
+
+        private val controller =
+            RequestController(
+                SlotFunctions(
+                    submit = { queued, _ ->
+                        if (isFull) {
+                            refused(ErrorKind.QUEUE_FULL)
+                        } else {
+                            assertTrue(waiting.add(queued.number), "slot number ${queued.number} is used twice")
+                            Outcome.Success(emptyList())
+                        }
+                    },
+                    withdraw = { slot, _ -> emptyList<NodeEffect>().also { waiting -= slot } },
+                    progressed = { slot, _, _ -> emptyList<NodeEffect>().also { assertTrue(slot in heldSlots) } },
+                    settled = { slot, _, _, _ ->
+                        emptyList<NodeEffect>().also { assertTrue(heldSlots.remove(slot), "slot $slot settled twice") }
+                    },
+                ),
+                { accepted },
+                { isFresh },
+                tickets,
+                RequestSettings(rows = 6, retryBurst = 3.0),
+            )
+
+        fun apply(step: Step) {
+            val number = step.number
+            when (step.kind) {
+                Kind.ASK -> ask(number)
+                Kind.GONE -> perform(controller.callerGone(anyRequest(number), now))
+                Kind.GRANT -> waiting.elementAtOrNull(number % 3)?.let { grant(it, number) }
+                Kind.REFUSE ->
+                    waiting.elementAtOrNull(number % 3)?.let {
+                        waiting -= it
+                        perform(controller.slotRefused(it, Failure(ErrorKind.NO_ELIGIBLE_SERVER), now))
+                    }
+                Kind.PROGRESS ->
+                    open(number)?.let {
+                        perform(controller.attemptProgressed(it.start.request, it.start.attempt, 1.0, now))
+                    }
+                Kind.COMPLETE -> open(number)?.let { end(it, AttemptResult.Completed(3.0, answer(it))) }
+                Kind.UNCONNECTED -> open(number)?.let { end(it, AttemptResult.NotConnected("refused")) }
+                Kind.BREAK -> open(number)?.let { end(it, AttemptResult.Broken(1.0, deliver(it, number % 2L), "cut")) }
+                Kind.WRONG -> open(number)?.let { end(it, AttemptResult.WrongAnswer(0.0, "foreign")) }
+                Kind.CLAIM -> claims.removeFirstOrNull()?.let { claimed(it, ClaimResult.CLAIMED) }
+                Kind.CLAIM_FAILS -> claims.removeFirstOrNull()?.let { claimed(it, ClaimResult.entries[number % 5]) }
+                Kind.TIME -> pass(number * 40L)
+                Kind.DRAIN -> perform(controller.drain(now))
+                Kind.RECALL -> accepted = document(server("s1", HERD, 1))
+                Kind.STALE -> isFresh = !isFresh
+                Kind.FULL -> isFull = !isFull
+                Kind.REPLAY -> replay(number)
+            }
+        }
+
+        /** Lets every deadline pass: each request must have an answer and each slot must be free. */
+        fun settle() {
+            repeat(3) { pass(10_000) }
+            assertTrue(controller.isIdle(), "requests are left after their deadline")
+            assertEquals(requests.keys, results.keys, "requests without an answer")
+            assertEquals(emptySet(), heldSlots.toSet(), "slots that were never settled")
+            assertEquals(emptySet(), waiting.toSet(), "slots that were never withdrawn")
+        }
+
+        private fun ask(number: Int) {
+            val identity = identities.getOrElse(number) { RequestIdentity.Idempotent }
+            val id = RequestNumber(requests.size + 1L)
+            val deadline = now.plusMilliseconds(1_000)
+            val isResumable = number % 2 == 0
+            requests[id] = CallerRequest(id, COUNTER, Requirement(HERD), deadline, identity, isResumable = isResumable)
+            perform(controller.requestReceived(requests.getValue(id), now))
+        }
+
+        private fun grant(slot: RequestNumber, number: Int) {
+            waiting -= slot
+            heldSlots += slot
+            perform(controller.slotGranted(slot, ServerId(if (number % 2 == 0) "s1" else "s2"), now))
+        }
+
+        private fun claimed(request: RequestNumber, result: ClaimResult) =
+            perform(controller.keyClaimed(request, result, now))
+
+        private fun end(attempt: Attempt, result: AttemptResult) {
+            attempt.isOver = true
+            if (result is AttemptResult.NotConnected) written.removeAll(unwritten(attempt))
+            perform(controller.attemptEnded(attempt.start.request, attempt.start.attempt, result, now))
+        }
+
+        /** Sends an event of an ended or foreign attempt; nothing may follow from it. */
+        private fun replay(number: Int) {
+            val stale = attempts.filter { it.isOver }.getOrNull(number) ?: return
+            val before = controller.droppedEvents
+            val result = AttemptResult.Completed(1.0)
+            assertEquals(emptyList(), controller.attemptEnded(stale.start.request, stale.start.attempt, result, now))
+            val future = AttemptNumber(stale.start.attempt.value + 50)
+            assertEquals(emptyList(), controller.attemptEnded(stale.start.request, future, result, now))
+            assertEquals(before + 2, controller.droppedEvents)
+        }
+
+        private fun pass(milliseconds: Long) {
+            now = now.plusMilliseconds(milliseconds)
+            perform(controller.tick(now))
+        }
+
+        private fun perform(effects: List<NodeEffect>) {
+            for (effect in effects) {
+                when (effect) {
+                    is NodeEffect.StartAttempt -> started(effect)
+                    is NodeEffect.CancelAttempt ->
+                        attempts
+                            .filter { it.start.request == effect.request && it.start.attempt == effect.attempt }
+                            .forEach { it.isOver = true }
+                    is NodeEffect.FinishRequest -> finished(effect)
+                    is NodeEffect.ClaimKey -> claims += effect.request
+                    else -> error("unexpected effect $effect")
+                }
+            }
+        }
+
+        private fun started(start: NodeEffect.StartAttempt) {
+            val request = requests.getValue(start.request)
+            assertTrue(isFresh, "an attempt starts while the document is not confirmed")
+            assertTrue(accepted.document.allows(start.server, request.requirement), "${start.server} is excluded")
+            assertTrue(now < request.deadline, "an attempt starts after the deadline")
+            assertEquals(delivered[start.request] ?: 0L, start.resumeAt, "text is repeated or lost")
+            assertTrue(start.resumeAt == 0L || request.isResumable)
+            if (request.identity != RequestIdentity.Idempotent) {
+                assertTrue(request.identity !in written, "a second run of ${request.identity}")
+            }
+            written += identityOf(request)
+            attempts += Attempt(start)
+        }
+
+        private fun finished(effect: NodeEffect.FinishRequest) {
+            assertEquals(null, results.put(effect.request, effect.result), "two answers to ${effect.request}")
+            val request = requests.getValue(effect.request)
+            when (val result = effect.result) {
+                RequestResult.Completed -> assertTrue(request.number in completed, "incomplete answer called complete")
+                is RequestResult.Repeated -> {
+                    val from =
+                        requests.getValue(
+                            RequestNumber(
+                                result.answer.body
+                                    .decodeToString()
+                                    .toLong(),
+                            ),
+                        )
+                    assertEquals(request.identity, from.identity, "an answer to another identity")
+                }
+                is RequestResult.Failed -> {
+                    val mayHaveRun = identityOf(request) in written
+                    val isNotRun = result.failure.execution == Execution.NOT_RUN
+                    assertTrue(!isNotRun || !mayHaveRun, "false not-run: ${result.failure}")
+                }
+            }
+        }
+
+        private val completed = HashSet<RequestNumber>()
+
+        private fun answer(attempt: Attempt): KeptAnswer {
+            completed += attempt.start.request
+            return KeptAnswer(
+                200,
+                null,
+                attempt.start.request
+                    .toString()
+                    .encodeToByteArray(),
+            )
+        }
+
+        private fun deliver(attempt: Attempt, units: Long): Long =
+            ((delivered[attempt.start.request] ?: 0L) + units).also { delivered[attempt.start.request] = it }
+
+        /** What is no longer written when [attempt] wrote nothing: its identity, unless an earlier attempt wrote. */
+        private fun unwritten(attempt: Attempt): Set<Any> {
+            val request = requests.getValue(attempt.start.request)
+            val hasEarlier = attempts.any { it !== attempt && it.start.request == request.number && it.mayHaveWritten }
+            attempt.mayHaveWritten = false
+            return if (hasEarlier) emptySet() else setOf(identityOf(request))
+        }
+
+        private var Attempt.mayHaveWritten: Boolean
+            get() = this !in unconnected
+            set(value) {
+                if (value) unconnected -= this else unconnected += this
+            }
+
+        private val unconnected = HashSet<Attempt>()
+
+        private fun identityOf(request: CallerRequest): Any =
+            if (request.identity == RequestIdentity.Idempotent) request.number else request.identity
+
+        private fun open(number: Int): Attempt? = attempts.filter { !it.isOver }.let { it.getOrNull(number % 3) }
+
+        private fun anyRequest(number: Int) = RequestNumber(maxOf(1L, requests.size - number.toLong()))
+    }
+
+    private companion object {
+        val rare = setOf(Kind.DRAIN, Kind.RECALL, Kind.STALE, Kind.FULL)
+    }
+}
