--- /dev/null
+++ b/src/test/kotlin/azuredale/outcome/TicketInterleavingSpec.kt
@@ -0,0 +1,167 @@
+package azuredale.outcome
+
+import azuredale.configuration.Secret
+import azuredale.identity.Incarnation
+import azuredale.identity.RequestNumber
+import azuredale.identity.RouterId
+import azuredale.identity.TeamId
+import azuredale.routing.KeptAnswer
+import azuredale.time.Timestamp
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class TicketInterleavingSpec {
+    enum class Step { USE_A, END_A, USE_B, END_B, CRASH, EXPIRE, FORGET }
+
+    enum class End { ANSWERED, NOT_RUN, FAILED, TOO_LARGE }
+
+    private val team = TeamId("kiosk")
+    private val signer = TicketSigner(Secret("test fleet key"))
+    private val bounds = OutcomeBounds(ticketSeconds = 60, keepSeconds = 120, answerBytes = 100)
+
+    /** All 1,260 orders in which two callers use one ticket, the router crashes, the ticket expires and is forgotten. */
+    @ParameterizedTest
+    @EnumSource(End::class)
+    fun `runs a ticket at most once and never reports a run as not run`(end: End) {
+        var orders = 0
+        forEachOrder(emptyList(), Step.entries.toSet()) { order ->
+            orders++
+            World(end).run(order)
+        }
+        assertEquals(1_260, orders)
+    }
+
+    private fun forEachOrder(done: List<Step>, left: Set<Step>, visit: (List<Step>) -> Unit) {
+        if (left.isEmpty()) visit(done)
+        for (step in left) {
+            val needed =
+                if (step == Step.END_A) {
+                    Step.USE_A
+                } else if (step == Step.END_B) {
+                    Step.USE_B
+                } else {
+                    null
+                }
+            if (needed == null || needed in done) forEachOrder(done + step, left - step, visit)
+        }
+    }
+
+    private inner class World(private val end: End) {
+        private var now = Timestamp(0)
+        private var incarnation = Incarnation(1)
+        private var controller = controller()
+        private val text = controller.issue(RouterId("r1"), incarnation, team, now)
+        private val running = HashMap<RequestNumber, TicketController>()
+        private var hasWritten = false
+        private var hasEnded = false
+
+        fun run(order: List<Step>) {
+            for (step in order) {
+                when (step) {
+                    Step.USE_A -> use(RequestNumber(1), order)
+                    Step.USE_B -> use(RequestNumber(2), order)
+                    Step.END_A -> end(RequestNumber(1))
+                    Step.END_B -> end(RequestNumber(2))
+                    Step.CRASH -> {
+                        incarnation = Incarnation(2)
+                        controller = controller()
+                    }
+                    Step.EXPIRE -> pass(61)
+                    Step.FORGET -> pass(500)
+                }
+            }
+        }
+
+        private fun use(request: RequestNumber, order: List<Step>) {
+            when (val use = controller.use(text, team, request, now)) {
+                OutcomeUse.Run -> {
+                    assertFalse(hasWritten, "second run in $order")
+                    assertEquals(Incarnation(1), incarnation, "run after the crash in $order")
+                    assertTrue(now.microseconds == 0L, "run after expiry in $order")
+                    running[request] = controller
+                    if (end != End.NOT_RUN) hasWritten = true
+                }
+                is OutcomeUse.Join -> assertTrue(use.original in running, "joins an ended run in $order")
+                is OutcomeUse.Answer -> assertTrue(hasEnded && end == End.ANSWERED, "answer without a run in $order")
+                is OutcomeUse.Refused -> assertEquals(Execution.UNKNOWN, use.failure.execution, "$order")
+                OutcomeUse.Claim -> error("a ticket is never claimed")
+            }
+        }
+
+        private fun end(request: RequestNumber) {
+            val owner = running.remove(request) ?: return
+            if (owner !== controller) return
+            hasEnded = true
+            val result =
+                when (end) {
+                    End.ANSWERED -> RunEnd.Answered(KeptAnswer(200, null, byteArrayOf(1)))
+                    End.TOO_LARGE -> RunEnd.Answered(KeptAnswer(200, null, ByteArray(101)))
+                    End.NOT_RUN -> RunEnd.NotRun
+                    End.FAILED -> RunEnd.Failed(Failure(ErrorKind.BACKEND_FAILED))
+                }
+            controller.ticketEnded(text, result, now)
+        }
+
+        private fun pass(seconds: Long) {
+            now = now.plusSeconds(seconds)
+            controller.tick(now)
+        }
+
+        private fun controller() = TicketController(RouterId("r1"), incarnation, signer, bounds)
+    }
+
+    @Test
+    fun `accepts no ticket whose text was changed`() {
+        // Guards against a ticket moved to another router, team or deadline by its holder.
+        val number = TicketNumber(RouterId("r1"), Incarnation(1), 7)
+        val ticket = Ticket(RouterId("r2"), Incarnation(3), number, team, Timestamp(9))
+        val text = signer.sign(ticket)
+        assertEquals(ticket, signer.verify(text))
+        for (index in text.indices) {
+            val changed = text.replaceRange(index, index + 1, if (text[index] == 'A') "B" else "A")
+            // The last letter holds two unused bits, so a changed letter may stand for the same bytes.
+            val read = signer.verify(changed)
+            if (index <
+                text.lastIndex
+            ) {
+                assertNull(read, "letter $index")
+            } else {
+                assertTrue(read == null || read == ticket)
+            }
+        }
+        assertNull(TicketSigner(Secret("another key")).verify(text))
+        assertNull(signer.verify("A".repeat(2_000)))
+    }
+
+    @Test
+    fun `drops the oldest outcomes when their bytes run out and says so`() {
+        val small = bounds.copy(answerBytes = 60, totalBytes = 100)
+        val controller = TicketController(RouterId("r1"), Incarnation(1), signer, small)
+        val texts = List(3) { controller.issue(RouterId("r1"), Incarnation(1), team, Timestamp(0)) }
+        texts.forEachIndexed { index, text ->
+            assertEquals(OutcomeUse.Run, controller.use(text, team, RequestNumber(index + 1L), Timestamp(0)))
+            controller.ticketEnded(text, RunEnd.Answered(KeptAnswer(200, null, ByteArray(50))), Timestamp(0))
+        }
+        val repeats = texts.map { controller.use(it, team, RequestNumber(9), Timestamp(0)) }
+        assertEquals(ErrorKind.OUTCOME_DROPPED, (repeats[0] as OutcomeUse.Refused).failure.kind)
+        repeats.drop(1).forEach { assertNotNull(it as? OutcomeUse.Answer) }
+    }
+
+    @Test
+    fun `refuses a first use when the table of used tickets is full`() {
+        val controller = TicketController(RouterId("r1"), Incarnation(1), signer, bounds.copy(usedRows = 1))
+        val uses =
+            List(2) {
+                val text = controller.issue(RouterId("r1"), Incarnation(1), team, Timestamp(0))
+                controller.use(text, team, RequestNumber(it + 1L), Timestamp(0))
+            }
+        assertEquals(OutcomeUse.Run, uses[0])
+        assertEquals(Failure(ErrorKind.OVERLOADED, "used tickets"), (uses[1] as OutcomeUse.Refused).failure)
+    }
+}
