Count answers of the fleet instead of the failure detector's states

Cause: a trial with 390 routers in virtual time cut a region of 156 off from the service and the rest. It kept working for the whole 8 s of the trial, because the failure detector needs longer than 2 s to suspect 234 members. The spec of 8 routers did not show it.

Change: while the service is silent, two routers of each failure domain ask every member for its revision twice a second; a majority of answers is a confirmation and spreads like one of the service. A submission polls the fleet in the same way before it is written. Members that disappear are counted for ten minutes and until a poll reaches a majority.

--- a/src/main/kotlin/azuredale/configuration/DocumentController.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentController.kt
@@ -42,12 +42,19 @@
 
     /** Whether new work may be started at [now] under [document]. */
     public fun mayGiveOutWork(now: Timestamp): Boolean = view { held, state ->
-        held != null && state.mayGiveOutWork(held.revision, now, minimumFleetSize())
+        held != null && state.freshness.isFresh(now)
     }
 
-    /** Whether this node is connected with more than half of the fleet. */
-    public fun isConnectedWithMajority(now: Timestamp): Boolean = view { _, state ->
-        state.fleet.hasMajority(now, minimumFleetSize())
+    /**
+     * Whether more than half of the fleet answered this node within the last second.
+     *
+     * The question makes the node poll the fleet at its next ticks, so it is asked again until the answer is true or
+     * the caller gives up.
+     */
+    public fun isConnectedWithMajority(now: Timestamp): Boolean = states.locked {
+        val state = states[Unit] ?: DocumentState.initial(self)
+        states.put(Unit, state.copy(poll = state.poll.wanted(now)))
+        state.isConnectedWithMajority(now, minimumFleetSize())
     }
 
     /** The newest confirmation, for datagrams to other routers; null when there is none. */
@@ -74,7 +81,7 @@
 
     /** A datagram of [router] arrived, which holds [revision]. */
     public fun peerRevision(router: RouterId, revision: Revision, now: Timestamp): List<NodeEffect> =
-        step(now) { heardFrom(router, revision) }
+        step(now) { noteHolder(router, revision) }
 
     /** A message of [from] arrived; messages that do not concern the document are ignored. */
     public fun messageReceived(from: RouterId, message: PeerMessage, now: Timestamp): List<NodeEffect> = step(now) {
--- a/src/main/kotlin/azuredale/configuration/DocumentState.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentState.kt
@@ -16,34 +16,28 @@
     }
 }
 
-/** Row of the freshness table: everything [DocumentController] knows besides the document. */
+/**
+ * Row of the freshness table: everything [DocumentController] knows besides the document.
+ *
+ * @property isWatching whether this node watches the document's key for its failure domain.
+ * @property isCounting whether this node polls the fleet while the key-value service does not answer it; a
+ *   node that knows no other member does.
+ */
 internal data class DocumentState(
     val freshness: Freshness,
     val fleet: FleetView,
+    val poll: MajorityPoll,
     val schedule: ReadSchedule,
     val fetch: PeerFetch,
     val isWatching: Boolean = false,
+    val isCounting: Boolean = true,
     val isGivingOutWork: Boolean = false,
 ) {
-    /**
-     * Whether a node that holds [held] may start new work.
-     *
-     * Without a recent confirmation a majority is enough, because submissions are accepted only by nodes that are
-     * connected with a majority, and two majorities share a node. The majority must have been held for a while, so that
-     * a node that rejoins or wakes from a pause has heard of newer documents first.
-     */
-    fun mayGiveOutWork(held: Revision, now: Timestamp, minimumFleetSize: Int): Boolean {
-        if (freshness.isFresh(now)) return true
-        val since = fleet.majoritySince ?: return false
-        val settledFrom = maxOf(since, freshness.trustedFrom).plusMicroseconds(SETTLE_MICROSECONDS)
-        val newestKnown = maxOf(fetch.highest, freshness.newest?.revision ?: Revision.NONE)
-        return fleet.hasMajority(now, minimumFleetSize) && now >= settledFrom && newestKnown <= held
-    }
+    fun isConnectedWithMajority(now: Timestamp, minimumFleetSize: Int): Boolean =
+        poll.isValid(now) || fleet.isMajority(1, minimumFleetSize)
 
     companion object {
-        /** Several periods of the failure detector. */
-        const val SETTLE_MICROSECONDS = 1_000_000L
-
-        fun initial(self: RouterId) = DocumentState(Freshness(), FleetView(self), ReadSchedule(self), PeerFetch(self))
+        fun initial(self: RouterId) =
+            DocumentState(Freshness(), FleetView(), MajorityPoll(), ReadSchedule(self), PeerFetch(self))
     }
 }
--- a/src/main/kotlin/azuredale/configuration/DocumentStep.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentStep.kt
@@ -32,12 +32,16 @@
 
     fun run(action: DocumentStep.() -> Unit) {
         val observed = state.freshness.observed(now)
-        if (observed.trustedFrom != state.freshness.trustedFrom) log.write(ConfigurationLogEvent.PROCESS_PAUSED)
+        if (observed.trustedFrom != state.freshness.trustedFrom) {
+            log.write(ConfigurationLogEvent.PROCESS_PAUSED)
+            // Answers of a round before the pause say nothing about the present.
+            state = state.copy(poll = MajorityPoll(wantedUntil = state.poll.wantedUntil))
+        }
         state = state.copy(freshness = observed)
         action()
-        state = state.copy(fleet = state.fleet.observed(now, minimumFleetSize))
         askPeer()
         readService()
+        pollFleet()
         noteFreshness()
     }
 
@@ -61,28 +65,29 @@
     }
 
     fun serviceFailed() {
-        val isBackedOff = held != null && state.fleet.hasMajority(now, minimumFleetSize)
-        state = state.copy(schedule = state.schedule.failed(now, isBackedOff))
+        state = state.copy(schedule = state.schedule.failed(now, isBackedOff = state.freshness.isFresh(now)))
     }
 
     fun peerConfirmed(confirmation: Confirmation) {
-        val age = confirmation.ageMilliseconds.coerceAtLeast(0)
+        if (confirmation.revision == Revision.NONE) return
+        val age = confirmation.ageMilliseconds.coerceIn(0, OLDEST_MILLISECONDS)
         confirmed(ConfirmedRevision(confirmation.revision, now.plusMilliseconds(-age)))
     }
 
-    fun heardFrom(router: RouterId, revision: Revision) {
-        state = state.copy(fleet = state.fleet.heard(now))
-        noteHolder(router, revision)
+    fun noteHolder(router: RouterId, revision: Revision) {
+        if (revision > this.revision) state = state.copy(fetch = state.fetch.holds(router, revision))
     }
 
     fun announced(from: RouterId, revision: Revision) {
         noteHolder(from, revision)
         if (revision < this.revision) send(from, DocumentAnnounce(this.revision))
+        countAnswer(from)
     }
 
     fun requested(from: RouterId, known: Revision) {
-        val document = held ?: return
-        if (document.revision > known) send(from, DocumentBody(document.revision, document.body))
+        val document = held
+        val isNewer = document != null && document.revision > known
+        send(from, if (isNewer) DocumentBody(document.revision, document.body) else DocumentAnnounce(revision))
     }
 
     fun bodyReceived(from: RouterId, body: ByteArray) {
@@ -98,7 +103,7 @@
     }
 
     fun membersListed(members: List<Member>, failureDomain: FailureDomain) {
-        state = state.copy(fleet = state.fleet.withMembers(members, now))
+        state = state.copy(fleet = state.fleet.withMembers(members, self, now))
         val neighbours =
             members
                 .filter { it.state == MemberState.ALIVE && it.failureDomain == failureDomain && !it.isDraining }
@@ -106,6 +111,7 @@
                 .toSet() + self
         val watchers = Rendezvous.choose(neighbours, "watch/$failureDomain", WATCHERS_PER_DOMAIN)
         val isWatching = self in watchers
+        state = state.copy(isCounting = self in watchers.take(COUNTERS_PER_DOMAIN))
         if (isWatching != state.isWatching) {
             state = state.copy(isWatching = isWatching)
             log.write(ConfigurationLogEvent.WATCHER_CHANGED, "watching" to isWatching)
@@ -117,10 +123,6 @@
         state = state.copy(freshness = state.freshness.confirmed(confirmation, revision, now))
     }
 
-    private fun noteHolder(router: RouterId, revision: Revision) {
-        if (revision > this.revision) state = state.copy(fetch = state.fetch.holds(router, revision))
-    }
-
     private fun adopt(document: AcceptedDocument, isFromService: Boolean) {
         val present = held
         if (present != null && present.revision >= document.revision) {
@@ -146,7 +148,7 @@
      * A document from the service is sent in full to the first of them, so that it does not depend on this node alone.
      */
     private fun spread(document: HeldDocument, isFromService: Boolean) {
-        val peers = Rendezvous.choose(state.fleet.peers, "$self/${document.revision}", ANNOUNCED_PEERS)
+        val peers = Rendezvous.choose(state.fleet.alive, "$self/${document.revision}", ANNOUNCED_PEERS)
         val bodies = if (isFromService) PUSHED_PEERS else 0
         peers.take(bodies).forEach { send(it, DocumentBody(document.revision, document.body)) }
         peers.drop(bodies).forEach { send(it, DocumentAnnounce(document.revision)) }
@@ -167,8 +169,46 @@
         }
     }
 
+    /**
+     * Starts a round of the poll while the service is silent, someone asks for the majority, or members are to be
+     * forgotten; not while answers to an earlier round may still wait in the buffers.
+     */
+    private fun pollFleet() {
+        val poll = state.poll
+        val isWanted =
+            now <= poll.wantedUntil ||
+                (state.isCounting && held != null && state.schedule.isSilent(now)) ||
+                state.fleet.hasForgettable(now)
+        if (!isWanted || !poll.isDue(now) || now < state.freshness.trustedFrom) return
+        state = state.copy(poll = poll.started(now))
+        state.fleet.reachable.forEach { send(it, DocumentRequest(revision)) }
+        evaluatePoll()
+    }
+
+    private fun countAnswer(from: RouterId) {
+        if (from !in state.fleet.known) return
+        state = state.copy(poll = state.poll.answeredBy(from))
+        evaluatePoll()
+    }
+
+    /**
+     * Takes a majority as a confirmation while the service is silent.
+     *
+     * Submissions are accepted only by a node that has just polled a majority, and two majorities share a node, which
+     * would have answered with the newer revision.
+     */
+    private fun evaluatePoll() {
+        val poll = state.poll
+        if (poll.isComplete || !state.fleet.isMajority(poll.answered.size + 1, minimumFleetSize)) return
+        state = state.copy(poll = poll.completed(), fleet = state.fleet.forgetting(now))
+        val newestKnown = maxOf(state.fetch.highest, state.freshness.newest?.revision ?: Revision.NONE)
+        if (held != null && newestKnown <= revision && state.schedule.isSilent(now)) {
+            confirmed(ConfirmedRevision(revision, poll.startedAt))
+        }
+    }
+
     private fun noteFreshness() {
-        val isAllowed = held != null && state.mayGiveOutWork(revision, now, minimumFleetSize)
+        val isAllowed = held != null && state.freshness.isFresh(now)
         if (isAllowed == state.isGivingOutWork) return
         state = state.copy(isGivingOutWork = isAllowed)
         val event = if (isAllowed) ConfigurationLogEvent.DOCUMENT_CONFIRMED else ConfigurationLogEvent.DOCUMENT_EXPIRED
@@ -185,8 +225,14 @@
         /** One may fail and another be paused. */
         const val WATCHERS_PER_DOMAIN = 3
 
+        /** Each asks every member twice a second during an outage of the service. */
+        const val COUNTERS_PER_DOMAIN = 2
+
         /** A fleet of 390 is reached in three rounds. */
         const val ANNOUNCED_PEERS = 8
         const val PUSHED_PEERS = 4
+
+        /** Bounds an age that a peer states; far older than any window. */
+        const val OLDEST_MILLISECONDS = 3_600_000L
     }
 }
--- a/src/main/kotlin/azuredale/configuration/DocumentSubmitter.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentSubmitter.kt
@@ -2,6 +2,7 @@
 
 import azuredale.identity.Revision
 import azuredale.logging.EventLog
+import azuredale.node.NodeEvent
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
 import azuredale.platform.KeyValueService
@@ -23,7 +24,7 @@
  * ```
  *
  * @param held the document in force on this node.
- * @param isConnectedWithMajority whether this node is connected with more than half of the fleet.
+ * @param isConnectedWithMajority whether more than half of the fleet answered this node just now; asked repeatedly.
  * @param push hands an accepted document to the node, which sends it to peers; returns when it is sent.
  * @param longestMilliseconds time after which an unsettled submission is answered as unknown.
  */
@@ -59,7 +60,7 @@
     }
 
     private suspend fun store(document: AcceptedDocument, isRepeat: Boolean, deadline: Timestamp): SubmissionResult {
-        if (!isConnectedWithMajority()) return minority()
+        if (!awaitMajority()) return minority()
         val stored =
             when (val read = service.read(DocumentEnvelope.KEY, callDeadline(deadline))) {
                 is ReadResult.Failed -> return failed(ErrorKind.PLATFORM_UNAVAILABLE, read.failure.detail)
@@ -78,7 +79,7 @@
         return when {
             bytes.size > DocumentEnvelope.MAXIMUM_BYTES -> tooLarge(bytes.size)
             // The read may have taken long enough for the connections to be lost.
-            !isConnectedWithMajority() -> minority()
+            !awaitMajority() -> minority()
             else -> write(document, bytes, stored?.version ?: KeyVersion.ABSENT, deadline)
         }
     }
@@ -150,6 +151,16 @@
             (listOf(envelope.submission) + envelope.earlier).take(DocumentEnvelope.MAXIMUM_EARLIER)
         }
 
+    /** The first question makes the node poll the fleet; the answers take a round trip. */
+    private suspend fun awaitMajority(): Boolean {
+        val deadline = clock().plusMilliseconds(MAJORITY_MILLISECONDS)
+        while (!isConnectedWithMajority()) {
+            if (clock() >= deadline) return false
+            delay(NodeEvent.TICK_MILLISECONDS)
+        }
+        return true
+    }
+
     private fun callDeadline(deadline: Timestamp): Timestamp =
         minOf(deadline, clock().plusMilliseconds(CALL_MILLISECONDS))
 
@@ -187,6 +198,7 @@
         /** An operator waits for the answer at a form. */
         const val SUBMISSION_MILLISECONDS = 5_000L
         const val CALL_MILLISECONDS = 1_000L
+        const val MAJORITY_MILLISECONDS = 800L
         const val PUSH_MILLISECONDS = 1_000L
         const val FIRST_WAIT_MILLISECONDS = 50L
     }
--- a/src/main/kotlin/azuredale/configuration/FleetView.kt
+++ b/src/main/kotlin/azuredale/configuration/FleetView.kt
@@ -6,62 +6,45 @@
 import azuredale.time.Timestamp
 
 /**
- * Which part of the fleet this node is connected with.
+ * Who belongs to the fleet and who answered the last poll.
  *
- * A member that disappears is counted as part of the fleet for [FORGET_MICROSECONDS], and longer while this node has no
- * majority. Otherwise a minority whose members fail one after another would shrink its own idea of the fleet until it
- * held a majority of it.
+ * The failure detector cannot tell in time whether this node has a majority: in a trial with 390 routers, a region of
+ * 156 that was cut off still saw a majority alive after 8 s. So members are asked directly and the answers counted.
  *
- * @property known members of the fleet with the time at which they were last connected, this node included.
- * @property connected members that are alive, this node included.
- * @property heardAt when a datagram of any other member last arrived.
- * @property majoritySince since when this node has been connected with a majority without a break, or null.
+ * A member that disappears is counted for [FORGET_MICROSECONDS] and until a poll reaches a majority. Otherwise a
+ * minority whose members fail one after another would shrink its own idea of the fleet until it held a majority of it.
+ *
+ * @property known members of the fleet with the time at which they were last seen alive, without this node.
+ * @property alive other members that are alive.
+ * @property reachable other members that are alive or suspected; they are polled.
  */
 internal data class FleetView(
-    val self: RouterId,
     val known: Map<RouterId, Timestamp> = emptyMap(),
-    val connected: Set<RouterId> = setOf(self),
-    val heardAt: Timestamp = Timestamp.DISTANT_PAST,
-    val majoritySince: Timestamp? = null,
+    val alive: Set<RouterId> = emptySet(),
+    val reachable: Set<RouterId> = emptySet(),
 ) {
-    /** Other members that are alive. */
-    val peers: Set<RouterId> get() = connected - self
-
-    fun withMembers(members: List<Member>, now: Timestamp): FleetView {
-        val left = members.filter { it.state == MemberState.LEFT }.map { it.router }.toSet() - self
-        val alive = members.filter { it.state == MemberState.ALIVE }.map { it.router }.toSet() + self
-        val listed = members.map { it.router }.filter { it !in known }.associateWith { now }
-        val seen = alive.associateWith { now }
-        return copy(known = known + listed + seen - left, connected = alive)
+    fun withMembers(members: List<Member>, self: RouterId, now: Timestamp): FleetView {
+        val others = members.filter { it.router != self }
+        val left = others.filter { it.state == MemberState.LEFT }.map { it.router }.toSet()
+        val alive = others.filter { it.state == MemberState.ALIVE }.map { it.router }.toSet()
+        val suspected = others.filter { it.state == MemberState.SUSPECT }.map { it.router }
+        val listed = others.map { it.router }.filter { it !in known }.associateWith { now }
+        return FleetView(known + listed + alive.associateWith { now } - left, alive, alive + suspected)
     }
 
-    fun heard(now: Timestamp): FleetView = copy(heardAt = maxOf(heardAt, now))
+    /** Whether [count] members, this node included, are more than half of a fleet of at least [minimumSize]. */
+    fun isMajority(count: Int, minimumSize: Int): Boolean = count * 2 > maxOf(known.size + 1, minimumSize)
 
-    /** Updates [majoritySince] and forgets members that have long been gone. */
-    fun observed(now: Timestamp, minimumSize: Int): FleetView {
-        if (!hasMajority(now, minimumSize)) return if (majoritySince == null) this else copy(majoritySince = null)
-        val isRemembered = { router: RouterId, last: Timestamp ->
-            router in connected || now.microsecondsSince(last) <= FORGET_MICROSECONDS
-        }
-        val isStale = known.any { (router, last) -> !isRemembered(router, last) }
-        val remembered = if (isStale) known.filter { (router, last) -> isRemembered(router, last) } else known
-        return copy(majoritySince = majoritySince ?: now, known = remembered)
-    }
+    /** Whether a member has been gone for so long that a poll should be made to forget it. */
+    fun hasForgettable(now: Timestamp): Boolean = known.any { isForgettable(it.key, it.value, now) }
 
-    /**
-     * Whether this node is connected with more than half of the fleet, of which at least [minimumSize] are expected.
-     *
-     * The failure detector needs several periods to suspect a whole fleet, so a node that hears nobody is not connected
-     * whatever the member states are.
-     */
-    fun hasMajority(now: Timestamp, minimumSize: Int): Boolean {
-        val size = maxOf((known.keys + self).size, minimumSize)
-        val isHearing = size == 1 || now.microsecondsSince(heardAt) <= HEARD_MICROSECONDS
-        return isHearing && connected.size * 2 > size
-    }
+    /** Forgets members that have long been gone; to be called when a poll has reached a majority. */
+    fun forgetting(now: Timestamp): FleetView = copy(known = known.filterNot { isForgettable(it.key, it.value, now) })
+
+    private fun isForgettable(router: RouterId, seenAt: Timestamp, now: Timestamp): Boolean =
+        router !in alive && now.microsecondsSince(seenAt) > FORGET_MICROSECONDS
 
     companion object {
-        const val HEARD_MICROSECONDS = 1_000_000L
         const val FORGET_MICROSECONDS = 600_000_000L
     }
 }
--- a/src/main/kotlin/azuredale/configuration/ReadSchedule.kt
+++ b/src/main/kotlin/azuredale/configuration/ReadSchedule.kt
@@ -9,17 +9,22 @@
  * @property nextAt earliest time of the next read.
  * @property pendingUntil time after which the read in progress counts as failed, or null when there is none.
  * @property failures failed reads in a row.
+ * @property answeredAt when the service last answered.
  */
 internal data class ReadSchedule(
     val self: RouterId,
     val nextAt: Timestamp = Timestamp.DISTANT_PAST,
     val pendingUntil: Timestamp? = null,
     val failures: Int = 0,
+    val answeredAt: Timestamp = Timestamp.DISTANT_PAST,
 ) {
     fun started(now: Timestamp): ReadSchedule = copy(pendingUntil = now.plusMicroseconds(PENDING_MICROSECONDS))
 
     fun answered(now: Timestamp): ReadSchedule =
-        copy(pendingUntil = null, failures = 0, nextAt = now.plusMicroseconds(PERIOD_MICROSECONDS))
+        ReadSchedule(self, nextAt = now.plusMicroseconds(PERIOD_MICROSECONDS), answeredAt = now)
+
+    /** Whether the service has not answered this node for longer than a read takes. */
+    fun isSilent(now: Timestamp): Boolean = now.microsecondsSince(answeredAt) > SILENT_MICROSECONDS
 
     /**
      * Delays the next read after a failed one; failures of other calls change nothing.
@@ -43,6 +48,9 @@
         /** Two calls per second for each watcher: 30 at the design size, of the 2,000 the service handles. */
         const val PERIOD_MICROSECONDS = 500_000L
 
+        /** Longer than the period of reads; a poll then confirms before the last answer of the service expires. */
+        const val SILENT_MICROSECONDS = 700_000L
+
         /** Longer than the edge's own deadline for a read. */
         const val PENDING_MICROSECONDS = 1_000_000L
         private const val MAXIMUM_DOUBLINGS = 3
--- a/src/test/kotlin/azuredale/configuration/DocumentControllerSpec.kt
+++ b/src/test/kotlin/azuredale/configuration/DocumentControllerSpec.kt
@@ -27,14 +27,21 @@
 
     private fun controller() = DocumentController(DocumentFixture.self, DocumentFixture.domain)
 
-    private fun fleet(state: MemberState = MemberState.ALIVE) = peers.map { DocumentFixture.member(it, state) }
+    /** Seven members in another failure domain, so that the node under test watches and polls for its own. */
+    private fun fleet() = peers.map { DocumentFixture.member(it, failureDomain = FailureDomain("south-b")) }
 
-    /** Ticks from [from] to [to]; [perTick] adds what a node hears meanwhile. */
+    /** Ticks from [from] to [to]; polls are answered by [answering] with [revision]; [perTick] adds other events. */
     private fun DocumentController.run(
         from: Long,
         to: Long,
+        answering: List<String> = emptyList(),
+        revision: Long = 1,
         perTick: (Timestamp) -> List<NodeEffect> = { emptyList() },
-    ): List<NodeEffect> = (from..to step 20).flatMap { perTick(at(it)) + tick(at(it)) }
+    ): List<NodeEffect> = (from..to step 20).flatMap { time ->
+        val effects = perTick(at(time)) + tick(at(time))
+        val polled = messages(effects).filter { it.second is DocumentRequest && it.first in answering }
+        effects + polled.flatMap { messageReceived(RouterId(it.first), DocumentAnnounce(Revision(revision)), at(time)) }
+    }
 
     private fun messages(effects: List<NodeEffect>): List<Pair<String, PeerMessage>> =
         effects.filterIsInstance<NodeEffect.SendMessage>().map { it.to.name to it.message }
@@ -53,7 +60,7 @@
             assertEquals(listOf<Pair<String, PeerMessage>>("r3" to DocumentRequest(Revision.NONE)), asked)
             controller.messageReceived(RouterId("r3"), DocumentFixture.body(5), at(60))
             assertEquals(Revision(5), controller.document()?.revision)
-            controller.run(60, 3_000) { controller.peerRevision(RouterId("r1"), Revision(5), it) }
+            controller.run(60, 3_000, answering = peers, revision = 5)
             assertTrue(controller.mayGiveOutWork(at(3_000)))
         }
 
@@ -87,43 +94,40 @@
     @Nested
     inner class Isolation {
         @Test
-        fun `stops within two seconds of its last confirmation when it hears nobody`() {
+        fun `stops within two seconds of its last confirmation when nobody answers`() {
             // Guards against an isolated router that keeps sending work to a recalled server.
             val controller = controller()
             controller.membersChanged(fleet(), at(0))
             controller.documentRead(DocumentFixture.accepted(1), at(0))
-            controller.run(0, 1_000) { controller.peerRevision(RouterId("r1"), Revision(1), it) }
+            controller.run(0, 1_000, peers)
             val last = 1_000L
             controller.revisionConfirmed(Revision(1), at(last))
-            controller.run(last + 20, last + 1_980)
-            assertTrue(controller.mayGiveOutWork(at(last + 1_980)))
-            controller.run(last + 2_000, last + 10_000) { now ->
-                assertFalse(now > at(last + 2_000) && controller.mayGiveOutWork(now), "work given out at $now")
+            controller.run(last + 20, last + 10_000) { now ->
+                assertEquals(now <= at(last + 2_000), controller.mayGiveOutWork(now), "at $now")
                 emptyList()
             }
         }
 
         @Test
-        fun `stops when it hears peers but is connected with fewer than half of the fleet`() {
-            // Guards against a minority that goes on during a partition because its members hear each other.
+        fun `stops when half of the fleet answers, even after the other half was dropped from the members`() {
+            // Guards against a minority whose failure detector forgets the rest until it looks like a majority.
             val controller = controller()
             controller.membersChanged(fleet(), at(0))
             controller.documentRead(DocumentFixture.accepted(1), at(0))
-            val hear = { now: Timestamp -> controller.peerRevision(RouterId("r1"), Revision(1), now) }
-            controller.run(0, 500, hear)
-            // The members fail one after another, as a failure detector finds them.
-            (2..7).forEach { last ->
-                controller.membersChanged(listOf(DocumentFixture.member("r1")) + dead(last), at(500L + last * 20))
+            val half = peers.take(3)
+            controller.run(0, 500, half)
+            // The members fail one after another, as a failure detector finds them, and are dropped in the end.
+            (3..6).forEach { last ->
+                val members =
+                    fleet().mapIndexed { index, member ->
+                        if (index in 3..last) member.copy(state = MemberState.DEAD) else member
+                    }
+                controller.membersChanged(members, at(500L + last * 20))
             }
-            // Dropped from the list altogether, as after the failure detector's retention.
-            controller.membersChanged(listOf(DocumentFixture.member("r1")), at(900))
-            controller.run(900, 60_000, hear)
-            assertFalse(controller.isConnectedWithMajority(at(60_000)))
-            assertFalse(controller.mayGiveOutWork(at(60_000)))
-        }
-
-        private fun dead(last: Int) = (2..7).map {
-            DocumentFixture.member("r$it", if (it <= last) MemberState.DEAD else MemberState.ALIVE)
+            controller.membersChanged(fleet().take(3), at(900))
+            controller.run(900, 700_000, half)
+            assertFalse(controller.mayGiveOutWork(at(700_000)))
+            assertFalse(controller.isConnectedWithMajority(at(700_000)))
         }
 
         @Test
@@ -132,11 +136,12 @@
             val controller = controller()
             controller.membersChanged(fleet(), at(0))
             controller.documentRead(DocumentFixture.accepted(1), at(0))
-            controller.run(0, 1_000) { controller.peerRevision(RouterId("r1"), Revision(1), it) }
+            controller.run(0, 1_000)
             val resumed = 9_000L
             controller.confirmationReceived(Confirmation(Revision(1), 50), at(resumed))
-            controller.peerRevision(RouterId("r1"), Revision(1), at(resumed))
+            peers.forEach { controller.messageReceived(RouterId(it), DocumentAnnounce(Revision(1)), at(resumed)) }
             assertFalse(controller.mayGiveOutWork(at(resumed)))
+            assertFalse(controller.isConnectedWithMajority(at(resumed)))
             controller.run(resumed, resumed + 400)
             controller.confirmationReceived(Confirmation(Revision(1), 50), at(resumed + 400))
             assertTrue(controller.mayGiveOutWork(at(resumed + 400)))
@@ -148,7 +153,7 @@
             val controller = controller()
             controller.membersChanged(fleet(), at(0))
             controller.documentRead(DocumentFixture.accepted(1), at(0))
-            controller.run(0, 5_000) { controller.peerRevision(RouterId("r1"), Revision(2), it) }
+            controller.run(0, 5_000, peers.drop(1)) { controller.peerRevision(RouterId("r1"), Revision(2), it) }
             assertFalse(controller.mayGiveOutWork(at(5_000)))
         }
     }
@@ -156,18 +161,51 @@
     @Nested
     inner class Outage {
         @Test
-        fun `stops nobody while the node is connected with a majority`() {
+        fun `stops nobody while more than half of the fleet answers`() {
             // Guards against an outage of the key-value service that stops the fleet.
             val controller = controller()
             controller.membersChanged(fleet(), at(0))
             controller.documentRead(DocumentFixture.accepted(1), at(0))
             val effects =
-                controller.run(0, 60_000) { now ->
+                controller.run(0, 60_000, peers.take(4)) { now ->
                     assertTrue(controller.mayGiveOutWork(now), "stopped at $now")
-                    controller.peerRevision(RouterId("r1"), Revision(1), now) + controller.platformFailed(now)
+                    controller.platformFailed(now)
                 }
             val reads = effects.count { it == NodeEffect.ReadDocument }
             assertTrue(reads in 10..30, "$reads reads in 60 s of an outage")
+            val polls = messages(effects).count { it.first == "r1" && it.second is DocumentRequest }
+            assertTrue(polls in 100..121, "$polls polls in 60 s of an outage")
+        }
+
+        @Test
+        fun `polls nobody while the service answers, except when someone asks for the majority`() {
+            // Guards against polls of the whole fleet that become permanent traffic.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            val answer = { now: Timestamp -> controller.documentRead(DocumentFixture.accepted(1), now) }
+            val quiet = messages(controller.run(20, 10_000, peers, perTick = answer))
+            assertEquals(emptyList(), quiet.filter { it.second is DocumentRequest })
+            assertFalse(controller.isConnectedWithMajority(at(10_000)))
+            controller.run(10_020, 10_040, peers, perTick = answer)
+            assertTrue(controller.isConnectedWithMajority(at(10_040)))
+        }
+
+        @Test
+        fun `counts a member that is gone for ten minutes until a poll reaches a majority`() {
+            // Guards against replaced VMs that are counted for ever, until no majority can be reached.
+            val controller = controller()
+            controller.membersChanged(fleet(), at(0))
+            controller.documentRead(DocumentFixture.accepted(1), at(0))
+            val replaced = fleet().take(4) + (8..10).map { DocumentFixture.member("r$it") }
+            controller.membersChanged(replaced, at(20))
+            val alive = replaced.map { it.router.name }
+            val answer = { now: Timestamp -> controller.revisionConfirmed(Revision(1), now) }
+            controller.run(40, 610_000, alive, perTick = answer)
+            controller.membersChanged(replaced.take(5), at(610_000))
+            // Five of eight answer; with the replaced ones it would be five of eleven.
+            controller.isConnectedWithMajority(at(610_500))
+            controller.run(610_520, 610_540, alive.take(4), perTick = answer)
+            assertTrue(controller.isConnectedWithMajority(at(610_540)))
         }
 
         @Test
@@ -229,9 +267,9 @@
             val copy = controller()
             copy.messageReceived(DocumentFixture.self, body, at(20))
             assertEquals(controller.document(), copy.document())
-            assertTrue(
-                messages(controller.messageReceived(RouterId("r1"), DocumentRequest(Revision(4)), at(30))).isEmpty(),
-            )
+            // A poll asks with the poller's own revision and needs an answer when there is nothing newer.
+            val polled = messages(controller.messageReceived(RouterId("r1"), DocumentRequest(Revision(4)), at(30)))
+            assertEquals(listOf<Pair<String, PeerMessage>>("r1" to DocumentAnnounce(Revision(4))), polled)
             val corrected = messages(controller.messageReceived(RouterId("r2"), DocumentAnnounce(Revision(2)), at(40)))
             assertEquals(listOf<Pair<String, PeerMessage>>("r2" to DocumentAnnounce(Revision(4))), corrected)
         }
