--- a/src/main/kotlin/azuredale/measure/EdgeEffects.kt
+++ b/src/main/kotlin/azuredale/measure/EdgeEffects.kt
@@ -18,7 +18,7 @@
             is NodeEffect.StartAttempt -> startAttempt(host, effect)
             is NodeEffect.CancelAttempt -> cancelAttempt(host, effect.request, effect.attempt)
             is NodeEffect.FinishRequest -> fleet.callers.finished(host, effect.request, effect.result)
-            is NodeEffect.ClaimKey -> fleet.platform.claim(client(host), effect.request, effect.key)
+            is NodeEffect.ClaimKey -> fleet.platform.claim(client(host), effect.request, "${effect.team}/${effect.key}")
             is NodeEffect.ReadDocument -> fleet.platform.read(client(host))
             is NodeEffect.WatchDocument -> fleet.platform.watch(client(host), effect.isWatching)
             is NodeEffect.SlotGranted, is NodeEffect.SlotRefused ->
--- a/src/main/kotlin/azuredale/node/NodeEffect.kt
+++ b/src/main/kotlin/azuredale/node/NodeEffect.kt
@@ -5,10 +5,12 @@
 import azuredale.identity.RequestNumber
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.identity.TeamId
 import azuredale.outcome.Failure
 import azuredale.protocol.PeerMessage
 import azuredale.protocol.ProbeMessage
 import azuredale.routing.RequestResult
+import azuredale.time.Timestamp
 
 /** Something the edge of a router must do; output of the decision code. */
 public sealed interface NodeEffect {
@@ -52,7 +54,9 @@
     /** Claim an idempotency key in the key-value service and answer with [NodeEvent.KeyClaimed]. */
     public data class ClaimKey(
         val request: RequestNumber,
+        val team: TeamId,
         val key: String,
+        val deadline: Timestamp,
     ) : NodeEffect
 
     /** Read the document from the key-value service. */
--- a/src/main/kotlin/azuredale/node/NodeLogEvent.kt
+++ b/src/main/kotlin/azuredale/node/NodeLogEvent.kt
@@ -16,5 +16,4 @@
     EVENT_QUEUE_FULL(1004, Level.WARN, "event dropped because its worker's queue is full"),
     DRAIN_STARTED(1005, Level.INFO, "graceful shutdown started"),
     DRAIN_COMPLETED(1006, Level.INFO, "graceful shutdown completed"),
-    POLL_FAILED(1007, Level.DEBUG, "backend server did not report its load"),
 }
--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -2,8 +2,10 @@
 
 import azuredale.blackboard.WorkerPool
 import azuredale.configuration.AcceptedDocument
+import azuredale.configuration.BackendServer
 import azuredale.configuration.DocumentSource
 import azuredale.configuration.DocumentSubmitter
+import azuredale.configuration.PoolKind
 import azuredale.configuration.RouterSettings
 import azuredale.configuration.SubmissionResult
 import azuredale.console.OperatorEdge
@@ -16,8 +18,12 @@
 import azuredale.membership.DatagramEdge
 import azuredale.platform.CallBudget
 import azuredale.platform.EtcdGatewayClient
+import azuredale.platform.KeyClaimer
+import azuredale.platform.MachineListResult
+import azuredale.platform.VirtualMachineListClient
 import azuredale.routing.AddressPlanner
 import azuredale.routing.EdgeSettings
+import azuredale.routing.EnginePoller
 import azuredale.routing.HttpEdge
 import azuredale.time.Clock
 import azuredale.time.systemClock
@@ -32,6 +38,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import java.util.UUID
 import kotlin.random.Random
 
 /**
@@ -89,10 +96,13 @@
         }
     private val budget = CallBudget(PLATFORM_CALLS_PER_SECOND, PLATFORM_CALL_BURST, clock)
     private val keyValueService = EtcdGatewayClient(vertx, settings.platform, budget, clock)
+    private val claimer =
+        KeyClaimer(keyValueService, clock, settings.router, incarnation, { UUID.randomUUID().toString() })
+    private val machines = settings.virtualMachineList?.let { VirtualMachineListClient(vertx, it, budget, clock) }
     private val platform =
         PlatformEdge(
             source = DocumentSource(keyValueService, clock),
-            claim = { ClaimResult.UNAVAILABLE },
+            claim = { claimer.claim(it.team, it.key, it.deadline) },
             scope = scope,
             post = ::offer,
         )
@@ -122,6 +132,7 @@
             addresses = addresses::plan,
             clock = clock,
         )
+    private val poller = EnginePoller(vertx, ::offer, ::polledServers, clock)
     private val submitter =
         DocumentSubmitter(
             service = keyValueService,
@@ -144,6 +155,8 @@
         operators.start()
         callers.start()
         scope.launch { tick() }
+        scope.launch { poller.run() }
+        machines?.let { scope.launch { listMachines(it) } }
         log.write(NodeLogEvent.ROUTER_STARTED, "router" to settings.router, "incarnation" to incarnation)
     }
 
@@ -168,9 +181,30 @@
         transport.stop()
         datagrams.stop()
         keyValueService.close()
+        machines?.close()
         log.write(NodeLogEvent.ROUTER_STOPPED, "router" to settings.router)
     }
 
+    /** Engines of the shards that this router allots, since only the allotter limits what they are given. */
+    private fun polledServers(): List<BackendServer> {
+        val document = node.documents.document()?.document ?: return emptyList()
+        return node.allotter
+            .snapshot()
+            .shards
+            .filter { document.pools[it.shard.pool]?.kind == PoolKind.MODEL }
+            .flatMap { shard -> shard.servers.mapNotNull { document.servers[it.server] } }
+    }
+
+    private suspend fun listMachines(client: VirtualMachineListClient) {
+        while (scope.isActive) {
+            val result = client.list(clock().plusSeconds(1))
+            if (result is MachineListResult.Listed) {
+                offer(NodeEvent.VirtualMachinesListed(result.live, result.leaving))
+            }
+            delay(MACHINE_LIST_MILLISECONDS)
+        }
+    }
+
     private suspend fun tick() {
         while (scope.isActive) {
             offer(NodeEvent.Tick)
@@ -245,5 +279,8 @@
         /** At 390 routers this stays below the service's rate, because only the watchers of a domain call regularly. */
         const val PLATFORM_CALLS_PER_SECOND = 20.0
         const val PLATFORM_CALL_BURST = 40
+
+        /** The list lags anyway; at 390 routers this is 13 calls a second. */
+        const val MACHINE_LIST_MILLISECONDS = 30_000L
     }
 }
--- a/src/main/kotlin/azuredale/routing/RequestController.kt
+++ b/src/main/kotlin/azuredale/routing/RequestController.kt
@@ -175,7 +175,7 @@
         when {
             refusal != null -> endings.fail(row, refusal, out, now)
             !table.add(row) -> endings.fail(row, Failure(ErrorKind.QUEUE_FULL, "requests in progress"), out, now)
-            else -> out.emit(NodeEffect.ClaimKey(row.request.number, claimName(row.request)))
+            else -> out.emit(claimOf(row.request))
         }
     }
 
@@ -223,10 +223,9 @@
         ClaimResult.CLAIMED, ClaimResult.UNAVAILABLE, ClaimResult.UNKNOWN -> Failure(ErrorKind.CLAIM_UNAVAILABLE)
     }
 
-    /** Keys of different teams never collide: the team's name is preceded by its length. */
-    private fun claimName(request: CallerRequest): String {
+    private fun claimOf(request: CallerRequest): NodeEffect {
         val key = (request.identity as? RequestIdentity.Key)?.text.orEmpty()
-        return "${request.team.name.length}:${request.team.name}:$key"
+        return NodeEffect.ClaimKey(request.number, request.team, key, request.deadline)
     }
 
     private fun drop(event: String, number: RequestNumber) {
--- a/src/test/kotlin/azuredale/measure/QuotaCore.kt
+++ b/src/test/kotlin/azuredale/measure/QuotaCore.kt
@@ -63,7 +63,7 @@
             queue.addLast(request)
         } else {
             claiming[request.number] = request
-            effects += NodeEffect.ClaimKey(request.number, key.text)
+            effects += NodeEffect.ClaimKey(request.number, request.team, key.text, request.deadline)
         }
     }
 
