Run every scenario against the router's decision code

Cause: the scenarios existed without a spec that runs them.

Change: AllScenariosSpec runs each file with RouterNode as a test of its own; the report names the pair of teams with the widest gap.

--- a/src/main/kotlin/azuredale/measure/ReportPrinter.kt
+++ b/src/main/kotlin/azuredale/measure/ReportPrinter.kt
@@ -25,11 +25,24 @@
         )
         output.appendLine(ROW.format("measure", "unit", "system", "global", "alone", "ratio", "target"))
         figures.forEach { output.appendLine(row(it).trimEnd()) }
+        result.profile.pools.forEach { output.appendLine("${it.id}: widest gap: ${widestGaps(it)}") }
         output.appendLine("answers: " + answers().joinToString { (kind, count) -> "$kind $count" })
         if (broken.isEmpty()) output.appendLine("promises: all kept")
         broken.forEach { output.appendLine("promise broken: $it") }
     }
 
+    /** The pairs of teams between which the gap occurred. */
+    private fun widestGaps(pool: PoolPlan): String =
+        listOf("system" to result.system, "global" to result.global, "alone" to result.isolated)
+            .mapNotNull { (name, run) ->
+                run
+                    .meter(pool.id)
+                    .windows
+                    .first()
+                    .gap.figure
+                    ?.let { name to it }
+            }.joinToString { (name, figure) -> "$name between ${figure.first} and ${figure.second}" }
+
     fun printJson(output: Appendable) {
         output.appendLine(json().toString())
     }
--- /dev/null
+++ b/src/test/kotlin/azuredale/measure/AllScenariosSpec.kt
@@ -0,0 +1,34 @@
+package azuredale.measure
+
+import azuredale.node.RouterNode
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.io.path.Path
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.name
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class AllScenariosSpec {
+    private val files = Path("scenarios").listDirectoryEntries("*.scenario").sorted()
+
+    /** Guards against a pair of faults that breaks an invariant; the message holds the seed and the last events. */
+    @TestFactory
+    fun `the decision code keeps every scenario`(): List<DynamicTest> {
+        assertTrue(files.size >= 20, "only ${files.size} scenarios found")
+        return files.map { file ->
+            DynamicTest.dynamicTest(file.name) {
+                val output = StringBuilder()
+                val options =
+                    MeasureOptions(createCore = {
+                        settings,
+                        incarnation,
+                        random,
+                        ->
+                        RouterNode(settings, incarnation, random)
+                    }, scenario = file)
+                assertEquals(MeasureExit.KEPT, runMeasure(options, output), output.toString())
+            }
+        }
+    }
+}
