Refuse a majority while the list of members still grows

Cause: in a trial with 390 routers started at once, a node knew about 100 members on average after 19 s, so a region of 156 that was cut off still counted itself as the majority.

Nodes read the service themselves only when their confirmation is 1.5 s old instead of 1.2 s.

Conclusion: DocumentControllerSpec and DocumentFleetSpec pass.

--- a/src/main/kotlin/azuredale/configuration/DocumentState.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentState.kt
@@ -34,7 +34,7 @@
     val isGivingOutWork: Boolean = false,
 ) {
     fun isConnectedWithMajority(now: Timestamp, minimumFleetSize: Int): Boolean =
-        poll.isValid(now) || fleet.isMajority(1, minimumFleetSize)
+        poll.isValid(now) || fleet.isMajority(1, minimumFleetSize, now)
 
     companion object {
         fun initial(self: RouterId) =
--- a/src/main/kotlin/azuredale/configuration/DocumentStep.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentStep.kt
@@ -199,7 +199,7 @@
      */
     private fun evaluatePoll() {
         val poll = state.poll
-        if (poll.isComplete || !state.fleet.isMajority(poll.answered.size + 1, minimumFleetSize)) return
+        if (poll.isComplete || !state.fleet.isMajority(poll.answered.size + 1, minimumFleetSize, now)) return
         state = state.copy(poll = poll.completed(), fleet = state.fleet.forgetting(now))
         val newestKnown = maxOf(state.fetch.highest, state.freshness.newest?.revision ?: Revision.NONE)
         if (held != null && newestKnown <= revision && state.schedule.isSilent(now)) {
--- a/src/main/kotlin/azuredale/configuration/Freshness.kt
+++ b/src/main/kotlin/azuredale/configuration/Freshness.kt
@@ -65,7 +65,7 @@
         const val WINDOW_MICROSECONDS = 2_000_000L
 
         /** Leaves time for one read with its deadline before the window ends. */
-        const val AGING_MICROSECONDS = 1_200_000L
+        const val AGING_MICROSECONDS = 1_500_000L
 
         /** Fifty ticks; shorter than the window, so a paused process cannot use a confirmation twice. */
         const val PAUSE_MICROSECONDS = 1_000_000L
