Report metrics and the burn of the service-level objective

Cause: operators need to see which teams miss their objective, fleet-wide, without a store of metrics. Change: Metrics with bounded tags in the Prometheus text format; BurnTracker with fast and slow windows, bounded exchanges and the merge of other routers' counts by incarnation; BurnReport as text, JSON and an HTML page with an inline plot. Conclusion: memory and exchanged bytes are bounded; latency histograms stay at each router, by pool.

--- /dev/null
+++ b/src/main/kotlin/azuredale/report/BurnReport.kt
@@ -0,0 +1,144 @@
+package azuredale.report
+
+import azuredale.identity.PoolId
+import azuredale.identity.RouterId
+import azuredale.time.Timestamp
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import java.util.Locale
+
+/** Which alerts a line raises. */
+public enum class BurnAlert { NONE, SLOW, FAST }
+
+/** Windows and burn rates of one team in one pool. */
+public data class BurnLine(
+    val key: BurnKey,
+    val windows: Map<BurnWindow, WindowCounts>,
+    val rates: Map<BurnWindow, Double>,
+    private val objective: BurnObjective,
+) {
+    /** The most urgent alert whose two windows both exceed the rate. */
+    val alert: BurnAlert get() =
+        when {
+            exceeds(BurnWindow.FAST_SHORT, BurnWindow.FAST_LONG, objective.fastRate) -> BurnAlert.FAST
+            exceeds(BurnWindow.SLOW_SHORT, BurnWindow.SLOW_LONG, objective.slowRate) -> BurnAlert.SLOW
+            else -> BurnAlert.NONE
+        }
+
+    private fun exceeds(short: BurnWindow, long: BurnWindow, rate: Double) =
+        rates.getValue(short) >= rate && rates.getValue(long) >= rate
+}
+
+/** Burn rate of each of the last minutes, oldest first. */
+public data class BurnPlot(
+    val key: BurnKey,
+    val rates: List<Double>,
+)
+
+/**
+ * Service-level burn report at one moment; rows are sorted by their burn rate over one hour.
+ *
+ * @property latencies first-token and between-token times of the reporting router by pool, in microseconds.
+ * @property missing routers whose counts are not included or not recent.
+ * @property droppedCounts counts left out because a table was full or they came too late.
+ */
+public class BurnReport(
+    public val at: Timestamp,
+    public val objective: BurnObjective,
+    public val lines: List<BurnLine>,
+    public val latencies: Map<PoolId, Pair<LatencySummary, LatencySummary>>,
+    public val missing: List<RouterId>,
+    public val plots: List<BurnPlot>,
+    public val droppedCounts: Long,
+) {
+    /** The report as a table of text with fixed columns. */
+    public fun toText(): String = buildString {
+        appendLine("burn rate of the error budget (objective ${percent(objective.goodFraction)}), ${lines.size} rows")
+        if (missing.isNotEmpty()) appendLine("counts missing of ${missing.size}: ${missing.joinToString(" ")}")
+        if (droppedCounts > 0) appendLine("counts dropped: $droppedCounts")
+        appendLine(format("team", "pool", "alert", BurnWindow.entries.map { it.label }, "ended", "missed", "failed"))
+        lines.forEach { line ->
+            val hour = line.windows.getValue(BurnWindow.FAST_LONG)
+            val rates = BurnWindow.entries.map { decimal(line.rates.getValue(it)) }
+            val counts = listOf(hour.ended, hour.missed, hour.failed).map { it.toString() }
+            val alert = line.alert.name.lowercase()
+            appendLine(format(line.key.team.name, line.key.pool.name, alert, rates, counts[0], counts[1], counts[2]))
+        }
+        latencies.forEach { (pool, times) ->
+            appendLine(
+                "${pool.name}: first token ${milliseconds(times.first)}, between tokens ${milliseconds(times.second)}",
+            )
+        }
+    }
+
+    /** The report as JSON with times in microseconds. */
+    public fun toJson(): JsonObject = buildJsonObject {
+        put("atMicroseconds", at.microseconds)
+        put("goodFraction", objective.goodFraction)
+        put("droppedCounts", droppedCounts)
+        putJsonArray("missing") { missing.forEach { add(it.name) } }
+        putJsonArray("rows") { lines.forEach { line -> add(lineJson(line)) } }
+        putJsonArray("latencies") {
+            latencies.forEach { (pool, times) ->
+                addJsonObject {
+                    put("pool", pool.name)
+                    put("firstToken", summaryJson(times.first))
+                    put("betweenTokens", summaryJson(times.second))
+                }
+            }
+        }
+    }
+
+    /** The report as an HTML page that loads nothing from elsewhere. */
+    public fun toHtml(): String = BurnPage(this).render()
+
+    private fun lineJson(line: BurnLine) = buildJsonObject {
+        put("team", line.key.team.name)
+        put("pool", line.key.pool.name)
+        put("alert", line.alert.name)
+        putJsonObject("windows") {
+            line.windows.forEach { (window, counts) ->
+                putJsonObject(window.label) {
+                    put("ended", counts.ended)
+                    put("missed", counts.missed)
+                    put("failed", counts.failed)
+                    put("burnRate", line.rates.getValue(window))
+                }
+            }
+        }
+    }
+
+    private fun summaryJson(summary: LatencySummary) = buildJsonObject {
+        put("count", summary.count)
+        put("median", summary.median)
+        put("percentile95", summary.percentile95)
+        put("percentile99", summary.percentile99)
+        put("largest", summary.largest)
+    }
+
+    private fun format(team: String, pool: String, alert: String, rates: List<String>, vararg counts: String) =
+        team.padEnd(NAME_COLUMN) + pool.padEnd(NAME_COLUMN) + alert.padEnd(ALERT_COLUMN) +
+            (rates + counts).joinToString("") { it.padStart(NUMBER_COLUMN) }
+
+    internal companion object {
+        private const val NAME_COLUMN = 24
+        private const val ALERT_COLUMN = 6
+        private const val NUMBER_COLUMN = 9
+        private const val MICROSECONDS_PER_MILLISECOND = 1_000.0
+
+        fun decimal(value: Double): String = String.format(Locale.ROOT, "%.2f", value)
+
+        fun percent(fraction: Double): String = String.format(Locale.ROOT, "%.3g%%", fraction * 100)
+
+        fun milliseconds(summary: LatencySummary): String {
+            val times = listOf(summary.median, summary.percentile95, summary.percentile99)
+            val text = times.joinToString("/") { String.format(Locale.ROOT, "%.1f", it / MICROSECONDS_PER_MILLISECOND) }
+            return "$text ms (50th/95th/99th of ${summary.count})"
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/report/BurnTracker.kt
@@ -0,0 +1,134 @@
+package azuredale.report
+
+import azuredale.blackboard.LockRank
+import azuredale.blackboard.Table
+import azuredale.identity.Incarnation
+import azuredale.identity.PoolId
+import azuredale.identity.RouterId
+import azuredale.identity.TeamId
+import azuredale.protocol.BurnCount
+import azuredale.protocol.BurnCounts
+import azuredale.time.Timestamp
+
+/** A team's use of a pool. */
+public data class BurnKey(
+    val team: TeamId,
+    val pool: PoolId,
+)
+
+/**
+ * Counts ended, missed and failed requests by team, pool and minute, of this router and of others that report to it.
+ *
+ * ```
+ * tracker.requestEnded(BurnKey(team, pool), EndedRequest(hasFailed = false, firstTokenMicroseconds = 80_000), now)
+ * val page = tracker.report(members.map { it.router }, now).toHtml()
+ * ```
+ *
+ * @param maximumRows bound on pairs of team and pool; further pairs are counted in [droppedCounts] only.
+ */
+public class BurnTracker(
+    private val self: RouterId,
+    private val incarnation: Incarnation,
+    private val objective: BurnObjective = BurnObjective(),
+    maximumRows: Int = 6_000,
+) {
+    private val rows = Table<BurnKey, BurnRow>("burn counts", "BurnTracker", maximumRows, LockRank.REPORTS)
+    private val latencies = LatencyTable()
+    private val own = OpenCounts(MAXIMUM_OWN)
+    private val reported = ReportedCounts(MAXIMUM_REPORTED)
+    private val changed = LinkedHashSet<Pair<BurnKey, Long>>()
+
+    /** Counts left out because a table was full or they came too late. */
+    @Volatile
+    public var droppedCounts: Long = 0
+        private set
+
+    /** Counts one request that ended at this router. */
+    public fun requestEnded(key: BurnKey, request: EndedRequest, now: Timestamp): Unit = rows.locked {
+        val minute = minuteOf(now)
+        val isSlow =
+            isLonger(request.firstTokenMicroseconds, objective.firstTokenMicroseconds) ||
+                isLonger(request.betweenTokensMicroseconds, objective.betweenTokensMicroseconds)
+        val missed = if (isSlow && !request.hasFailed) 1L else 0L
+        val counts = WindowCounts(1, missed, if (request.hasFailed) 1 else 0)
+        latencies.record(key.pool, request, minute)
+        own.forgetBefore(minute - OPEN_MINUTES)
+        if (add(key, minute, counts) && own.add(key, minute, counts)) changed += key to minute else droppedCounts++
+    }
+
+    /**
+     * Counts to send to the reporting router: at most [maximumCounts], completed minutes first, each with the total of
+     * its minute. An empty list still tells the reporter that this router is there.
+     */
+    public fun takeCounts(now: Timestamp, maximumCounts: Int = 200): BurnCounts = rows.locked {
+        val chosen = changed.sortedBy { it.second }.take(maximumCounts)
+        changed.removeAll(chosen.toSet())
+        val counts =
+            chosen.mapNotNull { (key, minute) ->
+                own[key, minute]?.let { BurnCount(key.team, key.pool, minute, it.ended, it.missed, it.failed) }
+            }
+        own.forgetBefore(minuteOf(now) - OPEN_MINUTES)
+        BurnCounts(incarnation, counts)
+    }
+
+    /** Merges the counts of another router; a repeated count replaces the earlier one of the same incarnation. */
+    public fun merge(from: RouterId, message: BurnCounts, now: Timestamp): Unit = rows.locked {
+        val minute = minuteOf(now)
+        if (from == self || !reported.begin(from, message.incarnation, now, minute - OPEN_MINUTES)) return@locked
+        message.counts.forEach { count ->
+            val key = BurnKey(count.team, count.pool)
+            val counts = WindowCounts(count.ended, count.missed, count.failed)
+            val isOpen = count.minute in minute - OPEN_MINUTES..minute + 1 && counts.isValid()
+            val change = if (isOpen) reported.replace(from, key, count.minute, counts) else null
+            if (change == null || !add(key, count.minute, change)) droppedCounts++
+        }
+    }
+
+    /** The present state of all rows; [routers] are those whose counts should be included. */
+    public fun report(routers: Collection<RouterId>, now: Timestamp): BurnReport = rows.locked {
+        val minute = minuteOf(now)
+        val lines =
+            rows.entries
+                .map { (key, row) -> line(key, row, minute) }
+                .filter { line -> line.windows.values.any { it.ended > 0 } }
+                .sortedByDescending { it.rates.getValue(BurnWindow.FAST_LONG) }
+        val plots =
+            lines.take(PLOTTED_ROWS).map { line ->
+                val row = checkNotNull(rows[line.key])
+                BurnPlot(line.key, (minute - PLOTTED_MINUTES + 1..minute).map { objective.burnRate(row.minute(it)) })
+            }
+        val missing = reported.missing(routers.filter { it != self }, now)
+        BurnReport(now, objective, lines, latencies.summaries(minute), missing, plots, droppedCounts)
+    }
+
+    private fun line(key: BurnKey, row: BurnRow, minute: Long): BurnLine {
+        val windows = BurnWindow.entries.associateWith { row.sum(minute, it) }
+        return BurnLine(key, windows, windows.mapValues { objective.burnRate(it.value) }, objective)
+    }
+
+    private fun add(key: BurnKey, minute: Long, counts: WindowCounts): Boolean {
+        val row = rows[key] ?: BurnRow().takeIf { rows.put(key, it) } ?: return false
+        row.add(minute, counts)
+        return true
+    }
+
+    private fun isLonger(time: Long?, bound: Long) = time != null && time > bound
+
+    private fun WindowCounts.isValid() = missed >= 0 && failed >= 0 && ended in bad..LARGEST_COUNT
+
+    private fun minuteOf(now: Timestamp) = now.microseconds / MICROSECONDS_PER_MINUTE
+
+    private companion object {
+        const val MICROSECONDS_PER_MINUTE = 60 * Timestamp.MICROSECONDS_PER_SECOND
+
+        /** Counts of a minute may be replaced for this long, which covers a few lost connections. */
+        const val OPEN_MINUTES = 5
+        const val MAXIMUM_OWN = 32_768
+        const val MAXIMUM_REPORTED = 131_072
+        const val PLOTTED_ROWS = 6
+        const val PLOTTED_MINUTES = 60
+
+        /** One router ends fewer requests per minute; a larger count is a fault of its sender. */
+        const val LARGEST_COUNT = 1_000_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/report/CountRing.kt
@@ -0,0 +1,75 @@
+package azuredale.report
+
+/** Counts in [slots] consecutive slots of [minutesPerSlot] minutes; older slots are overwritten. */
+internal class CountRing(
+    private val slots: Int,
+    private val minutesPerSlot: Int,
+) {
+    private val stamps = IntArray(slots) { -1 }
+    private val values = IntArray(slots * FIELDS)
+
+    /** Adds [counts], which may be negative corrections, to the slot of [minute]; older slots are left alone. */
+    fun add(minute: Long, counts: WindowCounts) {
+        val stamp = (minute / minutesPerSlot).toInt()
+        val slot = stamp % slots
+        if (stamps[slot] > stamp) return
+        if (stamps[slot] < stamp) {
+            stamps[slot] = stamp
+            values.fill(0, slot * FIELDS, (slot + 1) * FIELDS)
+        }
+        values[slot * FIELDS] += counts.ended.toInt()
+        values[slot * FIELDS + 1] += counts.missed.toInt()
+        values[slot * FIELDS + 2] += counts.failed.toInt()
+    }
+
+    /** Counts of the newest [minutes] minutes that end with [lastMinute]. */
+    fun sum(lastMinute: Long, minutes: Int): WindowCounts {
+        val last = (lastMinute / minutesPerSlot).toInt()
+        val first = last - minutes / minutesPerSlot + 1
+        return (first..last).fold(WindowCounts.ZERO) { sum, stamp -> sum + at(stamp) }
+    }
+
+    private fun at(stamp: Int): WindowCounts {
+        val slot = stamp % slots
+        if (stamp < 0 || stamps[slot] != stamp) return WindowCounts.ZERO
+        val base = slot * FIELDS
+        return WindowCounts(values[base].toLong(), values[base + 1].toLong(), values[base + 2].toLong())
+    }
+
+    private companion object {
+        const val FIELDS = 3
+    }
+}
+
+/** Counts of one team in one pool: by minute for an hour and by ten minutes for six hours, about 1.5 KB. */
+internal class BurnRow {
+    private val minutes = CountRing(slots = 60, minutesPerSlot = 1)
+    private val tens = CountRing(slots = 36, minutesPerSlot = 10)
+
+    fun add(minute: Long, counts: WindowCounts) {
+        minutes.add(minute, counts)
+        tens.add(minute, counts)
+    }
+
+    fun sum(lastMinute: Long, window: BurnWindow): WindowCounts = when {
+        window.minutes <= MINUTES_PER_HOUR -> minutes.sum(lastMinute, window.minutes)
+        else -> tens.sum(lastMinute, window.minutes)
+    }
+
+    fun minute(minute: Long): WindowCounts = minutes.sum(minute, 1)
+
+    private companion object {
+        const val MINUTES_PER_HOUR = 60
+    }
+}
+
+/** Windows of the burn report; an alert needs both windows of a pair, so that it starts late and ends soon. */
+public enum class BurnWindow(
+    public val minutes: Int,
+    public val label: String,
+) {
+    FAST_SHORT(5, "5m"),
+    FAST_LONG(60, "1h"),
+    SLOW_SHORT(30, "30m"),
+    SLOW_LONG(360, "6h"),
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/report/Metrics.kt
@@ -0,0 +1,140 @@
+package azuredale.report
+
+import azuredale.identity.PoolId
+import azuredale.identity.TeamId
+import azuredale.outcome.ErrorKind
+import azuredale.transport.FrameFault
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
+
+/** Kinds of calls to the platform. */
+public enum class PlatformCall { READ, WRITE, WATCH, LEASE, LIST }
+
+/** Where bytes or datagrams between routers went. */
+public enum class ControlChannel { FRAMES_SENT, FRAMES_RECEIVED, DATAGRAMS_SENT, DATAGRAMS_RECEIVED }
+
+/**
+ * Metrics of one router, rendered in the Prometheus text format.
+ *
+ * The number of series is bounded: once [maximumSeries] combinations of team, pool and outcome exist, further teams are
+ * counted under the team `other`.
+ *
+ * ```
+ * metrics.requestEnded(team, pool, failure = null)
+ * metrics.controlBytes(ControlChannel.FRAMES_SENT) { transport.counters.bytesSent.sum() }
+ * val text = metrics.scrape()
+ * ```
+ */
+public class Metrics(private val maximumSeries: Int = 4_096) {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val requests = ConcurrentHashMap<Triple<TeamId, PoolId, String>, Counter>()
+    private val pools = ConcurrentHashMap.newKeySet<PoolId>()
+
+    // The registry refers weakly to what its function counters read.
+    private val sources = ConcurrentHashMap.newKeySet<Any>()
+
+    /** Counts a request that ended; [failure] is null when the whole answer was delivered. */
+    public fun requestEnded(team: TeamId, pool: PoolId, failure: ErrorKind?) {
+        val outcome = failure?.name ?: "COMPLETED"
+        val bounded = bound(pool)
+        val key = Triple(team, bounded, outcome)
+        val counter =
+            requests[key]
+                ?: if (requests.size < maximumSeries) {
+                    requests.computeIfAbsent(key) { requestCounter(team, bounded, outcome) }
+                } else {
+                    requestCounter(OTHER_TEAM, bounded, outcome)
+                }
+        counter.increment()
+    }
+
+    /** Counts a slot granted by this router as the allotter of [pool]. */
+    public fun granted(pool: PoolId): Unit = Counter
+        .builder("azuredale.grants")
+        .tag("pool", bound(pool).name)
+        .register(registry)
+        .increment()
+
+    /** Counts a call to the platform. */
+    public fun platformCalled(call: PlatformCall, hasSucceeded: Boolean): Unit = Counter
+        .builder("azuredale.platform.calls")
+        .tag("call", call.name.lowercase())
+        .tag("result", if (hasSucceeded) "success" else "failure")
+        .register(registry)
+        .increment()
+
+    /** Records the time from a request to its first token or response. */
+    public fun firstToken(pool: PoolId, microseconds: Long): Unit = record("azuredale.first.token", pool, microseconds)
+
+    /** Records the whole time of a request. */
+    public fun requestTime(pool: PoolId, microseconds: Long): Unit =
+        record("azuredale.request.time", pool, microseconds)
+
+    /** Exposes a count of bytes between routers that grows elsewhere. */
+    public fun controlBytes(channel: ControlChannel, total: () -> Long) {
+        FunctionCounter
+            .builder("azuredale.control.bytes", total) { it().toDouble() }
+            .tag("channel", channel.name.lowercase())
+            .register(registry)
+    }
+
+    /** Exposes the counts of refused frames or datagrams of [source]. */
+    public fun framesRefused(source: String, count: (FrameFault) -> Long) {
+        sources += count
+        FrameFault.entries.forEach { fault ->
+            FunctionCounter
+                .builder("azuredale.frames.refused", count) { it(fault).toDouble() }
+                .tag("source", source)
+                .tag("fault", fault.name.lowercase())
+                .register(registry)
+        }
+    }
+
+    /** Exposes a value that goes up and down, such as the rows of a table. */
+    public fun gauge(name: String, tags: Map<String, String> = emptyMap(), value: () -> Double) {
+        val builder = Gauge.builder("azuredale.$name", value) { it() }.strongReference(true)
+        tags.forEach { (key, text) -> builder.tag(key, text) }
+        builder.register(registry)
+    }
+
+    /** All metrics in the Prometheus text format. */
+    public fun scrape(): String = registry.scrape()
+
+    private fun record(name: String, pool: PoolId, microseconds: Long) {
+        Timer
+            .builder(name)
+            .tag("pool", bound(pool).name)
+            .publishPercentiles(PERCENTILE_50, PERCENTILE_95, PERCENTILE_99)
+            .register(registry)
+            .record(Duration.ofNanos(microseconds * NANOSECONDS_PER_MICROSECOND))
+    }
+
+    private fun requestCounter(team: TeamId, pool: PoolId, outcome: String): Counter = Counter
+        .builder("azuredale.requests")
+        .tag("team", team.name)
+        .tag("pool", pool.name)
+        .tag("outcome", outcome.lowercase())
+        .register(registry)
+
+    private fun bound(pool: PoolId): PoolId = when {
+        pool in pools -> pool
+        pools.size < MAXIMUM_POOLS -> pool.also { pools += it }
+        else -> OTHER_POOL
+    }
+
+    private companion object {
+        val OTHER_TEAM = TeamId("other")
+        val OTHER_POOL = PoolId("other")
+        const val MAXIMUM_POOLS = 64
+        const val PERCENTILE_50 = 0.5
+        const val PERCENTILE_95 = 0.95
+        const val PERCENTILE_99 = 0.99
+        const val NANOSECONDS_PER_MICROSECOND = 1_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/report/ReportedCounts.kt
@@ -0,0 +1,74 @@
+package azuredale.report
+
+import azuredale.identity.Incarnation
+import azuredale.identity.RouterId
+import azuredale.time.Timestamp
+
+/** Counts of recent minutes, at most [maximumEntries] of them. */
+internal class OpenCounts(private val maximumEntries: Int) {
+    private val entries = HashMap<Pair<BurnKey, Long>, WindowCounts>()
+    private var forgottenBefore = Long.MIN_VALUE
+
+    val size: Int get() = entries.size
+
+    operator fun get(key: BurnKey, minute: Long): WindowCounts? = entries[key to minute]
+
+    fun add(key: BurnKey, minute: Long, counts: WindowCounts): Boolean =
+        set(key, minute, (entries[key to minute] ?: WindowCounts.ZERO) + counts)
+
+    fun set(key: BurnKey, minute: Long, counts: WindowCounts): Boolean {
+        val fits = entries.size < maximumEntries || (key to minute) in entries
+        if (fits) entries[key to minute] = counts
+        return fits
+    }
+
+    fun forgetBefore(minute: Long) {
+        if (minute <= forgottenBefore) return
+        forgottenBefore = minute
+        entries.keys.removeIf { it.second < minute }
+    }
+}
+
+/** Counts that other routers reported for recent minutes, by their incarnation. */
+internal class ReportedCounts(private val maximumEntries: Int) {
+    private class Source(
+        val incarnation: Incarnation,
+        val counts: OpenCounts,
+        var reportedAt: Timestamp,
+    )
+
+    private val sources = HashMap<RouterId, Source>()
+
+    /** Notes a report of [router]; false when it comes from a process that ended. */
+    fun begin(router: RouterId, incarnation: Incarnation, now: Timestamp, oldestMinute: Long): Boolean {
+        val known = sources[router]
+        if (known != null && known.incarnation > incarnation) return false
+        sources.values.forEach { it.counts.forgetBefore(oldestMinute) }
+        if (known?.incarnation == incarnation) {
+            known.reportedAt = now
+        } else if (known != null || sources.size < MAXIMUM_ROUTERS) {
+            // What an ended process reported has happened and stays in the sums.
+            sources[router] = Source(incarnation, OpenCounts(maximumEntries), now)
+        }
+        return router in sources
+    }
+
+    /** Replaces the counts of [router] and returns the difference; null when the bound is reached. */
+    fun replace(router: RouterId, key: BurnKey, minute: Long, counts: WindowCounts): WindowCounts? {
+        val source = sources.getValue(router)
+        val earlier = source.counts[key, minute]
+        if (earlier == null && sources.values.sumOf { it.counts.size } >= maximumEntries) return null
+        source.counts.set(key, minute, counts)
+        return counts - (earlier ?: WindowCounts.ZERO)
+    }
+
+    /** Those of [routers] that did not report recently. */
+    fun missing(routers: Collection<RouterId>, now: Timestamp): List<RouterId> = routers
+        .filter { router -> sources[router]?.let { now.secondsSince(it.reportedAt) > REPORTED_SECONDS } ?: true }
+        .sortedBy { it.name }
+
+    private companion object {
+        const val MAXIMUM_ROUTERS = 1_024
+        const val REPORTED_SECONDS = 60.0
+    }
+}
