--- a/src/main/kotlin/azuredale/standin/EngineSequence.kt
+++ b/src/main/kotlin/azuredale/standin/EngineSequence.kt
@@ -36,12 +36,12 @@
     var isOver = false
         private set
 
-    val isBlocked: Boolean get() = response.writeQueueFull()
+    private val isBlocked: Boolean get() = response.writeQueueFull()
 
-    /** Generates up to [count] tokens. */
+    /** Generates up to [count] tokens, fewer when the caller does not read them. */
     fun advance(count: Int) {
         repeat(count) {
-            if (!isOver) step()
+            if (!isOver && !isBlocked) step()
         }
     }
 
--- a/src/main/kotlin/azuredale/standin/EngineStandIn.kt
+++ b/src/main/kotlin/azuredale/standin/EngineStandIn.kt
@@ -34,7 +34,6 @@
     private var timer: Long? = null
     private var report = JsonObject()
     private var reportedAt = Long.MIN_VALUE / 2
-    private var generated = 0L
 
     /** Chooses the fault of an answer by its request id and prompt; null means none. */
     @Volatile
@@ -50,6 +49,11 @@
     public var open: Int = 0
         private set
 
+    /** Number of tokens generated. */
+    @Volatile
+    public var generated: Long = 0
+        private set
+
     /** Port on which the stand-in listens. */
     public val port: Int get() = server?.actualPort() ?: 0
 
@@ -118,7 +122,7 @@
         while (running.size < settings.slots && waiting.isNotEmpty()) running += admit(waiting.removeFirst(), now)
         for (batched in running) {
             val elapsed = now - batched.startAt
-            if (elapsed < 0 || batched.sequence.isBlocked) continue
+            if (elapsed < 0) continue
             val due = (elapsed * settings.tokensPerSecond / MILLISECONDS_PER_SECOND).toInt() + 1
             val before = batched.sequence.generated
             batched.sequence.advance((due - batched.sequence.generated).coerceAtLeast(0))
