Keep offers when a replaced allotter grants and adopt moved servers

Cause: a grant of a replaced allotter withdrew the offer from the present one and held it for 100 ms; a server whose shard changed while requests ran there was missing from its new shard until the next document.

Change: such a grant is returned and the offer stays. Levels of requirements that the document no longer serves are dropped. A spec covers the reserve of a region without routers.

--- a/src/main/kotlin/azuredale/sharing/FairOrder.kt
+++ b/src/main/kotlin/azuredale/sharing/FairOrder.kt
@@ -65,6 +65,11 @@
     /** Highest counter among backlogged teams, or among all when none is backlogged. */
     fun highest(): Double = backlogged.lastOrNull()?.counter ?: rows.values.maxOfOrNull { it.counter } ?: 0.0
 
+    /** Removes the levels of requirements for which [keep] does not hold. */
+    fun retainLevels(keep: (Requirement) -> Boolean) {
+        levels.keys.removeIf { !keep(it) }
+    }
+
     /** Removes the rows of teams for which [keep] does not hold. */
     fun retain(keep: (TeamRow) -> Boolean) {
         backlogged.removeIf { !keep(it) }
--- a/src/main/kotlin/azuredale/sharing/RequesterState.kt
+++ b/src/main/kotlin/azuredale/sharing/RequesterState.kt
@@ -73,13 +73,11 @@
             return
         }
         val row = queue[message.request]
-        val isUsable =
-            row != null &&
-                links[message.shard]?.target == from &&
-                admission.isRunnable(row.request, message.server, turn)
-        if (isUsable && start(row, message.shard, message.server, isReserve = false, turn)) return
+        val isCurrent = links[message.shard]?.target == from
+        val isRunnable = row != null && isCurrent && admission.isRunnable(row.request, message.server, turn)
+        if (isRunnable && start(row, message.shard, message.server, isReserve = false, turn)) return
         turn.send(from, Settle(message.shard, message.request, cost = 0.0))
-        if (row != null) hold(row, turn)
+        if (row != null && isCurrent) hold(row, turn)
     }
 
     /** Answers with all state when [from] is the allotter to use, and with an empty registration otherwise. */
@@ -108,8 +106,7 @@
 
     fun documentChanged(turn: RequesterTurn) {
         if (shardsInUse != turn.shardMap.shards) reshard(turn)
-        grants.table.entries.values
-            .forEach { row -> turn.shardMap.shardOf(row.server)?.let { row.shard = it } }
+        grants.reshard(turn.shardMap)
         queue.retain(turn.document.teams.keys)
         estimators.retain(turn.document)
         queue.table.entries.values.toList().forEach { row ->
@@ -232,9 +229,8 @@
     private fun openLinks(pool: PoolId, turn: RequesterTurn): Unit =
         turn.shardMap.shardsOf(pool).forEach { links.open(it, turn) }
 
-    private fun isInUse(shard: ShardId): Boolean = teamQueues(shard.pool).any { !it.isEmpty } ||
-        grants.table.entries.values
-            .any { it.shard == shard }
+    private fun isInUse(shard: ShardId): Boolean =
+        teamQueues(shard.pool).any { !it.isEmpty } || grants.ofShard(shard).isNotEmpty()
 
     private fun teamQueues(pool: PoolId): List<TeamQueue> = queue.teamQueues.filter { it.pool == pool }
 
--- a/src/main/kotlin/azuredale/sharing/RunningGrants.kt
+++ b/src/main/kotlin/azuredale/sharing/RunningGrants.kt
@@ -57,6 +57,10 @@
         return row
     }
 
+    /** Moves grants to the shards that hold their servers now. */
+    fun reshard(shardMap: ShardMap): Unit =
+        table.entries.values.forEach { row -> shardMap.shardOf(row.server)?.let { row.shard = it } }
+
     fun ofShard(shard: ShardId): List<RunningRow> = table.entries.values.filter { it.shard == shard }
 
     fun running(shard: ShardId): List<RunningGrant> =
--- a/src/main/kotlin/azuredale/sharing/ServerPool.kt
+++ b/src/main/kotlin/azuredale/sharing/ServerPool.kt
@@ -15,6 +15,10 @@
 
     val rows: List<ServerRow> get() = members
 
+    /** Whether a server of the shard is missing, because requests of its former shard still run there. */
+    var isIncomplete: Boolean = false
+        private set
+
     /** Sum of the document's slots. */
     val slots: Int get() = members.sumOf { it.limit.slots }
 
--- a/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
+++ b/src/main/kotlin/azuredale/sharing/ShardAllotment.kt
@@ -112,13 +112,7 @@
             if (member != null) router.goneSince = null
             if (member == null || isRestarted) registration.release(router)
         }
-        if (term.isPrimary) {
-            turn.members.keys
-                .map(
-                    ::row,
-                ).filter { !it.isRegistered && it.askAgainAt <= turn.now }
-                .forEach { ask(it, turn) }
-        }
+        askUnregistered(turn)
         finishCollecting(turn)
         dispatch(turn)
     }
@@ -127,15 +121,11 @@
         servers.adopt(turn.shardMap.serversOf(shard))
         order.teams.toList().forEach { team ->
             val entry = turn.document.teams[team.team]
-            if (entry == null ||
-                shard.pool !in entry.pools
-            ) {
-                demand.removeTeam(team)
-            } else {
-                order.reweigh(team, entry.share)
-            }
+            val isAllowed = entry != null && shard.pool in entry.pools
+            if (isAllowed) order.reweigh(team, entry.share) else demand.removeTeam(team)
         }
         order.retain { it.team in turn.document.teams || it.running > 0 }
+        order.retainLevels { turn.shardMap.eligible(it).isNotEmpty() }
         estimator.retain(turn.document.teams.keys)
         dispatch(turn)
     }
@@ -207,17 +197,24 @@
     private fun repair(turn: AllotterTurn) {
         if (turn.now < repairAt) return
         repairAt = turn.now.plusMilliseconds(REPAIR_PERIOD_MILLISECONDS)
+        if (servers.isIncomplete) servers.adopt(turn.shardMap.serversOf(shard))
         val stale = turn.now.plusMilliseconds(-settings.repairMilliseconds)
-        ledger.rows
-            .filter { it.heardAt < stale }
-            .map { it.key.router }
-            .toSet()
-            .forEach { ask(row(it), turn) }
+        val silent =
+            ledger.rows
+                .filter { it.heardAt < stale }
+                .map { it.key.router }
+                .toSet()
+        silent.forEach { ask(row(it), turn) }
         val forgotten = turn.now.plusMilliseconds(-FORGET_MILLISECONDS)
         routers.values.removeIf { row -> row.goneSince?.let { it < forgotten } == true }
+        askUnregistered(turn)
+    }
+
+    private fun askUnregistered(turn: AllotterTurn) {
         if (!term.isPrimary) return
-        routers.values
-            .filter { !it.isRegistered && it.router in turn.members && it.askAgainAt <= turn.now }
+        turn.members.keys
+            .map { row(it) }
+            .filterNot { it.isRegistered }
             .forEach { ask(it, turn) }
     }
 
--- a/src/test/kotlin/azuredale/sharing/QueueSpec.kt
+++ b/src/test/kotlin/azuredale/sharing/QueueSpec.kt
@@ -4,6 +4,7 @@
 import azuredale.configuration.ModelVersionEntry
 import azuredale.configuration.ServerState
 import azuredale.identity.ModelVersion
+import azuredale.identity.Region
 import azuredale.identity.RequestNumber
 import azuredale.identity.ServerId
 import azuredale.identity.TeamId
@@ -135,6 +136,21 @@
         }
     }
 
+    @Nested
+    inner class Reserve {
+        @Test
+        fun `uses a bounded part of the slots while no router may allot the shard`() {
+            // Guards against idle capacity, and against servers flooded by routers that decide alone.
+            val fleet = fleet(testDocument(shares, listOf(testServer("s1", 24))))
+            fleet.routers.forEach { router ->
+                fleet.setMembers(router, router.members.map { it.copy(region = Region("north")) })
+                repeat(20) { router.submit(SharingFleet.Work(team, 1_000.0)) }
+            }
+            fleet.run(2_000)
+            assertEquals(6, fleet.running.size, "a quarter of 24 slots")
+        }
+    }
+
     @Nested
     inner class Requirements {
         @Test
