--- a/src/main/kotlin/azuredale/sharing/OfferPlanner.kt
+++ b/src/main/kotlin/azuredale/sharing/OfferPlanner.kt
@@ -16,13 +16,7 @@
         val added = LinkedHashMap<ShardId, MutableList<QueuedRow>>()
         while (true) {
             val row = queue.next(turn.now) { openShards(queue, it, turn).isNotEmpty() } ?: break
-            val shard =
-                openShards(queue, row.request.requirement, turn).minWith(
-                    compareBy({
-                        outstanding.age(it, turn.now) /
-                            AGE_STEP
-                    }, { loadOf(it, turn) }, { tieOf(row, it) }),
-                )
+            val shard = choose(openShards(queue, row.request.requirement, turn), row, turn)
             queue.offer(row, shard, turn.now)
             added.getOrPut(shard) { mutableListOf() } += row
         }
@@ -36,12 +30,7 @@
         shardsOf(queue, turn).forEach { shard ->
             val old = queue.offeredTo(shard).filter { it.sentAt < before }
             old.forEach { it.sentAt = turn.now }
-            if (old.isNotEmpty()) {
-                turn.demand(
-                    shard,
-                    TeamDemand(queue.team, waiting(queue, shard, turn), old.map(::head)),
-                )
-            }
+            if (old.isNotEmpty()) report(queue, shard, old, turn)
         }
     }
 
@@ -92,21 +81,22 @@
     private fun openShards(queue: TeamQueue, requirement: Requirement, turn: RequesterTurn): List<ShardId> =
         registeredShards(requirement, turn).filter { queue.offeredTo(it).size < settings.headsPerTeam }
 
-    private fun loadOf(shard: ShardId, turn: RequesterTurn): Double =
-        outstanding.of(shard).size.toDouble() / maxOf(1, turn.shardMap.slotsOf(shard))
-
-    private fun tieOf(row: QueuedRow, shard: ShardId): Long = StableHash.of(
-        row.request.number.value
-            .toString(),
-        shard.shard.toString(),
-    )
+    /** The shard whose offers of this router wait least and are fewest for its slots; ties are broken by hash. */
+    private fun choose(shards: List<ShardId>, row: QueuedRow, turn: RequesterTurn): ShardId {
+        val number = row.request.number.toString()
+        val order =
+            compareBy<ShardId> { outstanding.age(it, turn.now) / AGE_STEP }
+                .thenBy { outstanding.of(it).size.toDouble() / maxOf(1, turn.shardMap.slotsOf(it)) }
+                .thenBy { StableHash.of(number, it.shard.toString()) }
+        return shards.minWith(order)
+    }
 
     private fun head(row: QueuedRow): WaitingHead = with(row.request) {
         WaitingHead(number, hint, prefix, requirement.modelVersion, requirement.adapter)
     }
 
     private companion object {
-        /** Waits that differ by less than this do not order two shards. */
+        /** Waits in microseconds that differ by less than this do not order two shards. */
         const val AGE_STEP = 50_000L
     }
 }
