Judge failures by their own execution state and flood with a small team

Cause: a failure can weaken the execution state of its kind, which the harness ignored; an exception repeated for every request filled the list of broken promises; the flooding team was a large one, entitled to much of what it asked for.

Change: the check of invariant 4 reads the failure's execution state, exceptions are reported once per place, and the flood comes from a team with the smallest kind of share at 300 times its load.

--- a/src/main/kotlin/azuredale/measure/FakeCallers.kt
+++ b/src/main/kotlin/azuredale/measure/FakeCallers.kt
@@ -5,6 +5,7 @@
 import azuredale.node.NodeEvent
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Execution
+import azuredale.outcome.Failure
 import azuredale.routing.CallerRequest
 import azuredale.routing.RequestIdentity
 import azuredale.routing.RequestResult
@@ -54,7 +55,7 @@
         when (result) {
             is RequestResult.Completed -> completed(host, call)
             is RequestResult.Repeated -> repeated(host, call, result)
-            is RequestResult.Failed -> failed(host, call, result.failure.kind)
+            is RequestResult.Failed -> failed(host, call, result.failure)
         }
     }
 
@@ -100,9 +101,10 @@
         checkExecutions(call)
     }
 
-    private fun failed(host: RouterHost, call: Call, kind: ErrorKind) {
+    private fun failed(host: RouterHost, call: Call, failure: Failure) {
+        val kind = failure.kind
         results.merge(kind, 1, Int::plus)
-        if (kind.execution == Execution.NOT_RUN && call.hasReachedServer) {
+        if (failure.execution == Execution.NOT_RUN && call.hasReachedServer) {
             fleet.promises.report(4, "${host.name} answered $kind for ${call.number}, which reached a server")
         }
         if (host.isDraining && call.hasReachedServer && kind == ErrorKind.DRAINING) {
--- a/src/main/kotlin/azuredale/measure/Fault.kt
+++ b/src/main/kotlin/azuredale/measure/Fault.kt
@@ -35,7 +35,7 @@
         override fun schedule(fleet: Fleet) = Unit
 
         override fun flood(profile: Profile): Flood = Flood(
-            profile.teams.first { it.role == TeamRole.LIGHT && it.id != profile.smallestTeam },
+            profile.teams.last { it.role == TeamRole.LIGHT && it.id != profile.smallestTeam },
             RunTimes.FAULT_START,
             end,
             FLOOD_FACTOR,
@@ -64,7 +64,8 @@
     open fun flood(profile: Profile): Flood? = null
 
     companion object {
-        private const val FLOOD_FACTOR = 30.0
+        /** A small team then asks for several times the capacity of a pool, more than its queues hold. */
+        private const val FLOOD_FACTOR = 300.0
         private const val LOSS = 0.01
         private const val PAUSE_PERIOD = 4 * EventQueue.SECOND
         private const val PAUSE = 3 * EventQueue.SECOND
--- a/src/main/kotlin/azuredale/measure/Promises.kt
+++ b/src/main/kotlin/azuredale/measure/Promises.kt
@@ -12,6 +12,7 @@
 /** Collects broken invariants and the last events of a run, so that a failure can be read without a new run. */
 internal class Promises(private val queue: EventQueue) {
     private val found = ArrayList<BrokenPromise>()
+    private val failurePlaces = HashSet<String>()
     private val recent = ArrayDeque<String>()
 
     /** Receives every traced line; set for a full trace. */
@@ -23,6 +24,12 @@
         if (found.size < MAXIMUM_KEPT) found.add(BrokenPromise(number, queue.now, text))
     }
 
+    /** Reports an exception of the decision code; each place in the code once. */
+    fun reportFailure(router: String, event: Any, failure: RuntimeException) {
+        val place = failure.stackTrace.take(TRACE_LINES).joinToString(" <- ")
+        if (failurePlaces.add(place)) report(0, "$router failed on $event: $failure at $place")
+    }
+
     fun trace(text: () -> String) {
         val line = "${queue.now} ${text()}"
         recent.addLast(line)
@@ -32,5 +39,6 @@
 
     private companion object {
         const val MAXIMUM_KEPT = 60
+        const val TRACE_LINES = 6
     }
 }
--- a/src/main/kotlin/azuredale/measure/RouterHost.kt
+++ b/src/main/kotlin/azuredale/measure/RouterHost.kt
@@ -108,7 +108,7 @@
             try {
                 current.handle(event, now)
             } catch (failure: RuntimeException) {
-                promises.report(0, "$name failed on $event: ${failure.stackTraceToString().lines().take(TRACE_LINES)}")
+                promises.reportFailure(name, event, failure)
                 return
             }
         effects.forEach {
@@ -124,8 +124,4 @@
     }
 
     private fun isWorthTracing(effect: NodeEffect) = effect !is NodeEffect.SendDatagram
-
-    private companion object {
-        const val TRACE_LINES = 6
-    }
 }
