Add shards to the profiles and count the calls for keys apart

Cause: with one shard per pool the allotter's bytes per second grow with the fleet, and calls for idempotency keys hide the calls for the document.

Change: MeasureOptions.shards sets the shards of every pool; the report shows the platform calls for keys on a line of their own; a claim whose reply takes longer than the client waits is reported as unknown.

--- a/src/main/kotlin/azuredale/measure/Experiment.kt
+++ b/src/main/kotlin/azuredale/measure/Experiment.kt
@@ -33,6 +33,7 @@
     val received: List<Long>,
     val messages: List<Long>,
     val platformCalls: Long,
+    val claimCalls: Long,
 )
 
 /** The system and both baselines with the same load. */
@@ -117,6 +118,7 @@
             received = traffic.map { it.bytesReceived },
             messages = traffic.map { it.messages },
             platformCalls = fleet.platform.calls,
+            claimCalls = fleet.platform.claimCalls,
         )
     }
 
@@ -126,6 +128,7 @@
         received = after.received.zip(before.received, Long::minus),
         messages = after.messages.zip(before.messages, Long::minus),
         platformCalls = after.platformCalls - before.platformCalls,
+        claimCalls = after.claimCalls - before.claimCalls,
     )
 
     companion object {
--- a/src/main/kotlin/azuredale/measure/FakePlatform.kt
+++ b/src/main/kotlin/azuredale/measure/FakePlatform.kt
@@ -25,6 +25,8 @@
         private set
     var calls: Long = 0
         private set
+    var claimCalls: Long = 0
+        private set
     var isDown: Boolean = false
     var slowness: Long = 0
     var isLosingReplies: Boolean = false
@@ -51,12 +53,13 @@
 
     fun claim(client: PlatformClient, request: RequestNumber, key: String) {
         calls++
+        claimCalls++
         val delay = REPLY + slowness
         if (isDown || !client.isReachable()) {
             return reply(client, FAILURE) { NodeEvent.KeyClaimed(request, ClaimResult.UNAVAILABLE) }
         }
         val isNew = claims.add(key)
-        val isLost = isLosingReplies
+        val isLost = isLosingReplies || delay > FAILURE
         val result = if (isNew) ClaimResult.CLAIMED else ClaimResult.HELD
         reply(client, if (isLost) FAILURE else delay) {
             NodeEvent.KeyClaimed(request, if (isLost || isCut(client)) ClaimResult.UNKNOWN else result)
--- a/src/main/kotlin/azuredale/measure/Figures.kt
+++ b/src/main/kotlin/azuredale/measure/Figures.kt
@@ -113,6 +113,7 @@
             Figure("control messages per node, worst", "1/s", traffic.messages.max() / traffic.seconds),
             Figure("control messages per request", "", traffic.messages.sum().toDouble() / completed),
             Figure("calls to the platform", "1/s", traffic.platformCalls / traffic.seconds),
+            Figure("calls to the platform for keys", "1/s", traffic.claimCalls / traffic.seconds),
         )
     }
 
--- a/src/main/kotlin/azuredale/measure/Measure.kt
+++ b/src/main/kotlin/azuredale/measure/Measure.kt
@@ -28,7 +28,7 @@
 }
 
 private fun runProfile(options: MeasureOptions, fleetOptions: FleetOptions, output: Appendable): Int {
-    val profile = Profile.named(options.profile, options.routers)
+    val profile = Profile.named(options.profile, options.routers, options.shards)
     val fault = options.fault?.let { Fault.named(it) }
     if (profile == null) {
         output.appendLine("profile ${options.profile} does not exist; known: ${Profile.names.joinToString()}")
--- a/src/main/kotlin/azuredale/measure/MeasureOptions.kt
+++ b/src/main/kotlin/azuredale/measure/MeasureOptions.kt
@@ -13,6 +13,7 @@
  * @property isJson whether to print JSON.
  * @property routers size of the fleet; servers and load grow in proportion.
  * @property scenario file of the scenario language to run instead of a profile.
+ * @property shards number of shards of each pool; one is today's size.
  * @property createCore the decision code of one router.
  * @property messageSize bytes of a message in the transport's encoding.
  * @property datagramSize bytes of a datagram in the transport's encoding.
@@ -25,6 +26,7 @@
     public val isJson: Boolean = false,
     public val routers: Int = 8,
     public val scenario: Path? = null,
+    public val shards: Int = 1,
     public val messageSize: MessageSize = MessageSizes(),
     public val datagramSize: DatagramSize = DatagramCodec(ByteArray(1)).let { codec -> { codec.encode(it).size } },
 )
--- a/src/main/kotlin/azuredale/measure/Profile.kt
+++ b/src/main/kotlin/azuredale/measure/Profile.kt
@@ -51,6 +51,7 @@
 /**
  * A fleet and its load at one of the sizes of section 1.4 of the design page; delays in microseconds.
  *
+ * @property shards number of shards of each pool.
  * @property scale factor on servers and load, in proportion to the routers.
  */
 internal class Profile(
@@ -60,6 +61,7 @@
     val clientDelay: Long,
     val teams: List<TeamPlan>,
     pools: List<PoolPlan>,
+    val shards: Int,
 ) {
     val scale: Double = routers.toDouble() / TODAY_ROUTERS
     val pools: List<PoolPlan> = pools.map { it.copy(servers = (it.servers * scale).toInt()) }
@@ -106,7 +108,7 @@
                             pools.mapTo(LinkedHashSet()) { pool -> pool.id },
                         )
                 },
-            pools = pools.associate { it.id to Pool(it.id, it.kind, initialCost = it.initialCost) },
+            pools = pools.associate { it.id to Pool(it.id, it.kind, shards, initialCost = it.initialCost) },
             servers = servers.associateBy { it.id },
         )
     }
@@ -126,17 +128,18 @@
         private val MODELS = PoolId("models")
 
         /** The profile called [name] with [routers], or null when there is none of that name. */
-        fun named(name: String, routers: Int = TODAY_ROUTERS): Profile? = when (name) {
-            "pampa-sinal" -> pampaSinal(routers)
-            "helmsway" -> helmsway(routers)
+        fun named(name: String, routers: Int = TODAY_ROUTERS, shards: Int = 1): Profile? = when (name) {
+            "pampa-sinal" -> pampaSinal(routers, shards)
+            "helmsway" -> helmsway(routers, shards)
             else -> null
         }
 
         val names: List<String> = listOf("pampa-sinal", "helmsway")
 
-        private fun pampaSinal(routers: Int) = Profile(
+        private fun pampaSinal(routers: Int, shards: Int) = Profile(
             name = "pampa-sinal",
             routers = routers,
+            shards = shards,
             delayBetweenDomains = 1_200,
             clientDelay = 1_000,
             teams =
@@ -166,9 +169,10 @@
                 ),
         )
 
-        private fun helmsway(routers: Int) = Profile(
+        private fun helmsway(routers: Int, shards: Int) = Profile(
             name = "helmsway",
             routers = routers,
+            shards = shards,
             delayBetweenDomains = 1_000,
             clientDelay = 4_000,
             teams =
--- a/src/main/kotlin/azuredale/measure/ReportPrinter.kt
+++ b/src/main/kotlin/azuredale/measure/ReportPrinter.kt
@@ -20,8 +20,10 @@
         val fault = result.fault?.label ?: "none"
         val profile = result.profile
         output.appendLine(
-            "profile ${profile.name}, ${profile.routers} routers, fault $fault, seed ${result.seed}, " +
-                "${result.requests} requests in ${Figures.seconds(RunTimes.END - RunTimes.LOAD_START)} s",
+            "profile ${profile.name}, ${profile.routers} routers, ${profile.shards} shards, fault $fault, " +
+                "seed ${result.seed}, ${result.requests} requests in ${Figures.seconds(
+                    RunTimes.END - RunTimes.LOAD_START,
+                )} s",
         )
         output.appendLine(ROW.format("measure", "unit", "system", "global", "alone", "ratio", "target"))
         figures.forEach { output.appendLine(row(it).trimEnd()) }
@@ -83,6 +85,7 @@
     private fun json(): JsonObject = buildJsonObject {
         put("profile", result.profile.name)
         put("routers", result.profile.routers)
+        put("shards", result.profile.shards)
         put("fault", result.fault?.label)
         put("seed", result.seed)
         put("requests", result.requests)
