Limit log lines caused by remote input and forget routers that left

Cause: each refused datagram or handshake wrote a line, and links of replaced VMs were kept for ever. Change: LogLimiter writes an event at most once per second with the number left out; PeerTransport.forget ends a link; the back-off has a random part.

--- a/src/main/kotlin/azuredale/membership/DatagramEdge.kt
+++ b/src/main/kotlin/azuredale/membership/DatagramEdge.kt
@@ -5,6 +5,7 @@
 import azuredale.logging.EventLog
 import azuredale.protocol.ProbeMessage
 import azuredale.transport.FrameFault
+import azuredale.transport.LogLimiter
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.BoundDatagramSocket
 import io.ktor.network.sockets.Datagram
@@ -44,7 +45,7 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private val encoder = DatagramCodec(fleetKey)
     private val decoder = DatagramCodec(fleetKey)
-    private val log = EventLog("azuredale.membership")
+    private val log = LogLimiter(EventLog("azuredale.membership"))
     private val refused = FrameFault.entries.associateWith { LongAdder() }
     private val outgoing =
         Channel<Pair<NetworkAddress, ProbeMessage>>(OUTGOING_DATAGRAMS, BufferOverflow.DROP_OLDEST)
--- a/src/main/kotlin/azuredale/membership/MembershipController.kt
+++ b/src/main/kotlin/azuredale/membership/MembershipController.kt
@@ -59,6 +59,7 @@
     public fun hasChangedSince(earlier: Long): Boolean = version != earlier
 
     /** Number of datagrams whose address was not that of their sender. */
+    @Volatile
     public var mismatchedSenders: Long = 0
         private set
 
--- /dev/null
+++ b/src/main/kotlin/azuredale/transport/LogLimiter.kt
@@ -0,0 +1,35 @@
+package azuredale.transport
+
+import azuredale.logging.EventLog
+import azuredale.logging.LogEvent
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** Writes each event at most once per second with the number left out, so that remote input cannot flood the log. */
+internal class LogLimiter(private val log: EventLog) {
+    private class State {
+        val nextNanoseconds = AtomicLong(System.nanoTime())
+        val leftOut = AtomicLong()
+    }
+
+    private val states = ConcurrentHashMap<LogEvent, State>()
+
+    // The copy made by the spread happens at most once per second.
+    @Suppress("SpreadOperator")
+    fun write(event: LogEvent, vararg fields: Pair<String, Any?>, cause: Throwable? = null) {
+        val state = states.computeIfAbsent(event) { State() }
+        val now = System.nanoTime()
+        val next = state.nextNanoseconds.get()
+        if (now - next < 0 || !state.nextNanoseconds.compareAndSet(next, now + PERIOD_NANOSECONDS)) {
+            state.leftOut.incrementAndGet()
+            return
+        }
+        val leftOut = state.leftOut.getAndSet(0)
+        val all = if (leftOut == 0L) fields else arrayOf(*fields, "leftOut" to leftOut)
+        log.write(event, *all, cause = cause)
+    }
+
+    private companion object {
+        const val PERIOD_NANOSECONDS = 1_000_000_000L
+    }
+}
--- a/src/main/kotlin/azuredale/transport/PeerLink.kt
+++ b/src/main/kotlin/azuredale/transport/PeerLink.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeout
+import kotlin.random.Random
 
 /**
  * Send queue and present connection of one other router.
@@ -23,7 +24,7 @@
 ) {
     private val queue = ArrayDeque<PeerMessage>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
-    private val log = EventLog("azuredale.transport")
+    private val log = LogLimiter(EventLog("azuredale.transport"))
     private var connection: PeerConnection? = null
     private var connectedAt = 0L
 
@@ -90,7 +91,8 @@
                 flush(present)
             } else {
                 synchronized(this) { dropQueue() }
-                delay(backOff)
+                // A random part keeps routers that lost the same peer from dialing it in step.
+                delay(backOff / 2 + Random.nextLong(backOff / 2 + 1))
                 backOff = minOf(backOff * 2, options.largestBackOffMilliseconds)
             }
         }
--- a/src/main/kotlin/azuredale/transport/PeerTransport.kt
+++ b/src/main/kotlin/azuredale/transport/PeerTransport.kt
@@ -53,8 +53,10 @@
     private val handshake = Handshake(fleetKey, options.limits)
     private val nonces = SecureRandom()
     private val links = ConcurrentHashMap<RouterId, PeerLink>()
+    private val linkJobs = ConcurrentHashMap<RouterId, Job>()
     private val unfinished = Semaphore(options.unfinishedHandshakes)
     private val log = EventLog("azuredale.transport")
+    private val limitedLog = LogLimiter(log)
 
     /** Counts for metrics. */
     public val counters: TransportCounters = TransportCounters()
@@ -76,6 +78,12 @@
         links[router]?.current()?.close()
     }
 
+    /** Closes the connection to [router] and drops its queue, because it left the fleet for good. */
+    public fun forget(router: RouterId) {
+        linkJobs.remove(router)?.cancel()
+        links.remove(router)?.current()?.close()
+    }
+
     /** Routers with an established connection. */
     public fun connectedRouters(): Set<RouterId> = links.filterValues { it.current() != null }.keys
 
@@ -87,7 +95,7 @@
     }
 
     private fun linkOf(router: RouterId): PeerLink = links.computeIfAbsent(router) {
-        PeerLink(router, options, counters, ::dial).also { link -> scope.launch { link.run() } }
+        PeerLink(router, options, counters, ::dial).also { link -> linkJobs[router] = scope.launch { link.run() } }
     }
 
     private suspend fun acceptAll(server: ServerSocket) {
@@ -96,7 +104,7 @@
                 admit(server.accept())
             } catch (fault: Exception) {
                 if (!scope.isActive) break
-                log.write(TransportLogEvent.ACCEPT_FAILED, cause = fault)
+                limitedLog.write(TransportLogEvent.ACCEPT_FAILED, cause = fault)
                 kotlinx.coroutines.delay(options.firstBackOffMilliseconds)
             }
         }
@@ -105,7 +113,7 @@
 
     private fun admit(socket: Socket): Job = scope.launch {
         if (!unfinished.tryAcquire()) {
-            log.write(TransportLogEvent.CONNECTIONS_REFUSED, "remote" to socket.remoteAddress)
+            limitedLog.write(TransportLogEvent.CONNECTIONS_REFUSED, "remote" to socket.remoteAddress)
             socket.close()
             return@launch
         }
@@ -130,7 +138,7 @@
                     }.getOrNull()
                 }?.let { socket -> establish(socket) { greet(it, router) } }
         if (connection == null) {
-            log.write(TransportLogEvent.CONNECT_FAILED, "router" to router, "address" to target)
+            limitedLog.write(TransportLogEvent.CONNECT_FAILED, "router" to router, "address" to target)
             return null
         }
         return connection.takeIf { begin(it) }
@@ -160,7 +168,7 @@
             }
         if (connection == null) {
             counters.refuse(FrameFault.HANDSHAKE)
-            log.write(TransportLogEvent.HANDSHAKE_REFUSED, "remote" to socket.remoteAddress)
+            limitedLog.write(TransportLogEvent.HANDSHAKE_REFUSED, "remote" to socket.remoteAddress)
             socket.close()
         }
         return connection
@@ -216,7 +224,7 @@
         } finally {
             connection.close()
         }
-        linkOf(router).detach(connection)
+        links[router]?.detach(connection)
         log.write(TransportLogEvent.PEER_DISCONNECTED, "router" to router)
         guarded { handlers.disconnected(router) }
         connection.ended.complete()
@@ -244,7 +252,7 @@
         } catch (fault: kotlinx.coroutines.CancellationException) {
             throw fault
         } catch (fault: Exception) {
-            log.write(TransportLogEvent.HANDLER_FAILED, cause = fault)
+            limitedLog.write(TransportLogEvent.HANDLER_FAILED, cause = fault)
         }
     }
 
--- a/src/test/kotlin/azuredale/transport/PeerTransportSpec.kt
+++ b/src/test/kotlin/azuredale/transport/PeerTransportSpec.kt
@@ -169,6 +169,17 @@
             )
         }
 
+        @Test
+        fun `a forgotten router can be reached again`() = runBlocking {
+            // Guards against links of routers that left, which would pile up with every replaced VM.
+            val a = router("a")
+            val b = router("b")
+            exchange(a, b, announce(1))
+            a.transport.forget(b.id)
+            assertEquals(listOf("connected b 1", "disconnected b"), List(2) { a.events.next() })
+            exchange(a, b, announce(2))
+        }
+
         @Test
         fun `a full queue resets the connection and the routers go on afterwards`() = runBlocking {
             // Guards against a slow reader that makes its peer's memory grow or loses messages silently.
