Keep waiting messages when two routers connect at the same moment

Cause: the connection that gives way was counted as a refused handshake, and its router dropped the messages that waited for it. Members were read through the document's lock, which ranks below the locks of many callers. Change: the router whose connection gives way waits up to 200 ms for the other one; the refusal is not counted as a fault. MembershipController keeps the revision of its last event.

--- a/src/main/kotlin/azuredale/membership/DatagramWriter.kt
+++ b/src/main/kotlin/azuredale/membership/DatagramWriter.kt
@@ -26,11 +26,20 @@
 ) {
     private val startedAt = claims.self.incarnation.value
 
+    /** Revision at the last event; reading the document itself would take a lock below that of many callers. */
+    @Volatile
+    var lastRevision: Revision = Revision.NONE
+        private set
+
     /** Bytes for updates in one datagram. */
     val room: Int = options.datagramBytes - FIXED_DATAGRAM_BYTES
 
     /** Reads the node's document state; to be called without the member table's lock. */
-    fun context(now: Timestamp): SendContext = SendContext(now, links.revision(), links.confirmation(now))
+    fun context(now: Timestamp): SendContext {
+        val revision = links.revision()
+        lastRevision = revision
+        return SendContext(now, revision, links.confirmation(now))
+    }
 
     /** Hash of the claims about live members, this router included. */
     fun fingerprint(): Int = table.fingerprint + claims.self.claimHash()
--- a/src/main/kotlin/azuredale/membership/MembershipController.kt
+++ b/src/main/kotlin/azuredale/membership/MembershipController.kt
@@ -41,7 +41,7 @@
     private var lastTickAt: Timestamp? = null
 
     /** This router as others should see it. */
-    public val self: Member get() = claims.self.copy(revision = links.revision())
+    public val self: Member get() = claims.self.copy(revision = writer.lastRevision)
 
     /** Alive and suspected members, this router included. */
     public fun members(): List<Member> = table.live + self
--- a/src/main/kotlin/azuredale/transport/PeerLink.kt
+++ b/src/main/kotlin/azuredale/transport/PeerLink.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 
 /**
@@ -49,6 +50,12 @@
     /** The present connection, or null. */
     fun current(): PeerConnection? = synchronized(this) { connection }
 
+    /** Waits a moment for a connection that the other router opens; null when none comes. */
+    suspend fun awaitCurrent(): PeerConnection? = withTimeoutOrNull(options.crossingMilliseconds) {
+        while (current() == null) delay(options.batchMilliseconds)
+        current()
+    }
+
     /**
      * Makes [opened] the present connection and returns the one to close, which is [opened] itself when both routers
      * opened one at the same moment and the other one stays. Both ends choose alike.
--- a/src/main/kotlin/azuredale/transport/PeerTransport.kt
+++ b/src/main/kotlin/azuredale/transport/PeerTransport.kt
@@ -117,31 +117,43 @@
             socket.close()
             return@launch
         }
+        var isCrossing = false
         val connection =
             try {
-                establish(socket) { answer(it) }
+                establish(socket) { stream -> answer(stream) { isCrossing = true } }
             } finally {
                 unfinished.release()
             }
-        if (connection != null) begin(connection)
+        if (connection != null) {
+            begin(connection)
+        } else if (!isCrossing) {
+            refuseHandshake(socket)
+        }
     }
 
     private suspend fun dial(router: RouterId): PeerConnection? {
         val target = addressOf(router)
-        val connection =
-            target
-                ?.let {
-                    runCatching {
-                        withTimeoutOrNull(options.handshakeMilliseconds) {
-                            aSocket(selector).tcp().connect(it.host, it.port) { noDelay = true }
-                        }
-                    }.getOrNull()
-                }?.let { socket -> establish(socket) { greet(it, router) } }
-        if (connection == null) {
-            limitedLog.write(TransportLogEvent.CONNECT_FAILED, "router" to router, "address" to target)
-            return null
+        val socket = target?.let { connect(it) }
+        val connection = socket?.let { opened -> establish(opened) { greet(it, router) } }
+        if (connection != null) return connection.takeIf { begin(it) }
+        // The other router closes this connection when it opens its own one at the same moment.
+        if (socket != null && router.name < self.name) links[router]?.awaitCurrent()?.let { return it }
+        if (socket != null) refuseHandshake(socket)
+        limitedLog.write(TransportLogEvent.CONNECT_FAILED, "router" to router, "address" to target)
+        return null
+    }
+
+    private suspend fun connect(target: NetworkAddress): Socket? = try {
+        withTimeoutOrNull(options.handshakeMilliseconds) {
+            aSocket(selector).tcp().connect(target.host, target.port) { noDelay = true }
         }
-        return connection.takeIf { begin(it) }
+    } catch (_: Exception) {
+        null
+    }
+
+    private fun refuseHandshake(socket: Socket) {
+        counters.refuse(FrameFault.HANDSHAKE)
+        limitedLog.write(TransportLogEvent.HANDSHAKE_REFUSED, "remote" to socket.remoteAddress)
     }
 
     /** Makes [connection] the present one and reads from it; false when another one stays. */
@@ -166,11 +178,7 @@
             } catch (_: Exception) {
                 null
             }
-        if (connection == null) {
-            counters.refuse(FrameFault.HANDSHAKE)
-            limitedLog.write(TransportLogEvent.HANDSHAKE_REFUSED, "remote" to socket.remoteAddress)
-            socket.close()
-        }
+        if (connection == null) socket.close()
         return connection
     }
 
@@ -188,12 +196,16 @@
         return connection
     }
 
-    private suspend fun answer(stream: BlockStream): PeerConnection? {
+    private suspend fun answer(stream: BlockStream, onCrossing: () -> Unit): PeerConnection? {
         val theirs = stream.read(Handshake.MAXIMUM_BYTES) ?: return null
         val hello =
             handshake
                 .decode(HandshakeRole.DIALER, theirs)
-                ?.takeIf { it.target == self && it.router != self && isWelcome(it.router) } ?: return null
+                ?.takeIf { it.target == self && it.router != self } ?: return null
+        if (!isWelcome(hello.router)) {
+            onCrossing()
+            return null
+        }
         val mine = handshake.encode(HandshakeRole.ACCEPTOR, Hello(self, incarnation, hello.router, nonce()), theirs)
         stream.write(mine)
         val codec = handshake.codec(HandshakeRole.ACCEPTOR, theirs, mine)
--- a/src/main/kotlin/azuredale/transport/TransportOptions.kt
+++ b/src/main/kotlin/azuredale/transport/TransportOptions.kt
@@ -11,6 +11,7 @@
  * @property batchMilliseconds how long the first message of a batch waits for others to the same router.
  * @property queueMessages bound on messages that wait for one router.
  * @property handshakeMilliseconds a connection without a complete handshake after this time is closed.
+ * @property crossingMilliseconds wait for the other router's connection after it refused this one's.
  * @property writeMilliseconds a frame that cannot be written within this time closes its connection.
  * @property unfinishedHandshakes bound on accepted connections whose handshake is not complete.
  */
@@ -18,6 +19,7 @@
     val batchMilliseconds: Long = 3,
     val queueMessages: Int = 4_096,
     val handshakeMilliseconds: Long = 2_000,
+    val crossingMilliseconds: Long = 200,
     val writeMilliseconds: Long = 5_000,
     val firstBackOffMilliseconds: Long = 50,
     val largestBackOffMilliseconds: Long = 2_000,
