--- a/src/main/kotlin/azuredale/membership/MembershipController.kt
+++ b/src/main/kotlin/azuredale/membership/MembershipController.kt
@@ -41,7 +41,7 @@
     private var lastTickAt: Timestamp? = null
 
     /** This router as others should see it. */
-    public val self: Member get() = claims.self.copy(revision = links.revision())
+    public val self: Member get() = claims.self.copy(revision = writer.lastRevision)
 
     /** Alive and suspected members, this router included. */
     public fun members(): List<Member> = table.live + self
@@ -59,6 +59,7 @@
     public fun hasChangedSince(earlier: Long): Boolean = version != earlier
 
     /** Number of datagrams whose address was not that of their sender. */
+    @Volatile
     public var mismatchedSenders: Long = 0
         private set
 
