--- a/src/main/kotlin/azuredale/console/ConsolePage.kt
+++ b/src/main/kotlin/azuredale/console/ConsolePage.kt
@@ -97,7 +97,10 @@
     /** The draft's entries with a form for each kind. */
     fun edit(draft: Draft, open: OpenForm? = null): String = page("Configuration at revision ${draft.revision}") {
         nav {
-            ul { EntryForms.all.forEach { entry -> li { a("#${entry.kind}") { +entry.title } } } }
+            ul {
+                EntryForms.all.forEach { entry -> li { a("#${entry.kind}") { +entry.title } } }
+                li { a("/report/burn") { +"Service-level burn" } }
+            }
         }
         form(action = "/console/review", method = FormMethod.post) {
             draftFields(draft)
--- a/src/main/kotlin/azuredale/console/OperatorEdge.kt
+++ b/src/main/kotlin/azuredale/console/OperatorEdge.kt
@@ -170,9 +170,11 @@
     }
 
     private fun burnReport(context: RoutingContext) {
-        val format = context.queryParam("format").firstOrNull() ?: "text"
-        val report = port.burnReport(format)
-        if (format == "json") context.json(report) else context.text(report)
+        when (context.queryParam("format").firstOrNull() ?: "text") {
+            "text" -> context.text(port.burnReport(BurnFormat.TEXT))
+            "json" -> context.json(port.burnReport(BurnFormat.JSON))
+            else -> context.failure(Failure(ErrorKind.INVALID_REQUEST, "query parameter \"format\" is text or json"))
+        }
     }
 
     private fun answer(context: RoutingContext, block: suspend () -> Unit) {
--- a/src/main/kotlin/azuredale/console/OperatorPort.kt
+++ b/src/main/kotlin/azuredale/console/OperatorPort.kt
@@ -11,11 +11,14 @@
     val submissionId: String,
 )
 
+/** Forms of the burn report. */
+public enum class BurnFormat { TEXT, JSON, HTML }
+
 /**
  * What the operator interface needs of the router.
  *
  * @property submit answers once the document is accepted and pushed to the connected routers, or refused.
- * @property burnReport renders the burn report as `text`, `json` or `html`.
+ * @property burnReport renders the burn report.
  */
 public class OperatorPort(
     public val document: () -> AcceptedDocument?,
@@ -23,5 +26,5 @@
     public val status: () -> FleetStatus,
     public val drain: () -> Unit,
     public val metrics: () -> String,
-    public val burnReport: (format: String) -> String,
+    public val burnReport: (BurnFormat) -> String,
 )
--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -8,6 +8,7 @@
 import azuredale.configuration.PoolKind
 import azuredale.configuration.RouterSettings
 import azuredale.configuration.SubmissionResult
+import azuredale.console.BurnFormat
 import azuredale.console.OperatorEdge
 import azuredale.console.OperatorPort
 import azuredale.console.Submission
@@ -21,6 +22,9 @@
 import azuredale.platform.KeyClaimer
 import azuredale.platform.MachineListResult
 import azuredale.platform.VirtualMachineListClient
+import azuredale.report.ControlChannel
+import azuredale.report.Metrics
+import azuredale.report.TimedRequest
 import azuredale.routing.AddressPlanner
 import azuredale.routing.EdgeSettings
 import azuredale.routing.EnginePoller
@@ -63,8 +67,10 @@
     private val incarnation = Incarnation(clock().microseconds)
     private val drained = CompletableDeferred<Unit>()
 
+    private val metrics = Metrics()
+
     /** The decisions of this router. */
-    public val node: RouterNode = RouterNode(settings, incarnation, random)
+    public val node: RouterNode = RouterNode(settings, incarnation, random, onRequestEnded = ::count)
 
     private val workers =
         WorkerPool<NodeEvent>(
@@ -149,6 +155,7 @@
 
     /** Opens all sockets and starts the workers. */
     public suspend fun start() {
+        exposeMetrics()
         workers.start(scope, Dispatchers.Default)
         transport.start()
         datagrams.start()
@@ -232,8 +239,8 @@
         submit = ::submit,
         status = { describeFleet(node, settings, incarnation, isReady()) },
         drain = ::drain,
-        metrics = { "" },
-        burnReport = { "" },
+        metrics = metrics::scrape,
+        burnReport = ::renderBurnReport,
     )
 
     private fun offer(event: NodeEvent) {
@@ -242,6 +249,44 @@
         }
     }
 
+    private fun count(request: TimedRequest) {
+        metrics.requestEnded(request.team, request.pool, request.failure)
+        metrics.requestTime(request.pool, request.totalMicroseconds)
+        request.firstTokenMicroseconds?.let { metrics.firstToken(request.pool, it) }
+    }
+
+    private fun exposeMetrics() {
+        metrics.controlBytes(ControlChannel.FRAMES_SENT) { transport.counters.bytesSent.sum() }
+        metrics.controlBytes(ControlChannel.FRAMES_RECEIVED) { transport.counters.bytesReceived.sum() }
+        metrics.controlBytes(ControlChannel.DATAGRAMS_SENT) { datagrams.bytesSent.sum() }
+        metrics.controlBytes(ControlChannel.DATAGRAMS_RECEIVED) { datagrams.bytesReceived.sum() }
+        metrics.framesRefused("peers", transport.counters::framesRefused)
+        metrics.framesRefused("probes", datagrams::datagramsRefused)
+        metrics.gauge("requests.waiting") { node.requester.waitingCount.toDouble() }
+        metrics.gauge("requests.running") { node.requester.runningCount.toDouble() }
+        metrics.gauge("requests.open") { node.requests.requestCount.toDouble() }
+        metrics.gauge("events.stale") { node.requests.droppedEvents.toDouble() }
+        metrics.gauge("members.alive") {
+            node.membership
+                .members()
+                .size
+                .toDouble()
+        }
+        metrics.gauge("document.revision") { (node.documents.document()?.revision ?: Revision.NONE).value.toDouble() }
+        metrics.gauge("ready") { if (isReady()) 1.0 else 0.0 }
+        metrics.gauge("platform.calls.allowed") { budget.allowed.toDouble() }
+        metrics.gauge("platform.calls.refused") { budget.refused.toDouble() }
+    }
+
+    private fun renderBurnReport(format: BurnFormat): String {
+        val report = node.burn.report(node.membership.members().map { it.router }, clock())
+        return when (format) {
+            BurnFormat.TEXT -> report.toText()
+            BurnFormat.JSON -> report.toJson().toString()
+            BurnFormat.HTML -> report.toHtml()
+        }
+    }
+
     private suspend fun handle(event: NodeEvent) {
         node.handle(event, clock()).forEach { effect ->
             try {
--- a/src/main/kotlin/azuredale/node/RouterNode.kt
+++ b/src/main/kotlin/azuredale/node/RouterNode.kt
@@ -26,12 +26,18 @@
 import azuredale.protocol.RegisterRequest
 import azuredale.protocol.Settle
 import azuredale.protocol.Withdraw
+import azuredale.report.BurnExchange
+import azuredale.report.BurnTracker
+import azuredale.report.RequestTimes
+import azuredale.report.TimedRequest
 import azuredale.routing.RequestController
+import azuredale.routing.RequestResult
 import azuredale.routing.SlotFunctions
 import azuredale.sharing.AllotterController
 import azuredale.sharing.RequesterController
 import azuredale.sharing.SharingContext
 import azuredale.sharing.SharingSettings
+import azuredale.sharing.sharingLog
 import azuredale.time.Timestamp
 import kotlin.random.Random
 
@@ -45,12 +51,15 @@
  * val node = RouterNode(settings, Incarnation(startedAt.microseconds), Random.Default)
  * node.handle(NodeEvent.Tick, clock()).forEach(edge::execute)
  * ```
+ *
+ * @param onRequestEnded called once for each request of a caller, for metrics.
  */
 public class RouterNode(
     private val settings: RouterSettings,
     private val incarnation: Incarnation,
     random: Random,
     sharingSettings: SharingSettings = SharingSettings(),
+    private val onRequestEnded: (TimedRequest) -> Unit = { },
 ) : DecisionCore {
     private val log = EventLog("azuredale.node")
     private val self =
@@ -97,10 +106,10 @@
         )
 
     /** Allots slots of the shards that this router leads. */
-    public val allotter: AllotterController = AllotterController(sharing, sharingSettings)
+    public val allotter: AllotterController = AllotterController(sharing, sharingSettings, sharingLog())
 
     /** Queues this router's requests for slots. */
-    public val requester: RequesterController = RequesterController(sharing, sharingSettings)
+    public val requester: RequesterController = RequesterController(sharing, sharingSettings, sharingLog())
 
     /** Tickets and kept outcomes. */
     public val tickets: TicketController =
@@ -126,6 +135,10 @@
             tickets = tickets,
         )
 
+    /** Requests of the fleet that missed their objective, as far as this router knows. */
+    public val burn: BurnTracker = BurnTracker(settings.router, incarnation)
+    private val burnExchange = BurnExchange(settings.router, burn) { membership.members().map { it.router } }
+    private val times = RequestTimes(MAXIMUM_TIMED_REQUESTS)
     private val drain = DrainProgress()
     private var knownMembership = -1L
     private var knownRevision = Revision.NONE
@@ -135,6 +148,7 @@
 
     override fun handle(event: NodeEvent, now: Timestamp): List<NodeEffect> {
         val output = mutableListOf<NodeEffect>()
+        observe(event, now)
         val pending = ArrayDeque(decide(event, now))
         if (lane(event) == Lane.REQUESTS) pending += propagateChanges(now)
         while (pending.isNotEmpty()) {
@@ -142,9 +156,26 @@
             val followUps = handleInside(effect, now)
             if (followUps == null) output += effect else pending += followUps
         }
+        output.filterIsInstance<NodeEffect.FinishRequest>().forEach { observeEnd(it, now) }
         return output
     }
 
+    private fun observe(event: NodeEvent, now: Timestamp) {
+        when (event) {
+            is NodeEvent.RequestReceived ->
+                times.received(event.request.number, event.request.team, event.request.requirement.pool, now)
+            is NodeEvent.AttemptProgressed -> times.progressed(event.request, event.cost, now)
+            else -> Unit
+        }
+    }
+
+    private fun observeEnd(effect: NodeEffect.FinishRequest, now: Timestamp) {
+        val failure = (effect.result as? RequestResult.Failed)?.failure?.kind
+        val request = times.ended(effect.request, failure, now) ?: return
+        burnExchange.requestEnded(request, now)
+        onRequestEnded(request)
+    }
+
     private fun decide(event: NodeEvent, now: Timestamp): List<NodeEffect> = when (event) {
         is NodeEvent.Tick -> tick(now)
         is NodeEvent.RequestReceived -> requests.requestReceived(event.request, now)
@@ -170,6 +201,7 @@
         allotter.tick(now) +
         requester.tick(now) +
         requests.tick(now) +
+        burnExchange.tick(now) +
         drain.tick(now, hasWork = !requests.isIdle(), leave = membership::leave)
 
     private fun drainRequested(now: Timestamp): List<NodeEffect> {
@@ -188,7 +220,7 @@
             is Register, is Demand, is Withdraw, is Progress, is Settle -> allotter.messageReceived(from, message, now)
             is Grant, is RegisterRequest -> requester.messageReceived(from, message, now)
             is DocumentAnnounce, is DocumentRequest, is DocumentBody -> documents.messageReceived(from, message, now)
-            is BurnCounts -> emptyList()
+            is BurnCounts -> burnExchange.received(from, message, now)
         }
 
     private fun heardFromPeer(
@@ -227,6 +259,9 @@
     }
 
     public companion object {
+        /** As many as the requests table holds, with room for requests that are refused at once. */
+        private const val MAXIMUM_TIMED_REQUESTS = 8_192
+
         /** The lane of [event]. */
         public fun lane(event: NodeEvent): Lane = when (event) {
             is NodeEvent.DatagramReceived, is NodeEvent.VirtualMachinesListed -> Lane.MEMBERSHIP
