--- a/src/main/kotlin/azuredale/configuration/DocumentController.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentController.kt
@@ -84,13 +84,21 @@
         step(now) { noteHolder(router, revision) }
 
     /** A message of [from] arrived; messages that do not concern the document are ignored. */
-    public fun messageReceived(from: RouterId, message: PeerMessage, now: Timestamp): List<NodeEffect> = step(now) {
+    public fun messageReceived(from: RouterId, message: PeerMessage, now: Timestamp): List<NodeEffect> =
         when (message) {
-            is DocumentAnnounce -> announced(from, message.revision)
-            is DocumentRequest -> requested(from, message.known)
-            is DocumentBody -> bodyReceived(from, message.body)
-            else -> Unit
+            is DocumentAnnounce -> step(now) { announced(from, message.revision) }
+            is DocumentRequest -> step(now) { requested(from, message.known) }
+            is DocumentBody -> bodyReceived(from, message, now)
+            else -> emptyList()
         }
+
+    /** Parses before taking the locks, since a document of the design size takes a tenth of a second. */
+    private fun bodyReceived(from: RouterId, message: DocumentBody, now: Timestamp): List<NodeEffect> {
+        val envelope = DocumentEnvelope.decompress(message.body)?.let(DocumentEnvelope::decode)
+        val held = document()?.revision ?: Revision.NONE
+        if (envelope != null && envelope.revision <= held) return emptyList()
+        val accepted = envelope?.accepted()
+        return step(now) { bodyReceived(from, accepted) }
     }
 
     /** The failure detector's view changed to [members], which may include this router. */
--- a/src/main/kotlin/azuredale/configuration/DocumentStep.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentStep.kt
@@ -90,12 +90,10 @@
         send(from, if (isNewer) DocumentBody(document.revision, document.body) else DocumentAnnounce(revision))
     }
 
-    fun bodyReceived(from: RouterId, body: ByteArray) {
-        val envelope = DocumentEnvelope.decompress(body)?.let(DocumentEnvelope::decode)
-        if (envelope != null && envelope.revision <= revision) return
-        val document = envelope?.accepted()
+    /** Takes the document of a peer, which is null when the body cannot be read. */
+    fun bodyReceived(from: RouterId, document: AcceptedDocument?) {
         if (document == null) {
-            log.write(ConfigurationLogEvent.DOCUMENT_MALFORMED, "from" to from, "revision" to envelope?.revision)
+            log.write(ConfigurationLogEvent.DOCUMENT_MALFORMED, "from" to from)
             state = state.copy(fetch = state.fetch.answeredBadly(from))
         } else {
             adopt(document, isFromService = false)
