--- a/src/main/kotlin/azuredale/measure/ReportPrinter.kt
+++ b/src/main/kotlin/azuredale/measure/ReportPrinter.kt
@@ -20,16 +20,31 @@
         val fault = result.fault?.label ?: "none"
         val profile = result.profile
         output.appendLine(
-            "profile ${profile.name}, ${profile.routers} routers, fault $fault, seed ${result.seed}, " +
-                "${result.requests} requests in ${Figures.seconds(RunTimes.END - RunTimes.LOAD_START)} s",
+            "profile ${profile.name}, ${profile.routers} routers, ${profile.shards} shards, fault $fault, " +
+                "seed ${result.seed}, ${result.requests} requests in ${Figures.seconds(
+                    RunTimes.END - RunTimes.LOAD_START,
+                )} s",
         )
         output.appendLine(ROW.format("measure", "unit", "system", "global", "alone", "ratio", "target"))
         figures.forEach { output.appendLine(row(it).trimEnd()) }
+        result.profile.pools.forEach { output.appendLine("${it.id}: widest gap: ${widestGaps(it)}") }
         output.appendLine("answers: " + answers().joinToString { (kind, count) -> "$kind $count" })
         if (broken.isEmpty()) output.appendLine("promises: all kept")
         broken.forEach { output.appendLine("promise broken: $it") }
     }
 
+    /** The pairs of teams between which the gap occurred. */
+    private fun widestGaps(pool: PoolPlan): String =
+        listOf("system" to result.system, "global" to result.global, "alone" to result.isolated)
+            .mapNotNull { (name, run) ->
+                run
+                    .meter(pool.id)
+                    .windows
+                    .first()
+                    .gap.figure
+                    ?.let { name to it }
+            }.joinToString { (name, figure) -> "$name between ${figure.first} and ${figure.second}" }
+
     fun printJson(output: Appendable) {
         output.appendLine(json().toString())
     }
@@ -70,6 +85,7 @@
     private fun json(): JsonObject = buildJsonObject {
         put("profile", result.profile.name)
         put("routers", result.profile.routers)
+        put("shards", result.profile.shards)
         put("fault", result.fault?.label)
         put("seed", result.seed)
         put("requests", result.requests)
--- a/src/main/kotlin/azuredale/membership/DatagramWriter.kt
+++ b/src/main/kotlin/azuredale/membership/DatagramWriter.kt
@@ -26,11 +26,20 @@
 ) {
     private val startedAt = claims.self.incarnation.value
 
+    /** Revision at the last event; reading the document itself would take a lock below that of many callers. */
+    @Volatile
+    var lastRevision: Revision = Revision.NONE
+        private set
+
     /** Bytes for updates in one datagram. */
     val room: Int = options.datagramBytes - FIXED_DATAGRAM_BYTES
 
     /** Reads the node's document state; to be called without the member table's lock. */
-    fun context(now: Timestamp): SendContext = SendContext(now, links.revision(), links.confirmation(now))
+    fun context(now: Timestamp): SendContext {
+        val revision = links.revision()
+        lastRevision = revision
+        return SendContext(now, revision, links.confirmation(now))
+    }
 
     /** Hash of the claims about live members, this router included. */
     fun fingerprint(): Int = table.fingerprint + claims.self.claimHash()
@@ -43,21 +52,21 @@
 
     /** Probes [to]; a suspected or dead member is told so, and can refute it. */
     fun ping(to: Member, sequence: Long, context: SendContext): NodeEffect {
-        val claim = to.takeIf { it.state != MemberState.ALIVE }
-        return send(to.probeAddress, ProbeKind.PING, sequence, context, claim = claim)
+        val ownClaims = if (to.state == MemberState.ALIVE) emptyList() else listOf(to)
+        return send(to.probeAddress, ProbeKind.PING, sequence, context, ownClaims = ownClaims)
     }
 
-    /** A datagram with [updates], or with claims to spread; [claim] tells the receiver of a claim about itself. */
+    /** A datagram with [updates], or with claims to spread; [ownClaims] are sent in any case. */
     fun send(
         to: NetworkAddress,
         kind: ProbeKind,
         sequence: Long,
         context: SendContext,
         target: RouterId? = null,
-        claim: Member? = null,
+        ownClaims: List<Member> = emptyList(),
         updates: List<MemberUpdate>? = null,
     ): NodeEffect {
-        val own = listOfNotNull(claim?.toUpdate(withProfile = false))
+        val own = ownClaims.map { it.toUpdate(withProfile = false) }
         val spread =
             updates
                 ?: gossip.take(room - own.sumOf { it.estimatedBytes() }, options.transmissions(table.live.size + 1))
--- a/src/main/kotlin/azuredale/sharing/AllotterController.kt
+++ b/src/main/kotlin/azuredale/sharing/AllotterController.kt
@@ -25,13 +25,13 @@
 public class AllotterController(
     private val context: SharingContext,
     private val settings: SharingSettings = SharingSettings(),
+    private val log: SharingLog = { _, _ -> },
 ) {
     private val tables = AllotterTables()
     private val prefixes = PrefixIndex()
     private val allotments = LinkedHashMap<ShardId, ShardAllotment>()
     private val topology = Topology()
     private val reachability = Reachability()
-    private var lastTick: Timestamp? = null
 
     /** The shards that this router allots at present. */
     public fun shards(): Set<ShardId> = tables.locked { allotments.keys.toSet() }
@@ -89,10 +89,7 @@
 
     /** Handles deadlines; called every 20 ms. */
     public fun tick(now: Timestamp): List<NodeEffect> = turn(now) {
-        val wasPaused = lastTick?.let { now > it.plusMilliseconds(settings.pauseMilliseconds) } ?: false
-        lastTick = now
         updateShards(this)
-        allotments.values.filter { wasPaused && it.term.isPrimary }.forEach { it.startPrimary(this) }
         allotments.values.forEach { it.tick(this) }
     }
 
@@ -104,7 +101,7 @@
         return tables.locked {
             val shardMap = topology.shardMap(document)
             val turn =
-                AllotterTurn(now, document.document, shardMap, members, mayGiveOutWork) { shard ->
+                AllotterTurn(now, document.document, shardMap, members, mayGiveOutWork, log) { shard ->
                     topology.order(shard, shardMap, members).firstOrNull()?.let { isLost(it, now) } ?: false
                 }
             turn.block()
@@ -128,6 +125,7 @@
         allotments.values
             .filter { it.shard !in turn.shardMap.shards || it.term.isOver(turn.now) }
             .forEach { ended ->
+                log(SharingLogEvent.ALLOTMENT_ENDED, mapOf("shard" to ended.shard))
                 ended.clear()
                 allotments.remove(ended.shard)
             }
--- a/src/main/kotlin/azuredale/sharing/RequesterState.kt
+++ b/src/main/kotlin/azuredale/sharing/RequesterState.kt
@@ -30,6 +30,7 @@
     private val admission = Admission(settings)
     private val planner = OfferPlanner(settings, links, queue.outstanding)
     private val balancer = OfferBalancer(settings, links, queue, planner)
+    private val estimators = PoolEstimators()
     private val reserve = LocalReserve(context.self, settings)
     private var shardsInUse: Set<ShardId> = emptySet()
     private var repairAt = Timestamp.DISTANT_PAST
@@ -57,6 +58,7 @@
 
     fun settle(number: RequestNumber, cost: Double, hasServerFailed: Boolean, turn: RequesterTurn) {
         val row = grants.settle(number, cost) ?: return
+        if (!hasServerFailed) estimators.settled(row.request, cost, turn)
         if (row.isReserve) reserve.charge(row.shard, row.request.team, cost)
         val link = links[row.shard] ?: return
         // Without a registration the served counter in the next one carries the cost.
@@ -65,15 +67,17 @@
 
     fun granted(from: RouterId, message: Grant, turn: RequesterTurn) {
         val running = grants[message.request]
-        if (running != null && running.server == message.server) return
+        if (running != null && running.shard == message.shard) {
+            // The allotter granted again after it lost the first grant; a registration corrects the server.
+            if (running.server != message.server) turn.send(from, Demand(message.shard, emptyList()))
+            return
+        }
         val row = queue[message.request]
-        val isUsable =
-            row != null &&
-                links[message.shard]?.target == from &&
-                admission.isRunnable(row.request, message.server, turn)
-        if (isUsable && start(row, message.shard, message.server, isReserve = false, turn)) return
+        val isCurrent = links[message.shard]?.target == from
+        val isRunnable = row != null && isCurrent && admission.isRunnable(row.request, message.server, turn)
+        if (isRunnable && start(row, message.shard, message.server, isReserve = false, turn)) return
         turn.send(from, Settle(message.shard, message.request, cost = 0.0))
-        if (row != null) hold(row, turn)
+        if (row != null && isCurrent) hold(row, turn)
     }
 
     /** Answers with all state when [from] is the allotter to use, and with an empty registration otherwise. */
@@ -85,7 +89,7 @@
             return
         }
         links.registerWith(link, from, turn)
-        reserve.end(shard)
+        if (reserve.end(shard)) turn.log(SharingLogEvent.RESERVE_ENDED, mapOf("shard" to shard))
         teamQueues(shard.pool).forEach { it.takeBackAll(shard) }
         teamQueues(shard.pool).forEach { planner.plan(it, turn) }
         val waiting = turn.demands.remove(shard).orEmpty()
@@ -102,9 +106,9 @@
 
     fun documentChanged(turn: RequesterTurn) {
         if (shardsInUse != turn.shardMap.shards) reshard(turn)
-        grants.table.entries.values
-            .forEach { row -> turn.shardMap.shardOf(row.server)?.let { row.shard = it } }
+        grants.reshard(turn.shardMap)
         queue.retain(turn.document.teams.keys)
+        estimators.retain(turn.document)
         queue.table.entries.values.toList().forEach { row ->
             admission.rejection(row.request, turn)?.let { failure -> refuse(row, failure, turn) }
         }
@@ -147,7 +151,8 @@
         isReserve: Boolean,
         turn: RequesterTurn,
     ): Boolean {
-        if (!grants.start(RunningRow(row.request, shard, server, isReserve, turn.now))) return false
+        val estimate = estimators.estimate(row.request, turn)
+        if (!grants.start(RunningRow(row.request, shard, server, isReserve, estimate, turn.now))) return false
         val offeredTo = row.offeredTo
         val owner = queue.queueOf(row)
         queue.remove(row)
@@ -201,6 +206,7 @@
             val running = grants.ofShard(link.shard)
             val (row, server) = reserve.next(link.shard, queue.teamQueues, running, turn) ?: return
             if (!start(row, link.shard, server.id, isReserve = true, turn)) return
+            if (reserve.begin(link.shard)) turn.log(SharingLogEvent.RESERVE_STARTED, mapOf("shard" to link.shard))
         }
     }
 
@@ -223,9 +229,8 @@
     private fun openLinks(pool: PoolId, turn: RequesterTurn): Unit =
         turn.shardMap.shardsOf(pool).forEach { links.open(it, turn) }
 
-    private fun isInUse(shard: ShardId): Boolean = teamQueues(shard.pool).any { !it.isEmpty } ||
-        grants.table.entries.values
-            .any { it.shard == shard }
+    private fun isInUse(shard: ShardId): Boolean =
+        teamQueues(shard.pool).any { !it.isEmpty } || grants.ofShard(shard).isNotEmpty()
 
     private fun teamQueues(pool: PoolId): List<TeamQueue> = queue.teamQueues.filter { it.pool == pool }
 
--- a/src/main/kotlin/azuredale/transport/PeerLink.kt
+++ b/src/main/kotlin/azuredale/transport/PeerLink.kt
@@ -9,6 +9,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.random.Random
 
 /**
  * Send queue and present connection of one other router.
@@ -23,7 +25,7 @@
 ) {
     private val queue = ArrayDeque<PeerMessage>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
-    private val log = EventLog("azuredale.transport")
+    private val log = LogLimiter(EventLog("azuredale.transport"))
     private var connection: PeerConnection? = null
     private var connectedAt = 0L
 
@@ -48,6 +50,12 @@
     /** The present connection, or null. */
     fun current(): PeerConnection? = synchronized(this) { connection }
 
+    /** Waits a moment for a connection that the other router opens; null when none comes. */
+    suspend fun awaitCurrent(): PeerConnection? = withTimeoutOrNull(options.crossingMilliseconds) {
+        while (current() == null) delay(options.batchMilliseconds)
+        current()
+    }
+
     /**
      * Makes [opened] the present connection and returns the one to close, which is [opened] itself when both routers
      * opened one at the same moment and the other one stays. Both ends choose alike.
@@ -90,7 +98,8 @@
                 flush(present)
             } else {
                 synchronized(this) { dropQueue() }
-                delay(backOff)
+                // A random part keeps routers that lost the same peer from dialing it in step.
+                delay(backOff / 2 + Random.nextLong(backOff / 2 + 1))
                 backOff = minOf(backOff * 2, options.largestBackOffMilliseconds)
             }
         }
--- a/src/main/kotlin/azuredale/transport/PeerTransport.kt
+++ b/src/main/kotlin/azuredale/transport/PeerTransport.kt
@@ -53,8 +53,10 @@
     private val handshake = Handshake(fleetKey, options.limits)
     private val nonces = SecureRandom()
     private val links = ConcurrentHashMap<RouterId, PeerLink>()
+    private val linkJobs = ConcurrentHashMap<RouterId, Job>()
     private val unfinished = Semaphore(options.unfinishedHandshakes)
     private val log = EventLog("azuredale.transport")
+    private val limitedLog = LogLimiter(log)
 
     /** Counts for metrics. */
     public val counters: TransportCounters = TransportCounters()
@@ -76,6 +78,12 @@
         links[router]?.current()?.close()
     }
 
+    /** Closes the connection to [router] and drops its queue, because it left the fleet for good. */
+    public fun forget(router: RouterId) {
+        linkJobs.remove(router)?.cancel()
+        links.remove(router)?.current()?.close()
+    }
+
     /** Routers with an established connection. */
     public fun connectedRouters(): Set<RouterId> = links.filterValues { it.current() != null }.keys
 
@@ -87,7 +95,7 @@
     }
 
     private fun linkOf(router: RouterId): PeerLink = links.computeIfAbsent(router) {
-        PeerLink(router, options, counters, ::dial).also { link -> scope.launch { link.run() } }
+        PeerLink(router, options, counters, ::dial).also { link -> linkJobs[router] = scope.launch { link.run() } }
     }
 
     private suspend fun acceptAll(server: ServerSocket) {
@@ -96,7 +104,7 @@
                 admit(server.accept())
             } catch (fault: Exception) {
                 if (!scope.isActive) break
-                log.write(TransportLogEvent.ACCEPT_FAILED, cause = fault)
+                limitedLog.write(TransportLogEvent.ACCEPT_FAILED, cause = fault)
                 kotlinx.coroutines.delay(options.firstBackOffMilliseconds)
             }
         }
@@ -105,35 +113,47 @@
 
     private fun admit(socket: Socket): Job = scope.launch {
         if (!unfinished.tryAcquire()) {
-            log.write(TransportLogEvent.CONNECTIONS_REFUSED, "remote" to socket.remoteAddress)
+            limitedLog.write(TransportLogEvent.CONNECTIONS_REFUSED, "remote" to socket.remoteAddress)
             socket.close()
             return@launch
         }
+        var isCrossing = false
         val connection =
             try {
-                establish(socket) { answer(it) }
+                establish(socket) { stream -> answer(stream) { isCrossing = true } }
             } finally {
                 unfinished.release()
             }
-        if (connection != null) begin(connection)
+        if (connection != null) {
+            begin(connection)
+        } else if (!isCrossing) {
+            refuseHandshake(socket)
+        }
     }
 
     private suspend fun dial(router: RouterId): PeerConnection? {
         val target = addressOf(router)
-        val connection =
-            target
-                ?.let {
-                    runCatching {
-                        withTimeoutOrNull(options.handshakeMilliseconds) {
-                            aSocket(selector).tcp().connect(it.host, it.port) { noDelay = true }
-                        }
-                    }.getOrNull()
-                }?.let { socket -> establish(socket) { greet(it, router) } }
-        if (connection == null) {
-            log.write(TransportLogEvent.CONNECT_FAILED, "router" to router, "address" to target)
-            return null
+        val socket = target?.let { connect(it) }
+        val connection = socket?.let { opened -> establish(opened) { greet(it, router) } }
+        if (connection != null) return connection.takeIf { begin(it) }
+        // The other router closes this connection when it opens its own one at the same moment.
+        if (socket != null && router.name < self.name) links[router]?.awaitCurrent()?.let { return it }
+        if (socket != null) refuseHandshake(socket)
+        limitedLog.write(TransportLogEvent.CONNECT_FAILED, "router" to router, "address" to target)
+        return null
+    }
+
+    private suspend fun connect(target: NetworkAddress): Socket? = try {
+        withTimeoutOrNull(options.handshakeMilliseconds) {
+            aSocket(selector).tcp().connect(target.host, target.port) { noDelay = true }
         }
-        return connection.takeIf { begin(it) }
+    } catch (_: Exception) {
+        null
+    }
+
+    private fun refuseHandshake(socket: Socket) {
+        counters.refuse(FrameFault.HANDSHAKE)
+        limitedLog.write(TransportLogEvent.HANDSHAKE_REFUSED, "remote" to socket.remoteAddress)
     }
 
     /** Makes [connection] the present one and reads from it; false when another one stays. */
@@ -158,11 +178,7 @@
             } catch (_: Exception) {
                 null
             }
-        if (connection == null) {
-            counters.refuse(FrameFault.HANDSHAKE)
-            log.write(TransportLogEvent.HANDSHAKE_REFUSED, "remote" to socket.remoteAddress)
-            socket.close()
-        }
+        if (connection == null) socket.close()
         return connection
     }
 
@@ -180,12 +196,16 @@
         return connection
     }
 
-    private suspend fun answer(stream: BlockStream): PeerConnection? {
+    private suspend fun answer(stream: BlockStream, onCrossing: () -> Unit): PeerConnection? {
         val theirs = stream.read(Handshake.MAXIMUM_BYTES) ?: return null
         val hello =
             handshake
                 .decode(HandshakeRole.DIALER, theirs)
-                ?.takeIf { it.target == self && it.router != self && isWelcome(it.router) } ?: return null
+                ?.takeIf { it.target == self && it.router != self } ?: return null
+        if (!isWelcome(hello.router)) {
+            onCrossing()
+            return null
+        }
         val mine = handshake.encode(HandshakeRole.ACCEPTOR, Hello(self, incarnation, hello.router, nonce()), theirs)
         stream.write(mine)
         val codec = handshake.codec(HandshakeRole.ACCEPTOR, theirs, mine)
@@ -216,7 +236,7 @@
         } finally {
             connection.close()
         }
-        linkOf(router).detach(connection)
+        links[router]?.detach(connection)
         log.write(TransportLogEvent.PEER_DISCONNECTED, "router" to router)
         guarded { handlers.disconnected(router) }
         connection.ended.complete()
@@ -244,7 +264,7 @@
         } catch (fault: kotlinx.coroutines.CancellationException) {
             throw fault
         } catch (fault: Exception) {
-            log.write(TransportLogEvent.HANDLER_FAILED, cause = fault)
+            limitedLog.write(TransportLogEvent.HANDLER_FAILED, cause = fault)
         }
     }
 
