Date answers of peers and ask for confirmations that come late

Cause: with the failure detector's present traffic, the result of a majority poll did not reach each of 100 routers within 2 s, so seven stopped in an outage. An answer that waited in a connection also counted as if it had been sent after the poll began.

Change: a request carries the asker's time, which the answer returns with the newest confirmation. A poll counts only answers to its own round. A node whose confirmation is older than 1 s asks two members that watch or poll; the answer is dated by the request, so a delay never makes it younger. Both message fields are optional.

Conclusion: DocumentFleetSpec stops nobody in 20 s of an outage with 100 routers.

--- a/src/main/kotlin/azuredale/configuration/DocumentController.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentController.kt
@@ -58,11 +58,7 @@
     }
 
     /** The newest confirmation, for datagrams to other routers; null when there is none. */
-    public fun confirmation(now: Timestamp): Confirmation? = view { _, state ->
-        state.freshness.newest?.let {
-            Confirmation(it.revision, now.microsecondsSince(it.at).coerceAtLeast(0) / MICROSECONDS_PER_MILLISECOND)
-        }
-    }
+    public fun confirmation(now: Timestamp): Confirmation? = view { _, state -> state.confirmation(now) }
 
     /** The key-value service returned its document, or null when none is stored. */
     public fun documentRead(document: AcceptedDocument?, now: Timestamp): List<NodeEffect> =
@@ -86,8 +82,8 @@
     /** A message of [from] arrived; messages that do not concern the document are ignored. */
     public fun messageReceived(from: RouterId, message: PeerMessage, now: Timestamp): List<NodeEffect> =
         when (message) {
-            is DocumentAnnounce -> step(now) { announced(from, message.revision) }
-            is DocumentRequest -> step(now) { requested(from, message.known) }
+            is DocumentAnnounce -> step(now) { announced(from, message) }
+            is DocumentRequest -> step(now) { requested(from, message) }
             is DocumentBody -> bodyReceived(from, message, now)
             else -> emptyList()
         }
@@ -126,6 +122,5 @@
 
     private companion object {
         const val OWNER = "DocumentController"
-        const val MICROSECONDS_PER_MILLISECOND = Timestamp.MICROSECONDS_PER_MILLISECOND
     }
 }
--- a/src/main/kotlin/azuredale/configuration/DocumentState.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentState.kt
@@ -2,6 +2,7 @@
 
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
+import azuredale.protocol.Confirmation
 import azuredale.time.Timestamp
 
 /** The document in force with the body that is sent to peers. */
@@ -22,6 +23,7 @@
  * @property isWatching whether this node watches the document's key for its failure domain.
  * @property isCounting whether this node polls the fleet while the key-value service does not answer it; a
  *   node that knows no other member does.
+ * @property nextPullAt earliest time at which a late confirmation is asked for again.
  */
 internal data class DocumentState(
     val freshness: Freshness,
@@ -32,7 +34,13 @@
     val isWatching: Boolean = false,
     val isCounting: Boolean = true,
     val isGivingOutWork: Boolean = false,
+    val nextPullAt: Timestamp = Timestamp.DISTANT_PAST,
 ) {
+    fun confirmation(now: Timestamp): Confirmation? = freshness.newest?.let {
+        val age = now.microsecondsSince(it.at).coerceAtLeast(0)
+        Confirmation(it.revision, age / Timestamp.MICROSECONDS_PER_MILLISECOND)
+    }
+
     fun isConnectedWithMajority(now: Timestamp, minimumFleetSize: Int): Boolean =
         poll.isValid(now) || fleet.isMajority(1, minimumFleetSize, now)
 
--- a/src/main/kotlin/azuredale/configuration/DocumentStep.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentStep.kt
@@ -42,6 +42,7 @@
         askPeer()
         readService()
         pollFleet()
+        pullConfirmation()
         noteFreshness()
     }
 
@@ -68,26 +69,32 @@
         state = state.copy(schedule = state.schedule.failed(now, isBackedOff = state.freshness.isFresh(now)))
     }
 
-    fun peerConfirmed(confirmation: Confirmation) {
+    /** Applies [confirmation], whose age was stated at [statedAt] or later. */
+    fun peerConfirmed(confirmation: Confirmation, statedAt: Timestamp = now) {
         if (confirmation.revision == Revision.NONE) return
         val age = confirmation.ageMilliseconds.coerceIn(0, OLDEST_MILLISECONDS)
-        confirmed(ConfirmedRevision(confirmation.revision, now.plusMilliseconds(-age)))
+        confirmed(ConfirmedRevision(confirmation.revision, statedAt.plusMilliseconds(-age)))
     }
 
     fun noteHolder(router: RouterId, revision: Revision) {
         if (revision > this.revision) state = state.copy(fetch = state.fetch.holds(router, revision))
     }
 
-    fun announced(from: RouterId, revision: Revision) {
-        noteHolder(from, revision)
-        if (revision < this.revision) send(from, DocumentAnnounce(this.revision))
-        countAnswer(from)
+    fun announced(from: RouterId, message: DocumentAnnounce) {
+        noteHolder(from, message.revision)
+        if (message.revision < revision) send(from, DocumentAnnounce(revision))
+        val sentAt = message.echo?.let(::Timestamp) ?: return
+        message.confirmation?.let { peerConfirmed(it, sentAt) }
+        if (sentAt == state.poll.startedAt) countAnswer(from)
     }
 
-    fun requested(from: RouterId, known: Revision) {
+    fun requested(from: RouterId, message: DocumentRequest) {
         val document = held
-        val isNewer = document != null && document.revision > known
-        send(from, if (isNewer) DocumentBody(document.revision, document.body) else DocumentAnnounce(revision))
+        if (document != null && document.revision > message.known) {
+            send(from, DocumentBody(document.revision, document.body))
+        } else {
+            send(from, DocumentAnnounce(revision, message.sentAt, state.confirmation(now)))
+        }
     }
 
     /** Takes the document of a peer, which is null when the body cannot be read. */
@@ -101,12 +108,14 @@
     }
 
     fun membersListed(members: List<Member>, failureDomain: FailureDomain) {
-        state = state.copy(fleet = state.fleet.withMembers(members, self, now))
-        val neighbours =
-            members
-                .filter { it.state == MemberState.ALIVE && it.failureDomain == failureDomain && !it.isDraining }
-                .map { it.router }
-                .toSet() + self
+        val serving = members.filter { it.state == MemberState.ALIVE && !it.isDraining }
+        val counters =
+            serving
+                .groupBy({ it.failureDomain }, { it.router })
+                .flatMap { (domain, routers) -> Rendezvous.choose(routers, "watch/$domain", COUNTERS_PER_DOMAIN) }
+        val fleet = state.fleet.copy(counters = counters.toSet() - self)
+        state = state.copy(fleet = fleet.withMembers(members, self, now))
+        val neighbours = serving.filter { it.failureDomain == failureDomain }.map { it.router }.toSet() + self
         val watchers = Rendezvous.choose(neighbours, "watch/$failureDomain", WATCHERS_PER_DOMAIN)
         val isWatching = self in watchers
         state = state.copy(isCounting = self in watchers.take(COUNTERS_PER_DOMAIN))
@@ -179,10 +188,20 @@
                 state.fleet.hasForgettable(now)
         if (!isWanted || !poll.isDue(now) || now < state.freshness.trustedFrom) return
         state = state.copy(poll = poll.started(now))
-        state.fleet.reachable.forEach { send(it, DocumentRequest(revision)) }
+        state.fleet.reachable.forEach { send(it, DocumentRequest(revision, now.microseconds)) }
         evaluatePoll()
     }
 
+    /** Asks two members that read the service or poll the fleet when datagrams bring a confirmation too late. */
+    private fun pullConfirmation() {
+        if (held == null || !state.freshness.isLate(now) || now < state.nextPullAt) return
+        state = state.copy(nextPullAt = now.plusMicroseconds(PULL_MICROSECONDS))
+        val seed = "$self/${now.microseconds / PULL_MICROSECONDS}"
+        Rendezvous.choose(state.fleet.counters, seed, PULLED_PEERS).forEach {
+            send(it, DocumentRequest(revision, now.microseconds))
+        }
+    }
+
     private fun countAnswer(from: RouterId) {
         if (from !in state.fleet.known) return
         state = state.copy(poll = state.poll.answeredBy(from))
@@ -230,6 +249,9 @@
         const val ANNOUNCED_PEERS = 8
         const val PUSHED_PEERS = 4
 
+        const val PULL_MICROSECONDS = 200_000L
+        const val PULLED_PEERS = 2
+
         /** Bounds an age that a peer states; far older than any window. */
         const val OLDEST_MILLISECONDS = 3_600_000L
     }
--- a/src/main/kotlin/azuredale/configuration/FleetView.kt
+++ b/src/main/kotlin/azuredale/configuration/FleetView.kt
@@ -17,11 +17,13 @@
  * @property known members of the fleet without this node.
  * @property alive other members that are alive.
  * @property reachable other members that are alive or suspected; they are polled.
+ * @property counters other members that poll the fleet when the service is silent.
  */
 internal data class FleetView(
     val known: Map<RouterId, Sighting> = emptyMap(),
     val alive: Set<RouterId> = emptySet(),
     val reachable: Set<RouterId> = emptySet(),
+    val counters: Set<RouterId> = emptySet(),
 ) {
     /** When a member was first listed and last alive. */
     data class Sighting(
@@ -39,7 +41,7 @@
                 val earlier = known[router]
                 Sighting(earlier?.firstAt ?: now, if (earlier == null || router in alive) now else earlier.lastAt)
             }
-        return FleetView(known + seen - left, alive, alive + suspected)
+        return FleetView(known + seen - left, alive, alive + suspected, counters)
     }
 
     /**
--- a/src/main/kotlin/azuredale/configuration/Freshness.kt
+++ b/src/main/kotlin/azuredale/configuration/Freshness.kt
@@ -60,7 +60,13 @@
     /** Whether a confirmation is so old that this node reads the service itself. */
     fun isAging(now: Timestamp): Boolean = now.microsecondsSince(confirmedAt) > AGING_MICROSECONDS
 
+    /** Whether a confirmation is so old that a peer is asked for a newer one. */
+    fun isLate(now: Timestamp): Boolean = now.microsecondsSince(confirmedAt) > LATE_MICROSECONDS
+
     companion object {
+        /** Later than most confirmations of a large fleet; leaves time for several questions. */
+        const val LATE_MICROSECONDS = 1_000_000L
+
         /** Design section 5; leaves 1 s of the 3 s target for a recall to take effect. */
         const val WINDOW_MICROSECONDS = 2_000_000L
 
