--- a/src/test/kotlin/azuredale/configuration/DocumentControllerSpec.kt
+++ b/src/test/kotlin/azuredale/configuration/DocumentControllerSpec.kt
@@ -46,7 +46,11 @@
     ): List<NodeEffect> = (from..to step 20).flatMap { time ->
         val effects = perTick(at(time)) + tick(at(time))
         val polled = messages(effects).filter { it.second is DocumentRequest && it.first in answering }
-        effects + polled.flatMap { messageReceived(RouterId(it.first), DocumentAnnounce(Revision(revision)), at(time)) }
+        effects +
+            polled.flatMap {
+                val echo = (it.second as DocumentRequest).sentAt
+                messageReceived(RouterId(it.first), DocumentAnnounce(Revision(revision), echo), at(time))
+            }
     }
 
     private fun messages(effects: List<NodeEffect>): List<Pair<String, PeerMessage>> =
@@ -135,7 +139,10 @@
                 controller.membersChanged(members, at(SETTLED + last * 20))
             }
             controller.membersChanged(fleet().take(3), at(SETTLED + 400))
-            controller.run(SETTLED + 400, 700_000, half)
+            controller.run(SETTLED + 400, 700_000, half) {
+                // A router that is not a member does not count.
+                controller.messageReceived(RouterId("stranger"), DocumentAnnounce(Revision(1)), it)
+            }
             assertFalse(controller.mayGiveOutWork(at(700_000)))
             assertFalse(controller.isConnectedWithMajority(at(700_000)))
         }
@@ -146,7 +153,10 @@
             val controller = settled()
             val resumed = SETTLED + 9_000L
             controller.confirmationReceived(Confirmation(Revision(1), 50), at(resumed))
-            peers.forEach { controller.messageReceived(RouterId(it), DocumentAnnounce(Revision(1)), at(resumed)) }
+            peers.forEach {
+                val answer = DocumentAnnounce(Revision(1), at(SETTLED).microseconds, Confirmation(Revision(1), 0))
+                controller.messageReceived(RouterId(it), answer, at(resumed))
+            }
             assertFalse(controller.mayGiveOutWork(at(resumed)))
             assertFalse(controller.isConnectedWithMajority(at(resumed)))
             controller.run(resumed, resumed + 400)
@@ -203,7 +213,13 @@
             controller.membersChanged(replaced, at(20))
             val alive = replaced.map { it.router.name }
             val answer = { now: Timestamp -> controller.revisionConfirmed(Revision(1), now) }
-            controller.run(40, 610_000, alive, perTick = answer)
+            controller.run(40, 300_000, alive, perTick = answer)
+            controller.isConnectedWithMajority(at(300_000))
+            controller.run(300_020, 302_000, alive, perTick = answer)
+            controller.isConnectedWithMajority(at(302_000))
+            controller.run(302_020, 302_040, alive.take(4), perTick = answer)
+            assertFalse(controller.isConnectedWithMajority(at(302_040)))
+            controller.run(302_060, 610_000, alive, perTick = answer)
             controller.membersChanged(replaced.take(5), at(610_000))
             // Five of eight answer; with the replaced ones it would be five of eleven.
             controller.isConnectedWithMajority(at(610_500))
@@ -256,6 +272,8 @@
             controller.documentRead(DocumentFixture.accepted(1), at(0))
             controller.messageReceived(RouterId("r1"), DocumentFixture.body(2), at(100))
             assertTrue(controller.mayGiveOutWork(at(1_900)))
+            controller.confirmationReceived(Confirmation(Revision(1), 0), at(1_000))
+            assertTrue(controller.mayGiveOutWork(at(2_900)))
         }
     }
 
@@ -271,8 +289,13 @@
             copy.messageReceived(DocumentFixture.self, body, at(20))
             assertEquals(controller.document(), copy.document())
             // A poll asks with the poller's own revision and needs an answer when there is nothing newer.
-            val polled = messages(controller.messageReceived(RouterId("r1"), DocumentRequest(Revision(4)), at(30)))
-            assertEquals(listOf<Pair<String, PeerMessage>>("r1" to DocumentAnnounce(Revision(4))), polled)
+            val polled = messages(controller.messageReceived(RouterId("r1"), DocumentRequest(Revision(4), 77), at(30)))
+            assertEquals(
+                listOf<Pair<String, PeerMessage>>(
+                    "r1" to DocumentAnnounce(Revision(4), 77, Confirmation(Revision(4), 30)),
+                ),
+                polled,
+            )
             val corrected = messages(controller.messageReceived(RouterId("r2"), DocumentAnnounce(Revision(2)), at(40)))
             assertEquals(listOf<Pair<String, PeerMessage>>("r2" to DocumentAnnounce(Revision(4))), corrected)
         }
