Check conditions of the virtual fleet in every tick again

Change: the interval is a parameter that only the membership figures raise. Conclusion: the fixture behaves as before for its other users.

--- a/src/test/kotlin/azuredale/membership/MembershipControllerSpec.kt
+++ b/src/test/kotlin/azuredale/membership/MembershipControllerSpec.kt
@@ -23,7 +23,7 @@
     }
 
     private fun VirtualFleet.assertSoon(milliseconds: Long, what: String, condition: () -> Boolean) {
-        val passed = run(milliseconds, condition)
+        val passed = run(milliseconds, until = condition)
         assertTrue(condition(), "seed $seed: not after $passed ms: $what")
     }
 
--- a/src/test/kotlin/azuredale/membership/MembershipFiguresSpec.kt
+++ b/src/test/kotlin/azuredale/membership/MembershipFiguresSpec.kt
@@ -28,8 +28,14 @@
             listOf(5, 2, 4).map { number ->
                 val victim = fleet.nodes[number].also { it.isRunning = false }
                 val running = fleet.nodes.filter { it.isRunning }
-                val first = fleet.run(20_000) { running.any { it.sees(victim.id) == MemberState.DEAD } }
-                first to first + fleet.run(20_000) { running.all { it.sees(victim.id) == MemberState.DEAD } }
+                val first =
+                    fleet.run(
+                        20_000,
+                        checkEvery = 100,
+                    ) { running.any { it.sees(victim.id) == MemberState.DEAD } }
+                first to
+                    first +
+                    fleet.run(20_000, checkEvery = 100) { running.all { it.sees(victim.id) == MemberState.DEAD } }
             }
         println("$size nodes, seed $seed: milliseconds until dead at the first and at all nodes $times")
         assertTrue(times.all { it.first <= firstBound && it.second <= allBound }, "seed $seed: $times")
@@ -47,11 +53,11 @@
         fleet.isConnected = { a, b -> (a in south) == (b in south) }
         fleet.nodes.forEach { it.bytesSent = 0 }
         val parted =
-            fleet.run(partBound) {
+            fleet.run(partBound, checkEvery = 100) {
                 fleet.nodes.all { it.liveIds() == if (it in south) southIds else northIds }
             }
         fleet.isConnected = { _, _ -> true }
-        val healed = fleet.run(healBound) { fleet.isConverged() }
+        val healed = fleet.run(healBound, checkEvery = 100) { fleet.isConverged() }
         val bytes = fleet.nodes.maxOf { it.bytesSent } * 1000 / (parted + healed)
         println("$size nodes, seed $seed: separated after $parted ms, joined after $healed ms, worst node $bytes B/s")
         assertTrue(parted < partBound && fleet.isConverged(), "seed $seed: $parted ms, $healed ms")
--- a/src/test/kotlin/azuredale/membership/VirtualFleet.kt
+++ b/src/test/kotlin/azuredale/membership/VirtualFleet.kt
@@ -97,10 +97,14 @@
         run(3_000)
     }
 
-    /** Lets [milliseconds] pass and stops early when [until] holds; returns the milliseconds that passed. */
-    fun run(milliseconds: Long, until: () -> Boolean = { false }): Long {
+    /**
+     * Lets [milliseconds] pass and stops early when [until] holds; returns the milliseconds that passed.
+     *
+     * @param checkEvery milliseconds between two calls of [until]; conditions over a large fleet are costly.
+     */
+    fun run(milliseconds: Long, checkEvery: Long = TICK, until: () -> Boolean = { false }): Long {
         var passed = 0L
-        while (passed < milliseconds && !(passed % CHECK == 0L && until())) {
+        while (passed < milliseconds && !(passed % checkEvery == 0L && until())) {
             now = now.plusMilliseconds(TICK)
             passed += TICK
             while (arrivals.isNotEmpty() && arrivals.peek().at <= now.microseconds) deliver(arrivals.poll())
@@ -143,8 +147,5 @@
 
     private companion object {
         const val TICK = 20L
-
-        /** Conditions over the whole fleet are costly, so they are checked less often. */
-        const val CHECK = 100L
     }
 }
