Write the events of one received piece to the caller at once

Cause: every token of a stream was one write to the caller's connection. Change: chunks are collected and written once for each piece read from the engine; text that a failed attempt left unsent goes out before the next attempt's text or the error event. A chunk is no longer copied before its id is replaced. All callers share one event loop, which is the next thing to change.

--- a/src/main/kotlin/azuredale/routing/CompletionAnswer.kt
+++ b/src/main/kotlin/azuredale/routing/CompletionAnswer.kt
@@ -21,6 +21,7 @@
 ) : CallerAnswer {
     private val response = stream.response
     private val text = StringBuilder()
+    private var pending = Buffer.buffer()
     private var isTooLong = false
     private var finish: CompletionChunk? = null
     private var refusal: KeptAnswer? = null
@@ -32,13 +33,13 @@
     var delivered = 0L
         private set
 
-    /** Adds a chunk of the engine's answer; false when the collected text passes its bound. */
-    suspend fun deliver(chunk: CompletionChunk): Boolean {
+    /** Adds a chunk of the engine's answer, sent by [flush]; false when the collected text passes its bound. */
+    fun deliver(chunk: CompletionChunk): Boolean {
         if (chunk.finishReason != null) finish = chunk
         if (chunk.text.isEmpty()) return true
         if (!collect(chunk.text)) return false
         delivered += chunk.tokens
-        if (body.isStream) write(chunk.withId(id))
+        if (body.isStream) pending.appendString("data: ${chunk.withId(id).encode()}\n\n")
         return true
     }
 
@@ -78,9 +79,13 @@
         return body.isStream
     }
 
-    private suspend fun write(json: JsonObject) {
+    /** Sends what [deliver] added since the last call in one write. */
+    suspend fun flush() {
+        if (pending.length() == 0) return
+        val bytes = pending
+        pending = Buffer.buffer()
         begin()
-        stream.write(Buffer.buffer("data: ${json.encode()}\n\n"))
+        stream.write(bytes)
     }
 
     private fun begin() {
@@ -96,7 +101,8 @@
             sendJson(Buffer.buffer(refused.body), refused.status)
         } else if (body.isStream) {
             begin()
-            response.end("${finish?.let { "data: ${it.withId(id).encode()}\n\n" }.orEmpty()}$DONE")
+            finish?.let { pending.appendString("data: ${it.withId(id).encode()}\n\n") }
+            response.end(pending.appendString(DONE))
         } else {
             sendJson(whole().toBuffer(), HTTP_OK)
         }
@@ -119,8 +125,10 @@
     }
 
     private fun fail(failure: Failure) {
-        if (!hasBegun) return FailureAnswer.send(response, failure, clock())
-        response.end(FailureAnswer.event(failure))
+        // Text that a failed attempt left unsent counts as delivered, so it goes out before the failure.
+        if (!hasBegun && pending.length() == 0) return FailureAnswer.send(response, failure, clock())
+        begin()
+        response.end(pending.appendString(FailureAnswer.event(failure)))
     }
 
     private fun sendJson(bytes: Buffer, status: Int) {
--- a/src/main/kotlin/azuredale/routing/CompletionChunk.kt
+++ b/src/main/kotlin/azuredale/routing/CompletionChunk.kt
@@ -18,8 +18,8 @@
     val finishReason: String? = choice?.getString("finish_reason")
     val tokens: Long = json.getLong("tokens") ?: if (text.isEmpty()) 0 else 1
 
-    /** The event as the caller sees it, under the request's own [id]. */
-    fun withId(id: String): JsonObject = json.copy().put("id", id).apply {
+    /** The event as the caller sees it, under the request's own [id]; changes the chunk. */
+    fun withId(id: String): JsonObject = json.put("id", id).apply {
         remove("offset")
         remove("tokens")
     }
--- a/src/main/kotlin/azuredale/routing/EngineClient.kt
+++ b/src/main/kotlin/azuredale/routing/EngineClient.kt
@@ -80,21 +80,23 @@
                     withTimeoutOrNull(settings.stallMilliseconds) { Piece(reader.next()) }
                         ?: return broken("the server stalled")
                 val bytes = next.bytes ?: return broken("the stream ended without its end marker")
-                for (event in decoder.feed(bytes)) {
-                    if (event == END) return AttemptResult.Completed(cost.toDouble(), answer.kept())
-                    deliver(
-                        CompletionChunk(
-                            io.vertx.core.json
-                                .JsonObject(event),
-                        ),
-                    )?.let { return it }
-                }
+                val result = deliverAll(decoder.feed(bytes))
+                answer.flush()
+                if (result != null) return result
                 report()
             }
         }
 
-        /** Delivers one chunk; a result ends the attempt. */
-        private suspend fun deliver(chunk: CompletionChunk): AttemptResult? = when {
+        /** Delivers the events of one received piece; a result ends the attempt. */
+        private fun deliverAll(events: List<String>): AttemptResult? {
+            for (event in events) {
+                if (event == END) return AttemptResult.Completed(cost.toDouble(), answer.kept())
+                deliver(CompletionChunk(JsonObject(event)))?.let { return it }
+            }
+            return null
+        }
+
+        private fun deliver(chunk: CompletionChunk): AttemptResult? = when {
             chunk.hasError -> broken("the server reported an error in the stream")
             chunk.id != null && chunk.id != exchange.requestId -> wrong("the stream holds a chunk of ${chunk.id}")
             chunk.offset != null && chunk.offset != answer.delivered -> broken("the stream skips or repeats tokens")
