Serve callers on several event loops and close connections of dead routers

Cause: one event loop served all callers of a router; a vanished VM left its connection open; an isolated router that had forgotten members could shrink the fleet size below the failure detector's. Change: one listener for each of several event loops, resets on the failure detector's verdict, and a fleet size of at least the members that count.

--- a/src/main/kotlin/azuredale/demo/Demo.kt
+++ b/src/main/kotlin/azuredale/demo/Demo.kt
@@ -101,7 +101,7 @@
     private fun controlBytes(fleet: DemoFleet): Long = fleet.routers.sumOf { it.controlBytesSent }
 
     private companion object {
-        const val CALLERS_PER_TEAM = 12
+        const val CALLERS_PER_TEAM = 24
         const val SAMPLE_MILLISECONDS = 20L
         const val RELEASE_PAUSE_MILLISECONDS = 200L
     }
--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -17,6 +17,7 @@
 import azuredale.identity.RouterId
 import azuredale.logging.EventLog
 import azuredale.membership.DatagramEdge
+import azuredale.membership.MemberState
 import azuredale.platform.CallBudget
 import azuredale.platform.EtcdGatewayClient
 import azuredale.platform.KeyClaimer
@@ -131,6 +132,7 @@
                     address = settings.callerAddress,
                     requestBytes = settings.requestLimitBytes,
                     requestDeadlineSeconds = settings.requestDeadlineSeconds,
+                    eventLoops = settings.workers,
                 ),
             vertx = vertx,
             port = ::offer,
@@ -162,6 +164,7 @@
         operators.start()
         callers.start()
         scope.launch { tick() }
+        scope.launch { closeLostConnections() }
         scope.launch { poller.run() }
         machines?.let { scope.launch { listMachines(it) } }
         log.write(NodeLogEvent.ROUTER_STARTED, "router" to settings.router, "incarnation" to incarnation)
@@ -212,6 +215,20 @@
         }
     }
 
+    /** A VM that vanished leaves its connection open, so the failure detector's verdict closes it. */
+    private suspend fun closeLostConnections() {
+        while (scope.isActive) {
+            node.membership.allKnown().forEach { member ->
+                when (member.state) {
+                    MemberState.DEAD -> transport.reset(member.router)
+                    MemberState.LEFT -> transport.forget(member.router)
+                    MemberState.ALIVE, MemberState.SUSPECT -> Unit
+                }
+            }
+            delay(CONNECTION_CHECK_MILLISECONDS)
+        }
+    }
+
     private suspend fun tick() {
         while (scope.isActive) {
             offer(NodeEvent.Tick)
@@ -327,5 +344,6 @@
 
         /** The list lags anyway; at 390 routers this is 13 calls a second. */
         const val MACHINE_LIST_MILLISECONDS = 30_000L
+        const val CONNECTION_CHECK_MILLISECONDS = 1_000L
     }
 }
--- a/src/main/kotlin/azuredale/node/RouterNode.kt
+++ b/src/main/kotlin/azuredale/node/RouterNode.kt
@@ -77,7 +77,10 @@
 
     /** Holds the document in force. */
     public val documents: DocumentController =
-        DocumentController(settings.router, settings.failureDomain) { settings.seeds.size }
+        DocumentController(
+            settings.router,
+            settings.failureDomain,
+        ) { maxOf(membership.fleetSize(), settings.seeds.size) }
 
     /** Failure detector. */
     public val membership: MembershipController =
--- a/src/main/kotlin/azuredale/routing/EdgeSettings.kt
+++ b/src/main/kotlin/azuredale/routing/EdgeSettings.kt
@@ -21,6 +21,7 @@
  * continued elsewhere.
  * @property progressMilliseconds shortest time between two reports of one attempt's progress.
  * @property connectionsPerServer most connections to one backend server.
+ * @property eventLoops event loops that serve callers.
  */
 public data class EdgeSettings(
     val router: RouterId,
@@ -40,4 +41,5 @@
     val stallMilliseconds: Long = 20_000,
     val progressMilliseconds: Long = 20,
     val connectionsPerServer: Int = 512,
+    val eventLoops: Int = 4,
 )
--- a/src/main/kotlin/azuredale/routing/HttpEdge.kt
+++ b/src/main/kotlin/azuredale/routing/HttpEdge.kt
@@ -8,6 +8,9 @@
 import azuredale.outcome.Outcome
 import azuredale.time.Clock
 import azuredale.time.Timestamp
+import io.vertx.core.Future
+import io.vertx.core.Promise
+import io.vertx.core.VerticleBase
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServer
@@ -48,10 +51,10 @@
     private val engines = EngineClient(backends, port, settings, clock)
     private val services = ServiceClient(backends, settings)
     private val callers = CallerEdge(vertx, settings, CallerEdgePorts(document, addresses, ::accept, clock))
-    private var server: HttpServer? = null
+    private val servers = mutableListOf<HttpServer>()
 
     /** Port on which callers are accepted; zero before [start]. */
-    public val actualPort: Int get() = server?.actualPort() ?: 0
+    public val actualPort: Int get() = servers.firstOrNull()?.actualPort() ?: 0
 
     /** Number of requests whose answer has not ended. */
     public val openRequests: Int get() = exchanges.size
@@ -64,19 +67,34 @@
                 .setIdleTimeout((settings.requestDeadlineSeconds + IDLE_MARGIN_SECONDS).toInt())
                 .setIdleTimeoutUnit(TimeUnit.SECONDS)
                 .setTcpNoDelay(true)
-        val router = callers.router()
-        server =
-            vertx
-                .createHttpServer(options)
-                .connectionHandler(::limitFirstHead)
-                .requestHandler { request ->
-                    request.connection().let(firstHeads::remove)?.let(vertx::cancelTimer)
-                    router.handle(request)
-                }.listen(settings.address.port, settings.address.host)
-                .coAwait()
+        // Port 0 means another port for every listener, so it gets one.
+        val instances = if (settings.address.port == 0) 1 else settings.eventLoops
+        repeat(instances) { servers += listen(options) }
         log.write(RoutingLogEvent.EDGE_STARTED, "host" to settings.address.host, "port" to actualPort)
     }
 
+    /** Opens one listener on an event loop of its own; connections are spread over the listeners of a port. */
+    private suspend fun listen(options: HttpServerOptions): HttpServer {
+        val opened = Promise.promise<HttpServer>()
+        val verticle =
+            object : VerticleBase() {
+                override fun start(): Future<*> {
+                    val router = callers.router()
+                    val server =
+                        vertx
+                            .createHttpServer(options)
+                            .connectionHandler(::limitFirstHead)
+                            .requestHandler { request ->
+                                request.connection().let(firstHeads::remove)?.let(vertx::cancelTimer)
+                                router.handle(request)
+                            }
+                    return server.listen(settings.address.port, settings.address.host).onComplete(opened)
+                }
+            }
+        vertx.deployVerticle(verticle).coAwait()
+        return opened.future().coAwait()
+    }
+
     /** Does what [effect] asks; effects that concern no caller or backend server are ignored. */
     public suspend fun execute(effect: NodeEffect) {
         when (effect) {
@@ -89,7 +107,7 @@
 
     /** Stops accepting callers and closes all connections; a graceful shutdown drains the node first. */
     public suspend fun stop() {
-        server?.close()?.coAwait()
+        servers.forEach { it.close().coAwait() }
         scope.cancel()
         backends.close()
         log.write(RoutingLogEvent.EDGE_STOPPED, "open" to exchanges.size)
--- a/src/main/kotlin/azuredale/transport/PeerTransport.kt
+++ b/src/main/kotlin/azuredale/transport/PeerTransport.kt
@@ -113,7 +113,10 @@
 
     private fun admit(socket: Socket): Job = scope.launch {
         if (!unfinished.tryAcquire()) {
-            limitedLog.write(TransportLogEvent.CONNECTIONS_REFUSED, "remote" to socket.remoteAddress)
+            limitedLog.write(
+                TransportLogEvent.CONNECTIONS_REFUSED,
+                "remote" to runCatching { socket.remoteAddress }.getOrNull(),
+            )
             socket.close()
             return@launch
         }
@@ -153,7 +156,10 @@
 
     private fun refuseHandshake(socket: Socket) {
         counters.refuse(FrameFault.HANDSHAKE)
-        limitedLog.write(TransportLogEvent.HANDSHAKE_REFUSED, "remote" to socket.remoteAddress)
+        limitedLog.write(
+            TransportLogEvent.HANDSHAKE_REFUSED,
+            "remote" to runCatching { socket.remoteAddress }.getOrNull(),
+        )
     }
 
     /** Makes [connection] the present one and reads from it; false when another one stays. */
