Answer from the fake platform as the daemon's platform edge does

Cause: the fake watch confirmed the revision every 500 ms, which the real watch does not; routers therefore never read the service, and calls and freshness were better than they can be.

Change: a watch delivers changes only and is opened again without an event; a read of a known document confirms its revision; calls that do not reach the service are not counted.

Conclusion: calls to the platform are now comparable to the daemon's.

--- a/src/main/kotlin/azuredale/measure/EdgeEffects.kt
+++ b/src/main/kotlin/azuredale/measure/EdgeEffects.kt
@@ -30,7 +30,7 @@
     private fun client(host: RouterHost): PlatformClient {
         val life = host.life
         return PlatformClient(
-            name = host.name,
+            name = "${host.name}/$life",
             isReachable = { host.life == life && fleet.network.isReachable(host.name, FakeNetwork.PLATFORM) },
             deliver = { if (host.life == life) host.accept(it) },
         )
--- a/src/main/kotlin/azuredale/measure/FakePlatform.kt
+++ b/src/main/kotlin/azuredale/measure/FakePlatform.kt
@@ -2,10 +2,15 @@
 
 import azuredale.configuration.AcceptedDocument
 import azuredale.identity.RequestNumber
+import azuredale.identity.Revision
 import azuredale.node.ClaimResult
 import azuredale.node.NodeEvent
 
-/** A router as the platform answers it: [isReachable] and [deliver] hide the network and restarts of the router. */
+/**
+ * A router process as the platform answers it: [isReachable] and [deliver] hide the network and restarts.
+ *
+ * @property name unique for the process, so that a restarted router knows no document.
+ */
 internal class PlatformClient(
     val name: String,
     val isReachable: () -> Boolean,
@@ -15,11 +20,14 @@
 /**
  * The key-value service with the document and the claimed keys, and with outages, slowness and lost replies.
  *
- * A pending watch is one call; it delivers changes and confirms the revision every [CONFIRMATION].
+ * It answers as the platform edge of the daemon does: a pending watch is one call, delivers changes only and is opened
+ * again without an event when it breaks; a read of a known document confirms its revision.
  */
 internal class FakePlatform(private val queue: EventQueue) {
     private val claims = HashSet<String>()
-    private val watchers = LinkedHashSet<PlatformClient>()
+    private val watchers = LinkedHashMap<String, PlatformClient>()
+    private val wanted = LinkedHashMap<String, PlatformClient>()
+    private val known = HashMap<String, Revision>()
 
     var document: AcceptedDocument? = null
         private set
@@ -32,72 +40,84 @@
     var isLosingReplies: Boolean = false
 
     init {
-        queue.every(CONFIRMATION, CONFIRMATION) { watchers.toList().forEach { notifyWatcher(it, isChange = false) } }
+        queue.every(WATCH_CHECK, WATCH_CHECK) { reopenBroken() }
     }
 
     /** Accepts [next]; watchers hear of it. */
     fun store(next: AcceptedDocument) {
         document = next
-        watchers.toList().forEach { notifyWatcher(it, isChange = true) }
+        watchers.values.filterNot(::isCut).forEach { client ->
+            queue.after(REPLY + slowness) { if (!isCut(client)) client.deliver(documentRead(client)) }
+        }
     }
 
-    fun read(client: PlatformClient): Unit = call(client) { NodeEvent.DocumentRead(document) }
+    fun read(client: PlatformClient) {
+        countCall(client)
+        val delay = REPLY + slowness
+        val isLate = isCut(client) || isLosingReplies || delay > PATIENCE
+        queue.after(if (isLate) PATIENCE else delay) {
+            client.deliver(if (isLate || isCut(client)) NodeEvent.PlatformFailed else confirmed(client))
+        }
+    }
 
     fun watch(client: PlatformClient, isWatching: Boolean) {
-        if (!isWatching) {
-            watchers.remove(client)
-            return
-        }
-        call(client) { NodeEvent.DocumentRead(document).also { watchers.add(client) } }
+        if (isWatching) wanted[client.name] = client else wanted.remove(client.name)
+        if (isWatching) open(client) else watchers.remove(client.name)
     }
 
     fun claim(client: PlatformClient, request: RequestNumber, key: String) {
-        calls++
+        countCall(client)
         claimCalls++
         val delay = REPLY + slowness
-        if (isDown || !client.isReachable()) {
-            return reply(client, FAILURE) { NodeEvent.KeyClaimed(request, ClaimResult.UNAVAILABLE) }
-        }
-        val isNew = claims.add(key)
-        val isLost = isLosingReplies || delay > FAILURE
-        val result = if (isNew) ClaimResult.CLAIMED else ClaimResult.HELD
-        reply(client, if (isLost) FAILURE else delay) {
-            NodeEvent.KeyClaimed(request, if (isLost || isCut(client)) ClaimResult.UNKNOWN else result)
+        val isRefused = isCut(client)
+        val result =
+            when {
+                isRefused -> ClaimResult.UNAVAILABLE
+                claims.add(key) -> ClaimResult.CLAIMED
+                else -> ClaimResult.HELD
+            }
+        val isLost = !isRefused && (isLosingReplies || delay > PATIENCE)
+        queue.after(if (isRefused || isLost) PATIENCE else delay) {
+            val isUnknown = isLost || (!isRefused && isCut(client))
+            client.deliver(NodeEvent.KeyClaimed(request, if (isUnknown) ClaimResult.UNKNOWN else result))
         }
     }
 
-    private fun call(client: PlatformClient, answer: () -> NodeEvent) {
-        calls++
-        val delay = REPLY + slowness
-        if (isCut(client) || delay > FAILURE) return reply(client, FAILURE) { NodeEvent.PlatformFailed }
-        reply(client, delay) { if (isCut(client) || isLosingReplies) NodeEvent.PlatformFailed else answer() }
+    /** A call that does not reach the service is not counted by it. */
+    private fun countCall(client: PlatformClient) {
+        if (client.isReachable()) calls++
     }
 
-    private fun notifyWatcher(client: PlatformClient, isChange: Boolean) {
-        if (isCut(client)) {
-            watchers.remove(client)
-            return reply(client, FAILURE) { NodeEvent.PlatformFailed }
-        }
-        val current = document ?: return
-        reply(client, REPLY + slowness) {
-            when {
-                isCut(client) -> NodeEvent.PlatformFailed
-                isChange -> NodeEvent.DocumentRead(current)
-                else -> NodeEvent.RevisionConfirmed(current.revision)
-            }
-        }
+    private fun confirmed(client: PlatformClient): NodeEvent {
+        val current = document
+        val isKnown = current != null && known[client.name] == current.revision
+        return if (isKnown) NodeEvent.RevisionConfirmed(current.revision) else documentRead(client)
     }
 
-    private fun isCut(client: PlatformClient) = isDown || !client.isReachable()
+    private fun documentRead(client: PlatformClient): NodeEvent {
+        document?.let { known[client.name] = it.revision }
+        return NodeEvent.DocumentRead(document)
+    }
 
-    private fun reply(client: PlatformClient, delay: Long, event: () -> NodeEvent): Unit =
-        queue.after(delay) { client.deliver(event()) }
+    private fun open(client: PlatformClient) {
+        countCall(client)
+        if (isCut(client)) return
+        watchers[client.name] = client
+        read(client)
+    }
+
+    private fun reopenBroken() {
+        watchers.values.removeIf(::isCut)
+        wanted.filterKeys { it !in watchers }.values.forEach(::open)
+    }
+
+    private fun isCut(client: PlatformClient) = isDown || !client.isReachable()
 
     private companion object {
-        const val CONFIRMATION = 500 * EventQueue.MILLISECOND
         const val REPLY = 4 * EventQueue.MILLISECOND
 
-        /** The platform client gives a call up after this time. */
-        const val FAILURE = 1_000 * EventQueue.MILLISECOND
+        /** The platform edge gives a call up after this time. */
+        const val PATIENCE = 800 * EventQueue.MILLISECOND
+        const val WATCH_CHECK = 500 * EventQueue.MILLISECOND
     }
 }
--- a/src/main/kotlin/azuredale/measure/ReportPrinter.kt
+++ b/src/main/kotlin/azuredale/measure/ReportPrinter.kt
@@ -19,11 +19,10 @@
     fun printText(output: Appendable) {
         val fault = result.fault?.label ?: "none"
         val profile = result.profile
+        val loadSeconds = Figures.seconds(RunTimes.END - RunTimes.LOAD_START)
         output.appendLine(
             "profile ${profile.name}, ${profile.routers} routers, ${profile.shards} shards, fault $fault, " +
-                "seed ${result.seed}, ${result.requests} requests in ${Figures.seconds(
-                    RunTimes.END - RunTimes.LOAD_START,
-                )} s",
+                "seed ${result.seed}, ${result.requests} requests in $loadSeconds s",
         )
         output.appendLine(ROW.format("measure", "unit", "system", "global", "alone", "ratio", "target"))
         figures.forEach { output.appendLine(row(it).trimEnd()) }
