Add a command that measures one router at the design size

Change: `azuredale capacity` fills the document, member table, an allotter, a requester and the burn tracker and prints heap, processor time and bytes.

--- a/src/main/kotlin/azuredale/command/CommandLine.kt
+++ b/src/main/kotlin/azuredale/command/CommandLine.kt
@@ -81,4 +81,5 @@
         "stand-in service" to ::ServiceStandInCommand,
         "demo" to ::DemoCommand,
         "measure" to ::MeasureCommand,
+        "capacity" to ::CapacityCommand,
     )
--- /dev/null
+++ b/src/test/kotlin/azuredale/measure/CapacitySpec.kt
@@ -0,0 +1,28 @@
+package azuredale.measure
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class CapacitySpec {
+    private val size =
+        CapacitySize(
+            routers = 6,
+            teams = 400,
+            servers = 8,
+            models = 4,
+            backlogged = 4,
+            rounds = 200,
+        )
+
+    @Test
+    fun `prints every figure as a positive number`() {
+        // Guards against a controller that ignores the probe's events, whose cost would then be reported as zero.
+        val rows = CapacityProbe(size, seed = 1).rows()
+        rows.forEach { assertTrue(it.value > 0, "seed 1: $it") }
+        val output = StringBuilder()
+        assertEquals(MeasureExit.KEPT, runCapacity(size, output))
+        val lines = output.lines().drop(1).filter { it.isNotEmpty() }
+        assertEquals(rows.map { it.name }, lines.map { it.substringBefore("  ") }, "seed 1")
+    }
+}
