Measure shards and count control traffic of routers only

Cause: the mean control traffic was divided by routers and backend servers, three times too many, and shards could not be measured.

--- a/src/main/kotlin/azuredale/command/MeasureCommand.kt
+++ b/src/main/kotlin/azuredale/command/MeasureCommand.kt
@@ -22,6 +22,9 @@
     @field:Option(name = "--routers", metaVar = "N", usage = "size of the fleet; load and servers grow with it")
     var routers: Int = 8
 
+    @field:Option(name = "--shards", metaVar = "N", usage = "shards of each pool")
+    var shards: Int = 1
+
     @field:Option(name = "--json", usage = "print JSON")
     var isJson: Boolean = false
 
@@ -42,6 +45,7 @@
             seed = seed,
             isJson = isJson,
             routers = routers,
+            shards = shards,
             scenario = scenario?.let { Path.of(it) },
             messageSize = MessageSizes(),
             datagramSize = { datagrams.encode(it).size },
--- a/src/main/kotlin/azuredale/measure/Experiment.kt
+++ b/src/main/kotlin/azuredale/measure/Experiment.kt
@@ -111,7 +111,8 @@
     }
 
     private fun snapshot(fleet: Fleet): TrafficResult {
-        val traffic = fleet.network.traffic.values
+        // The network also counts the platform and the backend servers, which are not nodes of the fleet.
+        val traffic = fleet.hosts.map { fleet.network.traffic.getValue(it.settings.router) }
         return TrafficResult(
             seconds = fleet.queue.now.toDouble() / EventQueue.SECOND,
             sent = traffic.map { it.bytesSent },
--- a/src/test/kotlin/azuredale/measure/MeasureSpec.kt
+++ b/src/test/kotlin/azuredale/measure/MeasureSpec.kt
@@ -60,6 +60,12 @@
             }
         }
 
+        @Test
+        fun `count control traffic of routers only`() {
+            // Guards against a mean over the backend servers too, which send none and made the figure three times lower.
+            assertEquals(result.profile.routers, result.traffic.sent.size)
+        }
+
         @Test
         fun `repeat exactly from one seed`() {
             // Guards against hidden sources of randomness or real time in the harness.
