--- a/src/main/kotlin/azuredale/membership/DatagramCodec.kt
+++ b/src/main/kotlin/azuredale/membership/DatagramCodec.kt
@@ -3,6 +3,7 @@
 package azuredale.membership
 
 import azuredale.protocol.ProbeMessage
+import azuredale.transport.CborLengths
 import azuredale.transport.FrameFault
 import azuredale.transport.MessageAuthenticator
 import azuredale.transport.compactCbor
@@ -39,11 +40,14 @@
         if (datagram.size > MAXIMUM_BYTES) return DatagramResult.Refused(FrameFault.TOO_LONG)
         if (datagram[0] != VERSION) return DatagramResult.Refused(FrameFault.UNKNOWN_VERSION)
         if (!authenticator.isSealed(datagram)) return DatagramResult.Refused(FrameFault.WRONG_CODE)
-        return try {
-            DatagramResult.Decoded(cbor.decodeFromByteArray(ProbeMessage.serializer(), datagram.copyOfRange(1, end)))
-        } catch (_: RuntimeException) {
-            DatagramResult.Refused(FrameFault.MALFORMED)
-        }
+        return decodeBody(datagram.copyOfRange(1, end))
+    }
+
+    private fun decodeBody(body: ByteArray): DatagramResult = try {
+        require(CborLengths.areWithin(body)) { "a declared length passes the end of the datagram" }
+        DatagramResult.Decoded(cbor.decodeFromByteArray(ProbeMessage.serializer(), body))
+    } catch (_: RuntimeException) {
+        DatagramResult.Refused(FrameFault.MALFORMED)
     }
 
     public companion object {
--- a/src/main/kotlin/azuredale/transport/FrameCodec.kt
+++ b/src/main/kotlin/azuredale/transport/FrameCodec.kt
@@ -167,7 +167,13 @@
         if (sequence != expected) return FrameResult.Refused(FrameFault.WRONG_SEQUENCE, "expected $expected")
         expected++
         val body = frame.copyOfRange(FrameCodec.HEADER_BYTES, frame.size - MessageAuthenticator.CODE_BYTES)
-        return FrameResult.Decoded(cbor.decodeFromByteArray(FrameBody.serializer(), body).messages)
+        return decodeBody(body)
+    }
+
+    private fun decodeBody(body: ByteArray): FrameResult = if (CborLengths.areWithin(body)) {
+        FrameResult.Decoded(cbor.decodeFromByteArray(FrameBody.serializer(), body).messages)
+    } else {
+        FrameResult.Refused(FrameFault.MALFORMED, "declared lengths")
     }
 
     private companion object {
