Estimate costs from the logarithms of hints

The estimate took hints at face value times a running ratio, so a rough hint above the average was overcharged and one below it undercharged. Change: a running least-squares line through the logarithms of hints and costs of the pool, with the team's own mean distance from it.

--- a/src/main/kotlin/azuredale/sharing/CostEstimator.kt
+++ b/src/main/kotlin/azuredale/sharing/CostEstimator.kt
@@ -1,48 +1,60 @@
 package azuredale.sharing
 
 import azuredale.identity.TeamId
+import kotlin.math.exp
+import kotlin.math.ln
 
-/** Estimates what a request will cost from the team's ended requests in one pool. */
+/** Estimates what a request will cost from the ended requests of one pool. */
 internal class CostEstimator {
-    private class Average(
+    private class History(
         var cost: Double,
-        var ratio: Double,
-        var hasRatio: Boolean,
+        var bias: Double = 0.0,
     )
 
-    private val averages = HashMap<TeamId, Average>()
+    private val histories = HashMap<TeamId, History>()
+    private val regression = LogRegression()
 
     /**
-     * Estimate for a request of [team]: its running average, or [hint] times the measured ratio of cost to hint.
+     * Estimate for a request of [team]: the team's running average, or what the pool's requests with such a [hint]
+     * cost, corrected by how far the team's costs lie from that.
      *
      * A hinted estimate stays within a factor of [HINT_RANGE] of the average, so that a wrong hint cannot buy many
-     * grants before the first settlement corrects the ratio.
+     * grants before settlements correct it.
      */
     fun estimate(team: TeamId, hint: Double?, initial: Double): Double {
-        val average = averages[team]
-        val base = average?.cost ?: initial
-        if (hint == null || !hint.isFinite() || hint <= 0) return base.coerceAtLeast(SMALLEST)
-        val corrected = hint * (average?.ratio ?: 1.0)
-        return corrected.coerceIn(base / HINT_RANGE, base * HINT_RANGE).coerceAtLeast(SMALLEST)
+        val history = histories[team]
+        val base = history?.cost ?: initial
+        val usableHint = usable(hint)
+        if (usableHint == null || !regression.isUsable) return base.coerceAtLeast(SMALLEST)
+        val expected = regression.expect(usableHint) * exp(history?.bias ?: 0.0)
+        return expected.coerceIn(base / HINT_RANGE, base * HINT_RANGE).coerceAtLeast(SMALLEST)
     }
 
     /** Records the final [cost] of a request that carried [hint]. */
     fun settled(team: TeamId, hint: Double?, cost: Double, initial: Double) {
         if (!cost.isFinite() || cost <= 0) return
-        val average = averages.getOrPut(team) { Average(initial, 1.0, hasRatio = false) }
-        average.cost += WEIGHT * (cost - average.cost)
-        if (hint == null || !hint.isFinite() || hint <= 0) return
-        val ratio = cost / hint
-        average.ratio = if (average.hasRatio) average.ratio + WEIGHT * (ratio - average.ratio) else ratio
-        average.hasRatio = true
+        val history = histories.getOrPut(team) { History(initial) }
+        history.cost += COST_WEIGHT * (cost - history.cost)
+        val usableHint = usable(hint) ?: return
+        if (regression.isUsable) {
+            val residual = (ln(cost) - regression.logarithm(usableHint)).coerceIn(-LARGEST_RESIDUAL, LARGEST_RESIDUAL)
+            history.bias += BIAS_WEIGHT * (residual - history.bias)
+        }
+        regression.record(usableHint, cost)
     }
 
     fun retain(teams: Set<TeamId>) {
-        averages.keys.retainAll(teams)
+        histories.keys.retainAll(teams)
     }
 
+    private fun usable(hint: Double?): Double? = hint?.takeIf { it.isFinite() && it > 0 }
+
     private companion object {
-        const val WEIGHT = 0.2
+        const val COST_WEIGHT = 0.2
+
+        /** Small, because one residual says little about the team's hints. */
+        const val BIAS_WEIGHT = 0.02
+        const val LARGEST_RESIDUAL = 3.0
         const val HINT_RANGE = 16.0
         const val SMALLEST = 1e-9
     }
