Answer operators with JSON that is encoded once

Cause: show and submit failed against a real router, because an extension function named json was hidden by the library's member of that name, which encoded the text a second time.

--- a/src/main/kotlin/azuredale/command/OperatorCommands.kt
+++ b/src/main/kotlin/azuredale/command/OperatorCommands.kt
@@ -68,7 +68,7 @@
     @field:Argument(required = true, metaVar = "BATCH", usage = "name of the batch in the document")
     var batch: String = ""
 
-    @field:Option(name = "--reason", metaVar = "TEXT", usage = "shown to other operators")
+    @field:Option(name = "--reason", required = true, metaVar = "TEXT", usage = "shown to other operators")
     var reason: String = ""
 
     override fun run(terminal: Terminal): Int {
--- a/src/main/kotlin/azuredale/console/OperatorEdge.kt
+++ b/src/main/kotlin/azuredale/console/OperatorEdge.kt
@@ -73,12 +73,12 @@
     private fun routes(): Router {
         val router = Router.router(vertx)
         router.route().handler(BodyHandler.create(false).setBodyLimit(MAXIMUM_BODY_BYTES))
-        router.get("/healthz").handler { it.text("ok\n") }
+        router.get("/healthz").handler { it.sendText("ok\n") }
         router.get("/readyz").handler(::readiness)
-        router.get("/metrics").handler { it.text(port.metrics()) }
+        router.get("/metrics").handler { it.sendText(port.metrics()) }
         console.install(router)
         router.route("/v1/*").handler(::authorize)
-        router.get("/v1/show").handler { it.json(Json.encodeToString(FleetStatus.serializer(), port.status())) }
+        router.get("/v1/show").handler { it.sendJson(Json.encodeToString(FleetStatus.serializer(), port.status())) }
         router.get("/v1/document").handler(::document)
         router.put("/v1/document").handler { answer(it) { submit(it) } }
         router.post("/v1/recall").handler { answer(it) { recall(it) } }
@@ -100,7 +100,7 @@
         val status = port.status()
         val isReady = status.isReady && !status.isDraining
         context.response().setStatusCode(if (isReady) STATUS_OK else ErrorKind.NOT_READY.status)
-        context.text(if (isReady) "ready\n" else "not ready\n")
+        context.sendText(if (isReady) "ready\n" else "not ready\n")
     }
 
     private fun document(context: RoutingContext) {
@@ -109,7 +109,7 @@
             context.failure(Failure(ErrorKind.NOT_READY, "no document has been accepted yet"))
         } else {
             context.response().putHeader(REVISION_HEADER, accepted.revision.toString())
-            context.text(accepted.text)
+            context.sendText(accepted.text)
         }
     }
 
@@ -153,7 +153,7 @@
         )
         when (result) {
             is SubmissionResult.Accepted ->
-                context.json(buildJsonObject { put("revision", result.document.revision.value) }.toString())
+                context.sendJson(buildJsonObject { put("revision", result.document.revision.value) }.toString())
             is SubmissionResult.Invalid -> context.failure(result.failure, result.faults)
             is SubmissionResult.Raced -> context.failure(result.failure)
             is SubmissionResult.Failed -> context.failure(result.failure)
@@ -166,13 +166,13 @@
     private fun drain(context: RoutingContext) {
         log.write(ConsoleLogEvent.DRAIN_REQUESTED, "remote" to context.request().remoteAddress())
         port.drain()
-        context.json(buildJsonObject { put("draining", true) }.toString())
+        context.sendJson(buildJsonObject { put("draining", true) }.toString())
     }
 
     private fun burnReport(context: RoutingContext) {
         when (context.queryParam("format").firstOrNull() ?: "text") {
-            "text" -> context.text(port.burnReport(BurnFormat.TEXT))
-            "json" -> context.json(port.burnReport(BurnFormat.JSON))
+            "text" -> context.sendText(port.burnReport(BurnFormat.TEXT))
+            "json" -> context.sendJson(port.burnReport(BurnFormat.JSON))
             else -> context.failure(Failure(ErrorKind.INVALID_REQUEST, "query parameter \"format\" is text or json"))
         }
     }
@@ -188,11 +188,11 @@
         }
     }
 
-    private fun RoutingContext.text(body: String) {
+    private fun RoutingContext.sendText(body: String) {
         response().putHeader("Content-Type", "text/plain; charset=utf-8").end(body)
     }
 
-    private fun RoutingContext.json(body: String) {
+    private fun RoutingContext.sendJson(body: String) {
         response().putHeader("Content-Type", "application/json").end(body)
     }
 
@@ -205,7 +205,7 @@
                 if (faults.isNotEmpty()) putJsonArray("faults") { faults.forEach { add(it.toString()) } }
             }
         response().setStatusCode(failure.kind.status)
-        json(body.toString())
+        sendJson(body.toString())
     }
 
     internal companion object {
