Hold each pool to its objective and keep the control byte counters alive

Cause: against a running fleet the metrics page showed 0 control bytes, because the registry held the counters' sources weakly; the burn report used one built-in objective for every pool. Change: the metrics keep their sources; the burn tracker asks for the pool's objective, which the node takes from the document; routers send burn counts once a minute; a drained router no longer drains again in its shutdown hook.

--- a/src/main/kotlin/azuredale/command/RouterCommand.kt
+++ b/src/main/kotlin/azuredale/command/RouterCommand.kt
@@ -39,10 +39,12 @@
     private fun drainOnTermination(daemon: RouterDaemon, settings: RouterSettings) {
         val hook =
             Thread {
-                runBlocking {
-                    daemon.drain()
-                    withTimeoutOrNull(settings.requestDeadlineSeconds * MILLISECONDS_PER_SECOND) {
-                        daemon.awaitDrained()
+                if (!daemon.isDrained) {
+                    runBlocking {
+                        daemon.drain()
+                        withTimeoutOrNull(settings.requestDeadlineSeconds * MILLISECONDS_PER_SECOND) {
+                            daemon.awaitDrained()
+                        }
                     }
                 }
             }
--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -170,6 +170,9 @@
         log.write(NodeLogEvent.ROUTER_STARTED, "router" to settings.router, "incarnation" to incarnation)
     }
 
+    /** Whether a graceful shutdown has left no work. */
+    public val isDrained: Boolean get() = drained.isCompleted
+
     /** Begins a graceful shutdown: no new work, running requests end. */
     public fun drain() {
         log.write(NodeLogEvent.DRAIN_STARTED, "router" to settings.router)
--- a/src/main/kotlin/azuredale/node/RouterNode.kt
+++ b/src/main/kotlin/azuredale/node/RouterNode.kt
@@ -1,8 +1,10 @@
 package azuredale.node
 
 import azuredale.configuration.DocumentController
+import azuredale.configuration.Objective
 import azuredale.configuration.RouterSettings
 import azuredale.identity.Incarnation
+import azuredale.identity.PoolId
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
 import azuredale.logging.EventLog
@@ -27,6 +29,7 @@
 import azuredale.protocol.Settle
 import azuredale.protocol.Withdraw
 import azuredale.report.BurnExchange
+import azuredale.report.BurnObjective
 import azuredale.report.BurnTracker
 import azuredale.report.RequestTimes
 import azuredale.report.TimedRequest
@@ -139,10 +142,14 @@
         )
 
     /** Requests of the fleet that missed their objective, as far as this router knows. */
-    public val burn: BurnTracker = BurnTracker(settings.router, incarnation)
+    public val burn: BurnTracker =
+        BurnTracker(settings.router, incarnation, defaultObjective, { objectives[it] ?: defaultObjective })
     private val burnExchange = BurnExchange(settings.router, burn) { membership.members().map { it.router } }
     private val times = RequestTimes(MAXIMUM_TIMED_REQUESTS)
     private val drain = DrainProgress()
+
+    @Volatile
+    private var objectives: Map<PoolId, BurnObjective> = emptyMap()
     private var knownMembership = -1L
     private var knownRevision = Revision.NONE
 
@@ -246,6 +253,13 @@
         val revision = documents.document()?.revision ?: Revision.NONE
         if (revision != knownRevision) {
             knownRevision = revision
+            objectives =
+                documents
+                    .document()
+                    ?.document
+                    ?.objectives
+                    .orEmpty()
+                    .mapValues { burnObjective(it.value) }
             effects += allotter.documentChanged(now)
             effects += requester.documentChanged(now)
         }
@@ -262,6 +276,20 @@
     }
 
     public companion object {
+        private const val MICROSECONDS = 1_000L
+        private const val PERCENT = 100.0
+
+        /** An objective of 100 percent would leave no error budget to burn. */
+        private const val LARGEST_GOOD_FRACTION = 0.9999
+
+        private fun burnObjective(objective: Objective): BurnObjective = BurnObjective(
+            firstTokenMicroseconds = objective.firstTokenMilliseconds * MICROSECONDS,
+            betweenTokensMicroseconds = objective.betweenTokensMilliseconds * MICROSECONDS,
+            goodFraction = (objective.percent / PERCENT).coerceAtMost(LARGEST_GOOD_FRACTION),
+        )
+
+        private val defaultObjective = burnObjective(Objective(PoolId("default")))
+
         /** As many as the requests table holds, with room for requests that are refused at once. */
         private const val MAXIMUM_TIMED_REQUESTS = 8_192
 
--- a/src/main/kotlin/azuredale/report/BurnExchange.kt
+++ b/src/main/kotlin/azuredale/report/BurnExchange.kt
@@ -54,7 +54,7 @@
     private companion object {
         const val REPORTERS = 3
 
-        /** Burn windows are at least five minutes long, so half a minute of lag does not matter. */
-        const val PERIOD_MILLISECONDS = 30_000L
+        /** Burn windows are at least five minutes long, so a minute of lag does not matter. */
+        const val PERIOD_MILLISECONDS = 60_000L
     }
 }
--- a/src/main/kotlin/azuredale/report/BurnReport.kt
+++ b/src/main/kotlin/azuredale/report/BurnReport.kt
@@ -20,7 +20,7 @@
     val key: BurnKey,
     val windows: Map<BurnWindow, WindowCounts>,
     val rates: Map<BurnWindow, Double>,
-    private val objective: BurnObjective,
+    val objective: BurnObjective,
 ) {
     /** The most urgent alert whose two windows both exceed the rate. */
     val alert: BurnAlert get() =
--- a/src/main/kotlin/azuredale/report/BurnTracker.kt
+++ b/src/main/kotlin/azuredale/report/BurnTracker.kt
@@ -24,12 +24,15 @@
  * val page = tracker.report(members.map { it.router }, now).toHtml()
  * ```
  *
+ * @param objective shown in the report and used for pools without an objective of their own.
+ * @param objectiveOf objective of a pool; called with the table locked, so it must take no lock.
  * @param maximumRows bound on pairs of team and pool; further pairs are counted in [droppedCounts] only.
  */
 public class BurnTracker(
     private val self: RouterId,
     private val incarnation: Incarnation,
     private val objective: BurnObjective = BurnObjective(),
+    private val objectiveOf: (PoolId) -> BurnObjective = { objective },
     maximumRows: Int = 6_000,
 ) {
     private val rows = Table<BurnKey, BurnRow>("burn counts", "BurnTracker", maximumRows, LockRank.REPORTS)
@@ -46,9 +49,10 @@
     /** Counts one request that ended at this router. */
     public fun requestEnded(key: BurnKey, request: EndedRequest, now: Timestamp): Unit = rows.locked {
         val minute = minuteOf(now)
+        val expected = objectiveOf(key.pool)
         val isSlow =
-            isLonger(request.firstTokenMicroseconds, objective.firstTokenMicroseconds) ||
-                isLonger(request.betweenTokensMicroseconds, objective.betweenTokensMicroseconds)
+            isLonger(request.firstTokenMicroseconds, expected.firstTokenMicroseconds) ||
+                isLonger(request.betweenTokensMicroseconds, expected.betweenTokensMicroseconds)
         val missed = if (isSlow && !request.hasFailed) 1L else 0L
         val counts = WindowCounts(1, missed, if (request.hasFailed) 1 else 0)
         latencies.record(key.pool, request, minute)
@@ -95,7 +99,10 @@
         val plots =
             lines.take(PLOTTED_ROWS).map { line ->
                 val row = checkNotNull(rows[line.key])
-                BurnPlot(line.key, (minute - PLOTTED_MINUTES + 1..minute).map { objective.burnRate(row.minute(it)) })
+                BurnPlot(
+                    line.key,
+                    (minute - PLOTTED_MINUTES + 1..minute).map { line.objective.burnRate(row.minute(it)) },
+                )
             }
         val missing = reported.missing(routers.filter { it != self }, now)
         BurnReport(now, objective, lines, latencies.summaries(minute), missing, plots, droppedCounts)
@@ -103,7 +110,8 @@
 
     private fun line(key: BurnKey, row: BurnRow, minute: Long): BurnLine {
         val windows = BurnWindow.entries.associateWith { row.sum(minute, it) }
-        return BurnLine(key, windows, windows.mapValues { objective.burnRate(it.value) }, objective)
+        val expected = objectiveOf(key.pool)
+        return BurnLine(key, windows, windows.mapValues { expected.burnRate(it.value) }, expected)
     }
 
     private fun add(key: BurnKey, minute: Long, counts: WindowCounts): Boolean {
--- a/src/main/kotlin/azuredale/report/Metrics.kt
+++ b/src/main/kotlin/azuredale/report/Metrics.kt
@@ -78,6 +78,7 @@
 
     /** Exposes a count of bytes between routers that grows elsewhere. */
     public fun controlBytes(channel: ControlChannel, total: () -> Long) {
+        sources += total
         FunctionCounter
             .builder("azuredale.control.bytes", total) { it().toDouble() }
             .tag("channel", channel.name.lowercase())
