--- a/src/main/kotlin/azuredale/command/MeasureCommand.kt
+++ b/src/main/kotlin/azuredale/command/MeasureCommand.kt
@@ -1,5 +1,6 @@
 package azuredale.command
 
+import azuredale.demo.PassThrough
 import azuredale.measure.MeasureOptions
 import azuredale.measure.runMeasure
 import azuredale.membership.DatagramCodec
@@ -28,11 +29,18 @@
     @field:Option(name = "--json", usage = "print JSON")
     var isJson: Boolean = false
 
+    @field:Option(name = "--pass-through", usage = "compare one router with a direct client, in real time")
+    var isPassThrough: Boolean = false
+
     @field:Option(name = "--scenario", metaVar = "FILE", usage = "run a scenario instead of a profile")
     var scenario: String? = null
 
     override fun run(terminal: Terminal): Int {
         scenario?.let { readInput(it) }
+        if (isPassThrough) {
+            PassThrough(PHASE_SECONDS).run(terminal.output)
+            return ExitCode.SUCCESS
+        }
         return runMeasure(measureOptions(), terminal.output)
     }
 
@@ -51,4 +59,8 @@
             datagramSize = { datagrams.encode(it).size },
         )
     }
+
+    private companion object {
+        const val PHASE_SECONDS = 4L
+    }
 }
--- a/src/main/kotlin/azuredale/demo/DemoFleet.kt
+++ b/src/main/kotlin/azuredale/demo/DemoFleet.kt
@@ -34,9 +34,12 @@
 import java.util.UUID
 
 /** Three routers, the platform's stand-in, four engines of unequal speed and a plain service, all on loopback. */
-internal class DemoFleet(private val vertx: Vertx) {
+internal class DemoFleet(
+    private val vertx: Vertx,
+    private val engineSettings: List<EngineSettings> = demoEngines,
+) {
     private val platform = PlatformStandIn(vertx)
-    private val engines = engineSpeeds.map { speed -> EngineStandIn(vertx, engineSettings(speed)) }
+    private val engines = engineSettings.map { EngineStandIn(vertx, it) }
     val service: ServiceStandIn = ServiceStandIn(vertx)
     lateinit var routers: List<RouterDaemon>
         private set
@@ -46,7 +49,10 @@
         private set
 
     /** Slots of all engines together. */
-    val engineSlots: Int = engineSpeeds.size * SLOTS
+    val engineSlots: Int = engineSettings.sumOf { it.slots }
+
+    /** Addresses of the engines, once started. */
+    val engineAddresses: List<NetworkAddress> get() = engines.map { NetworkAddress(LOOPBACK, it.port) }
 
     /** Requests that run at the engines at this moment. */
     fun busySlots(): Int = engines.sumOf { it.open.coerceAtMost(SLOTS) }
@@ -100,7 +106,7 @@
                     pool = MODELS,
                     address = NetworkAddress(LOOPBACK, engine.port),
                     failureDomain = domains[index % domains.size],
-                    slots = SLOTS,
+                    slots = engineSettings[index].slots,
                     batch = BatchId(if (index == 0) "blue" else "green"),
                     modelVersions = setOf(version),
                 )
@@ -144,9 +150,6 @@
         }
     }
 
-    private fun engineSettings(speed: Double) =
-        EngineSettings(slots = SLOTS, tokensPerSecond = speed, firstTokenMilliseconds = FIRST_TOKEN_MILLISECONDS)
-
     /** A port that was free a moment ago. */
     private fun freeAddress(): NetworkAddress =
         ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)).use { NetworkAddress(LOOPBACK, it.localPort) }
@@ -163,7 +166,14 @@
         private const val FIRST_TOKEN_MILLISECONDS = 15L
         private const val START_MILLISECONDS = 15_000L
         private const val RETRY_MILLISECONDS = 100L
-        private val engineSpeeds = listOf(50.0, 80.0, 120.0, 200.0)
+        private val demoEngines =
+            listOf(50.0, 80.0, 120.0, 200.0).map { speed ->
+                EngineSettings(
+                    slots = SLOTS,
+                    tokensPerSecond = speed,
+                    firstTokenMilliseconds = FIRST_TOKEN_MILLISECONDS,
+                )
+            }
         private val domains = listOf("south-a", "south-b", "south-c").map(::FailureDomain)
         private val fleetKey = Secret(UUID.randomUUID().toString())
         private val operatorToken = Secret(UUID.randomUUID().toString())
