Split metrics and objectives out of the daemon and the node

Change: RouterMetrics connects counts with the metrics page, BurnObjective is made from the document's objective where it is defined, and the views for operators stand together. Behaviour is unchanged.

--- a/src/main/kotlin/azuredale/node/FleetDescription.kt
+++ b/src/main/kotlin/azuredale/node/FleetDescription.kt
@@ -1,14 +1,18 @@
 package azuredale.node
 
+import azuredale.configuration.BackendServer
 import azuredale.configuration.Document
+import azuredale.configuration.PoolKind
 import azuredale.configuration.RouterSettings
 import azuredale.configuration.ServerState
+import azuredale.console.BurnFormat
 import azuredale.console.FleetStatus
 import azuredale.console.MemberStatus
 import azuredale.console.PoolStatus
 import azuredale.console.ShardStatus
 import azuredale.console.TeamStatus
 import azuredale.identity.Incarnation
+import azuredale.time.Timestamp
 
 /** The fleet as [node] sees it, for operators. */
 internal fun describeFleet(
@@ -60,3 +64,23 @@
         counters = shard.teams.associate { it.team.name to it.counter },
     )
 }
+
+/** The burn report that [node] holds. */
+internal fun renderBurnReport(node: RouterNode, format: BurnFormat, now: Timestamp): String {
+    val report = node.burn.report(node.membership.members().map { it.router }, now)
+    return when (format) {
+        BurnFormat.TEXT -> report.toText()
+        BurnFormat.JSON -> report.toJson().toString()
+        BurnFormat.HTML -> report.toHtml()
+    }
+}
+
+/** Engines of the shards that [node] allots; only the allotter limits what they are given. */
+internal fun allottedEngines(node: RouterNode): List<BackendServer> {
+    val document = node.documents.document()?.document ?: return emptyList()
+    return node.allotter
+        .snapshot()
+        .shards
+        .filter { document.pools[it.shard.pool]?.kind == PoolKind.MODEL }
+        .flatMap { shard -> shard.servers.mapNotNull { document.servers[it.server] } }
+}
--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -2,13 +2,10 @@
 
 import azuredale.blackboard.WorkerPool
 import azuredale.configuration.AcceptedDocument
-import azuredale.configuration.BackendServer
 import azuredale.configuration.DocumentSource
 import azuredale.configuration.DocumentSubmitter
-import azuredale.configuration.PoolKind
 import azuredale.configuration.RouterSettings
 import azuredale.configuration.SubmissionResult
-import azuredale.console.BurnFormat
 import azuredale.console.OperatorEdge
 import azuredale.console.OperatorPort
 import azuredale.console.Submission
@@ -23,9 +20,6 @@
 import azuredale.platform.KeyClaimer
 import azuredale.platform.MachineListResult
 import azuredale.platform.VirtualMachineListClient
-import azuredale.report.ControlChannel
-import azuredale.report.Metrics
-import azuredale.report.TimedRequest
 import azuredale.routing.AddressPlanner
 import azuredale.routing.EdgeSettings
 import azuredale.routing.EnginePoller
@@ -68,10 +62,10 @@
     private val incarnation = Incarnation(clock().microseconds)
     private val drained = CompletableDeferred<Unit>()
 
-    private val metrics = Metrics()
+    private val metrics = RouterMetrics()
 
     /** The decisions of this router. */
-    public val node: RouterNode = RouterNode(settings, incarnation, random, onRequestEnded = ::count)
+    public val node: RouterNode = RouterNode(settings, incarnation, random, onRequestEnded = metrics::requestEnded)
 
     private val workers =
         WorkerPool<NodeEvent>(
@@ -140,7 +134,7 @@
             addresses = addresses::plan,
             clock = clock,
         )
-    private val poller = EnginePoller(vertx, ::offer, ::polledServers, clock)
+    private val poller = EnginePoller(vertx, ::offer, { allottedEngines(node) }, clock)
     private val submitter =
         DocumentSubmitter(
             service = keyValueService,
@@ -157,7 +151,9 @@
 
     /** Opens all sockets and starts the workers. */
     public suspend fun start() {
-        exposeMetrics()
+        metrics.exposeTraffic(transport, datagrams)
+        metrics.exposeNode(node, ::isReady)
+        metrics.exposeCalls(budget)
         workers.start(scope, Dispatchers.Default)
         transport.start()
         datagrams.start()
@@ -198,16 +194,6 @@
         log.write(NodeLogEvent.ROUTER_STOPPED, "router" to settings.router)
     }
 
-    /** Engines of the shards that this router allots, since only the allotter limits what they are given. */
-    private fun polledServers(): List<BackendServer> {
-        val document = node.documents.document()?.document ?: return emptyList()
-        return node.allotter
-            .snapshot()
-            .shards
-            .filter { document.pools[it.shard.pool]?.kind == PoolKind.MODEL }
-            .flatMap { shard -> shard.servers.mapNotNull { document.servers[it.server] } }
-    }
-
     private suspend fun listMachines(client: VirtualMachineListClient) {
         while (scope.isActive) {
             val result = client.list(clock().plusSeconds(1))
@@ -260,7 +246,7 @@
         status = { describeFleet(node, settings, incarnation, isReady()) },
         drain = ::drain,
         metrics = metrics::scrape,
-        burnReport = ::renderBurnReport,
+        burnReport = { renderBurnReport(node, it, clock()) },
     )
 
     private fun offer(event: NodeEvent) {
@@ -269,44 +255,6 @@
         }
     }
 
-    private fun count(request: TimedRequest) {
-        metrics.requestEnded(request.team, request.pool, request.failure)
-        metrics.requestTime(request.pool, request.totalMicroseconds)
-        request.firstTokenMicroseconds?.let { metrics.firstToken(request.pool, it) }
-    }
-
-    private fun exposeMetrics() {
-        metrics.controlBytes(ControlChannel.FRAMES_SENT) { transport.counters.bytesSent.sum() }
-        metrics.controlBytes(ControlChannel.FRAMES_RECEIVED) { transport.counters.bytesReceived.sum() }
-        metrics.controlBytes(ControlChannel.DATAGRAMS_SENT) { datagrams.bytesSent.sum() }
-        metrics.controlBytes(ControlChannel.DATAGRAMS_RECEIVED) { datagrams.bytesReceived.sum() }
-        metrics.framesRefused("peers", transport.counters::framesRefused)
-        metrics.framesRefused("probes", datagrams::datagramsRefused)
-        metrics.gauge("requests.waiting") { node.requester.waitingCount.toDouble() }
-        metrics.gauge("requests.running") { node.requester.runningCount.toDouble() }
-        metrics.gauge("requests.open") { node.requests.requestCount.toDouble() }
-        metrics.gauge("events.stale") { node.requests.droppedEvents.toDouble() }
-        metrics.gauge("members.alive") {
-            node.membership
-                .members()
-                .size
-                .toDouble()
-        }
-        metrics.gauge("document.revision") { (node.documents.document()?.revision ?: Revision.NONE).value.toDouble() }
-        metrics.gauge("ready") { if (isReady()) 1.0 else 0.0 }
-        metrics.gauge("platform.calls.allowed") { budget.allowed.toDouble() }
-        metrics.gauge("platform.calls.refused") { budget.refused.toDouble() }
-    }
-
-    private fun renderBurnReport(format: BurnFormat): String {
-        val report = node.burn.report(node.membership.members().map { it.router }, clock())
-        return when (format) {
-            BurnFormat.TEXT -> report.toText()
-            BurnFormat.JSON -> report.toJson().toString()
-            BurnFormat.HTML -> report.toHtml()
-        }
-    }
-
     private suspend fun handle(event: NodeEvent) {
         node.handle(event, clock()).forEach { effect ->
             try {
--- /dev/null
+++ b/src/main/kotlin/azuredale/node/RouterMetrics.kt
@@ -0,0 +1,56 @@
+package azuredale.node
+
+import azuredale.identity.Revision
+import azuredale.membership.DatagramEdge
+import azuredale.platform.CallBudget
+import azuredale.report.ControlChannel
+import azuredale.report.Metrics
+import azuredale.report.TimedRequest
+import azuredale.transport.PeerTransport
+
+/** Connects the counts of one router's parts with the metrics page. */
+internal class RouterMetrics {
+    private val metrics = Metrics()
+
+    /** The metrics page. */
+    fun scrape(): String = metrics.scrape()
+
+    /** Counts a request of a caller. */
+    fun requestEnded(request: TimedRequest) {
+        metrics.requestEnded(request.team, request.pool, request.failure)
+        metrics.requestTime(request.pool, request.totalMicroseconds)
+        request.firstTokenMicroseconds?.let { metrics.firstToken(request.pool, it) }
+    }
+
+    /** Shows the traffic between routers. */
+    fun exposeTraffic(transport: PeerTransport, datagrams: DatagramEdge) {
+        metrics.controlBytes(ControlChannel.FRAMES_SENT) { transport.counters.bytesSent.sum() }
+        metrics.controlBytes(ControlChannel.FRAMES_RECEIVED) { transport.counters.bytesReceived.sum() }
+        metrics.controlBytes(ControlChannel.DATAGRAMS_SENT) { datagrams.bytesSent.sum() }
+        metrics.controlBytes(ControlChannel.DATAGRAMS_RECEIVED) { datagrams.bytesReceived.sum() }
+        metrics.framesRefused("peers", transport.counters::framesRefused)
+        metrics.framesRefused("probes", datagrams::datagramsRefused)
+    }
+
+    /** Shows the state of [node]. */
+    fun exposeNode(node: RouterNode, isReady: () -> Boolean) {
+        metrics.gauge("requests.waiting") { node.requester.waitingCount.toDouble() }
+        metrics.gauge("requests.running") { node.requester.runningCount.toDouble() }
+        metrics.gauge("requests.open") { node.requests.requestCount.toDouble() }
+        metrics.gauge("events.stale") { node.requests.droppedEvents.toDouble() }
+        metrics.gauge("members.alive") {
+            node.membership
+                .members()
+                .size
+                .toDouble()
+        }
+        metrics.gauge("document.revision") { (node.documents.document()?.revision ?: Revision.NONE).value.toDouble() }
+        metrics.gauge("ready") { if (isReady()) 1.0 else 0.0 }
+    }
+
+    /** Shows the calls to the platform. */
+    fun exposeCalls(budget: CallBudget) {
+        metrics.gauge("platform.calls.allowed") { budget.allowed.toDouble() }
+        metrics.gauge("platform.calls.refused") { budget.refused.toDouble() }
+    }
+}
--- a/src/main/kotlin/azuredale/node/RouterNode.kt
+++ b/src/main/kotlin/azuredale/node/RouterNode.kt
@@ -1,7 +1,6 @@
 package azuredale.node
 
 import azuredale.configuration.DocumentController
-import azuredale.configuration.Objective
 import azuredale.configuration.RouterSettings
 import azuredale.identity.Incarnation
 import azuredale.identity.PoolId
@@ -143,7 +142,7 @@
 
     /** Requests of the fleet that missed their objective, as far as this router knows. */
     public val burn: BurnTracker =
-        BurnTracker(settings.router, incarnation, defaultObjective, { objectives[it] ?: defaultObjective })
+        BurnTracker(settings.router, incarnation, BurnObjective.DEFAULT, { objectives[it] ?: BurnObjective.DEFAULT })
     private val burnExchange = BurnExchange(settings.router, burn) { membership.members().map { it.router } }
     private val times = RequestTimes(MAXIMUM_TIMED_REQUESTS)
     private val drain = DrainProgress()
@@ -259,7 +258,7 @@
                     ?.document
                     ?.objectives
                     .orEmpty()
-                    .mapValues { burnObjective(it.value) }
+                    .mapValues { BurnObjective.of(it.value) }
             effects += allotter.documentChanged(now)
             effects += requester.documentChanged(now)
         }
@@ -276,20 +275,6 @@
     }
 
     public companion object {
-        private const val MICROSECONDS = 1_000L
-        private const val PERCENT = 100.0
-
-        /** An objective of 100 percent would leave no error budget to burn. */
-        private const val LARGEST_GOOD_FRACTION = 0.9999
-
-        private fun burnObjective(objective: Objective): BurnObjective = BurnObjective(
-            firstTokenMicroseconds = objective.firstTokenMilliseconds * MICROSECONDS,
-            betweenTokensMicroseconds = objective.betweenTokensMilliseconds * MICROSECONDS,
-            goodFraction = (objective.percent / PERCENT).coerceAtMost(LARGEST_GOOD_FRACTION),
-        )
-
-        private val defaultObjective = burnObjective(Objective(PoolId("default")))
-
         /** As many as the requests table holds, with room for requests that are refused at once. */
         private const val MAXIMUM_TIMED_REQUESTS = 8_192
 
--- a/src/main/kotlin/azuredale/report/BurnObjective.kt
+++ b/src/main/kotlin/azuredale/report/BurnObjective.kt
@@ -1,5 +1,8 @@
 package azuredale.report
 
+import azuredale.configuration.Objective
+import azuredale.identity.PoolId
+
 /**
  * Service-level objective of requests and the alerts on it.
  *
@@ -19,6 +22,24 @@
     /** How fast [counts] use up the error budget; 1 uses it up exactly over the period of the objective. */
     internal fun burnRate(counts: WindowCounts): Double =
         if (counts.ended == 0L) 0.0 else counts.bad.toDouble() / counts.ended / (1 - goodFraction)
+
+    public companion object {
+        private const val MICROSECONDS_PER_MILLISECOND = 1_000L
+        private const val PERCENT = 100.0
+
+        /** An objective of 100 percent would leave no error budget to burn. */
+        private const val LARGEST_GOOD_FRACTION = 0.9999
+
+        /** Objective of pools for which the document states none. */
+        public val DEFAULT: BurnObjective = of(Objective(PoolId("default")))
+
+        /** The document's [objective] with the default alerts. */
+        public fun of(objective: Objective): BurnObjective = BurnObjective(
+            firstTokenMicroseconds = objective.firstTokenMilliseconds * MICROSECONDS_PER_MILLISECOND,
+            betweenTokensMicroseconds = objective.betweenTokensMilliseconds * MICROSECONDS_PER_MILLISECOND,
+            goodFraction = (objective.percent / PERCENT).coerceAtMost(LARGEST_GOOD_FRACTION),
+        )
+    }
 }
 
 /** Requests in a window; [missed] and [failed] do not overlap. */
