--- a/src/test/kotlin/azuredale/console/ConsoleSpec.kt
+++ b/src/test/kotlin/azuredale/console/ConsoleSpec.kt
@@ -5,16 +5,10 @@
 import azuredale.configuration.DocumentParser
 import azuredale.configuration.DocumentWriter
 import azuredale.configuration.Parsed
-import azuredale.configuration.RouterSettings
-import azuredale.configuration.Secret
 import azuredale.configuration.SubmissionResult
 import azuredale.configuration.Team
-import azuredale.identity.FailureDomain
-import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
-import azuredale.identity.Region
 import azuredale.identity.Revision
-import azuredale.identity.RouterId
 import azuredale.identity.TeamId
 import azuredale.time.systemClock
 import io.vertx.core.Vertx
@@ -51,7 +45,8 @@
             metrics = { "" },
             burnReport = { "" },
         )
-    private val edge = OperatorEdge(vertx, settings(), port, CoroutineScope(Dispatchers.Default), systemClock())
+    private val edge =
+        OperatorEdge(vertx, operatorTestSettings(), port, CoroutineScope(Dispatchers.Default), systemClock())
     private var cookie = ""
 
     @BeforeEach
@@ -150,7 +145,7 @@
     }
 
     private fun login() {
-        val response = post("/console/login", mapOf("token" to TOKEN))
+        val response = post("/console/login", mapOf("token" to TEST_OPERATOR_TOKEN))
         cookie =
             response
                 .headers()
@@ -182,7 +177,6 @@
         client.send(request.build(), HttpResponse.BodyHandlers.ofString())
 
     private companion object {
-        const val TOKEN = "operator-token-of-the-test"
         val pool = PoolId("models")
         val counter = Team(TeamId("counter"), 1.0, setOf(pool))
 
@@ -195,21 +189,5 @@
 
         fun accept(revision: Long, document: Document) =
             AcceptedDocument(Revision(revision), DocumentWriter.write(document), document, "submission-$revision")
-
-        fun settings(): RouterSettings {
-            val address = NetworkAddress("127.0.0.1", 0)
-            return RouterSettings(
-                router = RouterId("router-1"),
-                region = Region("south"),
-                failureDomain = FailureDomain("south-a"),
-                callerAddress = address,
-                operatorAddress = address,
-                peerAddress = address,
-                probeAddress = address,
-                platform = listOf(address),
-                fleetKey = Secret("fleet-key-of-the-test"),
-                operatorToken = Secret(TOKEN),
-            )
-        }
     }
 }
--- a/src/test/kotlin/azuredale/console/OperatorApiSpec.kt
+++ b/src/test/kotlin/azuredale/console/OperatorApiSpec.kt
@@ -6,14 +6,8 @@
 import azuredale.configuration.ConfigurationFault
 import azuredale.configuration.DocumentParser
 import azuredale.configuration.Parsed
-import azuredale.configuration.RouterSettings
-import azuredale.configuration.Secret
 import azuredale.configuration.SubmissionResult
-import azuredale.identity.FailureDomain
-import azuredale.identity.NetworkAddress
-import azuredale.identity.Region
 import azuredale.identity.Revision
-import azuredale.identity.RouterId
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
 import azuredale.time.systemClock
@@ -56,7 +50,8 @@
             metrics = { "metrics" },
             burnReport = { "report as $it" },
         )
-    private val edge = OperatorEdge(vertx, settings(), port, CoroutineScope(Dispatchers.Default), systemClock())
+    private val edge =
+        OperatorEdge(vertx, operatorTestSettings(), port, CoroutineScope(Dispatchers.Default), systemClock())
 
     @BeforeEach
     fun start() = runBlocking { edge.start() }
@@ -144,14 +139,13 @@
         }
     }
 
-    private fun run(vararg arguments: String, token: String = TOKEN): Int {
+    private fun run(vararg arguments: String, token: String = TEST_OPERATOR_TOKEN): Int {
         val file = folder.resolve("token").also { it.writeText(token) }
         val address = listOf("--router", "127.0.0.1:${edge.actualPort}", "--token-file", file.toString())
         return CommandLine().run(arguments.toList() + address, Terminal(output, errors))
     }
 
     private companion object {
-        const val TOKEN = "operator-token-of-the-test"
         const val TEXT =
             "[failure-domain south-a]\nregion = south\n[pool models]\nkind = model\n" +
                 "[server engine-1]\npool = models\naddress = 127.0.0.1:9\nfailure-domain = south-a\nslots = 1\nbatch = blue\n"
@@ -160,21 +154,5 @@
             val parsed = assertIs<Parsed.Valid<azuredale.configuration.Document>>(DocumentParser.parse(text))
             return AcceptedDocument(Revision(revision), text, parsed.value)
         }
-
-        fun settings(): RouterSettings {
-            val address = NetworkAddress("127.0.0.1", 0)
-            return RouterSettings(
-                router = RouterId("router-1"),
-                region = Region("south"),
-                failureDomain = FailureDomain("south-a"),
-                callerAddress = address,
-                operatorAddress = address,
-                peerAddress = address,
-                probeAddress = address,
-                platform = listOf(address),
-                fleetKey = Secret("fleet-key-of-the-test"),
-                operatorToken = Secret(TOKEN),
-            )
-        }
     }
 }
--- /dev/null
+++ b/src/test/kotlin/azuredale/console/OperatorTestSettings.kt
@@ -0,0 +1,28 @@
+package azuredale.console
+
+import azuredale.configuration.RouterSettings
+import azuredale.configuration.Secret
+import azuredale.identity.FailureDomain
+import azuredale.identity.NetworkAddress
+import azuredale.identity.Region
+import azuredale.identity.RouterId
+
+/** Token of the operators in tests of the operator interface. */
+internal const val TEST_OPERATOR_TOKEN = "operator-token-of-the-test"
+
+/** Settings with free ports for tests of the operator interface. */
+internal fun operatorTestSettings(): RouterSettings {
+    val address = NetworkAddress("127.0.0.1", 0)
+    return RouterSettings(
+        router = RouterId("router-1"),
+        region = Region("south"),
+        failureDomain = FailureDomain("south-a"),
+        callerAddress = address,
+        operatorAddress = address,
+        peerAddress = address,
+        probeAddress = address,
+        platform = listOf(address),
+        fleetKey = Secret("fleet-key-of-the-test"),
+        operatorToken = Secret(TEST_OPERATOR_TOKEN),
+    )
+}
