--- a/src/main/kotlin/azuredale/command/CommandLine.kt
+++ b/src/main/kotlin/azuredale/command/CommandLine.kt
@@ -69,6 +69,7 @@
 /** Every command by its name. */
 internal val allCommands: Map<String, () -> Command> =
     linkedMapOf(
+        "gateway" to ::GatewayCommand,
         "router" to ::RouterCommand,
         "check" to ::CheckCommand,
         "submit" to ::SubmitCommand,
--- /dev/null
+++ b/src/main/kotlin/azuredale/command/GatewayCommand.kt
@@ -0,0 +1,32 @@
+package azuredale.command
+
+import azuredale.platform.PlatformProcess
+import azuredale.platform.SettingsFile
+import azuredale.platform.SettingsResult
+import org.kohsuke.args4j.Option
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** `azuredale gateway [--settings FILE]`. */
+internal class GatewayCommand : Command("run one router on the platform until it is terminated") {
+    @field:Option(
+        name = "--settings",
+        metaVar = "FILE",
+        usage = "settings that the platform wrote; default: the file named by AZUREDALE_SETTINGS",
+    )
+    var settings: String = System.getenv(SettingsFile.PATH_VARIABLE).orEmpty()
+
+    override fun run(terminal: Terminal): Int {
+        if (settings.isEmpty()) {
+            terminal.errors.appendLine("no settings: pass --settings or set ${SettingsFile.PATH_VARIABLE}")
+            return ExitCode.USAGE
+        }
+        return when (val result = SettingsFile.parse(Path.of(settings).readText())) {
+            is SettingsResult.Valid -> PlatformProcess(result.settings).run()
+            is SettingsResult.Invalid -> {
+                result.faults.forEach { terminal.errors.appendLine("$settings: $it") }
+                ExitCode.FAILURE
+            }
+        }
+    }
+}
--- a/src/main/kotlin/azuredale/configuration/DocumentSubmitter.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentSubmitter.kt
@@ -5,11 +5,11 @@
 import azuredale.node.NodeEvent
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
-import azuredale.platform.KeyValueService
-import azuredale.platform.KeyVersion
-import azuredale.platform.ReadResult
-import azuredale.platform.StoredValue
-import azuredale.platform.WriteResult
+import azuredale.store.KeyValueService
+import azuredale.store.KeyVersion
+import azuredale.store.ReadResult
+import azuredale.store.StoredValue
+import azuredale.store.WriteResult
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import kotlinx.coroutines.delay
--- /dev/null
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -0,0 +1,211 @@
+package azuredale.edge
+
+import azuredale.gateway.BackendEvent
+import azuredale.gateway.ResponseHead
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.internal.buffer.BufferInternal
+import io.vertx.core.internal.net.NetSocketInternal
+
+/** What a response says of its connection. */
+public class ConnectionHints(
+    public val isClosing: Boolean,
+    public val keepAliveSeconds: Long?,
+)
+
+/** Decodes what a backend server sends; the wire's names stay in the adapter. */
+public interface ResponseDecoder {
+    public fun head(response: HttpResponse): ResponseHead
+
+    public fun hints(response: HttpResponse): ConnectionHints
+}
+
+/**
+ * One connection to a backend server, used for one request at a time.
+ *
+ * Responses are matched by the id that they echo: a response to another request is dropped and the right one awaited,
+ * which is why a client that pairs responses with requests by their order does not fit. After such a response, or bytes
+ * that belong to no request, the connection is not used again.
+ */
+internal class BackendConnection(
+    private val socket: NetSocketInternal,
+    private val decoder: ResponseDecoder,
+    private val onIdle: (BackendConnection, ConnectionHints) -> Unit,
+    private val onClosed: (BackendConnection) -> Unit,
+) {
+    private var exchange: Exchange? = null
+    private var isReset = false
+    private var isClosed = false
+    private var isTainted = false
+
+    init {
+        val pipeline = socket.channelHandlerContext().pipeline()
+        pipeline.addFirst("reset-recorder", ResetRecorder())
+        pipeline.addBefore(SOCKET_HANDLER, "encoder", HttpRequestEncoder())
+        pipeline.addBefore(SOCKET_HANDLER, "decoder", HeadAwareDecoder())
+        socket.messageHandler(::received)
+        socket.closeHandler { closed() }
+        socket.exceptionHandler { isReset = true }
+    }
+
+    /** Whether no request is in progress and the connection may carry another one. */
+    val isUsable: Boolean get() = !isClosed && !isTainted && exchange == null
+
+    /** Sends [request] and reports what follows to [onEvent]. */
+    fun send(request: FullHttpRequest, requestId: String, onEvent: (BackendEvent) -> Unit): Exchange {
+        check(isUsable) { "connection is in use" }
+        val started = Exchange(requestId, request.method().name() == "HEAD", onEvent)
+        exchange = started
+        socket.writeMessage(request).onSuccess { started.isWritten = true }
+        return started
+    }
+
+    fun close() {
+        isTainted = true
+        socket.close()
+    }
+
+    fun pause(isPaused: Boolean) {
+        if (isPaused) socket.pause() else socket.resume()
+    }
+
+    /** A request in progress on this connection. */
+    inner class Exchange(
+        val requestId: String,
+        val isHeadRequest: Boolean,
+        private val onEvent: (BackendEvent) -> Unit,
+    ) {
+        var isWritten = false
+        var hints: ConnectionHints? = null
+        var isForeign = false
+        var hasHead = false
+
+        fun report(event: BackendEvent) = onEvent(event)
+
+        /** Gives the request up; the server sees its connection close. */
+        fun cancel() {
+            if (exchange !== this) return
+            exchange = null
+            this@BackendConnection.close()
+        }
+
+        fun pause(isPaused: Boolean) {
+            if (exchange === this) this@BackendConnection.pause(isPaused)
+        }
+    }
+
+    private fun received(message: Any) {
+        try {
+            val current = exchange
+            if (current == null) {
+                close()
+                return
+            }
+            if (message is HttpMessage && message.decoderResult().isFailure) {
+                broken("response is malformed: ${message.decoderResult().cause()?.message}")
+                return
+            }
+            if (message is HttpResponse) headReceived(current, message)
+            if (message is HttpContent && isCurrent(current)) contentReceived(current, message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    /** Whether [started] has not been given up by what its receiver did with an event. */
+    private fun isCurrent(started: Exchange): Boolean = exchange === started
+
+    private fun headReceived(current: Exchange, response: HttpResponse) {
+        val head = decoder.head(response)
+        current.hints = decoder.hints(response)
+        val isUnnamedRefusal = head.requestId == null && head.isNotExecuted
+        current.isForeign = head.requestId != current.requestId && !isUnnamedRefusal
+        if (current.isForeign) {
+            isTainted = true
+        } else {
+            current.hasHead = true
+            current.report(BackendEvent.Head(head))
+        }
+    }
+
+    private fun contentReceived(current: Exchange, content: HttpContent) {
+        if (content.decoderResult().isFailure) {
+            broken("response body is malformed: ${content.decoderResult().cause()?.message}")
+            return
+        }
+        if (!current.isForeign && content.content().isReadable) {
+            val bytes = Buffer.buffer(content.content().readableBytes())
+            (bytes as BufferInternal).appendBytes(
+                io.netty.buffer.ByteBufUtil
+                    .getBytes(content.content()),
+            )
+            current.report(BackendEvent.Data(bytes))
+        }
+        if (content is LastHttpContent && isCurrent(current)) ended(current)
+    }
+
+    private fun ended(current: Exchange) {
+        val hints = current.hints
+        if (current.isForeign) {
+            current.isForeign = false
+            if (hints == null || hints.isClosing) broken("the server closes after a response to another request")
+            return
+        }
+        // A response without a length ends with its connection; a reset does not end it.
+        if (isReset) {
+            broken("connection was reset within the response")
+            return
+        }
+        exchange = null
+        // A server that answers before it has read the whole request would take the rest for another request.
+        val isReusable = current.isWritten && !isTainted && !isClosed && hints != null && !hints.isClosing
+        if (!isReusable) close()
+        current.report(BackendEvent.Complete)
+        if (isReusable) onIdle(this, hints)
+    }
+
+    private fun broken(detail: String) {
+        val current = exchange
+        exchange = null
+        close()
+        current?.report(BackendEvent.Broken(detail))
+    }
+
+    private fun closed() {
+        if (isClosed) return
+        isClosed = true
+        val current = exchange
+        exchange = null
+        onClosed(this)
+        current?.report(BackendEvent.Broken(if (isReset) "connection was reset" else "connection was closed"))
+    }
+
+    /** Notes a reset before the decoder learns of the end of the connection. */
+    private inner class ResetRecorder : ChannelInboundHandlerAdapter() {
+        @Deprecated("Deprecated in the library's interface for other kinds of handlers")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            isReset = true
+            context.fireExceptionCaught(cause)
+        }
+    }
+
+    private inner class HeadAwareDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
+        override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+            exchange?.isHeadRequest == true || super.isContentAlwaysEmpty(message)
+    }
+
+    private companion object {
+        /** Name of the handler that the network library puts at the end of a connection's pipeline. */
+        const val SOCKET_HANDLER = "handler"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/edge/CallerServer.kt
@@ -0,0 +1,226 @@
+package azuredale.edge
+
+import azuredale.gateway.BodyResult
+import azuredale.gateway.Caller
+import azuredale.gateway.Header
+import azuredale.gateway.MalformedHead
+import azuredale.gateway.RequestHead
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpConnection
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CompletableDeferred
+
+/** A request head or what is wrong with it. */
+public sealed interface DecodedHead {
+    public data class Valid(val head: RequestHead) : DecodedHead
+
+    public data class Malformed(val fault: MalformedHead) : DecodedHead
+}
+
+/** Functions of the adapter and the decisions that [CallerServer] calls. */
+public class CallerHandlers(
+    /** Decodes the head of a request. */
+    public val decode: (HttpServerRequest) -> DecodedHead,
+    /** Serves a request; returns at once. */
+    public val serve: (Caller) -> Unit,
+    /** Tells that a request could not be decoded. */
+    public val malformed: (MalformedHead) -> Unit,
+    /** Whether answers should ask callers to close their connections. */
+    public val isClosing: () -> Boolean,
+)
+
+/** HTTP towards callers. */
+internal class CallerServer(
+    private val vertx: Vertx,
+    private val host: String,
+    private val port: Int,
+    private val maximumHeaderBytes: Int,
+    private val handlers: CallerHandlers,
+    private val clock: Clock,
+) {
+    private class Connection(var idleSince: Timestamp) {
+        var requests = 0
+    }
+
+    private var server: HttpServer? = null
+    private val connections = HashMap<HttpConnection, Connection>()
+
+    /** Connections that are open, for metrics. */
+    val openConnections: Int get() = connections.size
+
+    suspend fun start() {
+        val options =
+            HttpServerOptions()
+                .setHost(host)
+                .setPort(port)
+                .setTcpNoDelay(true)
+                .setAcceptBacklog(ACCEPT_BACKLOG)
+                .setMaxHeaderSize(maximumHeaderBytes)
+                .setMaxInitialLineLength(maximumHeaderBytes)
+                .setHttp2ClearTextEnabled(false)
+                .setHandle100ContinueAutomatically(true)
+        server =
+            vertx
+                .createHttpServer(options)
+                .connectionHandler(::opened)
+                .invalidRequestHandler(::refuseInvalid)
+                .requestHandler(::received)
+                .listen()
+                .coAwait()
+    }
+
+    suspend fun stop() {
+        server?.close()?.coAwait()
+    }
+
+    /** Closes connections that have had no request since [deadline]. */
+    fun closeIdleSince(deadline: Timestamp) {
+        val idle = connections.filterValues { it.requests == 0 && it.idleSince <= deadline }.keys.toList()
+        idle.forEach { it.close() }
+    }
+
+    private fun opened(connection: HttpConnection) {
+        connections[connection] = Connection(clock())
+        connection.closeHandler { connections.remove(connection) }
+    }
+
+    private fun refuseInvalid(request: HttpServerRequest) {
+        handlers.malformed(
+            MalformedHead(
+                request
+                    .decoderResult()
+                    .cause()
+                    ?.message
+                    .orEmpty(),
+            ),
+        )
+        HttpServerRequest.DEFAULT_INVALID_REQUEST_HANDLER.handle(request)
+    }
+
+    private fun received(request: HttpServerRequest) {
+        val connection = connections[request.connection()]
+        connection?.let { it.requests++ }
+        when (val decoded = handlers.decode(request)) {
+            is DecodedHead.Valid ->
+                handlers.serve(
+                    HttpCaller(request, decoded.head, handlers.isClosing) { ended(connection) },
+                )
+            is DecodedHead.Malformed -> {
+                handlers.malformed(decoded.fault)
+                ended(connection)
+                request.response().setStatusCode(BAD_REQUEST).end(decoded.fault.detail)
+            }
+        }
+    }
+
+    private fun ended(connection: Connection?) {
+        if (connection == null) return
+        connection.requests--
+        connection.idleSince = clock()
+    }
+
+    private companion object {
+        const val BAD_REQUEST = 400
+
+        /** Room for a burst of new callers while a slow VM starts. */
+        const val ACCEPT_BACKLOG = 1_024
+    }
+}
+
+/** One request on a caller's connection. */
+private class HttpCaller(
+    private val request: HttpServerRequest,
+    override val head: RequestHead,
+    private val isClosing: () -> Boolean,
+    private val onEnded: () -> Unit,
+) : Caller {
+    private val response = request.response()
+    private var onGone: (() -> Unit)? = null
+    private var isGone = false
+    private var isEnded = false
+
+    init {
+        response.exceptionHandler { gone() }
+        response.closeHandler { gone() }
+        response.endHandler { finished() }
+    }
+
+    override suspend fun body(limitBytes: Int): BodyResult {
+        val result = CompletableDeferred<BodyResult>()
+        var bytes = Buffer.buffer()
+        val announced = request.getHeader("Content-Length")?.toLongOrNull() ?: 0
+        if (announced > limitBytes) return BodyResult.TooLarge
+        request.handler { piece ->
+            if (result.isCompleted) return@handler
+            bytes = if (bytes.length() == 0) piece else bytes.appendBuffer(piece)
+            if (bytes.length() > limitBytes) result.complete(BodyResult.TooLarge)
+        }
+        request.exceptionHandler { result.complete(BodyResult.Broken) }
+        request.endHandler { result.complete(BodyResult.Whole(bytes)) }
+        return result.await()
+    }
+
+    override fun answer(status: Int, headers: List<Header>, body: Buffer) {
+        if (isGone) return
+        begin(status, headers)
+        response.putHeader("Content-Length", body.length().toString())
+        response.end(body)
+    }
+
+    override fun beginStream(status: Int, headers: List<Header>) {
+        if (isGone) return
+        begin(status, headers)
+        response.setChunked(true)
+    }
+
+    override fun write(bytes: Buffer): Boolean {
+        if (isGone) return true
+        response.write(bytes)
+        return !response.writeQueueFull()
+    }
+
+    override fun whenWritable(action: () -> Unit) {
+        response.drainHandler {
+            response.drainHandler(null)
+            action()
+        }
+    }
+
+    override fun end() {
+        if (!isGone) response.end()
+    }
+
+    override fun abort() {
+        if (!isGone) response.reset()
+    }
+
+    override fun whenGone(action: () -> Unit) {
+        onGone = action
+        if (isGone) action()
+    }
+
+    private fun begin(status: Int, headers: List<Header>) {
+        response.setStatusCode(status)
+        headers.forEach { response.headers().add(it.name, it.value) }
+        if (isClosing()) response.putHeader("Connection", "close")
+    }
+
+    private fun gone() {
+        if (isEnded || isGone) return
+        isGone = true
+        onEnded()
+        onGone?.invoke()
+    }
+
+    private fun finished() {
+        if (isEnded || isGone) return
+        isEnded = true
+        onEnded()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -0,0 +1,47 @@
+package azuredale.gateway
+
+import azuredale.directory.BackendEntry
+import azuredale.engine.Choice
+import azuredale.engine.EngineBook
+import azuredale.engine.ServerChooser
+import azuredale.logging.EventLog
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+
+/** A timer that can be called off. */
+public fun interface Timer {
+    /** Calls the timer off; nothing happens when it has fired. */
+    public fun cancel()
+}
+
+/** Opens the books of an attempt. */
+internal class Ledgers(
+    private val book: EngineBook,
+    private val onSent: (BackendEntry, List<PromptPart>) -> Unit,
+    private val onExcluded: (Choice.Chosen) -> Unit,
+) {
+    fun begin(choice: Choice.Chosen, prompt: PromptShape?, now: Timestamp): AttemptLedger {
+        val shared = prompt?.parts?.dropLast(1).orEmpty()
+        if (shared.isNotEmpty()) {
+            book.cache.read(choice.server.id, shared)
+            onSent(choice.server, shared)
+        }
+        return AttemptLedger(book, choice, now, onExcluded)
+    }
+}
+
+/** What every request of one router uses. */
+internal class GatewayContext(
+    val settings: GatewaySettings,
+    val clock: Clock,
+    val admission: RequestAdmission,
+    val chooser: ServerChooser,
+    val ledger: Ledgers,
+    val retries: RetryAllowance,
+    val backends: Backends,
+    val format: AnswerFormat,
+    val metrics: GatewayMetrics,
+    val log: EventLog,
+    /** Calls an action at a time. */
+    val timer: (Timestamp, () -> Unit) -> Timer,
+)
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/GatewayMetrics.kt
@@ -0,0 +1,54 @@
+package azuredale.gateway
+
+import azuredale.outcome.ErrorKind
+import azuredale.time.Timestamp
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.DistributionSummary
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+
+/** Counters and latency histograms of one router on the platform, in the Prometheus text format. */
+public class GatewayMetrics {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val outcomes = HashMap<ErrorKind?, Counter>()
+    private val firstEvent = histogram("azuredale.first.event.milliseconds")
+    private val whole = histogram("azuredale.request.milliseconds")
+
+    /** Counts a request that ended; [kind] is null when it was answered by a server. */
+    public fun ended(kind: ErrorKind?, arrivedAt: Timestamp, firstEventAt: Timestamp?, now: Timestamp) {
+        outcomes
+            .getOrPut(kind) {
+                Counter
+                    .builder("azuredale.requests")
+                    .tag("outcome", kind?.name?.lowercase() ?: "answered")
+                    .register(registry)
+            }.increment()
+        if (firstEventAt != null) firstEvent.record(milliseconds(arrivedAt, firstEventAt))
+        if (kind == null) whole.record(milliseconds(arrivedAt, now))
+    }
+
+    /** Exposes a value that goes up and down. */
+    public fun gauge(name: String, value: () -> Double) {
+        Gauge.builder("azuredale.$name", value) { it() }.strongReference(true).register(registry)
+    }
+
+    /** All metrics in the Prometheus text format. */
+    public fun scrape(): String = registry.scrape()
+
+    private fun histogram(name: String) = DistributionSummary
+        .builder(name)
+        .let { builder ->
+            @Suppress("SpreadOperator")
+            builder.serviceLevelObjectives(*BUCKETS_MILLISECONDS)
+        }.register(registry)
+
+    private fun milliseconds(from: Timestamp, to: Timestamp) =
+        to.microsecondsSince(from).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
+
+    private companion object {
+        /** From a millisecond on an idle server to the longest time-outs of the routes. */
+        val BUCKETS_MILLISECONDS =
+            doubleArrayOf(5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 300.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 15_000.0)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/RequestRun.kt
@@ -0,0 +1,427 @@
+package azuredale.gateway
+
+import azuredale.catalog.RouteKind
+import azuredale.directory.BackendEntry
+import azuredale.engine.Choice
+import azuredale.engine.Work
+import azuredale.identity.ServerId
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Execution
+import azuredale.outcome.Failure
+import azuredale.outcome.Outcome
+import azuredale.time.Timestamp
+import io.vertx.core.buffer.Buffer
+import kotlinx.coroutines.channels.Channel
+
+/** What a request's coroutine is woken by. */
+private sealed interface Signal {
+    class FromBackend(
+        val attempt: Int,
+        val event: BackendEvent,
+    ) : Signal
+
+    data object CallerGone : Signal
+
+    data object DeadlinePassed : Signal
+
+    data object CallerWritable : Signal
+}
+
+/** How one attempt ended. */
+private sealed interface AttemptEnd {
+    /** The answer was passed on, or nobody waits for it any more. */
+    data object Done : AttemptEnd
+
+    /** The server has not run the request and never will. */
+    class NotRun(
+        val kind: ErrorKind,
+        val detail: String,
+        val wasSent: Boolean,
+    ) : AttemptEnd
+
+    /** The server may have run the request; [answer] is a failure that the server itself gave. */
+    class Failed(
+        val kind: ErrorKind,
+        val detail: String,
+        val answer: WholeAnswer? = null,
+    ) : AttemptEnd
+}
+
+/** A whole answer of a server, held until it is known that it is passed on. */
+private class WholeAnswer(
+    val head: ResponseHead,
+    val body: Buffer,
+)
+
+/**
+ * Serves one request of a caller: admission, choice of a server, attempts, and the answer.
+ *
+ * A non-idempotent request or a stream that cannot be resumed is written to a server at most once, unless that server
+ * said that it did not run it. An answer says "not run" only when no server began the request.
+ */
+internal class RequestRun(
+    private val caller: Caller,
+    private val gateway: GatewayContext,
+) {
+    private val clock = gateway.clock
+    private val head = caller.head
+    private val arrivedAt = clock()
+    private val signals = Channel<Signal>(Channel.UNLIMITED)
+    private val excluded = HashSet<ServerId>()
+    private var deadline = arrivedAt
+    private var attempt = 0
+    private var serversSent = 0
+    private var lastNumber: Long? = head.lastEvent
+    private var hasBegun = false
+    private var isCallerGone = false
+    private var firstEventAt: Timestamp? = null
+    private lateinit var admitted: AdmittedRequest
+
+    /** Runs to the end of the request. */
+    suspend fun run() {
+        val admission = gateway.admission.admit(head, arrivedAt)
+        if (admission is Outcome.Refused) {
+            refuse(admission.failure)
+            return
+        }
+        admitted = (admission as Outcome.Success).value
+        val limit = minOf(head.remainingMilliseconds ?: Long.MAX_VALUE, admitted.route.timeoutMilliseconds)
+        deadline = arrivedAt.plusMilliseconds(limit)
+        when (val body = caller.body(admitted.bodyLimitBytes)) {
+            is BodyResult.TooLarge -> refuse(Failure(ErrorKind.REQUEST_TOO_LARGE))
+            is BodyResult.Broken -> ended("caller left within the body")
+            is BodyResult.Whole -> serve(body.bytes)
+        }
+    }
+
+    private suspend fun serve(body: Buffer) {
+        gateway.retries.requested(admitted.pool, clock())
+        caller.whenGone { signals.trySend(Signal.CallerGone) }
+        val timer = gateway.timer(deadline) { signals.trySend(Signal.DeadlinePassed) }
+        try {
+            attempts(body)
+        } finally {
+            timer.cancel()
+        }
+    }
+
+    private suspend fun attempts(body: Buffer) {
+        var notRun: Failure? = null
+        var connectFailures = 0
+        while (true) {
+            val now = clock()
+            val choice = gateway.chooser.choose(work(), now)
+            if (choice !is Choice.Chosen) {
+                giveUp(notRun ?: unavailable(choice, now))
+                return
+            }
+            when (val end = attemptAt(choice, body)) {
+                is AttemptEnd.Done -> return
+                is AttemptEnd.NotRun -> {
+                    excluded += choice.server.id
+                    notRun = Failure(end.kind, end.detail, clock().plusMilliseconds(RETRY_MILLISECONDS))
+                    if (!end.wasSent && ++connectFailures <= MAXIMUM_CONNECT_FAILURES) continue
+                    if (!end.wasSent || !mayRepeat()) {
+                        giveUp(notRun)
+                        return
+                    }
+                }
+                is AttemptEnd.Failed -> {
+                    excluded += choice.server.id
+                    if (!admitted.route.isRepeatable || !mayRepeat()) {
+                        fail(end)
+                        return
+                    }
+                    notRun = null
+                }
+            }
+        }
+    }
+
+    private fun work() = Work(
+        pool = admitted.pool,
+        team = admitted.team,
+        prompt = head.prompt,
+        origin = gateway.settings.failureDomain,
+        onTimeUntil = arrivedAt.plusMilliseconds(admitted.route.targetMilliseconds),
+        deadline = deadline,
+        excluded = excluded,
+    )
+
+    private fun mayRepeat(): Boolean {
+        val now = clock()
+        return serversSent < admitted.route.maximumServers && now < deadline && gateway.retries.take(admitted.pool, now)
+    }
+
+    private fun unavailable(choice: Choice, now: Timestamp): Failure {
+        val detail = (choice as? Choice.Unavailable)?.detail.orEmpty()
+        return Failure(ErrorKind.NO_ELIGIBLE_SERVER, detail, now.plusMilliseconds(RETRY_MILLISECONDS))
+    }
+
+    private suspend fun attemptAt(choice: Choice.Chosen, body: Buffer): AttemptEnd {
+        val number = ++attempt
+        val ledger = gateway.ledger.begin(choice, head.prompt, clock())
+        val request =
+            BackendRequest(
+                head = head,
+                body = body,
+                team = admitted.team?.name,
+                remainingMilliseconds = (deadline.microsecondsSince(clock()) / MICROSECONDS).coerceAtLeast(1),
+                lastEvent = lastNumber,
+            )
+        val isFreshOnly = !admitted.route.isRepeatable
+        val sent =
+            gateway.backends.send(choice.server, request, isFreshOnly) {
+                signals.trySend(Signal.FromBackend(number, it))
+            }
+        val exchange = AttemptReader(choice.server, ledger, sent)
+        val end =
+            try {
+                exchange.read(number)
+            } catch (failure: Throwable) {
+                sent.cancel()
+                throw failure
+            } finally {
+                ledger.ended(clock())
+            }
+        if (end !is AttemptEnd.Done) attemptFailed(end, choice.server)
+        return end
+    }
+
+    private fun attemptFailed(end: AttemptEnd, server: BackendEntry) {
+        val (kind, detail) =
+            when (end) {
+                is AttemptEnd.NotRun -> end.kind to end.detail
+                is AttemptEnd.Failed -> end.kind to end.detail
+                is AttemptEnd.Done -> return
+            }
+        gateway.log.write(
+            GatewayLogEvent.ATTEMPT_FAILED,
+            "request" to head.id,
+            "server" to server.id,
+            "attempt" to attempt,
+            "kind" to kind,
+            "detail" to detail,
+            "age" to ageMilliseconds(),
+        )
+    }
+
+    /** Reads the events of one attempt and passes its answer on. */
+    private inner class AttemptReader(
+        private val server: BackendEntry,
+        private val ledger: AttemptLedger,
+        private val sent: BackendAttempt,
+    ) {
+        private var response: ResponseHead? = null
+        private val body = Buffer.buffer()
+        private val splitter = EventSplitter()
+        private var wasSent = false
+        private var isWaitingForCaller = false
+
+        suspend fun read(number: Int): AttemptEnd {
+            for (signal in signals) {
+                val end =
+                    when (signal) {
+                        is Signal.FromBackend -> if (signal.attempt == number) received(signal.event) else null
+                        is Signal.CallerGone -> callerGone()
+                        is Signal.DeadlinePassed -> deadlinePassed()
+                        is Signal.CallerWritable -> resume()
+                    }
+                if (end != null) return end
+            }
+            error("signals of a request never end")
+        }
+
+        private fun callerGone(): AttemptEnd {
+            isCallerGone = true
+            sent.cancel()
+            ended("caller left")
+            return AttemptEnd.Done
+        }
+
+        private fun deadlinePassed(): AttemptEnd {
+            sent.cancel()
+            val kind = if (wasSent) ErrorKind.DEADLINE_DURING_RUN else ErrorKind.DEADLINE_BEFORE_START
+            if (wasSent) ledger.timedOut(clock())
+            return if (wasSent) {
+                AttemptEnd.Failed(kind, "")
+            } else {
+                AttemptEnd.NotRun(kind, "no connection to the server yet", wasSent = false)
+            }
+        }
+
+        private fun resume(): AttemptEnd? {
+            isWaitingForCaller = false
+            sent.pause(false)
+            return null
+        }
+
+        private fun received(event: BackendEvent): AttemptEnd? = when (event) {
+            is BackendEvent.NotSent -> {
+                ledger.failed(clock())
+                AttemptEnd.NotRun(ErrorKind.CONNECT_FAILED, event.detail, wasSent = false)
+            }
+            is BackendEvent.Sent -> {
+                wasSent = true
+                serversSent++
+                null
+            }
+            is BackendEvent.Head -> headReceived(event.head)
+            is BackendEvent.Data -> dataReceived(event.bytes)
+            is BackendEvent.Complete -> complete()
+            is BackendEvent.Broken -> broken(event.detail)
+        }
+
+        private fun headReceived(head: ResponseHead): AttemptEnd? {
+            response = head
+            return when {
+                head.isNotExecuted -> {
+                    sent.cancel()
+                    ledger.refused(clock(), head.status)
+                    AttemptEnd.NotRun(ErrorKind.SERVER_REFUSED, "status ${head.status}", wasSent = true)
+                }
+                head.isSuccess && !head.isStamped -> {
+                    sent.cancel()
+                    ledger.failed(clock())
+                    AttemptEnd.Failed(ErrorKind.WRONG_ANSWER, "success without the server's stamp")
+                }
+                else -> null
+            }
+        }
+
+        private fun dataReceived(bytes: Buffer): AttemptEnd? {
+            if (!isStream()) {
+                body.appendBuffer(bytes)
+                return null
+            }
+            val events = splitter.take(bytes)
+            if (events.isEmpty()) return null
+            return pass(events)
+        }
+
+        private fun isStream(): Boolean = admitted.route.kind == RouteKind.STREAMING && response?.isSuccess == true
+
+        private fun pass(events: List<StreamEvent>): AttemptEnd? {
+            val now = clock()
+            ledger.event(now)
+            if (firstEventAt == null) firstEventAt = now
+            begin()
+            for (event in events) {
+                val number = event.number
+                val before = lastNumber
+                if (number != null && before != null && number <= before) continue
+                if (number != null && before != null && number > before + 1) {
+                    sent.cancel()
+                    return AttemptEnd.Failed(ErrorKind.STREAM_BROKEN, "event $number follows $before")
+                }
+                if (number != null) lastNumber = number
+                passBytes(event.bytes)
+            }
+            return null
+        }
+
+        private fun passBytes(bytes: Buffer) {
+            if (caller.write(bytes) || isWaitingForCaller) return
+            isWaitingForCaller = true
+            sent.pause(true)
+            caller.whenWritable { signals.trySend(Signal.CallerWritable) }
+        }
+
+        private fun begin() {
+            if (hasBegun) return
+            hasBegun = true
+            val head = checkNotNull(response)
+            caller.beginStream(head.status, head.headers)
+        }
+
+        private fun complete(): AttemptEnd {
+            val head = response ?: return AttemptEnd.Failed(ErrorKind.WRONG_ANSWER, "response without a head")
+            if (isStream()) {
+                begin()
+                if (splitter.pendingBytes > 0) caller.write(splitter.rest())
+                caller.end()
+                ledger.succeeded(clock())
+                ended("streamed")
+                return AttemptEnd.Done
+            }
+            val answer = WholeAnswer(head, body)
+            if (head.status >= SERVER_ERROR) {
+                ledger.answeredWithError(clock())
+                return AttemptEnd.Failed(ErrorKind.BACKEND_FAILED, "status ${head.status}", answer)
+            }
+            ledger.succeeded(clock())
+            passAnswer(answer)
+            return AttemptEnd.Done
+        }
+
+        private fun broken(detail: String): AttemptEnd {
+            ledger.failed(clock())
+            val kind = if (hasBegun) ErrorKind.STREAM_BROKEN else ErrorKind.BACKEND_FAILED
+            return AttemptEnd.Failed(kind, "$detail at ${server.address}")
+        }
+    }
+
+    private fun passAnswer(answer: WholeAnswer) {
+        caller.answer(answer.head.status, answer.head.headers, answer.body)
+        ended("answered ${answer.head.status}")
+    }
+
+    private fun giveUp(failure: Failure) {
+        if (hasBegun) {
+            caller.abort()
+            ended("stream broken off")
+        } else {
+            refuse(failure)
+        }
+    }
+
+    private fun fail(end: AttemptEnd.Failed) {
+        val answer = end.answer
+        when {
+            hasBegun -> {
+                caller.abort()
+                ended("stream broken off: ${end.detail}")
+            }
+            answer != null -> passAnswer(answer)
+            else -> refuse(Failure(end.kind, end.detail, execution = Execution.UNKNOWN))
+        }
+    }
+
+    private fun refuse(failure: Failure) {
+        gateway.log.write(
+            GatewayLogEvent.REQUEST_REFUSED,
+            "request" to head.id,
+            "kind" to failure.kind,
+            "execution" to failure.execution,
+            "detail" to failure.detail,
+            "age" to ageMilliseconds(),
+        )
+        gateway.metrics.ended(failure.kind, arrivedAt, firstEventAt, clock())
+        caller.answer(failure.kind.status, gateway.format.headers(failure, clock()), Buffer.buffer(failure.kind.text))
+    }
+
+    private fun ended(result: String) {
+        gateway.metrics.ended(null, arrivedAt, firstEventAt, clock())
+        gateway.log.write(
+            GatewayLogEvent.REQUEST_ENDED,
+            "request" to head.id,
+            "result" to result,
+            "attempts" to attempt,
+            "first" to firstEventAt?.let { it.microsecondsSince(arrivedAt) / MICROSECONDS },
+            "age" to ageMilliseconds(),
+        )
+    }
+
+    private fun ageMilliseconds() = clock().microsecondsSince(arrivedAt) / MICROSECONDS
+
+    private companion object {
+        const val MICROSECONDS = Timestamp.MICROSECONDS_PER_MILLISECOND
+        const val SERVER_ERROR = 500
+
+        /** A server that cannot be reached costs one connect time; more would use up the caller's time. */
+        const val MAXIMUM_CONNECT_FAILURES = 3
+
+        /** Long enough for a router or server to recover from a short disturbance. */
+        const val RETRY_MILLISECONDS = 200L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/StoreFollower.kt
@@ -0,0 +1,151 @@
+package azuredale.gateway
+
+import azuredale.directory.BackendEntry
+import azuredale.directory.ServerDirectory
+import azuredale.freshness.CatalogRead
+import azuredale.freshness.DirectoryRead
+import azuredale.freshness.PlatformReads
+import azuredale.freshness.ReadTurn
+import azuredale.freshness.StoreView
+import azuredale.identity.Revision
+import azuredale.logging.EventLog
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+
+/** Keeps a [StoreView] up to date: reads the store when it is this router's turn, and logs what changes. */
+internal class StoreFollower(
+    private val view: StoreView,
+    private val reads: PlatformReads,
+    private val clock: Clock,
+    rank: () -> Int,
+    private val log: EventLog,
+    private val onChange: (isCatalogNew: Boolean) -> Unit,
+) {
+    private val catalogTurn = ReadTurn(rank)
+    private val directoryTurn = ReadTurn(rank)
+    private var isCatalogOld = false
+    private var isDirectoryOld = false
+    private var isLost = false
+    private var wasFresh = false
+    private var refusedRevision = Revision.NONE
+    private var malformed: Map<String, String> = emptyMap()
+
+    /** Notes that another router knows more. */
+    fun outdated(isCatalog: Boolean, isDirectory: Boolean) {
+        isCatalogOld = isCatalogOld || isCatalog
+        isDirectoryOld = isDirectoryOld || isDirectory
+    }
+
+    /** Whether the catalog should be read now; the caller then runs [readCatalog]. */
+    fun isCatalogDue(now: Timestamp): Boolean = catalogTurn.isDue(now, view.catalogProof.at, isCatalogOld)
+
+    /** Whether the servers should be read now; the caller then runs [readDirectory]. */
+    fun isDirectoryDue(now: Timestamp): Boolean =
+        directoryTurn.isDue(now, view.directoryProof.at, isDirectoryOld || view.isLapseOver(now))
+
+    /** Logs when requests with keys begin or cease to be refused for want of a proof. */
+    fun noteFreshness(now: Timestamp) {
+        val isFresh = view.isCatalogFresh(now)
+        if (isFresh == wasFresh) return
+        wasFresh = isFresh
+        val event = if (isFresh) GatewayLogEvent.PROOF_REGAINED else GatewayLogEvent.PROOF_EXPIRED
+        log.write(event, "revision" to view.revision)
+    }
+
+    /** Reads the catalog once. */
+    suspend fun readCatalog() {
+        catalogTurn.started()
+        isCatalogOld = false
+        val sentAt = clock()
+        val read =
+            reads.catalog(
+                maxOf(view.revision, refusedRevision),
+                sentAt.plusMilliseconds(ReadTurn.CALL_MILLISECONDS),
+            )
+        val now = clock()
+        when (read) {
+            is CatalogRead.Failed -> {
+                catalogTurn.failed(now)
+                storeFailed(read.failure.toString())
+                return
+            }
+            is CatalogRead.Newer ->
+                if (view.catalogRead(read.catalog, sentAt)) {
+                    log.write(
+                        GatewayLogEvent.CATALOG_ADOPTED,
+                        "revision" to read.catalog.revision,
+                        "version" to read.catalog.version,
+                        "routes" to read.catalog.routes.size,
+                        "teams" to read.catalog.teams.size,
+                    )
+                    onChange(true)
+                }
+            is CatalogRead.Unchanged -> view.catalogProven(read.revision, sentAt)
+            is CatalogRead.Missing -> Unit
+            is CatalogRead.Malformed -> {
+                refusedRevision = read.revision
+                log.write(GatewayLogEvent.CATALOG_REFUSED, "revision" to read.revision, "detail" to read.detail)
+            }
+        }
+        catalogTurn.succeeded(now)
+        storeAnswered()
+    }
+
+    /** Reads the registered servers once. */
+    suspend fun readDirectory() {
+        directoryTurn.started()
+        isDirectoryOld = false
+        val sentAt = clock()
+        when (val read = reads.directory(sentAt.plusMilliseconds(ReadTurn.CALL_MILLISECONDS))) {
+            is DirectoryRead.Failed -> {
+                directoryTurn.failed(clock())
+                storeFailed(read.failure.toString())
+            }
+            is DirectoryRead.Found -> {
+                directoryTurn.succeeded(clock())
+                logMalformed(read.malformed)
+                val before = view.directoryRead(read.directory, sentAt)
+                if (before != null && before.entries != view.directory.entries) {
+                    logChanges(before, view.directory)
+                    onChange(false)
+                }
+                storeAnswered()
+            }
+        }
+    }
+
+    private fun storeFailed(detail: String) {
+        if (!isLost) log.write(GatewayLogEvent.STORE_LOST, "detail" to detail)
+        isLost = true
+    }
+
+    private fun storeAnswered() {
+        if (isLost) log.write(GatewayLogEvent.STORE_REGAINED)
+        isLost = false
+    }
+
+    private fun logMalformed(now: Map<String, String>) {
+        now.filter { malformed[it.key] != it.value }.forEach { (id, detail) ->
+            log.write(GatewayLogEvent.ENTRY_MALFORMED, "server" to id, "detail" to detail)
+        }
+        malformed = now
+    }
+
+    private fun logChanges(before: ServerDirectory, after: ServerDirectory) {
+        (before.entries.keys + after.entries.keys).forEach { id ->
+            val old = before.entries[id]
+            val new = after.entries[id]
+            if (old != new) {
+                log.write(
+                    GatewayLogEvent.DIRECTORY_CHANGED,
+                    "server" to id,
+                    "before" to describe(old),
+                    "after" to describe(new),
+                    "revision" to after.storeRevision,
+                )
+            }
+        }
+    }
+
+    private fun describe(entry: BackendEntry?) = entry?.let { "${it.state} ${it.pool} ${it.address}" } ?: "gone"
+}
--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -15,7 +15,6 @@
 import azuredale.logging.EventLog
 import azuredale.membership.DatagramEdge
 import azuredale.membership.MemberState
-import azuredale.platform.CallBudget
 import azuredale.platform.EtcdGatewayClient
 import azuredale.platform.KeyClaimer
 import azuredale.platform.MachineListResult
@@ -24,6 +23,7 @@
 import azuredale.routing.EdgeSettings
 import azuredale.routing.EnginePoller
 import azuredale.routing.HttpEdge
+import azuredale.store.CallBudget
 import azuredale.time.Clock
 import azuredale.time.systemClock
 import azuredale.transport.PeerTransport
--- a/src/main/kotlin/azuredale/node/RouterMetrics.kt
+++ b/src/main/kotlin/azuredale/node/RouterMetrics.kt
@@ -2,10 +2,10 @@
 
 import azuredale.identity.Revision
 import azuredale.membership.DatagramEdge
-import azuredale.platform.CallBudget
 import azuredale.report.ControlChannel
 import azuredale.report.Metrics
 import azuredale.report.TimedRequest
+import azuredale.store.CallBudget
 import azuredale.transport.PeerTransport
 
 /** Connects the counts of one router's parts with the metrics page. */
--- /dev/null
+++ b/src/main/kotlin/azuredale/peers/Peer.kt
@@ -0,0 +1,29 @@
+package azuredale.peers
+
+import azuredale.identity.FailureDomain
+import azuredale.identity.Incarnation
+import azuredale.identity.NetworkAddress
+import azuredale.identity.RouterId
+import azuredale.time.Timestamp
+
+/**
+ * Another router of the fleet.
+ *
+ * @property heardAt when its latest report arrived.
+ * @property lastSentAt the sender's time in that report, which is returned to it.
+ */
+internal class Peer(
+    val router: RouterId,
+    var address: NetworkAddress,
+    val firstSeenAt: Timestamp,
+) {
+    var incarnation: Incarnation? = null
+    var failureDomain: FailureDomain? = null
+    var callerAddress: NetworkAddress? = null
+    var weight: Double = 1.0
+    var isReady: Boolean = false
+    var heardAt: Timestamp = Timestamp.DISTANT_PAST
+    var lastSentAt: Long = 0
+    var reportDueAt: Timestamp = Timestamp.DISTANT_PAST
+    var isAlive: Boolean = false
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/platform/BackendWire.kt
@@ -0,0 +1,68 @@
+package azuredale.platform
+
+import azuredale.directory.BackendEntry
+import azuredale.edge.ConnectionHints
+import azuredale.edge.ResponseDecoder
+import azuredale.gateway.BackendRequest
+import azuredale.gateway.Header
+import azuredale.gateway.ResponseHead
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import io.vertx.core.internal.buffer.BufferInternal
+
+/** Encodes requests to backend servers and decodes the heads of their responses. */
+internal object BackendWire : ResponseDecoder {
+    private const val MISDIRECTED = 421
+    private val keepAliveTime = Regex("""timeout\s*=\s*(\d+)""")
+
+    /** The request of one attempt at [server]. */
+    fun encode(request: BackendRequest, server: BackendEntry): FullHttpRequest {
+        val head = request.head
+        val body = (request.body as BufferInternal).byteBuf
+        val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(head.method), head.target, body)
+        val headers = message.headers()
+        head.headers.forEach { headers.add(it.name, it.value) }
+        headers.set(WireHeader.REQUEST_ID, head.id)
+        headers.set(WireHeader.REMAINING_MILLISECONDS, request.remainingMilliseconds)
+        headers.set(WireHeader.EXPECTED_SERVER, server.id.name)
+        request.team?.let { headers.set(WireHeader.TEAM, it) }
+        request.lastEvent?.let { headers.set(WireHeader.LAST_EVENT, it) }
+        if (body.isReadable || head.method != "GET") headers.set("Content-Length", body.readableBytes())
+        return message
+    }
+
+    override fun head(response: HttpResponse): ResponseHead {
+        val headers = response.headers()
+        val status = response.status().code()
+        return ResponseHead(
+            status = status,
+            requestId = headers[WireHeader.REQUEST_ID],
+            isStamped = headers.contains(WireHeader.RESPONSE_STAMP),
+            isNotExecuted = headers.contains(WireHeader.NOT_EXECUTED) || status == MISDIRECTED,
+            headers =
+                headers.entries().filter { it.key.lowercase() !in CallerWire.ofConnection }.map {
+                    Header(
+                        it.key,
+                        it.value,
+                    )
+                },
+        )
+    }
+
+    override fun hints(response: HttpResponse): ConnectionHints {
+        val headers = response.headers()
+        val isClosing = headers.getAll("Connection").any { it.contains("close", ignoreCase = true) }
+        val keepAlive =
+            headers["Keep-Alive"]?.let {
+                keepAliveTime
+                    .find(it)
+                    ?.groupValues
+                    ?.get(1)
+                    ?.toLongOrNull()
+            }
+        return ConnectionHints(isClosing, keepAlive)
+    }
+}
--- a/src/main/kotlin/azuredale/platform/EngineOrders.kt
+++ b/src/main/kotlin/azuredale/platform/EngineOrders.kt
@@ -3,6 +3,13 @@
 import azuredale.configuration.BackendServer
 import azuredale.identity.ServerId
 import azuredale.logging.EventLog
+import azuredale.store.CallFailure
+import azuredale.store.CallFailureReason
+import azuredale.store.KeyValueService
+import azuredale.store.KeyVersion
+import azuredale.store.LeaseId
+import azuredale.store.LeaseResult
+import azuredale.store.WriteResult
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import kotlinx.coroutines.delay
--- a/src/main/kotlin/azuredale/platform/EtcdGatewayClient.kt
+++ b/src/main/kotlin/azuredale/platform/EtcdGatewayClient.kt
@@ -1,6 +1,18 @@
 package azuredale.platform
 
 import azuredale.identity.NetworkAddress
+import azuredale.store.CallBudget
+import azuredale.store.CallFailure
+import azuredale.store.CallFailureReason
+import azuredale.store.KeyValueService
+import azuredale.store.KeyVersion
+import azuredale.store.LeaseId
+import azuredale.store.LeaseResult
+import azuredale.store.ReadResult
+import azuredale.store.StoredValue
+import azuredale.store.VersionResult
+import azuredale.store.WatchEvent
+import azuredale.store.WriteResult
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import io.vertx.core.Vertx
@@ -46,6 +58,9 @@
             is GatewayAnswer.Answered -> VersionResult.Found(answer.value?.version ?: KeyVersion.ABSENT)
         }
 
+    override suspend fun list(prefix: String, deadline: Timestamp): azuredale.store.ListResult =
+        azuredale.store.ListResult.Failed(CallFailure(CallFailureReason.REFUSED, "not offered"))
+
     override suspend fun write(
         key: String,
         value: ByteArray,
--- a/src/main/kotlin/azuredale/platform/EtcdMessages.kt
+++ b/src/main/kotlin/azuredale/platform/EtcdMessages.kt
@@ -1,5 +1,9 @@
 package azuredale.platform
 
+import azuredale.store.KeyVersion
+import azuredale.store.LeaseId
+import azuredale.store.StoredValue
+import azuredale.store.WriteResult
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import java.util.Base64
--- a/src/main/kotlin/azuredale/platform/EtcdWatch.kt
+++ b/src/main/kotlin/azuredale/platform/EtcdWatch.kt
@@ -2,6 +2,11 @@
 
 import azuredale.identity.NetworkAddress
 import azuredale.logging.EventLog
+import azuredale.store.CallBudget
+import azuredale.store.CallFailure
+import azuredale.store.CallFailureReason
+import azuredale.store.KeyVersion
+import azuredale.store.WatchEvent
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
--- a/src/main/kotlin/azuredale/platform/KeyClaimer.kt
+++ b/src/main/kotlin/azuredale/platform/KeyClaimer.kt
@@ -5,6 +5,13 @@
 import azuredale.identity.TeamId
 import azuredale.logging.EventLog
 import azuredale.node.ClaimResult
+import azuredale.store.CallFailure
+import azuredale.store.CallFailureReason
+import azuredale.store.KeyValueService
+import azuredale.store.KeyVersion
+import azuredale.store.LeaseId
+import azuredale.store.LeaseResult
+import azuredale.store.WriteResult
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import io.vertx.core.json.JsonObject
--- /dev/null
+++ b/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
@@ -0,0 +1,92 @@
+package azuredale.platform
+
+import azuredale.identity.NetworkAddress
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+
+/** The answer to a caller that asks which routers to use. */
+@Serializable
+internal class AddressMessage(
+    val addresses: List<String>,
+    @SerialName("ttl-s") val lifetimeSeconds: Double,
+)
+
+/** What [PlatformEndpoints] asks the decisions. */
+internal class EndpointFunctions(
+    /** Whether this router takes requests. */
+    val isReady: () -> Boolean,
+    /** Routers to use, by the caller's failure domain, and for how many seconds. */
+    val addresses: (String?) -> Pair<List<NetworkAddress>, Double>,
+    /** Metrics as text. */
+    val metrics: () -> String,
+)
+
+/** Serves the calls by which the platform and callers ask a router about itself and the fleet. */
+internal class PlatformEndpoints(
+    private val vertx: Vertx,
+    private val functions: EndpointFunctions,
+) {
+    private val servers = mutableListOf<HttpServer>()
+
+    /** Listens at [addresses]; each serves all calls. */
+    suspend fun start(addresses: Set<NetworkAddress>) {
+        addresses.forEach { address ->
+            val options =
+                HttpServerOptions()
+                    .setHost(address.host)
+                    .setPort(address.port)
+                    .setHttp2ClearTextEnabled(false)
+                    .setIdleTimeout(IDLE_SECONDS)
+            servers +=
+                vertx
+                    .createHttpServer(options)
+                    .requestHandler(::answer)
+                    .listen()
+                    .coAwait()
+        }
+    }
+
+    private fun answer(request: HttpServerRequest) {
+        val response = request.response()
+        when {
+            request.method() != HttpMethod.GET -> response.setStatusCode(METHOD_NOT_ALLOWED).end()
+            request.path() == WirePath.READY ->
+                response
+                    .setStatusCode(
+                        if (functions.isReady()) OK else UNAVAILABLE,
+                    ).end()
+            request.path() == WirePath.ADDRESSES -> addresses(request)
+            request.path() == METRICS_PATH ->
+                response.putHeader("Content-Type", "text/plain; version=0.0.4").end(functions.metrics())
+            else -> response.setStatusCode(NOT_FOUND).end()
+        }
+    }
+
+    private fun addresses(request: HttpServerRequest) {
+        val (addresses, seconds) = functions.addresses(request.getParam("zone"))
+        if (addresses.isEmpty()) {
+            request.response().setStatusCode(UNAVAILABLE).end()
+            return
+        }
+        val body = wireJson.encodeToString(AddressMessage(addresses.map { it.toString() }, seconds))
+        request.response().putHeader("Content-Type", "application/json").end(body)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val METHOD_NOT_ALLOWED = 405
+        const val UNAVAILABLE = 503
+        const val METRICS_PATH = "/metrics"
+
+        /** Callers and checks ask again within seconds or open a new connection. */
+        const val IDLE_SECONDS = 30
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/platform/PlatformProcess.kt
@@ -0,0 +1,82 @@
+package azuredale.platform
+
+import azuredale.gateway.GatewayDaemon
+import azuredale.gateway.GatewaySettings
+import azuredale.gateway.WireFunctions
+import azuredale.store.CallBudget
+import azuredale.time.Timestamp
+import azuredale.time.systemClock
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
+
+/** Joins the adapter and the decisions to one process. */
+public class PlatformProcess(private val settings: GatewaySettings) {
+    private val stopped = CompletableDeferred<Int>()
+
+    /** Runs until the process is told to stop; returns its exit code. */
+    public fun run(): Int {
+        val vertx =
+            Vertx.vertx(
+                VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1),
+            )
+        vertx.runOnContext { start(vertx) }
+        return runBlocking { stopped.await() }
+    }
+
+    private fun start(vertx: Vertx) {
+        val clock = systemClock()
+        val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+        val budget = CallBudget(CALLS_PER_SECOND, CALL_BURST, clock)
+        val store = StoreClient(vertx, settings.storeAddress, budget, clock)
+        val daemon =
+            GatewayDaemon(
+                vertx = vertx,
+                settings = settings,
+                clock = clock,
+                timeOfDay = { Timestamp.ofMilliseconds(System.currentTimeMillis()) },
+                wire =
+                    WireFunctions(
+                        reads = StoreReads(store),
+                        registry = RouterRegistry(store),
+                        format = AnswerWire,
+                        responses = BackendWire,
+                        encode = BackendWire::encode,
+                        decode = CallerWire::decode,
+                    ),
+                scope = scope,
+            )
+        val functions =
+            EndpointFunctions(
+                isReady = daemon.gateway::isReady,
+                addresses = { daemon.gateway.addresses() },
+                metrics = daemon.gateway.metrics::scrape,
+            )
+        val main = CoroutineScope(vertx.dispatcher())
+        Signal.handle(Signal("TERM")) {
+            vertx.runOnContext {
+                main.launch {
+                    daemon.stop()
+                    stopped.complete(0)
+                }
+            }
+        }
+        Signal.handle(Signal("HUP")) { }
+        main.launch {
+            PlatformEndpoints(vertx, functions).start(setOf(settings.readinessAddress, settings.directoryAddress))
+            daemon.start()
+        }
+    }
+
+    private companion object {
+        /** Far above what a router needs on a calm day, far below what the store allows one router. */
+        const val CALLS_PER_SECOND = 20.0
+        const val CALL_BURST = 40
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -0,0 +1,99 @@
+package azuredale.platform
+
+import azuredale.gateway.FleetBounds
+import azuredale.gateway.GatewaySettings
+import azuredale.identity.FailureDomain
+import azuredale.identity.NetworkAddress
+import azuredale.identity.Region
+import azuredale.identity.RouterId
+
+/** Result of reading the platform's settings file. */
+public sealed interface SettingsResult {
+    public data class Valid(val settings: GatewaySettings) : SettingsResult
+
+    /** Every fault that was found, one a line. */
+    public data class Invalid(val faults: List<String>) : SettingsResult
+}
+
+/**
+ * Decodes the settings file that the platform writes for a process: lines of the form `a.b=value`.
+ *
+ * ```
+ * when (val result = SettingsFile.parse(Path.of(path).readText())) { ... }
+ * ```
+ */
+public object SettingsFile {
+    /** Name of the environment variable that holds the file's path. */
+    public const val PATH_VARIABLE: String = "AZUREDALE_SETTINGS"
+
+    /** Decodes [text]; unknown keys are ignored, since new ones may come. */
+    public fun parse(text: String): SettingsResult {
+        val fields = Fields(text)
+        val settings =
+            GatewaySettings(
+                router = RouterId(fields.text("node")),
+                region = Region(fields.text("region")),
+                failureDomain = FailureDomain(fields.text("zone")),
+                callerAddress = fields.address("listen.front"),
+                readinessAddress = fields.address("listen.ready"),
+                directoryAddress = fields.address("listen.directory"),
+                peerAddress = NetworkAddress(fields.text("ip"), fields.firstPort("port-range")),
+                storeAddress = fields.address("platform.address"),
+                weight = fields.number("limits.cpu-share", 1.0) * fields.number("limits.cores", 1.0),
+                bounds = bounds(fields),
+            )
+        return if (fields.faults.isEmpty()) SettingsResult.Valid(settings) else SettingsResult.Invalid(fields.faults)
+    }
+
+    private fun bounds(fields: Fields): FleetBounds {
+        val default = FleetBounds()
+        return FleetBounds(
+            gracePeriod = fields.milliseconds("bounds.grace-s", default.gracePeriod),
+            revocationBound = fields.number("bounds.revoke-ms", default.revocationBound.toDouble()).toLong(),
+            retryRatio = fields.number("bounds.retry-budget-ratio", default.retryRatio),
+            retryHeadroom = fields.number("bounds.retry-headroom", default.retryHeadroom),
+            retryWindow = fields.milliseconds("bounds.budget-window-s", default.retryWindow),
+            addressLifetimeSeconds = fields.number("bounds.ttl_max_s", default.addressLifetimeSeconds),
+        )
+    }
+
+    private class Fields(text: String) {
+        val faults = mutableListOf<String>()
+        private val values =
+            text
+                .lineSequence()
+                .map { it.trim() }
+                .filter { '=' in it && !it.startsWith("#") }
+                .associate { it.substringBefore('=').trim() to it.substringAfter('=').trim() }
+
+        fun text(name: String): String =
+            values[name]?.takeIf { it.isNotEmpty() } ?: "".also { faults += "$name is missing" }
+
+        fun address(name: String): NetworkAddress {
+            val text = text(name)
+            val address = NetworkAddress.parse(text)
+            if (address == null && text.isNotEmpty()) faults += "$name is \"$text\", not an address and port"
+            return address ?: NOWHERE
+        }
+
+        fun number(name: String, default: Double): Double {
+            val text = values[name]?.takeIf { it.isNotEmpty() } ?: return default
+            val number = text.toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }
+            if (number == null) faults += "$name is \"$text\", not a number of zero or more"
+            return number ?: default
+        }
+
+        fun milliseconds(name: String, default: Long): Long =
+            (number(name, default / MILLISECONDS_PER_SECOND) * MILLISECONDS_PER_SECOND).toLong()
+
+        fun firstPort(name: String): Int {
+            val text = text(name)
+            val port = text.substringBefore(',').trim().toIntOrNull()
+            if (port == null && text.isNotEmpty()) faults += "$name is \"$text\", not a range of ports"
+            return port ?: 0
+        }
+    }
+
+    private val NOWHERE = NetworkAddress("0.0.0.0", 0)
+    private const val MILLISECONDS_PER_SECOND = 1_000.0
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/platform/StoreClient.kt
@@ -0,0 +1,215 @@
+package azuredale.platform
+
+import azuredale.identity.NetworkAddress
+import azuredale.logging.EventLog
+import azuredale.store.CallBudget
+import azuredale.store.CallFailure
+import azuredale.store.CallFailureReason
+import azuredale.store.KeyValueService
+import azuredale.store.KeyVersion
+import azuredale.store.LeaseId
+import azuredale.store.LeaseResult
+import azuredale.store.ListResult
+import azuredale.store.ReadResult
+import azuredale.store.StoredItem
+import azuredale.store.VersionResult
+import azuredale.store.WatchEvent
+import azuredale.store.WriteResult
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.ext.web.client.WebClient
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import kotlinx.serialization.encodeToString
+import java.util.Base64
+
+/**
+ * [KeyValueService] over the platform's store.
+ *
+ * ```
+ * val service = StoreClient(vertx, settings.storeAddress, CallBudget(20.0, 40, clock), clock)
+ * val servers = service.list("servers/", clock().plusMilliseconds(500))
+ * ```
+ */
+public class StoreClient(
+    vertx: Vertx,
+    address: NetworkAddress,
+    budget: CallBudget,
+    private val clock: Clock,
+) : KeyValueService,
+    AutoCloseable {
+    private val log = EventLog("azuredale.platform")
+    private val http =
+        vertx.createHttpClient(
+            HttpClientOptions().setConnectTimeout(CONNECT_MILLISECONDS).setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
+            PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS).setMaxWaitQueueSize(MAXIMUM_WAITING_CALLS),
+        )
+    private val calls = StoreCalls(WebClient.wrap(http), address, budget, clock)
+
+    override suspend fun read(key: String, deadline: Timestamp): ReadResult =
+        when (val answer = calls.send(HttpMethod.GET, WirePath.KEY, mapOf("key" to key), null, deadline)) {
+            is StoreAnswer.Failed -> ReadResult.Failed(answer.failure)
+            is StoreAnswer.Missing -> ReadResult.Missing
+            else ->
+                calls.decode<ItemMessage, ReadResult>(answer, { ReadResult.Found(it.toValue()) }) {
+                    ReadResult.Failed(it)
+                }
+        }
+
+    override suspend fun readVersion(key: String, deadline: Timestamp): VersionResult =
+        when (val read = read(key, deadline)) {
+            is ReadResult.Failed -> VersionResult.Failed(read.failure)
+            is ReadResult.Missing -> VersionResult.Found(KeyVersion.ABSENT)
+            is ReadResult.Found -> VersionResult.Found(read.stored.version)
+        }
+
+    override suspend fun list(prefix: String, deadline: Timestamp): ListResult {
+        val items = mutableListOf<StoredItem>()
+        var after = ""
+        var revision = 0L
+        while (true) {
+            val query = mapOf("path-prefix" to prefix) + if (after.isEmpty()) emptyMap() else mapOf("after" to after)
+            val answer = calls.send(HttpMethod.GET, WirePath.RANGE, query, null, deadline)
+            val page =
+                calls.decode<RangeMessage, Page>(answer, { Page.Read(it) }) { Page.Failed(it) }
+            val read =
+                when (page) {
+                    is Page.Failed -> return ListResult.Failed(page.failure)
+                    is Page.Read -> page.range
+                }
+            items += read.items.map { it.toItem() }
+            if (revision == 0L) revision = read.storeRevision
+            if (!read.hasMore || read.items.isEmpty()) return ListResult.Found(items, revision)
+            after = read.items.last().key
+        }
+    }
+
+    override suspend fun write(
+        key: String,
+        value: ByteArray,
+        expected: KeyVersion,
+        deadline: Timestamp,
+        lease: LeaseId?,
+    ): WriteResult {
+        val put = PutMessage(key, Base64.getEncoder().encodeToString(value), lease?.value ?: 0)
+        val body = TransactionMessage(listOf(ExpectedMessage(key, expected.value)), listOf(put))
+        val text = wireJson.encodeToString(body)
+        return when (val answer = calls.send(HttpMethod.POST, WirePath.TRANSACTION, emptyMap(), text, deadline)) {
+            is StoreAnswer.Failed ->
+                if (answer.failure.reason.isWithoutEffect) {
+                    WriteResult.NotWritten(answer.failure)
+                } else {
+                    WriteResult.Unknown(answer.failure)
+                }
+            is StoreAnswer.Missing ->
+                WriteResult.NotWritten(CallFailure(CallFailureReason.LEASE_ENDED, "lease $lease does not exist"))
+            is StoreAnswer.Conflict ->
+                calls.decode<ConflictMessage, WriteResult>(
+                    answer,
+                    { conflict -> WriteResult.Conflict(conflict.items.firstOrNull { it.revision > 0 }?.toValue()) },
+                ) { WriteResult.NotWritten(it) }
+            is StoreAnswer.Answered ->
+                calls.decode<WrittenMessage, WriteResult>(
+                    answer,
+                    { WriteResult.Written(KeyVersion(it.revision)) },
+                ) { WriteResult.Unknown(it) }
+        }
+    }
+
+    override suspend fun grantLease(seconds: Long, deadline: Timestamp): LeaseResult {
+        val body = wireJson.encodeToString(LeaseRequest(seconds * MILLISECONDS_PER_SECOND))
+        return lease(HttpMethod.POST, WirePath.LEASE, body, deadline, granted = null)
+    }
+
+    override suspend fun keepAlive(lease: LeaseId, deadline: Timestamp): LeaseResult =
+        lease(HttpMethod.POST, WirePath.KEEP_LEASE + lease, null, deadline, granted = lease)
+
+    override suspend fun revoke(lease: LeaseId, deadline: Timestamp): LeaseResult =
+        when (val answer = calls.send(HttpMethod.DELETE, WirePath.END_LEASE + lease, emptyMap(), null, deadline)) {
+            is StoreAnswer.Failed -> LeaseResult.Failed(answer.failure)
+            else -> LeaseResult.Ended
+        }
+
+    override fun watch(key: String): Flow<WatchEvent> = flow {
+        var after = 0L
+        emit(WatchEvent.Started)
+        while (true) {
+            val query =
+                mapOf("path-prefix" to key, "after" to after.toString(), "wait-ms" to WATCH_MILLISECONDS.toString())
+            val deadline = clock().plusMilliseconds(WATCH_MILLISECONDS + WATCH_SLACK_MILLISECONDS)
+            val answer = calls.send(HttpMethod.GET, WirePath.WATCH, query, null, deadline)
+            val result = calls.decode<WatchMessage, Watched>(answer, { Watched.Heard(it) }) { Watched.Lost(it) }
+            when (result) {
+                is Watched.Lost -> {
+                    log.write(PlatformLogEvent.WATCH_BROKEN, "key" to key, "failure" to result.failure)
+                    emit(WatchEvent.Broken(result.failure))
+                    return@flow
+                }
+                is Watched.Heard -> {
+                    result.message.events
+                        .filter { it.key == key }
+                        .forEach { emit(eventOf(it)) }
+                    after = result.message.storeRevision
+                }
+            }
+        }
+    }
+
+    override fun close() {
+        http.close()
+    }
+
+    private fun eventOf(item: ItemMessage): WatchEvent =
+        if (item.isRemoved) WatchEvent.Removed(KeyVersion(item.revision)) else WatchEvent.Changed(item.toValue())
+
+    private suspend fun lease(
+        method: HttpMethod,
+        path: String,
+        body: String?,
+        deadline: Timestamp,
+        granted: LeaseId?,
+    ): LeaseResult {
+        // The lease runs from the arrival of the call, so counting from its start never outlasts it.
+        val start = clock()
+        return when (val answer = calls.send(method, path, emptyMap(), body, deadline)) {
+            is StoreAnswer.Failed -> LeaseResult.Failed(answer.failure)
+            is StoreAnswer.Missing -> LeaseResult.Ended
+            else ->
+                calls.decode<LeaseMessage, LeaseResult>(
+                    answer,
+                    { LeaseResult.Held(granted ?: LeaseId(it.lease), start.plusMilliseconds(it.milliseconds)) },
+                ) { LeaseResult.Failed(it) }
+        }
+    }
+
+    private sealed interface Page {
+        class Read(val range: RangeMessage) : Page
+
+        class Failed(val failure: CallFailure) : Page
+    }
+
+    private sealed interface Watched {
+        class Heard(val message: WatchMessage) : Watched
+
+        class Lost(val failure: CallFailure) : Watched
+    }
+
+    private companion object {
+        /** Links to the store answer in milliseconds; a packet that is lost is sent again well before this. */
+        const val CONNECT_MILLISECONDS = 400
+
+        /** Shorter than the idle limits of usual servers, so a call rarely meets a connection that is being closed. */
+        const val KEEP_ALIVE_SECONDS = 10
+        const val MAXIMUM_CONNECTIONS = 6
+        const val MAXIMUM_WAITING_CALLS = 64
+        const val MILLISECONDS_PER_SECOND = 1_000L
+
+        /** The longest wait that the store accepts. */
+        const val WATCH_MILLISECONDS = 30_000L
+        const val WATCH_SLACK_MILLISECONDS = 1_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/platform/StoreReads.kt
@@ -0,0 +1,48 @@
+package azuredale.platform
+
+import azuredale.directory.ServerDirectory
+import azuredale.freshness.CatalogRead
+import azuredale.freshness.DirectoryRead
+import azuredale.freshness.PlatformReads
+import azuredale.identity.Revision
+import azuredale.identity.ServerId
+import azuredale.store.KeyValueService
+import azuredale.store.ListResult
+import azuredale.store.ReadResult
+import azuredale.time.Timestamp
+
+/** Reads and decodes what operators and backend servers keep in the store. */
+internal class StoreReads(private val service: KeyValueService) : PlatformReads {
+    override suspend fun catalog(known: Revision, deadline: Timestamp): CatalogRead =
+        when (val read = service.read(WireKey.CATALOG, deadline)) {
+            is ReadResult.Failed -> CatalogRead.Failed(read.failure)
+            is ReadResult.Missing -> CatalogRead.Missing
+            is ReadResult.Found -> {
+                val revision = Revision(read.stored.version.value)
+                if (revision <= known) CatalogRead.Unchanged(revision) else decode(read.stored.bytes, revision)
+            }
+        }
+
+    override suspend fun directory(deadline: Timestamp): DirectoryRead =
+        when (val list = service.list(WireKey.SERVERS, deadline)) {
+            is ListResult.Failed -> DirectoryRead.Failed(list.failure)
+            is ListResult.Found -> {
+                val decoded =
+                    list.items.associate {
+                        val id = it.key.removePrefix(WireKey.SERVERS)
+                        id to ServerMessage.decode(ServerId(id), it.value.bytes)
+                    }
+                val entries = decoded.values.filterIsInstance<ServerMessage.Entry>().map { it.entry }
+                DirectoryRead.Found(
+                    ServerDirectory(list.revision, entries.associateBy { it.id }),
+                    decoded.filterValues { it is ServerMessage.Malformed }.mapValues { it.value.toString() },
+                )
+            }
+        }
+
+    private fun decode(bytes: ByteArray, revision: Revision): CatalogRead = try {
+        CatalogRead.Newer(wireJson.decodeFromString<CatalogMessage>(bytes.decodeToString()).toCatalog(revision))
+    } catch (exception: IllegalArgumentException) {
+        CatalogRead.Malformed(revision, exception.message.orEmpty())
+    }
+}
--- a/src/main/kotlin/azuredale/platform/VirtualMachineListClient.kt
+++ b/src/main/kotlin/azuredale/platform/VirtualMachineListClient.kt
@@ -2,6 +2,9 @@
 
 import azuredale.identity.NetworkAddress
 import azuredale.logging.EventLog
+import azuredale.store.CallBudget
+import azuredale.store.CallFailure
+import azuredale.store.CallFailureReason
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import io.vertx.core.Vertx
--- /dev/null
+++ b/src/main/kotlin/azuredale/platform/WireNames.kt
@@ -0,0 +1,55 @@
+package azuredale.platform
+
+/** Names of HTTP headers on the platform's wire. */
+internal object WireHeader {
+    const val REQUEST_ID = "X-Azuredale-Request-Id"
+    const val REMAINING_MILLISECONDS = "X-Azuredale-Deadline-Ms"
+    const val PROMPT_PARTS = "X-Azuredale-Prefix-Hash"
+    const val TOKEN_COUNT = "X-Azuredale-Token-Count"
+    const val LENGTH_HINT = "X-Azuredale-Length-Hint"
+    const val MODEL = "X-Azuredale-Model"
+    const val RESPONSE_STAMP = "X-Azuredale-Response-Stamp"
+    const val TEAM = "X-Azuredale-Tenant"
+    const val EXPECTED_SERVER = "X-Azuredale-Expect-Instance"
+    const val ANSWERING_SERVER = "X-Azuredale-Instance-Id"
+    const val NOT_EXECUTED = "X-Azuredale-Not-Executed"
+    const val LAST_EVENT = "Last-Event-Id"
+    const val AUTHORIZATION = "Authorization"
+    const val RETRY_AFTER = "Retry-After"
+
+    /** Scheme of the key in [AUTHORIZATION]. */
+    const val KEY_SCHEME = "Token "
+
+    /** Headers by which routers steer servers; a caller's own ones are dropped. */
+    val RESERVED: Set<String> =
+        setOf(
+            TEAM,
+            EXPECTED_SERVER,
+            "X-Azuredale-Expect-Version",
+            "X-Azuredale-Pin-Ms",
+            "X-Azuredale-Hold",
+            "X-Azuredale-Kv-Backup",
+            "Kv-From",
+            "Kv-Fetch",
+        ).mapTo(HashSet()) { it.lowercase() }
+}
+
+/** Paths of the calls that the platform defines. */
+internal object WirePath {
+    const val READY = "/azuredale/ready"
+    const val ADDRESSES = "/azuredale/resolve"
+    const val KEY = "/azuredale/kv-key"
+    const val RANGE = "/azuredale/kv-range"
+    const val WATCH = "/azuredale/kv-watch"
+    const val TRANSACTION = "/azuredale/kv-txn"
+    const val LEASE = "/azuredale/kv-lease"
+    const val KEEP_LEASE = "/azuredale/kv-keep/"
+    const val END_LEASE = "/azuredale/kv-lease-end/"
+}
+
+/** Keys in the platform's store. */
+internal object WireKey {
+    const val CATALOG = "op/config"
+    const val SERVERS = "servers/"
+    const val ROUTERS = "azuredale/routers/"
+}
--- a/src/main/kotlin/azuredale/standin/PlatformStandIn.kt
+++ b/src/main/kotlin/azuredale/standin/PlatformStandIn.kt
@@ -1,6 +1,6 @@
 package azuredale.standin
 
-import azuredale.platform.CallBudget
+import azuredale.store.CallBudget
 import azuredale.time.Clock
 import azuredale.time.systemClock
 import io.vertx.core.Vertx
--- a/src/main/kotlin/azuredale/platform/KeyValueResult.kt
+++ b/src/main/kotlin/azuredale/store/KeyValueResult.kt
@@ -1,4 +1,4 @@
-package azuredale.platform
+package azuredale.store
 
 import azuredale.time.Timestamp
 
@@ -103,3 +103,26 @@
     /** Whether the call surely had no effect. */
     public val isWithoutEffect: Boolean get() = this != DEADLINE_PASSED && this != ANSWER_LOST
 }
+
+/** A key with what is stored under it. */
+public class StoredItem(
+    public val key: String,
+    public val value: StoredValue,
+)
+
+/** Result of reading all keys with a prefix. */
+public sealed interface ListResult {
+    /**
+     * The [items] in the order of their keys.
+     *
+     * @property revision the service's revision when the first page was read; a key that changed later may be missing
+     *   or newer.
+     */
+    public data class Found(
+        val items: List<StoredItem>,
+        val revision: Long,
+    ) : ListResult
+
+    /** The service gave no usable answer. */
+    public data class Failed(val failure: CallFailure) : ListResult
+}
--- a/src/main/kotlin/azuredale/platform/KeyValueService.kt
+++ b/src/main/kotlin/azuredale/store/KeyValueService.kt
@@ -1,4 +1,4 @@
-package azuredale.platform
+package azuredale.store
 
 import azuredale.time.Timestamp
 import kotlinx.coroutines.flow.Flow
@@ -46,6 +46,9 @@
     /** Reads the version of [key] without its value. */
     public suspend fun readVersion(key: String, deadline: Timestamp): VersionResult
 
+    /** Reads all keys that begin with [prefix], page by page; pages are not a snapshot. */
+    public suspend fun list(prefix: String, deadline: Timestamp): ListResult
+
     /** Writes [key] when its version is [expected]; the key is removed when [lease] ends. */
     public suspend fun write(
         key: String,
--- a/src/test/kotlin/azuredale/platform/EtcdGatewayClientSpec.kt
+++ b/src/test/kotlin/azuredale/platform/EtcdGatewayClientSpec.kt
@@ -2,6 +2,14 @@
 
 import azuredale.identity.NetworkAddress
 import azuredale.standin.PlatformFaults
+import azuredale.store.CallBudget
+import azuredale.store.CallFailureReason
+import azuredale.store.KeyVersion
+import azuredale.store.LeaseResult
+import azuredale.store.ReadResult
+import azuredale.store.VersionResult
+import azuredale.store.WatchEvent
+import azuredale.store.WriteResult
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.produceIn
 import org.junit.jupiter.api.Nested
--- a/src/test/kotlin/azuredale/platform/KeyClaimerSpec.kt
+++ b/src/test/kotlin/azuredale/platform/KeyClaimerSpec.kt
@@ -5,6 +5,8 @@
 import azuredale.identity.TeamId
 import azuredale.node.ClaimResult
 import azuredale.standin.PlatformFaults
+import azuredale.store.CallBudget
+import azuredale.store.KeyValueService
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import org.junit.jupiter.params.ParameterizedTest
--- a/src/test/kotlin/azuredale/platform/PlatformFixture.kt
+++ b/src/test/kotlin/azuredale/platform/PlatformFixture.kt
@@ -2,6 +2,7 @@
 
 import azuredale.identity.NetworkAddress
 import azuredale.standin.PlatformStandIn
+import azuredale.store.CallBudget
 import azuredale.time.Timestamp
 import azuredale.time.systemClock
 import io.vertx.core.Vertx
--- a/src/test/kotlin/azuredale/platform/VirtualMachineListClientSpec.kt
+++ b/src/test/kotlin/azuredale/platform/VirtualMachineListClientSpec.kt
@@ -2,6 +2,7 @@
 
 import azuredale.identity.NetworkAddress
 import azuredale.standin.PlatformFaults
+import azuredale.store.CallFailureReason
 import kotlinx.coroutines.delay
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/src/test/kotlin/azuredale/standin/PlatformStandInSpec.kt
+++ b/src/test/kotlin/azuredale/standin/PlatformStandInSpec.kt
@@ -1,13 +1,13 @@
 package azuredale.standin
 
 import azuredale.identity.NetworkAddress
-import azuredale.platform.CallFailureReason
-import azuredale.platform.KeyVersion
 import azuredale.platform.MachineListResult
 import azuredale.platform.PlatformFixture
-import azuredale.platform.ReadResult
 import azuredale.platform.VirtualMachineListClient
-import azuredale.platform.WriteResult
+import azuredale.store.CallFailureReason
+import azuredale.store.KeyVersion
+import azuredale.store.ReadResult
+import azuredale.store.WriteResult
 import io.vertx.core.json.JsonObject
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
--- a/src/test/kotlin/azuredale/platform/CallBudgetSpec.kt
+++ b/src/test/kotlin/azuredale/store/CallBudgetSpec.kt
@@ -1,4 +1,4 @@
-package azuredale.platform
+package azuredale.store
 
 import azuredale.time.Timestamp
 import kotlin.test.Test
