Refuse at once what cannot be served in time, by team shares

Above a part of its target a request is refused with a spread time to return; teams over their max-min share first.

--- a/src/main/kotlin/azuredale/engine/EngineSpeed.kt
+++ b/src/main/kotlin/azuredale/engine/EngineSpeed.kt
@@ -1,40 +1,40 @@
 package azuredale.engine
 
-import kotlin.math.exp
-import kotlin.math.ln
-
 /**
  * How fast one server reads prompts, learned from the time to the first event of its streams.
  *
- * The observed time is compared with the prediction for a server of speed one; the logarithm of the ratio is averaged,
- * weighted by the tokens that were read, so short prompts, whose time is mostly fixed, count little.
+ * A least-squares line through the fixed part, forgetting slowly: time is tokens to read times [millisecondsPerToken].
+ * A number of observations at the usual speed counts beside them, so that the first ones do not decide alone.
  */
 internal class EngineSpeed {
-    private var sum = 0.0
-    private var weight = PRIOR_WEIGHT
-
-    /** Time that this server takes for a token, relative to the pool's usual server. */
-    val slowness: Double get() = exp(sum / weight)
-
-    /** Notes that reading [tokens] took [actualMilliseconds] where a usual server takes [usualMilliseconds]. */
-    fun observed(tokens: Int, usualMilliseconds: Double, actualMilliseconds: Double) {
-        if (usualMilliseconds <= 0 || actualMilliseconds <= 0) return
-        val ratio = (actualMilliseconds / usualMilliseconds).coerceIn(SMALLEST_RATIO, LARGEST_RATIO)
-        val share = tokens.toDouble() / (tokens + HALF_WEIGHT_TOKENS)
-        sum = sum * DECAY + ln(ratio) * share
-        weight = weight * DECAY + share
+    private var products = PRIOR * USUAL_MILLISECONDS_PER_TOKEN
+    private var squares = PRIOR
+
+    /** Milliseconds that the server takes for a token. */
+    val millisecondsPerToken: Double
+        get() = (products / squares).coerceIn(USUAL_MILLISECONDS_PER_TOKEN / RANGE, USUAL_MILLISECONDS_PER_TOKEN * RANGE)
+
+    /** Notes that reading [tokens] took [milliseconds], without the fixed part. */
+    fun observed(tokens: Double, milliseconds: Double) {
+        val bounded = milliseconds.coerceIn(0.0, tokens * millisecondsPerToken * LARGEST_STEP)
+        products = products * DECAY + tokens * bounded + PRIOR * USUAL_MILLISECONDS_PER_TOKEN * (1 - DECAY)
+        squares = squares * DECAY + tokens * tokens + PRIOR * (1 - DECAY)
     }
 
-    private companion object {
-        /** Counts as this many observations of the usual speed, so that the first ones do not decide alone. */
-        const val PRIOR_WEIGHT = 2.0
+    companion object {
+        /** Engines of today read some 100 prompt tokens in a millisecond. */
+        const val USUAL_MILLISECONDS_PER_TOKEN = 0.012
+
+        /** Servers were bought over years; anything beyond this range is waiting that was not foreseen. */
+        private const val RANGE = 5.0
+
+        /** Weight of three prompts of 3,000 tokens. */
+        private const val PRIOR = 3.0 * 3_000 * 3_000
 
-        /** Forgets half of what was seen after about 23 observations. */
-        const val DECAY = 0.97
-        const val HALF_WEIGHT_TOKENS = 1_000.0
+        /** Half of what was seen is forgotten after about 34 observations. */
+        private const val DECAY = 0.98
 
-        /** Servers of one pool differ by a factor of four; the rest is queueing that the prediction missed. */
-        const val SMALLEST_RATIO = 0.25
-        const val LARGEST_RATIO = 4.0
+        /** One late event does not move the line by more than this. */
+        private const val LARGEST_STEP = 3.0
     }
 }
--- a/src/main/kotlin/azuredale/gateway/AttemptLedger.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptLedger.kt
@@ -15,7 +15,8 @@
     private val server = choice.server
     private var load = ServerLoad(waitingTokens = choice.uncachedTokens, running = 1)
     private var hasEvent = false
-    private val ahead = book.loads.load(server.id, server.number, startedAt).waitingTokens
+    private val tokensAhead = book.remainingTokens(choice.load)
+    private var firstEventAt = startedAt
 
     init {
         book.loads.add(server.id, load)
@@ -29,16 +30,17 @@
         change(ServerLoad(waitingTokens = 0, running = 1))
         book.failures(server.id).succeeded()
         val took = now.microsecondsSince(startedAt).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
-        book.firstEvent(server, ahead + choice.uncachedTokens, took)
+        firstEventAt = now
+        book.firstEvent(server, tokensAhead + choice.uncachedTokens, took)
     }
 
     /** The server answered as it should. */
-    fun succeeded(
-        @Suppress("UNUSED_PARAMETER") now: Timestamp,
-    ) = book.failures(server.id).succeeded()
-
-    /** The server ran the request and answered with an error of its own, so it is alive. */
-    fun answeredWithError(now: Timestamp) = Unit.also { book.failures(server.id).sent(now) }
+    fun succeeded(now: Timestamp) {
+        book.failures(server.id).succeeded()
+        if (!hasEvent) return
+        val held = now.microsecondsSince(firstEventAt).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
+        book.timing(server.pool).holdObserved(held)
+    }
 
     /** The server refused the request. */
     fun refused(now: Timestamp, status: Int) {
@@ -56,9 +58,7 @@
     }
 
     /** The attempt is over. */
-    fun ended(
-        @Suppress("UNUSED_PARAMETER") now: Timestamp,
-    ) = change(ServerLoad.NONE)
+    fun ended() = change(ServerLoad.NONE)
 
     private fun change(after: ServerLoad) {
         book.loads.add(
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -1,5 +1,7 @@
 package azuredale.gateway
 
+import azuredale.admission.OverloadAdmission
+import azuredale.admission.TeamUsage
 import azuredale.engine.EngineBook
 import azuredale.engine.ServerChooser
 import azuredale.freshness.PlatformReads
@@ -17,6 +19,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
+import kotlin.random.Random
 
 /** What a [Gateway] needs of the world around it. */
 internal class GatewayLinks(
@@ -44,6 +47,7 @@
     timeOfDay: Clock,
     private val links: GatewayLinks,
     private val scope: CoroutineScope,
+    private val random: Random = Random.Default,
 ) {
     private val log = EventLog("azuredale.gateway")
     private val steady = SteadyTime(clock, timeOfDay)
@@ -55,6 +59,9 @@
     /** What it knows of the servers. */
     val book = EngineBook { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS }
 
+    /** What teams asked for and were given lately. */
+    private val usage = TeamUsage()
+
     /** Counters and histograms. */
     val metrics = GatewayMetrics()
 
@@ -72,6 +79,7 @@
             incarnation = incarnation,
             view = view,
             book = book,
+            usage = usage,
             links =
                 PeerLinks(
                     send = links.sendDatagram,
@@ -97,7 +105,10 @@
             settings = settings,
             clock = clock,
             admission = RequestAdmission({ view.catalog }, ::isCatalogFresh),
-            chooser = ServerChooser({ view.directory }, book.loads, book.cache, book::speed, book::failures),
+            chooser = ServerChooser({ view.directory }, book),
+            usage = usage,
+            overload = OverloadAdmission(usage, random::nextDouble),
+            deadlines = UsualDeadlines(),
             ledger =
                 Ledgers(
                     book,
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -1,5 +1,7 @@
 package azuredale.gateway
 
+import azuredale.admission.OverloadAdmission
+import azuredale.admission.TeamUsage
 import azuredale.directory.BackendEntry
 import azuredale.engine.Choice
 import azuredale.engine.EngineBook
@@ -36,6 +38,9 @@
     val clock: Clock,
     val admission: RequestAdmission,
     val chooser: ServerChooser,
+    val usage: TeamUsage,
+    val overload: OverloadAdmission,
+    val deadlines: UsualDeadlines,
     val ledger: Ledgers,
     val retries: RetryAllowance,
     val backends: Backends,
--- a/src/main/kotlin/azuredale/gateway/RequestRun.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestRun.kt
@@ -1,5 +1,6 @@
 package azuredale.gateway
 
+import azuredale.admission.Demand
 import azuredale.catalog.RouteKind
 import azuredale.directory.BackendEntry
 import azuredale.engine.Choice
@@ -69,12 +70,15 @@
     private val signals = Channel<Signal>(Channel.UNLIMITED)
     private val excluded = HashSet<ServerId>()
     private var deadline = arrivedAt
+    private var onTimeUntil = arrivedAt
     private var attempt = 0
     private var serversSent = 0
     private var lastNumber: Long? = head.lastEvent
     private var hasBegun = false
     private var isCallerGone = false
     private var firstEventAt: Timestamp? = null
+    private var sentAt: Timestamp? = null
+    private var lastChoice: Choice.Chosen? = null
     private lateinit var admitted: AdmittedRequest
 
     /** Runs to the end of the request. */
@@ -85,6 +89,9 @@
             return
         }
         admitted = (admission as Outcome.Success).value
+        // A caller that returns after a refusal has less time left than usual by what it has used.
+        val used = gateway.deadlines.used(admitted.route.name, head.remainingMilliseconds)
+        onTimeUntil = arrivedAt.plusMilliseconds(admitted.route.targetMilliseconds - used)
         val limit = minOf(head.remainingMilliseconds ?: Long.MAX_VALUE, admitted.route.timeoutMilliseconds)
         deadline = arrivedAt.plusMilliseconds(limit)
         when (val body = caller.body(admitted.bodyLimitBytes)) {
@@ -115,6 +122,11 @@
                 giveUp(notRun ?: unavailable(choice, now))
                 return
             }
+            val late = if (attempt == 0) refusedAsLate(choice, now) else null
+            if (late != null) {
+                giveUp(late)
+                return
+            }
             when (val end = attemptAt(choice, body)) {
                 is AttemptEnd.Done -> return
                 is AttemptEnd.NotRun -> {
@@ -143,11 +155,23 @@
         team = admitted.team,
         prompt = head.prompt,
         origin = gateway.settings.failureDomain,
-        onTimeUntil = arrivedAt.plusMilliseconds(admitted.route.targetMilliseconds),
+        onTimeUntil = onTimeUntil,
         deadline = deadline,
         excluded = excluded,
     )
 
+    /** Decides whether a prompt is admitted, and keeps the books of its team. */
+    private fun refusedAsLate(choice: Choice.Chosen, now: Timestamp): Failure? {
+        val prompt = head.prompt ?: return null
+        val team = admitted.team
+        val tokens = prompt.promptTokens + 2 * (prompt.expectedOutputTokens ?: (prompt.maximumOutputTokens / 2))
+        val demand = Demand(team, tokens, admitted.route.targetMilliseconds, onTimeUntil, deadline)
+        if (team != null) gateway.usage.asked(team, tokens, now)
+        val refusal = gateway.overload.decide(demand, choice.predictedMilliseconds, now)
+        if (refusal == null && team != null) gateway.usage.given(team, tokens, now)
+        return refusal
+    }
+
     private fun mayRepeat(): Boolean {
         val now = clock()
         return serversSent < admitted.route.maximumServers && now < deadline && gateway.retries.take(admitted.pool, now)
@@ -160,6 +184,7 @@
 
     private suspend fun attemptAt(choice: Choice.Chosen, body: Buffer): AttemptEnd {
         val number = ++attempt
+        lastChoice = choice
         val ledger = gateway.ledger.begin(choice, head.prompt, clock())
         val request =
             BackendRequest(
@@ -182,7 +207,7 @@
                 sent.cancel()
                 throw failure
             } finally {
-                ledger.ended(clock())
+                ledger.ended()
             }
         if (end !is AttemptEnd.Done) attemptFailed(end, choice.server)
         return end
@@ -263,6 +288,7 @@
             }
             is BackendEvent.Sent -> {
                 wasSent = true
+                sentAt = clock()
                 serversSent++
                 null
             }
@@ -346,7 +372,6 @@
             }
             val answer = WholeAnswer(head, body)
             if (head.status >= SERVER_ERROR) {
-                ledger.answeredWithError(clock())
                 return AttemptEnd.Failed(ErrorKind.BACKEND_FAILED, "status ${head.status}", answer)
             }
             ledger.succeeded(clock())
@@ -407,6 +432,12 @@
             "request" to head.id,
             "result" to result,
             "attempts" to attempt,
+            "server" to lastChoice?.server?.id,
+            "uncached" to lastChoice?.uncachedTokens,
+            "waiting" to lastChoice?.load?.waitingTokens,
+            "running" to lastChoice?.load?.running,
+            "predicted" to lastChoice?.predictedMilliseconds?.toLong(),
+            "sent" to sentAt?.let { it.microsecondsSince(arrivedAt) / MICROSECONDS },
             "first" to firstEventAt?.let { it.microsecondsSince(arrivedAt) / MICROSECONDS },
             "age" to ageMilliseconds(),
         )
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -1,5 +1,7 @@
 package azuredale.peers
 
+import azuredale.admission.TeamUsage
+import azuredale.admission.Usage
 import azuredale.engine.EngineBook
 import azuredale.engine.ServerLoad
 import azuredale.freshness.StoreView
@@ -36,6 +38,7 @@
     private val incarnation: Incarnation,
     private val view: StoreView,
     private val book: EngineBook,
+    private val usage: TeamUsage,
     private val links: PeerLinks,
     private val isReady: () -> Boolean,
 ) {
@@ -43,6 +46,7 @@
     private val table = PeerTable(settings.router)
     private val freshReads = ArrayList<ReadEntry>()
     private var nextReportAt = Timestamp.DISTANT_PAST
+    private var nextUsageAt = Timestamp.DISTANT_PAST
     private var gossipCursor = 0
 
     /** The other routers. */
@@ -104,6 +108,10 @@
             report.loads.associate { it.server to ServerLoad(it.waitingTokens, it.running) },
             validUntil,
         )
+        if (report.usage.isNotEmpty()) {
+            val teams = report.usage.associate { it.team to Usage(it.asked, it.given) }
+            usage.reported(peer.router, teams, now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS))
+        }
         applyReads(report)
         applyProofs(datagram, report, now)
     }
@@ -170,6 +178,7 @@
         directory = ProofEntry(view.directoryDigest.toLong(), age(view.directoryProof.at, now)),
         loads = ownLoads(),
         reads = freshReads.toList(),
+        usage = ownUsage(now),
         routers = gossip(),
     )
 
@@ -180,6 +189,13 @@
         view.directory.entries[id]?.let { LoadEntry(it.number, load.waitingTokens, load.running) }
     }
 
+    /** The usage changes slowly, so it is told less often than the loads. */
+    private fun ownUsage(now: Timestamp): List<UsageEntry> {
+        if (now < nextUsageAt) return emptyList()
+        nextUsageAt = now.plusMilliseconds(USAGE_PERIOD_MILLISECONDS)
+        return usage.own(now).map { (team, sum) -> UsageEntry(team, sum.asked, sum.given) }
+    }
+
     /** A few routers at a time, by turns, so that each soon knows of all. */
     private fun gossip(): List<RouterEntry> {
         val alive = table.alive
@@ -213,6 +229,7 @@
         /** How often a router that does not answer is tried. */
         const val SILENT_PEER_MILLISECONDS = 500L
         const val GOSSIPED_ROUTERS = 2
+        const val USAGE_PERIOD_MILLISECONDS = 120L
 
         /** Keeps a datagram under the usual size of a packet. */
         const val MAXIMUM_READS = 32
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -22,6 +22,14 @@
     @CborLabel(3) val tokens: Int,
 )
 
+/** Tokens that a team, by its short number, asked for and was given at a router within the window. */
+@Serializable
+internal class UsageEntry(
+    @CborLabel(1) val team: Int,
+    @CborLabel(2) val asked: Long,
+    @CborLabel(3) val given: Long,
+)
+
 /** Where a router is met. */
 @Serializable
 internal class RouterEntry(
@@ -56,6 +64,7 @@
     @CborLabel(10) val loads: List<LoadEntry>,
     @CborLabel(11) val reads: List<ReadEntry>,
     @CborLabel(12) val routers: List<RouterEntry>,
+    @CborLabel(13) val usage: List<UsageEntry> = emptyList(),
 )
 
 /**
