--- a/src/main/kotlin/azuredale/admission/OverloadAdmission.kt
+++ b/src/main/kotlin/azuredale/admission/OverloadAdmission.kt
@@ -39,7 +39,7 @@
     fun decide(demand: Demand, predictedMilliseconds: Double, now: Timestamp): Failure? {
         val ratio = demand.team?.let { shareRatio(it, demand.tokens, now) } ?: 1.0
         val left = demand.onTimeUntil.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
-        val isReturned = left < demand.targetMilliseconds * RETURNED_PART
+        val isReturned = left < demand.targetMilliseconds
         val limit = limitMilliseconds(demand, ratio, left, isReturned)
         if (predictedMilliseconds <= limit) return null
         val kind = if (ratio > 1.0) ErrorKind.SHARE_EXCEEDED else ErrorKind.PREDICTED_LATE
@@ -90,8 +90,7 @@
         /** A team with twice its share is held to the smallest part. */
         const val EXCESS_SLOPE = 0.5
 
-        /** A request with less than this part of its target left has been refused before. */
-        const val RETURNED_PART = 0.9
+        /** A request that has used up part of its target has been refused before and is let in a little sooner. */
         const val RETURNED_FACTOR = 1.2
 
         /** Callers honour a wait of up to a third of the time that they have left. */
--- a/src/main/kotlin/azuredale/gateway/RequestRun.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestRun.kt
@@ -77,6 +77,8 @@
     private var hasBegun = false
     private var isCallerGone = false
     private var firstEventAt: Timestamp? = null
+    private var lastEventAt: Timestamp? = null
+    private var longestPause = 0L
     private var sentAt: Timestamp? = null
     private var lastChoice: Choice.Chosen? = null
     private lateinit var admitted: AdmittedRequest
@@ -331,6 +333,8 @@
             val now = clock()
             ledger.event(now)
             if (firstEventAt == null) firstEventAt = now
+            longestPause = maxOf(longestPause, now.microsecondsSince(lastEventAt ?: now))
+            lastEventAt = now
             begin()
             for (event in events) {
                 val number = event.number
@@ -439,6 +443,11 @@
             "predicted" to lastChoice?.predictedMilliseconds?.toLong(),
             "sent" to sentAt?.let { it.microsecondsSince(arrivedAt) / MICROSECONDS },
             "first" to firstEventAt?.let { it.microsecondsSince(arrivedAt) / MICROSECONDS },
+            "pause" to longestPause / MICROSECONDS,
+            "route" to admitted.route.name,
+            "team" to admitted.team,
+            "late" to (firstEventAt ?: clock()).microsecondsSince(onTimeUntil) / MICROSECONDS,
+            "left" to head.remainingMilliseconds,
             "age" to ageMilliseconds(),
         )
     }
