Stop without cutting requests that arrive late in the grace period

Change: 2.7 s after the request to stop, when no caller holds an address answer any more, requests are refused as not run; the process ends when idle. The main thread waits on a latch, which loads no classes, so only the event loop reads the jar.

Ruled out: stack size and the compiler (the frame is in read(), called by the class loader of the main thread).

Tests: shares, flood of a team, budgets of returning callers, the view of the store (never back, dated from the send, lapsed registrations).

--- a/src/main/kotlin/azuredale/admission/OverloadAdmission.kt
+++ b/src/main/kotlin/azuredale/admission/OverloadAdmission.kt
@@ -15,10 +15,10 @@
  */
 internal data class Demand(
     val team: TeamId?,
-    val tokens: Int,
     val targetMilliseconds: Long,
     val onTimeUntil: Timestamp,
     val deadline: Timestamp,
+    val tokens: Int = 0,
 )
 
 /**
@@ -43,7 +43,9 @@
         val limit = limitMilliseconds(demand, ratio, left, isReturned)
         if (predictedMilliseconds <= limit) return null
         val kind = if (ratio > 1.0) ErrorKind.SHARE_EXCEEDED else ErrorKind.PREDICTED_LATE
-        val detail = "predicted ${predictedMilliseconds.toLong()} ms, limit ${limit.toLong()} ms, share ${percent(ratio)} %"
+        val detail = "predicted ${predictedMilliseconds.toLong()} ms, limit ${limit.toLong()} ms, share ${percent(
+            ratio,
+        )} %"
         return Failure(kind, detail, retryAt(demand, predictedMilliseconds - limit, left, now))
     }
 
@@ -65,7 +67,17 @@
                 else -> (WITHIN_SHARE_PART - (ratio - 1.0) * EXCESS_SLOPE).coerceAtLeast(SMALLEST_PART)
             }
         // A request that is late already gains little more by waiting, but a second refusal would end it.
-        return if (isReturned) target * part * RETURNED_FACTOR else minOf(target * part, maxOf(left, target * SMALLEST_PART))
+        return if (isReturned) {
+            target * part * RETURNED_FACTOR
+        } else {
+            minOf(
+                target * part,
+                maxOf(
+                    left,
+                    target * SMALLEST_PART,
+                ),
+            )
+        }
     }
 
     private fun retryAt(demand: Demand, excess: Double, left: Double, now: Timestamp): Timestamp {
--- a/src/main/kotlin/azuredale/gateway/UsualDeadlines.kt
+++ b/src/main/kotlin/azuredale/admission/UsualDeadlines.kt
@@ -1,4 +1,4 @@
-package azuredale.gateway
+package azuredale.admission
 
 /**
  * The time that callers of each route give, by which a caller that returns after a refusal is known: it has less time
--- a/src/main/kotlin/azuredale/engine/EngineSpeed.kt
+++ b/src/main/kotlin/azuredale/engine/EngineSpeed.kt
@@ -12,7 +12,11 @@
 
     /** Milliseconds that the server takes for a token. */
     val millisecondsPerToken: Double
-        get() = (products / squares).coerceIn(USUAL_MILLISECONDS_PER_TOKEN / RANGE, USUAL_MILLISECONDS_PER_TOKEN * RANGE)
+        get() =
+            (products / squares).coerceIn(
+                USUAL_MILLISECONDS_PER_TOKEN / RANGE,
+                USUAL_MILLISECONDS_PER_TOKEN * RANGE,
+            )
 
     /** Notes that reading [tokens] took [milliseconds], without the fixed part. */
     fun observed(tokens: Double, milliseconds: Double) {
--- a/src/main/kotlin/azuredale/engine/PoolTiming.kt
+++ b/src/main/kotlin/azuredale/engine/PoolTiming.kt
@@ -1,8 +1,8 @@
 package azuredale.engine
 
 /**
- * What the servers of one pool have in common: the fixed part of the time to a first event, and how long a request holds
- * its slot after it.
+ * What the servers of one pool have in common: the fixed part of the time to a first event, and how long a request
+ * holds its slot after it.
  *
  * Both are moving averages of what this router observed; the first values serve until enough was seen.
  */
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -1,6 +1,7 @@
 package azuredale.gateway
 
 import azuredale.admission.OverloadAdmission
+import azuredale.admission.PromptAdmission
 import azuredale.admission.TeamUsage
 import azuredale.engine.EngineBook
 import azuredale.engine.ServerChooser
@@ -69,9 +70,10 @@
     var running: Int = 0
         private set
 
+    private var stoppingSince: Timestamp? = null
+
     /** Whether a planned stop has begun. */
-    var isStopping: Boolean = false
-        private set
+    val isStopping: Boolean get() = stoppingSince != null
 
     private val exchange =
         PeerExchange(
@@ -104,11 +106,9 @@
         GatewayContext(
             settings = settings,
             clock = clock,
-            admission = RequestAdmission({ view.catalog }, ::isCatalogFresh),
+            admission = RequestAdmission({ view.catalog }, ::isCatalogFresh, ::isClosed),
             chooser = ServerChooser({ view.directory }, book),
-            usage = usage,
-            overload = OverloadAdmission(usage, random::nextDouble),
-            deadlines = UsualDeadlines(),
+            prompts = PromptAdmission(usage, OverloadAdmission(usage, random::nextDouble)),
             ledger =
                 Ledgers(
                     book,
@@ -171,11 +171,15 @@
     /** Begins a planned stop: other routers and callers hear of it at once. */
     fun stop() {
         if (isStopping) return
-        isStopping = true
+        stoppingSince = clock()
         log.write(GatewayLogEvent.GATEWAY_STOPPING, "running" to running)
         exchange.report(clock())
     }
 
+    /** Whether the planned stop is so far that callers hold no address of this router any more. */
+    fun isClosed(now: Timestamp): Boolean =
+        stoppingSince?.let { now >= it.plusMilliseconds(CLOSING_MILLISECONDS) } == true
+
     private fun isCatalogFresh(now: Timestamp): Boolean {
         checkClocks()
         return view.isCatalogFresh(now)
@@ -220,6 +224,12 @@
     }
 
     private companion object {
+        /**
+         * Some callers keep an address answer of one second for three; a request that arrives later may not end within
+         * the grace period, so it is sent to another router.
+         */
+        const val CLOSING_MILLISECONDS = 2_700L
+
         /** For servers of pools that declare no memory; plain services cache no prompts. */
         const val DEFAULT_CACHE_TOKENS = 0L
     }
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -1,7 +1,6 @@
 package azuredale.gateway
 
-import azuredale.admission.OverloadAdmission
-import azuredale.admission.TeamUsage
+import azuredale.admission.PromptAdmission
 import azuredale.directory.BackendEntry
 import azuredale.engine.Choice
 import azuredale.engine.EngineBook
@@ -38,9 +37,7 @@
     val clock: Clock,
     val admission: RequestAdmission,
     val chooser: ServerChooser,
-    val usage: TeamUsage,
-    val overload: OverloadAdmission,
-    val deadlines: UsualDeadlines,
+    val prompts: PromptAdmission,
     val ledger: Ledgers,
     val retries: RetryAllowance,
     val backends: Backends,
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -100,8 +100,9 @@
     suspend fun stop() {
         gateway.stop()
         val end = clock().plusMilliseconds(settings.bounds.gracePeriod - GRACE_MARGIN_MILLISECONDS)
-        // Callers go on using addresses and connections that they hold, so the router serves on for the whole time.
-        while (clock() < end) delay(TICK_MILLISECONDS)
+        while (clock() < end && !(gateway.isClosed(clock()) && gateway.running == 0)) delay(TICK_MILLISECONDS)
+        // The last answers are on their way.
+        delay(LAST_ANSWER_MILLISECONDS)
         log.write(GatewayLogEvent.GATEWAY_STOPPED, "running" to gateway.running)
         scope.cancel()
     }
@@ -131,7 +132,8 @@
         const val SWEEP_MILLISECONDS = 500L
 
         /** Time for the last answers and the end of the process before the platform ends it. */
-        const val GRACE_MARGIN_MILLISECONDS = 700L
+        const val GRACE_MARGIN_MILLISECONDS = 600L
+        const val LAST_ANSWER_MILLISECONDS = 100L
 
         /** The decoder's bound is fixed at start; the catalog's own bound is checked for each request. */
         const val MAXIMUM_HEADER_BYTES = 65_536
--- a/src/main/kotlin/azuredale/gateway/RequestAdmission.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestAdmission.kt
@@ -23,9 +23,11 @@
 internal class RequestAdmission(
     private val catalog: () -> Catalog?,
     private val isFresh: (Timestamp) -> Boolean,
+    private val isClosed: (Timestamp) -> Boolean,
 ) {
     /** The route, pool and team of [head], or the failure to answer. */
     fun admit(head: RequestHead, now: Timestamp): Outcome<AdmittedRequest> {
+        if (isClosed(now)) return refused(ErrorKind.DRAINING, retryAt = now.plusMilliseconds(ELSEWHERE_MILLISECONDS))
         val present =
             catalog() ?: return refused(ErrorKind.NOT_READY, retryAt = now.plusMilliseconds(RETRY_MILLISECONDS))
         val route = present.route(head.host, head.path) ?: return refused(ErrorKind.UNKNOWN_ROUTE)
@@ -50,5 +52,8 @@
     private companion object {
         /** A read of the store and an exchange with a peer take less. */
         const val RETRY_MILLISECONDS = 200L
+
+        /** Another router takes the request at once. */
+        const val ELSEWHERE_MILLISECONDS = 20L
     }
 }
--- a/src/main/kotlin/azuredale/gateway/RequestRun.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestRun.kt
@@ -92,7 +92,7 @@
         }
         admitted = (admission as Outcome.Success).value
         // A caller that returns after a refusal has less time left than usual by what it has used.
-        val used = gateway.deadlines.used(admitted.route.name, head.remainingMilliseconds)
+        val used = gateway.prompts.usedBefore(admitted.route.name, head.remainingMilliseconds)
         onTimeUntil = arrivedAt.plusMilliseconds(admitted.route.targetMilliseconds - used)
         val limit = minOf(head.remainingMilliseconds ?: Long.MAX_VALUE, admitted.route.timeoutMilliseconds)
         deadline = arrivedAt.plusMilliseconds(limit)
@@ -162,16 +162,9 @@
         excluded = excluded,
     )
 
-    /** Decides whether a prompt is admitted, and keeps the books of its team. */
-    private fun refusedAsLate(choice: Choice.Chosen, now: Timestamp): Failure? {
-        val prompt = head.prompt ?: return null
-        val team = admitted.team
-        val tokens = prompt.promptTokens + 2 * (prompt.expectedOutputTokens ?: (prompt.maximumOutputTokens / 2))
-        val demand = Demand(team, tokens, admitted.route.targetMilliseconds, onTimeUntil, deadline)
-        if (team != null) gateway.usage.asked(team, tokens, now)
-        val refusal = gateway.overload.decide(demand, choice.predictedMilliseconds, now)
-        if (refusal == null && team != null) gateway.usage.given(team, tokens, now)
-        return refusal
+    private fun refusedAsLate(choice: Choice.Chosen, now: Timestamp): Failure? = head.prompt?.let { prompt ->
+        val demand = Demand(admitted.team, admitted.route.targetMilliseconds, onTimeUntil, deadline)
+        gateway.prompts.decide(prompt, demand, choice.predictedMilliseconds, now)
     }
 
     private fun mayRepeat(): Boolean {
--- a/src/main/kotlin/azuredale/platform/PlatformProcess.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformProcess.kt
@@ -9,16 +9,15 @@
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.kotlin.coroutines.dispatcher
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
+import java.util.concurrent.CountDownLatch
 
 /** Joins the adapter and the decisions to one process. */
 public class PlatformProcess(private val settings: GatewaySettings) {
-    private val stopped = CompletableDeferred<Int>()
+    private val stopped = CountDownLatch(1)
 
     /** Runs until the process is told to stop; returns its exit code. */
     public fun run(): Int {
@@ -27,7 +26,9 @@
                 VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1),
             )
         vertx.runOnContext { start(vertx) }
-        return runBlocking { stopped.await() }
+        // The latch loads no classes, so that the event loop is the only thread that reads them at start.
+        stopped.await()
+        return 0
     }
 
     private fun start(vertx: Vertx) {
@@ -63,7 +64,7 @@
             vertx.runOnContext {
                 main.launch {
                     daemon.stop()
-                    stopped.complete(0)
+                    stopped.countDown()
                 }
             }
         }
--- /dev/null
+++ b/src/test/kotlin/azuredale/admission/FairShareSpec.kt
@@ -0,0 +1,31 @@
+package azuredale.admission
+
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.test.assertEquals
+
+class FairShareSpec {
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `fills teams up to one level`(case: Case) {
+        // Guards against a share that is cut below what the capacity allows, or that a large team takes from small ones.
+        assertEquals(case.level, FairShare.level(case.asked, case.capacity))
+    }
+
+    data class Case(
+        val asked: List<Long>,
+        val capacity: Long,
+        val level: Double,
+    )
+
+    companion object {
+        @JvmStatic
+        fun cases(): List<Case> = listOf(
+            Case(emptyList(), 10, Double.POSITIVE_INFINITY),
+            Case(listOf(5, 5), 10, Double.POSITIVE_INFINITY),
+            Case(listOf(2, 10), 10, 8.0),
+            Case(listOf(2, 10, 10), 12, 5.0),
+            Case(listOf(100), 7, 7.0),
+        )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/admission/TeamFloodSpec.kt
@@ -0,0 +1,114 @@
+package azuredale.admission
+
+import azuredale.identity.RouterId
+import azuredale.identity.TeamId
+import azuredale.outcome.ErrorKind
+import azuredale.time.Timestamp
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** The load pattern: some teams send many times their usual, and the servers cannot serve all in time. */
+class TeamFloodSpec {
+    private val start = Timestamp.ofMilliseconds(1_000_000)
+    private val usage = TeamUsage()
+    private val admission = OverloadAdmission(usage) { 0.5 }
+    private val flood = TeamId("flood")
+    private val small = TeamId("small")
+
+    private fun demand(team: TeamId, now: Timestamp = start) = Demand(
+        team = team,
+        targetMilliseconds = 500,
+        onTimeUntil = now.plusMilliseconds(500),
+        deadline = now.plusMilliseconds(5_000),
+        tokens = 9_000,
+    )
+
+    /** A window in which [flood] asked for ten times what [small] asked, and half of all was given. */
+    private fun flooded() {
+        usage.asked(flood, 1_000_000, start)
+        usage.given(flood, 450_000, start)
+        usage.asked(small, 100_000, start)
+        usage.given(small, 100_000, start)
+    }
+
+    @Nested
+    inner class BelowTheTarget {
+        @Test
+        fun `everything is admitted while servers answer well within the target`() {
+            // Guards against idle servers beside refused requests.
+            flooded()
+            assertNull(admission.decide(demand(flood), predictedMilliseconds = 150.0, start))
+            assertNull(admission.decide(demand(small), predictedMilliseconds = 150.0, start))
+        }
+    }
+
+    @Nested
+    inner class NearTheTarget {
+        @Test
+        fun `the flooding team is refused first`() {
+            // Guards against a small team that waits behind a large one for many seconds.
+            usage.asked(flood, 2_000_000, start)
+            usage.given(flood, 900_000, start)
+            usage.asked(small, 600_000, start)
+            usage.given(small, 100_000, start)
+            val refusal = assertNotNull(admission.decide(demand(flood), predictedMilliseconds = 300.0, start))
+            assertEquals(ErrorKind.SHARE_EXCEEDED, refusal.kind)
+            assertNull(admission.decide(demand(small), predictedMilliseconds = 420.0, start))
+        }
+
+        @Test
+        fun `reports of other routers count like the own requests`() {
+            // Guards against a team that spreads its flood over all routers and looks small at each.
+            usage.reported(
+                RouterId("other"),
+                mapOf(
+                    TeamUsage.number(flood) to Usage(asked = 2_000_000, given = 900_000),
+                    TeamUsage.number(small) to Usage(asked = 600_000, given = 100_000),
+                ),
+                start.plusMilliseconds(1_000),
+            )
+            assertTrue(admission.shareRatio(flood, 9_000, start) > 1.0)
+            assertTrue(admission.shareRatio(small, 9_000, start) < 0.5)
+        }
+    }
+
+    @Nested
+    inner class PastTheTarget {
+        @Test
+        fun `what would be late is refused as not run with a time to return`() {
+            // Guards against work that servers do for nobody.
+            val refusal = assertNotNull(admission.decide(demand(small), predictedMilliseconds = 900.0, start))
+            assertEquals(ErrorKind.PREDICTED_LATE, refusal.kind)
+            val wait = assertNotNull(refusal.retryAt).microsecondsSince(start) / 1_000
+            assertTrue(wait in 40..1_667, "callers honour up to a third of 5 s, not $wait ms")
+        }
+
+        @ParameterizedTest
+        @CsvSource("0.0", "0.3", "0.7", "0.99")
+        fun `returns are spread over time`(spread: Double) {
+            // Guards against refused callers that come back as the next burst.
+            val spreadAdmission = OverloadAdmission(usage) { spread }
+            val other = OverloadAdmission(usage) { spread / 2 + 0.5 }
+            val first = spreadAdmission.decide(demand(small), 900.0, start)?.retryAt
+            val second = other.decide(demand(small), 900.0, start)?.retryAt
+            assertTrue(first != second, "both return at $first")
+        }
+    }
+
+    @Nested
+    inner class Window {
+        @Test
+        fun `what was given counts for as long as the window`() {
+            // Guards against a team that stays refused long after its flood.
+            flooded()
+            assertTrue(usage.own(start.plusMilliseconds(3_900)).isNotEmpty())
+            assertTrue(usage.own(start.plusMilliseconds(4_300)).isEmpty())
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
@@ -0,0 +1,122 @@
+package azuredale.freshness
+
+import azuredale.catalog.CallerLimits
+import azuredale.catalog.Catalog
+import azuredale.directory.BackendEntry
+import azuredale.directory.BackendState
+import azuredale.directory.ServerDirectory
+import azuredale.identity.FailureDomain
+import azuredale.identity.NetworkAddress
+import azuredale.identity.PoolId
+import azuredale.identity.Revision
+import azuredale.identity.ServerId
+import azuredale.time.Timestamp
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class StoreViewSpec {
+    private val view = StoreView(revocationBoundMilliseconds = 5_000)
+    private val start = Timestamp.ofMilliseconds(1_000_000)
+
+    private fun after(milliseconds: Long) = start.plusMilliseconds(milliseconds)
+
+    private fun catalog(revision: Long) =
+        Catalog(Revision(revision), revision, emptyList(), emptyList(), emptyList(), CallerLimits())
+
+    private fun directory(revision: Long, vararg names: String) = ServerDirectory(
+        revision,
+        names.withIndex().associate { (index, name) ->
+            ServerId(name) to
+                BackendEntry(
+                    ServerId(name),
+                    PoolId("p"),
+                    NetworkAddress("10.0.0.$index", 80),
+                    FailureDomain("a"),
+                    slots = 4,
+                    state = BackendState.READY,
+                )
+        },
+    )
+
+    @Nested
+    inner class CatalogInForce {
+        @Test
+        fun `never goes back whichever reply comes late`() {
+            // Guards against a dropped key or route that works again after a slow reply.
+            assertTrue(view.catalogRead(catalog(7), start))
+            assertFalse(view.catalogRead(catalog(5), after(100)))
+            assertEquals(Revision(7), view.revision)
+        }
+
+        @Test
+        fun `is proven from the moment its read was sent`() {
+            // Guards against a proof that is dated from a reply which was under way for seconds.
+            view.catalogRead(catalog(7), start)
+            assertTrue(view.isCatalogFresh(after(4_200)))
+            assertFalse(view.isCatalogFresh(after(4_400)), "700 ms of the bound are left for the way to the server")
+        }
+
+        @Test
+        fun `is not proven by a statement about another revision`() {
+            // Guards against a peer with an older catalog that keeps this one fresh, or the reverse.
+            view.catalogRead(catalog(7), start)
+            view.catalogProven(Revision(8), after(3_000))
+            view.catalogProven(Revision(6), after(3_000))
+            assertFalse(view.isCatalogFresh(after(5_000)))
+            view.catalogProven(Revision(7), after(3_000))
+            assertTrue(view.isCatalogFresh(after(5_000)))
+        }
+
+        @Test
+        fun `is distrusted after a suspension`() {
+            // Guards against a VM that wakes up and serves with keys that were taken away meanwhile.
+            view.catalogRead(catalog(7), start)
+            view.distrust()
+            assertFalse(view.isCatalogFresh(after(1)))
+        }
+    }
+
+    @Nested
+    inner class Directory {
+        @Test
+        fun `ignores a list that is older than the one in force`() {
+            // Guards against a drained server that gets work again after a slow reply.
+            view.directoryRead(directory(10, "a"), start)
+            assertNull(view.directoryRead(directory(9, "a", "b"), after(10)))
+            assertEquals(setOf(ServerId("a")), view.directory.entries.keys)
+        }
+
+        @Test
+        fun `drops a server at once while the store answers`() {
+            view.directoryRead(directory(10, "a", "b"), start)
+            view.directoryRead(directory(11, "a"), after(500))
+            assertEquals(setOf(ServerId("a")), view.directory.entries.keys)
+        }
+
+        @Test
+        fun `holds servers whose registrations lapsed while the store was away until they had time to return`() {
+            // Guards against a pool that looks empty right after an outage, and against servers that are held for good.
+            view.directoryRead(directory(10, "a", "b"), start)
+            assertNotNull(view.directoryRead(directory(11, "a"), after(6_000)))
+            assertEquals(2, view.directory.entries.size)
+            assertFalse(view.isLapseOver(after(7_000)))
+            view.directoryProven(view.directoryDigest, after(7_500))
+            assertTrue(view.isLapseOver(after(8_300)))
+            view.directoryRead(directory(12, "a"), after(8_300))
+            assertEquals(setOf(ServerId("a")), view.directory.entries.keys)
+        }
+
+        @Test
+        fun `does not hold a lapsed server whose address another one has`() {
+            // Guards against requests to an address that was given to another pool's server.
+            view.directoryRead(directory(10, "a"), start)
+            view.directoryRead(directory(11, "new"), after(6_000))
+            assertEquals(setOf(ServerId("new")), view.directory.entries.keys)
+        }
+    }
+}
