Keep one client of the store and start routers from a class-data archive

Cause: the product still had a client and a stand-in of another store beside the platform's, orders to engines that nothing issued, and no test that ran a gateway.

Change: the store's client serves the product's document too; its stand-in speaks the platform's protocol with history, pages and leases. Orders to engines go, with their specs: no controller issued them and the platform takes none. 'azuredale self-test' serves requests through one gateway on stand-ins; the build records its class-data archive from it. GatewaySpec covers outcomes, streams, keys and servers. The setting key-value-service takes one address, as the platform has one.

A fault found on the way: an answer's body could be lost when the caller is not on the event loop (2 in 100 calls of StoreClientSpec waited for their deadline). Head and body are composed now.

--- a/src/main/kotlin/azuredale/command/CommandLine.kt
+++ b/src/main/kotlin/azuredale/command/CommandLine.kt
@@ -70,6 +70,7 @@
 internal val allCommands: Map<String, () -> Command> =
     linkedMapOf(
         "gateway" to ::GatewayCommand,
+        "self-test" to ::SelfTestCommand,
         "router" to ::RouterCommand,
         "check" to ::CheckCommand,
         "submit" to ::SubmitCommand,
--- a/src/main/kotlin/azuredale/command/StandInCommands.kt
+++ b/src/main/kotlin/azuredale/command/StandInCommands.kt
@@ -51,9 +51,6 @@
     @field:Option(name = "--tokens-per-second", metaVar = "N", usage = "speed of each running request")
     var tokensPerSecond: Double = EngineSettings().tokensPerSecond
 
-    @field:Option(name = "--checks-fencing", usage = "refuse orders with an old fencing token")
-    var checksFencing: Boolean = false
-
     override suspend fun start(vertx: Vertx): Int {
         val address = NetworkAddress(LOOPBACK, port)
         val settings =
@@ -61,7 +58,6 @@
                 address = address,
                 slots = slots,
                 tokensPerSecond = tokensPerSecond,
-                checksFencing = checksFencing,
             )
         return EngineStandIn(vertx, settings).also { it.start() }.port
     }
--- a/src/main/kotlin/azuredale/configuration/RouterSettings.kt
+++ b/src/main/kotlin/azuredale/configuration/RouterSettings.kt
@@ -21,7 +21,7 @@
  * @property operatorAddress HTTP for operators, metrics and health.
  * @property peerAddress TCP for messages between routers.
  * @property probeAddress UDP for the failure detector.
- * @property platform addresses of the key-value service.
+ * @property platform address of the key-value service.
  * @property virtualMachineList address of the platform's VM list.
  * @property seeds probe addresses of other routers to join through.
  */
@@ -33,7 +33,7 @@
     val operatorAddress: NetworkAddress,
     val peerAddress: NetworkAddress,
     val probeAddress: NetworkAddress,
-    val platform: List<NetworkAddress>,
+    val platform: NetworkAddress,
     val fleetKey: Secret,
     val operatorToken: Secret,
     val virtualMachineList: NetworkAddress? = null,
--- a/src/main/kotlin/azuredale/configuration/SettingsKeys.kt
+++ b/src/main/kotlin/azuredale/configuration/SettingsKeys.kt
@@ -21,14 +21,7 @@
     val operator = addressKey("operator", isRequired = true)
     val peer = addressKey("peer", isRequired = true)
     val probe = addressKey("probe", isRequired = true)
-    val keyValueService =
-        Key(
-            "key-value-service",
-            "addresses",
-            Formats.ADDRESSES_ALLOWED,
-            isRequired = true,
-            read = Formats::addresses,
-        )
+    val keyValueService = addressKey("key-value-service", isRequired = true)
     val virtualMachineList = addressKey("virtual-machine-list", isRequired = false)
     val seeds = Key("seeds", "addresses", Formats.ADDRESSES_ALLOWED, read = Formats::addresses)
     val fleetKey = secretKey("fleet-key")
--- a/src/main/kotlin/azuredale/configuration/SettingsParser.kt
+++ b/src/main/kotlin/azuredale/configuration/SettingsParser.kt
@@ -59,7 +59,7 @@
         listeners: Listeners?,
         fleetKey: Secret?,
         operatorToken: Secret?,
-        service: List<NetworkAddress>?,
+        service: NetworkAddress?,
     ): RouterSettings? {
         if (place == null || listeners == null) return null
         return RouterSettings(
--- a/src/main/kotlin/azuredale/demo/DemoFleet.kt
+++ b/src/main/kotlin/azuredale/demo/DemoFleet.kt
@@ -141,7 +141,7 @@
                 operatorAddress = freeAddress(),
                 peerAddress = freeAddress(),
                 probeAddress = probeAddresses[index],
-                platform = listOf(NetworkAddress(LOOPBACK, platformPort)),
+                platform = NetworkAddress(LOOPBACK, platformPort),
                 fleetKey = fleetKey,
                 operatorToken = operatorToken,
                 virtualMachineList = NetworkAddress(LOOPBACK, platformPort),
--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -15,9 +15,9 @@
 import azuredale.logging.EventLog
 import azuredale.membership.DatagramEdge
 import azuredale.membership.MemberState
-import azuredale.platform.EtcdGatewayClient
 import azuredale.platform.KeyClaimer
 import azuredale.platform.MachineListResult
+import azuredale.platform.StoreClient
 import azuredale.platform.VirtualMachineListClient
 import azuredale.routing.AddressPlanner
 import azuredale.routing.EdgeSettings
@@ -96,7 +96,7 @@
             offer(NodeEvent.DatagramReceived(from, message))
         }
     private val budget = CallBudget(PLATFORM_CALLS_PER_SECOND, PLATFORM_CALL_BURST, clock)
-    private val keyValueService = EtcdGatewayClient(vertx, settings.platform, budget, clock)
+    private val keyValueService = StoreClient(vertx, settings.platform, budget, clock)
     private val claimer =
         KeyClaimer(keyValueService, clock, settings.router, incarnation, { UUID.randomUUID().toString() })
     private val machines = settings.virtualMachineList?.let { VirtualMachineListClient(vertx, it, budget, clock) }
--- a/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
@@ -14,7 +14,4 @@
     MALFORMED_ANSWER(1102, Level.WARN, "answer of the platform is malformed"),
     BUDGET_EXHAUSTED(1103, Level.WARN, "call budget of the platform is used up"),
     CLAIM_UNKNOWN(1104, Level.WARN, "claim of an idempotency key has an unknown result"),
-    ORDER_REFUSED(1105, Level.WARN, "engine refused an order"),
-    ORDER_UNVERIFIED(1106, Level.WARN, "engine does not report the ordered state"),
-    ENGINE_CALL_FAILED(1107, Level.DEBUG, "call to an engine failed"),
 }
--- a/src/main/kotlin/azuredale/platform/PlatformProcess.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformProcess.kt
@@ -25,13 +25,17 @@
             Vertx.vertx(
                 VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1),
             )
-        vertx.runOnContext { start(vertx) }
+        vertx.runOnContext {
+            val daemon = start(vertx)
+            stopOnSignal(vertx, daemon)
+        }
         // The latch loads no classes, so that the event loop is the only thread that reads them at start.
         stopped.await()
         return 0
     }
 
-    private fun start(vertx: Vertx) {
+    /** Starts the router on the current event loop of [vertx]; sockets open soon after. */
+    internal fun start(vertx: Vertx): GatewayDaemon {
         val clock = systemClock()
         val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
         val budget = CallBudget(CALLS_PER_SECOND, CALL_BURST, clock)
@@ -59,6 +63,14 @@
                 addresses = { daemon.gateway.addresses() },
                 metrics = daemon.gateway.metrics::scrape,
             )
+        CoroutineScope(vertx.dispatcher()).launch {
+            PlatformEndpoints(vertx, functions).start(setOf(settings.readinessAddress, settings.directoryAddress))
+            daemon.start()
+        }
+        return daemon
+    }
+
+    private fun stopOnSignal(vertx: Vertx, daemon: GatewayDaemon) {
         val main = CoroutineScope(vertx.dispatcher())
         Signal.handle(Signal("TERM")) {
             vertx.runOnContext {
@@ -69,10 +81,6 @@
             }
         }
         Signal.handle(Signal("HUP")) { }
-        main.launch {
-            PlatformEndpoints(vertx, functions).start(setOf(settings.readinessAddress, settings.directoryAddress))
-            daemon.start()
-        }
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/platform/StoreCalls.kt
+++ b/src/main/kotlin/azuredale/platform/StoreCalls.kt
@@ -7,10 +7,12 @@
 import azuredale.store.CallFailureReason
 import azuredale.time.Clock
 import azuredale.time.Timestamp
-import io.vertx.core.buffer.Buffer
+import io.netty.handler.codec.http.QueryStringEncoder
+import io.vertx.core.Future
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
-import io.vertx.ext.web.client.HttpResponse
-import io.vertx.ext.web.client.WebClient
+import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
@@ -44,7 +46,7 @@
 
 /** Sends single calls to the store and sorts failures by whether the call can have had an effect. */
 internal class StoreCalls(
-    private val client: WebClient,
+    private val client: HttpClient,
     private val address: NetworkAddress,
     private val budget: CallBudget,
     private val clock: Clock,
@@ -101,13 +103,19 @@
         milliseconds: Long,
     ): StoreAnswer = try {
         withTimeout(milliseconds) {
-            val request = client.request(method, address.port, address.host, path).timeout(milliseconds)
-            query.forEach { (name, value) -> request.addQueryParam(name, value) }
-            if (body == null) {
-                interpret(request.send().coAwait())
-            } else {
-                request.putHeader("Content-Type", "application/json")
-                interpret(request.sendBuffer(Buffer.buffer(body)).coAwait())
+            val uri = QueryStringEncoder(path).apply { query.forEach(::addParam) }.toString()
+            val options =
+                RequestOptions()
+                    .setMethod(method)
+                    .setHost(address.host)
+                    .setPort(address.port)
+                    .setURI(uri)
+            val call = OpenCall()
+            try {
+                val answer = call.send(client, options, body).coAwait()
+                interpret(answer.status, answer.text)
+            } finally {
+                call.abandon()
             }
         }
     } catch (exception: TimeoutCancellationException) {
@@ -118,17 +126,14 @@
         failed(reasonOf(exception), exception.message ?: exception.javaClass.simpleName)
     }
 
-    private fun interpret(response: HttpResponse<Buffer>): StoreAnswer {
-        val text = response.bodyAsString().orEmpty()
-        return when (response.statusCode()) {
-            OK -> StoreAnswer.Answered(text)
-            NOT_FOUND -> StoreAnswer.Missing
-            CONDITION_FAILED -> StoreAnswer.Conflict(text)
-            // Statuses by which the store says that it did nothing.
-            in CLIENT_ERRORS, UNAVAILABLE ->
-                failed(CallFailureReason.REFUSED, "status ${response.statusCode()}: ${text.take(DETAIL_CHARACTERS)}")
-            else -> failed(CallFailureReason.ANSWER_LOST, "status ${response.statusCode()}")
-        }
+    private fun interpret(status: Int, text: String): StoreAnswer = when (status) {
+        OK -> StoreAnswer.Answered(text)
+        NOT_FOUND -> StoreAnswer.Missing
+        CONDITION_FAILED -> StoreAnswer.Conflict(text)
+        // Statuses by which the store says that it did nothing.
+        in CLIENT_ERRORS, UNAVAILABLE ->
+            failed(CallFailureReason.REFUSED, "status $status: ${text.take(DETAIL_CHARACTERS)}")
+        else -> failed(CallFailureReason.ANSWER_LOST, "status $status")
     }
 
     private fun failed(reason: CallFailureReason, detail: String) = StoreAnswer.Failed(CallFailure(reason, detail))
@@ -149,3 +154,39 @@
         }
     }
 }
+
+/** Status and body of an answer. */
+private class TextAnswer(
+    val status: Int,
+    val text: String,
+)
+
+/** One exchange with the store, which can be abandoned from another thread at any moment. */
+private class OpenCall {
+    @Volatile
+    private var request: HttpClientRequest? = null
+
+    @Volatile
+    private var isAnswered = false
+
+    @Volatile
+    private var isAbandoned = false
+
+    /** Everything is composed, not awaited step by step: a body that arrives before its handler is set is lost. */
+    fun send(client: HttpClient, options: RequestOptions, body: String?): Future<TextAnswer> =
+        client.request(options).compose { opened ->
+            request = opened
+            if (isAbandoned) opened.reset()
+            if (body != null) opened.putHeader("Content-Type", "application/json")
+            val sent = if (body == null) opened.send() else opened.send(body)
+            sent
+                .compose { response -> response.body().map { TextAnswer(response.statusCode(), it.toString()) } }
+                .onSuccess { isAnswered = true }
+        }
+
+    /** Closes the connection unless the answer is whole, so that a watch that nobody reads ends at the store too. */
+    fun abandon() {
+        isAbandoned = true
+        if (!isAnswered) request?.reset()
+    }
+}
--- a/src/main/kotlin/azuredale/platform/StoreClient.kt
+++ b/src/main/kotlin/azuredale/platform/StoreClient.kt
@@ -21,7 +21,6 @@
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
-import io.vertx.ext.web.client.WebClient
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.serialization.encodeToString
@@ -48,7 +47,7 @@
             HttpClientOptions().setConnectTimeout(CONNECT_MILLISECONDS).setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
             PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS).setMaxWaitQueueSize(MAXIMUM_WAITING_CALLS),
         )
-    private val calls = StoreCalls(WebClient.wrap(http), address, budget, clock)
+    private val calls = StoreCalls(http, address, budget, clock)
 
     override suspend fun read(key: String, deadline: Timestamp): ReadResult =
         when (val answer = calls.send(HttpMethod.GET, WirePath.KEY, mapOf("key" to key), null, deadline)) {
@@ -136,6 +135,13 @@
 
     override fun watch(key: String): Flow<WatchEvent> = flow {
         var after = 0L
+        when (val start = list(key, clock().plusMilliseconds(WATCH_START_MILLISECONDS))) {
+            is ListResult.Failed -> {
+                emit(watchLost(key, start.failure))
+                return@flow
+            }
+            is ListResult.Found -> after = start.revision
+        }
         emit(WatchEvent.Started)
         while (true) {
             val query =
@@ -145,8 +151,7 @@
             val result = calls.decode<WatchMessage, Watched>(answer, { Watched.Heard(it) }) { Watched.Lost(it) }
             when (result) {
                 is Watched.Lost -> {
-                    log.write(PlatformLogEvent.WATCH_BROKEN, "key" to key, "failure" to result.failure)
-                    emit(WatchEvent.Broken(result.failure))
+                    emit(watchLost(key, result.failure))
                     return@flow
                 }
                 is Watched.Heard -> {
@@ -163,6 +168,11 @@
         http.close()
     }
 
+    private fun watchLost(key: String, failure: CallFailure): WatchEvent {
+        log.write(PlatformLogEvent.WATCH_BROKEN, "key" to key, "failure" to failure)
+        return WatchEvent.Broken(failure)
+    }
+
     private fun eventOf(item: ItemMessage): WatchEvent =
         if (item.isRemoved) WatchEvent.Removed(KeyVersion(item.revision)) else WatchEvent.Changed(item.toValue())
 
@@ -211,5 +221,8 @@
         /** The longest wait that the store accepts. */
         const val WATCH_MILLISECONDS = 30_000L
         const val WATCH_SLACK_MILLISECONDS = 1_000L
+
+        /** Reading the revision from which the watch goes on is one call, as long as any other. */
+        const val WATCH_START_MILLISECONDS = 900L
     }
 }
--- a/src/main/kotlin/azuredale/platform/VirtualMachineListClient.kt
+++ b/src/main/kotlin/azuredale/platform/VirtualMachineListClient.kt
@@ -68,7 +68,7 @@
             throw exception
         } catch (exception: Exception) {
             log.write(PlatformLogEvent.CALL_FAILED, "path" to "/vms", "address" to address, cause = exception)
-            failed(EtcdGateway.reasonOf(exception), exception.message.orEmpty())
+            failed(StoreCalls.reasonOf(exception), exception.message.orEmpty())
         }
     }
 
--- /dev/null
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -0,0 +1,152 @@
+package azuredale.selftest
+
+import azuredale.gateway.FleetBounds
+import azuredale.gateway.GatewayDaemon
+import azuredale.gateway.GatewaySettings
+import azuredale.identity.FailureDomain
+import azuredale.identity.NetworkAddress
+import azuredale.identity.Region
+import azuredale.identity.RouterId
+import azuredale.platform.PlatformProcess
+import azuredale.platform.WireHeader
+import azuredale.platform.WireKey
+import azuredale.standin.BackendStandIn
+import azuredale.standin.PlatformStandIn
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import java.net.ServerSocket
+
+/** A whole answer as a caller saw it. */
+public class SeenAnswer(
+    public val status: Int,
+    public val headers: Map<String, String>,
+    public val text: String,
+)
+
+/**
+ * One gateway on loopback with the stand-ins of all that it talks to.
+ *
+ * The catalog has three routes: `/plain/` (idempotent, two servers), `/once/` (non-idempotent) and `/stream/`
+ * (resumable, two servers), each with the key [KEY] of team `team-a`.
+ */
+public class GatewayFixture(private val vertx: Vertx) {
+    /** The store. */
+    public val platform: PlatformStandIn = PlatformStandIn(vertx)
+
+    /** Two servers of the only pool. */
+    public val servers: List<BackendStandIn> = List(SERVERS) { BackendStandIn(vertx) }
+    private val client = WebClient.create(vertx)
+    private val ports = List(FIXED_PORTS) { ServerSocket(0).use { it.localPort } }
+    private var lastId = 0
+
+    /** The router; null before [start]. */
+    internal var daemon: GatewayDaemon? = null
+
+    /** Where callers connect. */
+    public val callerAddress: NetworkAddress = address(ports[0])
+
+    /** Starts all parts and waits until the router takes requests. */
+    public suspend fun start() {
+        val store = address(platform.start())
+        servers.forEachIndexed { index, server -> register(index, server.start()) }
+        writeCatalog(version = 1, keys = listOf(KEY))
+        val settings =
+            GatewaySettings(
+                router = RouterId("router-1"),
+                region = Region("region"),
+                failureDomain = FailureDomain("domain"),
+                callerAddress = callerAddress,
+                readinessAddress = address(ports[1]),
+                directoryAddress = address(ports[2]),
+                peerAddress = address(ports[3]),
+                storeAddress = store,
+                weight = 1.0,
+                bounds = FleetBounds(),
+            )
+        vertx.runOnContext { daemon = PlatformProcess(settings).start(vertx) }
+        repeat(START_TRIES) {
+            if (daemon?.gateway?.isReady() == true &&
+                runCatching { get("/plain/ready").status }.getOrNull() == OK
+            ) {
+                return
+            }
+            kotlinx.coroutines.delay(START_PAUSE_MILLISECONDS)
+        }
+        error("the router did not become ready")
+    }
+
+    /** Writes the catalog with [keys] for the only team. */
+    public fun writeCatalog(version: Int, keys: List<String>) {
+        val quoted = keys.joinToString(",") { "\"$it\"" }
+        platform.put(
+            WireKey.CATALOG,
+            """{"version":$version,"routes":[${route("plain", "idempotent", 2, "")},""" +
+                """${route("once", "non_idempotent", 1, "")},""" +
+                """${route("stream", "streaming", 2, ""","sticky-sessions":true,"stream-resume":true""")}],""" +
+                """"services":[{"name":"pool-a","max-connections":100,""" +
+                """"engine":{"slots":8,"kv-capacity-tokens":100000,"stride":1}}],""" +
+                """"tenants":[{"name":"team-a","api-keys":[$quoted],"priority":1}]}""",
+        )
+    }
+
+    /** Registers server [index] at [address] with [state]. */
+    public fun register(index: Int, address: NetworkAddress, state: String = "ready") {
+        platform.put(
+            WireKey.SERVERS + "server-$index",
+            """{"service":"pool-a","address":"$address","zone":"domain","version":"1","slots":8,""" +
+                """"state":"$state","cold-left-ms":0,"sequence":1}""",
+        )
+    }
+
+    /** Sends one request and waits for the whole answer. */
+    public suspend fun get(
+        path: String,
+        key: String? = KEY,
+        remainingMilliseconds: Long = 2_000,
+        prompt: String? = null,
+    ): SeenAnswer {
+        val request =
+            client
+                .request(HttpMethod.GET, callerAddress.port, callerAddress.host, path)
+                .putHeader("Host", HOST)
+                .putHeader(WireHeader.REQUEST_ID, "request-${++lastId}")
+                .putHeader(WireHeader.REMAINING_MILLISECONDS, remainingMilliseconds.toString())
+        if (key != null) request.putHeader(WireHeader.AUTHORIZATION, WireHeader.KEY_SCHEME + key)
+        if (prompt != null) {
+            request.putHeader(WireHeader.TOKEN_COUNT, "$PROMPT_TOKENS,20").putHeader(WireHeader.PROMPT_PARTS, prompt)
+        }
+        val response = request.send().coAwait()
+        return SeenAnswer(
+            status = response.statusCode(),
+            headers = response.headers().entries().associate { it.key.lowercase() to it.value },
+            text = response.bodyAsString().orEmpty(),
+        )
+    }
+
+    /** Text of the calls that the platform and callers make, at the readiness address. */
+    public suspend fun call(path: String): SeenAnswer {
+        val response = client.request(HttpMethod.GET, ports[1], LOOPBACK, path).send().coAwait()
+        return SeenAnswer(response.statusCode(), emptyMap(), response.bodyAsString().orEmpty())
+    }
+
+    private fun route(name: String, kind: String, servers: Int, more: String) =
+        """{"name":"$name","host":"$HOST","path-prefix":"/$name/","kind":"$kind","timeout-ms":2000,""" +
+            """"target-latency-ms":500,"priority":1,"service":"pool-a","max-attempts":$servers$more}"""
+
+    public companion object {
+        /** The key of the only team. */
+        public const val KEY: String = "key-a"
+        private const val HOST = "api.example"
+        private const val LOOPBACK = "127.0.0.1"
+        private const val SERVERS = 2
+        private const val FIXED_PORTS = 4
+        private const val PROMPT_TOKENS = 300
+        private const val OK = 200
+        private const val START_TRIES = 200
+        private const val START_PAUSE_MILLISECONDS = 50L
+
+        private fun address(port: Int) = NetworkAddress(LOOPBACK, port)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/selftest/SelfTest.kt
@@ -0,0 +1,75 @@
+package azuredale.selftest
+
+import azuredale.platform.WirePath
+import azuredale.standin.BackendBehaviour
+import azuredale.standin.BackendCall
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+
+/**
+ * Serves requests of every kind through one gateway on stand-ins.
+ *
+ * It answers whether an installed program works on a VM, and it loads the classes that a router needs, so the build
+ * records its class-data archive from a run of it.
+ *
+ * ```
+ * val faults = SelfTest().run()
+ * check(faults.isEmpty())
+ * ```
+ */
+public class SelfTest {
+    private val faults = mutableListOf<String>()
+
+    /** Runs all checks; returns what did not hold. */
+    public suspend fun run(): List<String> {
+        val vertx = Vertx.vertx()
+        try {
+            val fixture = GatewayFixture(vertx)
+            fixture.servers.forEach { it.behaviour = ::behave }
+            fixture.start()
+            repeat(ROUNDS) { round -> checkRound(fixture, round) }
+            checkCalls(fixture)
+        } finally {
+            vertx.close().coAwait()
+        }
+        return faults
+    }
+
+    private suspend fun checkRound(fixture: GatewayFixture, round: Int) {
+        expect("plain", 200 to "ok", fixture.get("/plain/$round"))
+        expect("non-idempotent", 200 to "ok", fixture.get("/once/$round"))
+        expect("stream", 200 to STREAM, fixture.get("/stream/$round", prompt = "aa:100,b$round:100,c$round:100"))
+        expectStatus("unknown key", 401, fixture.get("/plain/$round", key = "unknown"))
+        expectStatus("unknown route", 404, fixture.get("/none/$round"))
+        expectStatus("refused by the servers", 503, fixture.get("/once/refuse"))
+        expectStatus("connection closed by the server", 502, fixture.get("/once/reset"))
+    }
+
+    private suspend fun checkCalls(fixture: GatewayFixture) {
+        expectStatus("readiness", 200, fixture.call(WirePath.READY))
+        expectStatus("addresses", 200, fixture.call("${WirePath.ADDRESSES}?name=api.example&region=region&zone=domain"))
+        expectStatus("metrics", 200, fixture.call("/metrics"))
+    }
+
+    private fun behave(call: BackendCall): BackendBehaviour = when {
+        call.target.startsWith("/stream/") -> BackendBehaviour.Stream(first = 1, last = EVENTS)
+        call.target.endsWith("/refuse") -> BackendBehaviour.NotExecuted()
+        call.target.endsWith("/reset") -> BackendBehaviour.Reset
+        else -> BackendBehaviour.Answer("ok")
+    }
+
+    private fun expect(what: String, expected: Pair<Int, String>, seen: SeenAnswer) {
+        if (expected != seen.status to seen.text) faults += "$what: expected $expected, got ${seen.status} ${seen.text}"
+    }
+
+    private fun expectStatus(what: String, expected: Int, seen: SeenAnswer) {
+        if (expected != seen.status) faults += "$what: expected status $expected, got ${seen.status} ${seen.text}"
+    }
+
+    private companion object {
+        /** Enough for the code that every request runs to be loaded and linked. */
+        const val ROUNDS = 5
+        const val EVENTS = 3L
+        val STREAM = (1..EVENTS).joinToString("") { "id: $it\ndata: event $it\n\n" }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/standin/BackendStandIn.kt
@@ -0,0 +1,146 @@
+package azuredale.standin
+
+import azuredale.identity.NetworkAddress
+import azuredale.platform.WireHeader
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.HttpServerResponse
+import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.ConcurrentLinkedQueue
+
+/** A request that a [BackendStandIn] has read. */
+public class BackendCall(
+    private val request: HttpServerRequest,
+    public val body: Buffer,
+) {
+    /** Id of the request, empty when it has none. */
+    public val id: String get() = request.getHeader(WireHeader.REQUEST_ID).orEmpty()
+
+    /** Path with the query. */
+    public val target: String get() = request.uri()
+
+    /** The team in whose name the request came, null for an open route. */
+    public val team: String? get() = request.getHeader(WireHeader.TEAM)
+
+    /** Number of the last event that the caller has, null for a stream from its start. */
+    public val lastEvent: Long? get() = request.getHeader(WireHeader.LAST_EVENT)?.toLongOrNull()
+
+    internal val response: HttpServerResponse get() = request.response()
+
+    internal fun closeConnection() {
+        request.connection().close()
+    }
+}
+
+/** What a [BackendStandIn] does with one request. */
+public sealed interface BackendBehaviour {
+    /** Answers [text] whole. */
+    public data class Answer(
+        val text: String,
+        val status: Int = 200,
+    ) : BackendBehaviour
+
+    /** Streams the events from [first] to [last]; with [breaksAfter] the connection closes after that event. */
+    public data class Stream(
+        val first: Long,
+        val last: Long,
+        val breaksAfter: Long? = null,
+    ) : BackendBehaviour
+
+    /** Says that the request was not run. */
+    public data class NotExecuted(val status: Int = 503) : BackendBehaviour
+
+    /** Runs the request and closes the connection without an answer. */
+    public data object Reset : BackendBehaviour
+
+    /** Runs the request and never answers. */
+    public data object Silence : BackendBehaviour
+
+    /** Answers [text] without the proof that the server ran the request. */
+    public data class Unproven(val text: String) : BackendBehaviour
+}
+
+/**
+ * Stand-in of a backend server on the platform, with the platform's headers.
+ *
+ * ```
+ * val server = BackendStandIn(vertx)
+ * val port = server.start()
+ * server.behaviour = { BackendBehaviour.NotExecuted() }
+ * ```
+ */
+public class BackendStandIn(private val vertx: Vertx) {
+    private val executed = ConcurrentLinkedQueue<String>()
+    private val received = ConcurrentLinkedQueue<BackendCall>()
+    private var server: HttpServer? = null
+
+    /** Chooses what is done with a request. */
+    @Volatile
+    public var behaviour: (BackendCall) -> BackendBehaviour = { BackendBehaviour.Answer("ok") }
+
+    /** Ids of the requests that were run, in order. */
+    public val runs: List<String> get() = executed.toList()
+
+    /** All requests that arrived, in order. */
+    public val calls: List<BackendCall> get() = received.toList()
+
+    /** Listens on a free port of the loopback interface. */
+    public suspend fun start(): NetworkAddress {
+        val started =
+            vertx
+                .createHttpServer()
+                .requestHandler { request ->
+                    request.body().onSuccess { body -> serve(BackendCall(request, body)) }
+                }.listen(0, LOOPBACK)
+                .coAwait()
+        server = started
+        return NetworkAddress(LOOPBACK, started.actualPort())
+    }
+
+    /** Closes the listener and every connection. */
+    public suspend fun stop() {
+        server?.close()?.coAwait()
+    }
+
+    private fun serve(call: BackendCall) {
+        received += call
+        val wanted = behaviour(call)
+        if (wanted !is BackendBehaviour.NotExecuted) executed += call.id
+        when (wanted) {
+            is BackendBehaviour.Answer -> proven(call).setStatusCode(wanted.status).end(wanted.text)
+            is BackendBehaviour.Stream -> stream(call, wanted)
+            is BackendBehaviour.NotExecuted ->
+                call.response
+                    .putHeader(WireHeader.REQUEST_ID, call.id)
+                    .putHeader(WireHeader.NOT_EXECUTED, "1")
+                    .setStatusCode(wanted.status)
+                    .end()
+            is BackendBehaviour.Reset -> call.closeConnection()
+            is BackendBehaviour.Silence -> Unit
+            is BackendBehaviour.Unproven -> call.response.putHeader(WireHeader.REQUEST_ID, call.id).end(wanted.text)
+        }
+    }
+
+    private fun proven(call: BackendCall): HttpServerResponse = call.response
+        .putHeader(WireHeader.REQUEST_ID, call.id)
+        .putHeader(WireHeader.RESPONSE_STAMP, "stand-in")
+
+    private fun stream(call: BackendCall, wanted: BackendBehaviour.Stream) {
+        val response = proven(call).putHeader("Content-Type", "text/event-stream").setChunked(true)
+        val last = minOf(wanted.last, wanted.breaksAfter ?: wanted.last)
+        (wanted.first..last).forEach { number -> response.write("id: $number\ndata: event $number\n\n") }
+        if (wanted.breaksAfter == null) {
+            response.end()
+        } else {
+            // The events leave before the connection is closed.
+            vertx.setTimer(BREAK_MILLISECONDS) { call.closeConnection() }
+        }
+    }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val BREAK_MILLISECONDS = 30L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/standin/StoreStandIn.kt
@@ -0,0 +1,167 @@
+package azuredale.standin
+
+import azuredale.platform.ConflictMessage
+import azuredale.platform.ItemMessage
+import azuredale.platform.LeaseMessage
+import azuredale.platform.LeaseRequest
+import azuredale.platform.RangeMessage
+import azuredale.platform.TransactionMessage
+import azuredale.platform.WatchMessage
+import azuredale.platform.WirePath
+import azuredale.platform.WrittenMessage
+import azuredale.platform.wireJson
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.HttpServerResponse
+import io.vertx.ext.web.RoutingContext
+import kotlinx.serialization.encodeToString
+import java.util.Base64
+import java.util.concurrent.ConcurrentHashMap
+
+/** Answer of the store's stand-in. */
+internal class StoreReply(
+    val status: Int,
+    val body: String = "{}",
+)
+
+/** Speaks the protocol of the platform's store for a [KeyValueStore]. */
+internal class StoreStandIn(
+    private val vertx: Vertx,
+    private val store: KeyValueStore,
+) {
+    private class Waiting(
+        val response: HttpServerResponse,
+        val timer: Long,
+    )
+
+    private val watching = ConcurrentHashMap<Long, Waiting>()
+
+    /** Watches that are open. */
+    val openWatches: Int get() = watching.size
+
+    fun answer(request: HttpServerRequest, body: String): StoreReply {
+        val path = request.path().orEmpty()
+        return when {
+            path == WirePath.KEY -> key(request.getParam("key").orEmpty())
+            path == WirePath.RANGE ->
+                range(request.getParam("path-prefix").orEmpty(), request.getParam("after").orEmpty())
+            path == WirePath.TRANSACTION -> transaction(wireJson.decodeFromString(body))
+            path == WirePath.LEASE -> lease(wireJson.decodeFromString<LeaseRequest>(body).milliseconds)
+            path.startsWith(WirePath.KEEP_LEASE) -> keep(path.removePrefix(WirePath.KEEP_LEASE))
+            path.startsWith(WirePath.END_LEASE) -> end(path.removePrefix(WirePath.END_LEASE))
+            else -> StoreReply(NOT_FOUND)
+        }
+    }
+
+    /** Answers at once when there are changes, else as soon as there is one or the wait is over. */
+    fun watch(context: RoutingContext) {
+        val request = context.request()
+        val prefix = request.getParam("path-prefix").orEmpty()
+        val after = request.getParam("after").orEmpty().toLong()
+        val response = context.response()
+        val known = store.changes(prefix, after)
+        if (known == null) {
+            response.setStatusCode(GONE).end("{}")
+            return
+        }
+        if (known.isNotEmpty()) {
+            response.end(events(known))
+            return
+        }
+        park(prefix, after, request.getParam("wait-ms").orEmpty().toLong(), response)
+    }
+
+    /** Closes the connection of every waiting watch. */
+    fun breakWatches() {
+        watching.values.forEach { it.response.reset() }
+    }
+
+    private fun park(prefix: String, after: Long, milliseconds: Long, response: HttpServerResponse) {
+        val context = vertx.getOrCreateContext()
+        var number = 0L
+        val finish = {
+            if (watching.remove(number) !=
+                null
+            ) {
+                response.end(events(store.changes(prefix, after).orEmpty()))
+            }
+        }
+        // The listener runs on the thread of the writer; the answer is sent on that of the connection.
+        number = store.watch(prefix) { context.runOnContext { finish() } }
+        val timer = vertx.setTimer(milliseconds.coerceAtLeast(1)) { finish() }
+        watching[number] = Waiting(response, timer)
+        response.closeHandler { watching.remove(number) }
+        response.endHandler { release(number, timer) }
+        response.exceptionHandler { watching.remove(number) }
+    }
+
+    private fun release(number: Long, timer: Long) {
+        store.unwatch(number)
+        vertx.cancelTimer(timer)
+    }
+
+    private fun key(key: String): StoreReply {
+        val entry = store.read(key) ?: return StoreReply(NOT_FOUND)
+        return StoreReply(OK, wireJson.encodeToString(item(key, entry)))
+    }
+
+    private fun range(prefix: String, after: String): StoreReply {
+        val items = store.list(prefix, after, PAGE_ITEMS + 1)
+        val page = items.take(PAGE_ITEMS).map { (key, entry) -> item(key, entry) }
+        return StoreReply(OK, wireJson.encodeToString(RangeMessage(page, items.size > PAGE_ITEMS, store.revision)))
+    }
+
+    private fun transaction(message: TransactionMessage): StoreReply {
+        val expected = message.expected.associate { it.key to it.revision }
+        val puts = message.puts.map { Put(it.key, Base64.getDecoder().decode(it.value), it.lease) }
+        return when (val result = store.transact(expected, puts, message.removed)) {
+            is TransactionResult.NoLease -> StoreReply(NOT_FOUND)
+            is TransactionResult.Done -> StoreReply(OK, wireJson.encodeToString(WrittenMessage(result.revision)))
+            is TransactionResult.Mismatch -> {
+                val items = expected.keys.mapNotNull { key -> store.read(key)?.let { item(key, it) } }
+                StoreReply(CONDITION_FAILED, wireJson.encodeToString(ConflictMessage(items)))
+            }
+        }
+    }
+
+    private fun lease(milliseconds: Long): StoreReply {
+        val lease = store.grant(milliseconds / MILLISECONDS_PER_SECOND)
+        return StoreReply(OK, wireJson.encodeToString(LeaseMessage(lease, milliseconds)))
+    }
+
+    private fun keep(lease: String): StoreReply {
+        val seconds = store.keepAlive(lease.toLong())
+        if (seconds == 0L) return StoreReply(NOT_FOUND)
+        return StoreReply(
+            OK,
+            wireJson.encodeToString(LeaseMessage(lease.toLong(), seconds * MILLISECONDS_PER_SECOND)),
+        )
+    }
+
+    private fun end(lease: String) = StoreReply(if (store.revoke(lease.toLong())) OK else NOT_FOUND)
+
+    private fun events(changes: List<KeyChange>): String {
+        val events =
+            changes.map { change ->
+                change.entry?.let { item(change.key, it) }
+                    ?: ItemMessage(change.key, revision = change.revision, isRemoved = true)
+            }
+        return wireJson.encodeToString(WatchMessage(events, store.revision))
+    }
+
+    private fun item(key: String, entry: StoredEntry) = ItemMessage(
+        key = key,
+        value = Base64.getEncoder().encodeToString(entry.value),
+        revision = entry.modRevision,
+        storeRevision = store.revision,
+    )
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val GONE = 410
+        const val CONDITION_FAILED = 412
+        const val PAGE_ITEMS = 500
+        const val MILLISECONDS_PER_SECOND = 1_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/selftest/GatewaySpec.kt
@@ -0,0 +1,164 @@
+package azuredale.selftest
+
+import azuredale.standin.BackendBehaviour
+import azuredale.standin.BackendCall
+import azuredale.standin.PlatformFaults
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class GatewaySpec {
+    private fun withGateway(test: suspend GatewayFixture.() -> Unit) = runBlocking {
+        val vertx = Vertx.vertx()
+        try {
+            withTimeout(60_000) {
+                val fixture = GatewayFixture(vertx)
+                fixture.start()
+                fixture.test()
+            }
+        } finally {
+            vertx.close().coAwait()
+        }
+    }
+
+    private fun GatewayFixture.behave(behaviour: (BackendCall) -> BackendBehaviour) =
+        servers.forEach { it.behaviour = behaviour }
+
+    private fun GatewayFixture.runsOf(target: String) =
+        servers.sumOf { server -> server.calls.filter { it.target == target && it.id in server.runs }.size }
+
+    private fun GatewayFixture.arrivalsOf(target: String) =
+        servers.sumOf { server -> server.calls.count { it.target == target } }
+
+    /** What the server does, the status that the caller must see, and how often servers may run the request. */
+    enum class OutcomeCase(
+        val behaviour: BackendBehaviour,
+        val path: String,
+        val status: Int,
+        val runs: IntRange,
+    ) {
+        // Guards against a refusal "not run" for a request that a server has run, and against a second run.
+        ONCE_RESET(BackendBehaviour.Reset, "/once/", 502, 1..1),
+        ONCE_SILENT(BackendBehaviour.Silence, "/once/", 504, 1..1),
+        ONCE_NOT_EXECUTED(BackendBehaviour.NotExecuted(), "/once/", 503, 0..0),
+        ONCE_MISDIRECTED(BackendBehaviour.NotExecuted(421), "/once/", 503, 0..0),
+
+        // Guards against a success that no server vouches for.
+        ONCE_UNPROVEN(BackendBehaviour.Unproven("x"), "/once/", 502, 1..1),
+        ONCE_FAILED(BackendBehaviour.Answer("failed", 500), "/once/", 500, 1..1),
+
+        // Guards against more servers than the route allows.
+        PLAIN_RESET(BackendBehaviour.Reset, "/plain/", 502, 1..2),
+        PLAIN_NOT_EXECUTED(BackendBehaviour.NotExecuted(), "/plain/", 503, 0..0),
+    }
+
+    @Nested
+    inner class Outcomes {
+        @ParameterizedTest
+        @EnumSource(OutcomeCase::class)
+        fun `say truthfully whether a request was run`(case: OutcomeCase) = withGateway {
+            behave { case.behaviour }
+            val answer = get(case.path + "x", remainingMilliseconds = 600)
+            assertEquals(case.status, answer.status, answer.text)
+            assertTrue(runsOf(case.path + "x") in case.runs, "${runsOf(case.path + "x")} runs")
+            assertTrue(arrivalsOf(case.path + "x") <= 2)
+        }
+
+        @Test
+        fun `send an idempotent request to another server after a failure`() = withGateway {
+            behave { BackendBehaviour.Answer("ok") }
+            servers[0].behaviour = { BackendBehaviour.Reset }
+            repeat(4) { assertEquals("ok", get("/plain/$it").text) }
+        }
+    }
+
+    @Nested
+    inner class Streams {
+        @Test
+        fun `go on at another server where the first one broke off`() = withGateway {
+            // Guards against events that are missing, doubled or of two runs.
+            behave { call ->
+                val after = call.lastEvent
+                if (after == null) {
+                    BackendBehaviour.Stream(first = 1, last = 5, breaksAfter = 2)
+                } else {
+                    BackendBehaviour.Stream(first = after + 1, last = 5)
+                }
+            }
+            val answer = get("/stream/x", prompt = "a:100,b:100,c:100")
+            assertEquals((1..5).joinToString("") { "id: $it\ndata: event $it\n\n" }, answer.text)
+        }
+
+        @Test
+        fun `are not ended as complete when no server finishes them`() = withGateway {
+            behave { call ->
+                val first = (call.lastEvent ?: 0) + 1
+                BackendBehaviour.Stream(first, last = 9, breaksAfter = first)
+            }
+            val result = runCatching { get("/stream/x", prompt = "a:100,b:100,c:100") }
+            assertTrue(result.isFailure, "a broken stream looked complete: ${result.getOrNull()?.text}")
+        }
+    }
+
+    @Nested
+    inner class Keys {
+        @Test
+        fun `are refused soon after they were taken away`() = withGateway {
+            // Guards against a revoked key that goes on working while the store is reached.
+            assertEquals(200, get("/plain/x").status)
+            writeCatalog(version = 2, keys = listOf("other"))
+            withTimeout(2_000) { while (get("/plain/x").status != 401) delay(50) }
+            assertEquals(200, get("/plain/x", key = "other").status)
+        }
+
+        @Test
+        fun `are refused as not run once the store has been away for the revocation bound`() = withGateway {
+            // Guards against a router that serves a key which it cannot know to be valid.
+            platform.faults = PlatformFaults(isDown = true)
+            withTimeout(8_000) { while (get("/plain/x").status != 503) delay(100) }
+            val arrived = arrivalsOf("/plain/late")
+            assertEquals(503, get("/plain/late").status)
+            assertEquals(arrived, arrivalsOf("/plain/late"))
+            platform.faults = PlatformFaults()
+            withTimeout(4_000) { while (get("/plain/x").status != 200) delay(50) }
+        }
+    }
+
+    @Nested
+    inner class Servers {
+        @Test
+        fun `get no new work once they drain`() = withGateway {
+            assertEquals(200, get("/plain/x").status)
+            platform.put(
+                "servers/server-0",
+                """{"service":"pool-a","address":"127.0.0.1:1","zone":"domain","version":"1","slots":8,""" +
+                    """"state":"draining","cold-left-ms":0,"sequence":2}""",
+            )
+            delay(2_000)
+            val before = servers[0].calls.size
+            repeat(6) { assertEquals(200, get("/plain/x$it").status) }
+            assertEquals(before, servers[0].calls.size)
+        }
+
+        @Test
+        fun `with malformed registrations are passed over`() = withGateway {
+            // Guards against one bad writer that takes all servers away.
+            platform.put("servers/bad", """{"service": 7, "address": [], "state": "asleep"}""")
+            delay(1_000)
+            assertEquals(200, get("/plain/x").status)
+        }
+    }
+
+    @Test
+    fun `the self-test finds no fault`() = runBlocking {
+        assertEquals(emptyList(), SelfTest().run())
+    }
+}
