--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
+import azuredale.logging.BoundedAppender
 import azuredale.logging.EventLog
 import azuredale.peers.Peer
 import azuredale.peers.PeerExchange
@@ -219,6 +220,7 @@
                 .count { view.directory.isReady(it.id) }
                 .toDouble()
         }
+        metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
         metrics.gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
     }
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -16,6 +16,7 @@
 import io.vertx.core.http.HttpMethod
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
 import java.net.ServerSocket
 
 /** A whole answer as a caller saw it. */
@@ -72,7 +73,7 @@
             ) {
                 return
             }
-            kotlinx.coroutines.delay(START_PAUSE_MILLISECONDS)
+            delay(START_PAUSE_MILLISECONDS)
         }
         error("the router did not become ready")
     }
--- a/src/main/kotlin/azuredale/selftest/SelfTest.kt
+++ b/src/main/kotlin/azuredale/selftest/SelfTest.kt
@@ -36,19 +36,19 @@
     }
 
     private suspend fun checkRound(fixture: GatewayFixture, round: Int) {
-        expect("plain", 200 to "ok", fixture.get("/plain/$round"))
-        expect("non-idempotent", 200 to "ok", fixture.get("/once/$round"))
-        expect("stream", 200 to STREAM, fixture.get("/stream/$round", prompt = "aa:100,b$round:100,c$round:100"))
-        expectStatus("unknown key", 401, fixture.get("/plain/$round", key = "unknown"))
-        expectStatus("unknown route", 404, fixture.get("/none/$round"))
-        expectStatus("refused by the servers", 503, fixture.get("/once/refuse"))
-        expectStatus("connection closed by the server", 502, fixture.get("/once/reset"))
+        expect("plain", OK to "ok", fixture.get("/plain/$round"))
+        expect("non-idempotent", OK to "ok", fixture.get("/once/$round"))
+        expect("stream", OK to STREAM, fixture.get("/stream/$round", prompt = "aa:100,b$round:100,c$round:100"))
+        expectStatus("unknown key", UNAUTHORIZED, fixture.get("/plain/$round", key = "unknown"))
+        expectStatus("unknown route", NOT_FOUND, fixture.get("/none/$round"))
+        expectStatus("refused by the servers", UNAVAILABLE, fixture.get("/once/refuse"))
+        expectStatus("connection closed by the server", BAD_GATEWAY, fixture.get("/once/reset"))
     }
 
     private suspend fun checkCalls(fixture: GatewayFixture) {
-        expectStatus("readiness", 200, fixture.call(WirePath.READY))
-        expectStatus("addresses", 200, fixture.call("${WirePath.ADDRESSES}?name=api.example&region=region&zone=domain"))
-        expectStatus("metrics", 200, fixture.call("/metrics"))
+        expectStatus("readiness", OK, fixture.call(WirePath.READY))
+        expectStatus("addresses", OK, fixture.call("${WirePath.ADDRESSES}?name=api.example&region=region&zone=domain"))
+        expectStatus("metrics", OK, fixture.call("/metrics"))
     }
 
     private fun behave(call: BackendCall): BackendBehaviour = when {
@@ -70,6 +70,11 @@
         /** Enough for the code that every request runs to be loaded and linked. */
         const val ROUNDS = 5
         const val EVENTS = 3L
+        const val OK = 200
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val BAD_GATEWAY = 502
+        const val UNAVAILABLE = 503
         val STREAM = (1..EVENTS).joinToString("") { "id: $it\ndata: event $it\n\n" }
     }
 }
--- a/src/main/kotlin/azuredale/standin/BackendStandIn.kt
+++ b/src/main/kotlin/azuredale/standin/BackendStandIn.kt
@@ -130,7 +130,7 @@
     private fun stream(call: BackendCall, wanted: BackendBehaviour.Stream) {
         val response = proven(call).putHeader("Content-Type", "text/event-stream").setChunked(true)
         val last = minOf(wanted.last, wanted.breaksAfter ?: wanted.last)
-        (wanted.first..last).forEach { number -> response.write("id: $number\ndata: event $number\n\n") }
+        for (number in wanted.first..last) response.write("id: $number\ndata: event $number\n\n")
         if (wanted.breaksAfter == null) {
             response.end()
         } else {
--- a/src/main/kotlin/azuredale/standin/KeyValueStore.kt
+++ b/src/main/kotlin/azuredale/standin/KeyValueStore.kt
@@ -102,7 +102,7 @@
         return TransactionResult.Done(revision)
     }
 
-    /** Changes of keys that begin with [prefix] after revision [after], or null when they are not all known any more. */
+    /** Changes of keys that begin with [prefix] after revision [after], or null when some are not known any more. */
     @Synchronized
     fun changes(prefix: String, after: Long): List<KeyChange>? {
         if (after < forgottenUpTo) return null
@@ -157,7 +157,7 @@
         }
     }
 
-    /** Calls [listener] for each later change of a key that begins with [prefix]; returns a number for [unwatch]. */
+    /** Calls [listener] for each later change under [prefix]; returns a number for [unwatch]. */
     @Synchronized
     fun watch(prefix: String, listener: (KeyChange) -> Unit): Long {
         val number = numbers.incrementAndGet()
--- /dev/null
+++ b/src/test/kotlin/azuredale/logging/BoundedAppenderSpec.kt
@@ -0,0 +1,53 @@
+package azuredale.logging
+
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.classic.spi.LoggingEvent
+import ch.qos.logback.core.AppenderBase
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class BoundedAppenderSpec {
+    private class Stalled(private val release: CountDownLatch) : AppenderBase<ILoggingEvent>() {
+        val written = AtomicInteger()
+
+        override fun append(event: ILoggingEvent) {
+            release.await()
+            written.incrementAndGet()
+        }
+    }
+
+    @Test
+    fun `drops and counts lines instead of blocking when the reader stands still`() {
+        // Guards against requests that wait for a full pipe behind standard output.
+        val context = LoggerContext()
+        val release = CountDownLatch(1)
+        val reader = Stalled(release).also { it.context = context }
+        val appender = BoundedAppender().also { it.context = context }
+        reader.start()
+        appender.addAppender(reader)
+        appender.start()
+        val before = BoundedAppender.droppedLines
+        // The worker holds one queue full of lines while its reader stands still, and the queue another one.
+        val lines = BoundedAppender.QUEUE_LINES * 4
+        val writer =
+            Thread {
+                repeat(lines) {
+                    appender.doAppend(LoggingEvent("", context.getLogger("test"), Level.INFO, "line", null, null))
+                }
+            }
+        writer.start()
+        writer.join(TimeUnit.SECONDS.toMillis(20))
+        assertTrue(!writer.isAlive, "writing log lines blocks")
+        val dropped = (BoundedAppender.droppedLines - before).toInt()
+        assertTrue(dropped > 0)
+        release.countDown()
+        appender.stop()
+        assertEquals(lines, dropped + reader.written.get())
+    }
+}
--- a/src/test/kotlin/azuredale/platform/StoreClientSpec.kt
+++ b/src/test/kotlin/azuredale/platform/StoreClientSpec.kt
@@ -193,7 +193,7 @@
         }
 
         @Test
-        fun `reports the loss of the watch when the history it goes on from is dropped`() = PlatformFixture.run { scope ->
+        fun `reports a loss when the history is dropped`() = PlatformFixture.run { scope ->
             // Guards against a watch that goes on after a gap as if nothing had been missed.
             val watch = client.watch("/k").produceIn(scope)
             assertEquals(WatchEvent.Started, watch.receive())
