--- /dev/null
+++ b/src/test/kotlin/azuredale/engine/HotPrefixSpec.kt
@@ -0,0 +1,104 @@
+package azuredale.engine
+
+import azuredale.directory.BackendEntry
+import azuredale.directory.BackendState
+import azuredale.directory.ServerDirectory
+import azuredale.gateway.PromptPart
+import azuredale.gateway.PromptShape
+import azuredale.identity.FailureDomain
+import azuredale.identity.NetworkAddress
+import azuredale.identity.PoolId
+import azuredale.identity.ServerId
+import azuredale.time.Timestamp
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** Load pattern: one shared prompt part gets much of the traffic. */
+class HotPrefixSpec {
+    private val pool = PoolId("pool-a")
+    private val now = Timestamp.ofMilliseconds(1_000_000)
+    private val directory =
+        ServerDirectory(1, (1..6).map { server("server-$it") }.associateBy { it.id })
+    private val book = EngineBook { 400_000 }
+    private val chooser = ServerChooser({ directory }, book)
+
+    private fun server(name: String) = BackendEntry(
+        id = ServerId(name),
+        pool = pool,
+        address = NetworkAddress("10.0.0.1", 80),
+        failureDomain = FailureDomain("domain"),
+        slots = 48,
+        state = BackendState.READY,
+    )
+
+    private fun prompt(session: String, own: Int) = PromptShape(
+        parts = listOf(PromptPart("shared", 2_500), PromptPart(session, 3_800), PromptPart("own-$own", 2_900)),
+        promptTokens = 9_200,
+        maximumOutputTokens = 50,
+    )
+
+    private fun choose(prompt: PromptShape): Choice.Chosen {
+        val work =
+            Work(
+                pool = pool,
+                team = null,
+                prompt = prompt,
+                origin = FailureDomain("domain"),
+                onTimeUntil = now.plusMilliseconds(300),
+                deadline = now.plusMilliseconds(6_000),
+            )
+        return assertIs<Choice.Chosen>(chooser.choose(work, now))
+    }
+
+    /** Sends [prompt]: its shared parts are cached and its work waits at the chosen server. */
+    private fun send(prompt: PromptShape): Choice.Chosen {
+        val choice = choose(prompt)
+        book.cache.read(choice.server.id, prompt.parts.dropLast(1))
+        book.loads.add(choice.server.id, ServerLoad(choice.uncachedTokens, 1))
+        return choice
+    }
+
+    @Nested
+    inner class Calm {
+        @Test
+        fun `a session stays at the server that holds its parts`() {
+            // Guards against prompts that every server reads again.
+            val first = send(prompt("session", 0))
+            book.loads.add(first.server.id, ServerLoad(-first.uncachedTokens, -1))
+            repeat(10) {
+                val choice = choose(prompt("session", it + 1))
+                assertEquals(first.server.id, choice.server.id)
+                assertEquals(2_900, choice.uncachedTokens)
+            }
+        }
+    }
+
+    @Nested
+    inner class Burst {
+        @Test
+        fun `a session that many ask for at once spreads to other servers before any is far behind`() {
+            // Guards against one server that everybody waits for while others are idle.
+            val chosen = (1..60).map { send(prompt("session", it)) }
+            val loads = directory.entries.keys.map { book.loads.ownLoad(it).waitingTokens }
+            assertTrue(
+                chosen.map { it.server.id }.toSet().size >= 4,
+                "used: ${chosen.groupingBy { it.server.id }.eachCount()}",
+            )
+            assertTrue(loads.max() <= 3 * (loads.sum() / loads.size), "waiting tokens: $loads")
+        }
+    }
+
+    @Nested
+    inner class Failures {
+        @Test
+        fun `a server that keeps failing is left for the others and tried again later`() {
+            val first = send(prompt("session", 0)).server.id
+            repeat(2) { book.failures(first).failed(now) }
+            assertTrue(choose(prompt("session", 1)).server.id != first)
+            assertTrue(book.failures(first).isUsable(now.plusMilliseconds(500)))
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/azuredale/gateway/RetryStormSpec.kt
@@ -0,0 +1,68 @@
+package azuredale.gateway
+
+import azuredale.identity.PoolId
+import azuredale.time.Timestamp
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Load pattern: every request fails at its first server and wants another one. */
+class RetryStormSpec {
+    private val pool = PoolId("pool-a")
+    private val start = Timestamp.ofMilliseconds(1_000_000)
+    private val bounds = FleetBounds(retryRatio = 0.2, retryHeadroom = 56.0, retryWindow = 10_000)
+
+    /** Repeats in each window of [FleetBounds.retryWindow] of a fleet whose routers each send one request per step. */
+    private fun worstWindow(routers: Int, believed: Int, stepMilliseconds: Long, seconds: Long): Pair<Int, Int> {
+        val fleet = List(routers) { RetryAllowance(bounds) { believed } }
+        val requests = ArrayList<Timestamp>()
+        val repeats = ArrayList<Timestamp>()
+        for (elapsed in 0 until seconds * 1_000 step stepMilliseconds) {
+            val now = start.plusMilliseconds(elapsed)
+            fleet.forEach { allowance ->
+                allowance.requested(pool, now)
+                requests += now
+                if (allowance.take(pool, now)) repeats += now
+            }
+        }
+        return repeats
+            .map { end ->
+                val from = end.plusMilliseconds(-bounds.retryWindow)
+                repeats.count { it > from && it <= end } to requests.count { it > from && it <= end }
+            }.maxBy { (repeated, sent) -> repeated - bounds.retryRatio * sent }
+    }
+
+    @Nested
+    inner class Fleet {
+        @ParameterizedTest
+        @ValueSource(ints = [1, 8, 82])
+        fun `stays within its budget in every window`(routers: Int) {
+            // Guards against routers that each spend the whole headroom.
+            val (repeated, sent) = worstWindow(routers, routers, stepMilliseconds = 100, seconds = 25)
+            assertTrue(
+                repeated <= bounds.retryRatio * sent + bounds.retryHeadroom,
+                "$repeated repeats of $sent requests",
+            )
+            assertTrue(repeated > bounds.retryRatio * sent / 2, "only $repeated repeats of $sent requests are allowed")
+        }
+
+        @Test
+        fun `spends less when it believes in more routers than there are`() {
+            // Guards against a wrong view of the fleet that breaks the bound.
+            val (repeated, sent) = worstWindow(routers = 8, believed = 16, stepMilliseconds = 200, seconds = 25)
+            assertTrue(repeated <= bounds.retryRatio * sent + bounds.retryHeadroom / 2)
+        }
+    }
+
+    @Test
+    fun `a single router that recovers gets its allowance back`() {
+        val allowance = RetryAllowance(bounds) { 8 }
+        while (allowance.take(pool, start)) Unit
+        val later = start.plusMilliseconds(bounds.retryWindow + 1_000)
+        assertTrue(allowance.take(pool, later))
+        assertEquals(false, RetryAllowance(bounds.copy(retryHeadroom = 0.0)) { 8 }.take(pool, start))
+    }
+}
--- a/src/test/kotlin/azuredale/logging/BoundedAppenderSpec.kt
+++ b/src/test/kotlin/azuredale/logging/BoundedAppenderSpec.kt
@@ -4,6 +4,7 @@
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.classic.spi.LoggingEvent
+import ch.qos.logback.classic.util.LogbackMDCAdapter
 import ch.qos.logback.core.AppenderBase
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -25,7 +26,7 @@
     @Test
     fun `drops and counts lines instead of blocking when the reader stands still`() {
         // Guards against requests that wait for a full pipe behind standard output.
-        val context = LoggerContext()
+        val context = LoggerContext().also { it.mdcAdapter = LogbackMDCAdapter() }
         val release = CountDownLatch(1)
         val reader = Stalled(release).also { it.context = context }
         val appender = BoundedAppender().also { it.context = context }
@@ -47,6 +48,9 @@
         val dropped = (BoundedAppender.droppedLines - before).toInt()
         assertTrue(dropped > 0)
         release.countDown()
+        // Stopping interrupts the worker, so it waits for the lines that were taken.
+        val deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20)
+        while (dropped + reader.written.get() < lines && System.nanoTime() < deadline) Thread.sleep(5)
         appender.stop()
         assertEquals(lines, dropped + reader.written.get())
     }
