Answer a parked watch that a change overtook in the store's stand-in

Cause: a change between the look at the history and the listener, or before the response was kept, left the watch of the stand-in waiting for its full time.

Change: the history is looked at once more after the listener is set.

StoreClientSpec, PlatformStandInSpec, GatewaySpec and KeyClaimerSpec pass.

--- a/src/main/kotlin/azuredale/standin/KeyValueStore.kt
+++ b/src/main/kotlin/azuredale/standin/KeyValueStore.kt
@@ -84,12 +84,8 @@
     @Synchronized
     fun transact(expected: Map<String, Long>, puts: List<Put>, removed: List<String>): TransactionResult {
         expire()
-        if (expected.any { (key, wanted) ->
-                (entries[key]?.modRevision ?: 0) != wanted
-            }
-        ) {
-            return TransactionResult.Mismatch
-        }
+        val isExpected = expected.all { (key, wanted) -> (entries[key]?.modRevision ?: 0) == wanted }
+        if (!isExpected) return TransactionResult.Mismatch
         if (puts.any { it.lease != 0L && it.lease !in leases }) return TransactionResult.NoLease
         revision++
         puts.forEach { put ->
--- a/src/main/kotlin/azuredale/standin/StoreStandIn.kt
+++ b/src/main/kotlin/azuredale/standin/StoreStandIn.kt
@@ -29,12 +29,7 @@
     private val vertx: Vertx,
     private val store: KeyValueStore,
 ) {
-    private class Waiting(
-        val response: HttpServerResponse,
-        val timer: Long,
-    )
-
-    private val watching = ConcurrentHashMap<Long, Waiting>()
+    private val watching = ConcurrentHashMap<Long, HttpServerResponse>()
 
     /** Watches that are open. */
     val openWatches: Int get() = watching.size
@@ -73,26 +68,25 @@
 
     /** Closes the connection of every waiting watch. */
     fun breakWatches() {
-        watching.values.forEach { it.response.reset() }
+        watching.values.forEach { it.reset() }
     }
 
     private fun park(prefix: String, after: Long, milliseconds: Long, response: HttpServerResponse) {
         val context = vertx.getOrCreateContext()
         var number = 0L
-        val finish = {
-            if (watching.remove(number) !=
-                null
-            ) {
-                response.end(events(store.changes(prefix, after).orEmpty()))
-            }
-        }
         // The listener runs on the thread of the writer; the answer is sent on that of the connection.
-        number = store.watch(prefix) { context.runOnContext { finish() } }
-        val timer = vertx.setTimer(milliseconds.coerceAtLeast(1)) { finish() }
-        watching[number] = Waiting(response, timer)
+        number = store.watch(prefix) { context.runOnContext { finish(number, prefix, after) } }
+        val timer = vertx.setTimer(milliseconds.coerceAtLeast(1)) { finish(number, prefix, after) }
+        watching[number] = response
         response.closeHandler { watching.remove(number) }
         response.endHandler { release(number, timer) }
         response.exceptionHandler { watching.remove(number) }
+        // A change that came before the listener was set, or before the response was kept, is answered now.
+        if (store.changes(prefix, after)?.isEmpty() != true) finish(number, prefix, after)
+    }
+
+    private fun finish(number: Long, prefix: String, after: Long) {
+        watching.remove(number)?.end(events(store.changes(prefix, after).orEmpty()))
     }
 
     private fun release(number: Long, timer: Long) {
