Move the claims of idempotency keys out of the adapter

Cause: the adapter folder still held a decision, when a claim is repeated and what its conflict means; and a used-up call budget was logged as a failed call.

--- a/src/main/kotlin/azuredale/node/RouterDaemon.kt
+++ b/src/main/kotlin/azuredale/node/RouterDaemon.kt
@@ -15,7 +15,7 @@
 import azuredale.logging.EventLog
 import azuredale.membership.DatagramEdge
 import azuredale.membership.MemberState
-import azuredale.platform.KeyClaimer
+import azuredale.outcome.KeyClaimer
 import azuredale.platform.MachineListResult
 import azuredale.platform.StoreClient
 import azuredale.platform.VirtualMachineListClient
--- a/src/main/kotlin/azuredale/platform/KeyClaimer.kt
+++ b/src/main/kotlin/azuredale/outcome/KeyClaimer.kt
@@ -1,4 +1,4 @@
-package azuredale.platform
+package azuredale.outcome
 
 import azuredale.identity.Incarnation
 import azuredale.identity.RouterId
@@ -61,7 +61,7 @@
                 .encode()
                 .encodeToByteArray()
         val result = Attempts(path(team, key), value, deadline).run()
-        if (result == ClaimResult.UNKNOWN) log.write(PlatformLogEvent.CLAIM_UNKNOWN, "team" to team, "nonce" to nonce)
+        if (result == ClaimResult.UNKNOWN) log.write(OutcomeLogEvent.CLAIM_UNKNOWN, "team" to team, "nonce" to nonce)
         return result
     }
 
--- a/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
@@ -13,5 +13,4 @@
     WATCH_BROKEN(1101, Level.WARN, "watch of the key-value service was lost"),
     MALFORMED_ANSWER(1102, Level.WARN, "answer of the platform is malformed"),
     BUDGET_EXHAUSTED(1103, Level.WARN, "call budget of the platform is used up"),
-    CLAIM_UNKNOWN(1104, Level.WARN, "claim of an idempotency key has an unknown result"),
 }
--- a/src/main/kotlin/azuredale/platform/StoreCalls.kt
+++ b/src/main/kotlin/azuredale/platform/StoreCalls.kt
@@ -69,7 +69,9 @@
                 else -> exchange(method, path, query, body, remaining)
             }
         if (answer is StoreAnswer.Failed) {
-            log.write(PlatformLogEvent.CALL_FAILED, "path" to path, "failure" to answer.failure)
+            val isOverBudget = answer.failure.reason == CallFailureReason.BUDGET_EXHAUSTED
+            val event = if (isOverBudget) PlatformLogEvent.BUDGET_EXHAUSTED else PlatformLogEvent.CALL_FAILED
+            log.write(event, "path" to path, "failure" to answer.failure)
         }
         return answer
     }
--- a/src/test/kotlin/azuredale/platform/KeyClaimerSpec.kt
+++ b/src/test/kotlin/azuredale/outcome/KeyClaimerSpec.kt
@@ -1,9 +1,11 @@
-package azuredale.platform
+package azuredale.outcome
 
 import azuredale.identity.Incarnation
 import azuredale.identity.RouterId
 import azuredale.identity.TeamId
 import azuredale.node.ClaimResult
+import azuredale.platform.PlatformFixture
+import azuredale.platform.StoreClient
 import azuredale.standin.PlatformFaults
 import azuredale.store.CallBudget
 import azuredale.store.KeyValueService
