Forget learned speeds that no first event confirms

Ruled out: shares (the refused teams were far below theirs) and the servers (six other routers served at the same time).

Change: the time to a first event counts from the writing of the request, and speeds are forgotten when no first event has come for 1 s.

--- a/src/main/kotlin/azuredale/engine/EngineBook.kt
+++ b/src/main/kotlin/azuredale/engine/EngineBook.kt
@@ -4,12 +4,14 @@
 import azuredale.directory.ServerDirectory
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.time.Timestamp
 
 /** What this router knows of the backend servers beside their registrations. */
 internal class EngineBook(private val cacheTokens: (ServerId) -> Long) {
     private val speeds = HashMap<ServerId, EngineSpeed>()
     private val timings = HashMap<PoolId, PoolTiming>()
     private val failureRecords = HashMap<ServerId, FailureRecord>()
+    private val observedAt = HashMap<PoolId, Timestamp>()
     private var starts: Map<ServerId, Long?> = emptyMap()
 
     /** Work at the servers. */
@@ -28,7 +30,8 @@
     fun failures(server: ServerId): FailureRecord = failureRecords.getOrPut(server) { FailureRecord() }
 
     /** Notes that the first event came [milliseconds] after the request, with [tokens] to read until then. */
-    fun firstEvent(server: BackendEntry, tokens: Double, milliseconds: Double) {
+    fun firstEvent(server: BackendEntry, tokens: Double, milliseconds: Double, now: Timestamp) {
+        observedAt[server.pool] = now
         val speed = speed(server.id)
         val timing = timing(server.pool)
         val fixed = timing.fixedMilliseconds
@@ -36,6 +39,20 @@
         speed.observed(tokens, milliseconds - fixed)
     }
 
+    /**
+     * Forgets the speeds of [pool] when no first event has shown them for a while.
+     *
+     * A router that stalled sees late events and learns speeds by which it refuses everything; without new events it
+     * would never learn better.
+     */
+    fun forgetUnconfirmed(pool: PoolId, now: Timestamp) {
+        val last = observedAt[pool] ?: return
+        if (now < last.plusMilliseconds(CONFIRMED_MILLISECONDS)) return
+        observedAt.remove(pool)
+        timings.remove(pool)
+        speeds.clear()
+    }
+
     /** Predicts the first event of a request that leaves [uncachedTokens] to read at [server]. */
     fun predict(server: BackendEntry, uncachedTokens: Int, load: ServerLoad): Double {
         val timing = timing(server.pool)
@@ -69,6 +86,9 @@
     }
 
     private companion object {
+        /** A router of today's size sees tens of first events a second, so this many are missing only after a stall. */
+        const val CONFIRMED_MILLISECONDS = 1_000L
+
         /** The rest of a server's memory holds running requests and parts that are used only once. */
         const val CACHE_SHARE = 0.6
 
--- a/src/main/kotlin/azuredale/engine/ServerChooser.kt
+++ b/src/main/kotlin/azuredale/engine/ServerChooser.kt
@@ -62,6 +62,7 @@
     ): Choice.Chosen? {
         val shared = prompt.parts.dropLast(1)
         val sharedTokens = shared.sumOf { it.tokens }
+        book.forgetUnconfirmed(work.pool, now)
         val session = shared.lastOrNull()?.id.orEmpty()
         return candidates
             .map { server ->
--- a/src/main/kotlin/azuredale/gateway/AttemptLedger.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptLedger.kt
@@ -16,6 +16,7 @@
     private var load = ServerLoad(waitingTokens = choice.uncachedTokens, running = 1)
     private var hasEvent = false
     private val tokensAhead = book.remainingTokens(choice.load)
+    private var sentAt = startedAt
     private var firstEventAt = startedAt
 
     init {
@@ -23,15 +24,20 @@
         book.failures(server.id).sent(startedAt)
     }
 
+    /** The request was written; the wait for a connection says nothing of the server's speed. */
+    fun sent(now: Timestamp) {
+        sentAt = now
+    }
+
     /** An event of the stream arrived. */
     fun event(now: Timestamp) {
         if (hasEvent) return
         hasEvent = true
         change(ServerLoad(waitingTokens = 0, running = 1))
         book.failures(server.id).succeeded()
-        val took = now.microsecondsSince(startedAt).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
+        val took = now.microsecondsSince(sentAt).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
         firstEventAt = now
-        book.firstEvent(server, tokensAhead + choice.uncachedTokens, took)
+        book.firstEvent(server, tokensAhead + choice.uncachedTokens, took, now)
     }
 
     /** The server answered as it should. */
--- a/src/main/kotlin/azuredale/gateway/RequestRun.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestRun.kt
@@ -283,7 +283,7 @@
             }
             is BackendEvent.Sent -> {
                 wasSent = true
-                sentAt = clock()
+                sentAt = clock().also(ledger::sent)
                 serversSent++
                 null
             }
