Exchange reports through relays in fleets of more than 12 routers, and keep reported loads as running totals

Cause: each router sent a report to every other one. Change: the routers of a failure domain report to one of them, which reports sums to the other relays and to its members. Elected by each router from its own view (ready, size, hash); a silent relay is replaced after a second. Up to 12 routers nothing changes. A choice of server looks loads up in running totals. A store without a catalog is shared as a proof, so that a fleet that waits for its first catalog does not poll it; reads of the later ranks are spread.

--- a/src/main/kotlin/azuredale/admission/TeamUsage.kt
+++ b/src/main/kotlin/azuredale/admission/TeamUsage.kt
@@ -10,6 +10,12 @@
     val granted: Long = 0,
 ) {
     operator fun plus(other: TokenUsage): TokenUsage = TokenUsage(requested + other.requested, granted + other.granted)
+
+    /** The difference, without negative parts. */
+    operator fun minus(other: TokenUsage): TokenUsage = TokenUsage(
+        (requested - other.requested).coerceAtLeast(0),
+        (granted - other.granted).coerceAtLeast(0),
+    )
 }
 
 /**
@@ -54,19 +60,31 @@
         peers[router] = ReportedUsage(usage, validUntil)
     }
 
-    /** Usage of all teams summed over all routers; cached for a short time. */
-    fun fleetUsage(now: Timestamp): Map<Int, TokenUsage> {
-        if (now.microsecondsSince(fleetUpdatedAt) < REFRESH_MICROSECONDS) return fleet
+    /** Removes the usage reported by all routers except [kept]. */
+    fun retainPeer(kept: RouterId?) {
+        peers.keys.retainAll { it == kept }
+    }
+
+    /** Sum of this router's usage and the unexpired usage that the routers accepted by [isIncluded] reported. */
+    fun sum(now: Timestamp, isIncluded: (RouterId) -> Boolean): Map<Int, TokenUsage> {
         val sums = HashMap(localUsage(now))
         peers.values.removeIf { it.validUntil < now }
-        peers.values.forEach { peer ->
-            peer.usage.forEach { (team, usage) -> sums.merge(team, usage, TokenUsage::plus) }
+        peers.forEach { (router, reported) ->
+            if (isIncluded(router)) {
+                reported.usage.forEach { (team, usage) -> sums.merge(team, usage, TokenUsage::plus) }
+            }
         }
-        fleet = sums
-        fleetUpdatedAt = now
         return sums
     }
 
+    /** Usage of all teams summed over all routers; cached for a short time. */
+    fun fleetUsage(now: Timestamp): Map<Int, TokenUsage> {
+        if (now.microsecondsSince(fleetUpdatedAt) < REFRESH_MICROSECONDS) return fleet
+        fleet = sum(now) { true }
+        fleetUpdatedAt = now
+        return fleet
+    }
+
     private fun add(team: TeamId, usage: TokenUsage, now: Timestamp) {
         val newest = buckets.lastOrNull()
         val bucket =
--- a/src/main/kotlin/azuredale/directory/ServerDirectory.kt
+++ b/src/main/kotlin/azuredale/directory/ServerDirectory.kt
@@ -18,6 +18,9 @@
             .sortedBy { it.id.name }
             .groupBy { it.pool }
 
+    /** The entries by the hash of their ids, as used in messages between routers. */
+    internal val byIdHash: Map<Int, BackendEntry> = entries.values.associateBy { it.idHash }
+
     /** Hash of the entries, the same on every router for equal entries regardless of [storeRevision]. */
     public val digest: Int =
         entries.values.sortedBy { it.id.name }.fold(
--- a/src/main/kotlin/azuredale/engine/LoadTracker.kt
+++ b/src/main/kotlin/azuredale/engine/LoadTracker.kt
@@ -4,7 +4,11 @@
 import azuredale.identity.ServerId
 import azuredale.time.Timestamp
 
-/** Outstanding work at the backend servers: sent by this router, and reported by other routers. */
+/**
+ * Outstanding work at the backend servers: sent by this router, and reported by other routers.
+ *
+ * The reported loads are kept as running totals, so a lookup does not depend on the number of routers.
+ */
 internal class LoadTracker {
     private class ReportedLoads(
         val loads: Map<Int, ServerLoad>,
@@ -13,17 +17,17 @@
 
     private val local = HashMap<ServerId, ServerLoad>()
     private val peers = HashMap<RouterId, ReportedLoads>()
+    private val totals = HashMap<Int, ServerLoad>()
+    private var nextExpiryAt = Timestamp.DISTANT_FUTURE
 
     /** Work sent by this router, for reports to other routers. */
     val localLoads: Map<ServerId, ServerLoad> get() = local
 
     /** Work at [server] from all routers; [idHash] identifies the server in reports. */
     fun load(server: ServerId, idHash: Int, now: Timestamp): ServerLoad {
-        var total = local[server] ?: ServerLoad.NONE
-        peers.values.forEach { peer ->
-            if (peer.validUntil > now) peer.loads[idHash]?.let { total += it }
-        }
-        return total
+        removeExpired(now)
+        val own = local[server] ?: ServerLoad.NONE
+        return totals[idHash]?.let { own + it } ?: own
     }
 
     /** Work at [server] sent by this router. */
@@ -37,11 +41,41 @@
 
     /** Replaces the loads reported by [router], which expire at [validUntil]. */
     fun updatePeer(router: RouterId, loads: Map<Int, ServerLoad>, validUntil: Timestamp) {
+        removePeer(router)
         peers[router] = ReportedLoads(loads, validUntil)
+        nextExpiryAt = minOf(nextExpiryAt, validUntil)
+        loads.forEach { (server, load) -> totals.merge(server, load, ServerLoad::plus) }
     }
 
     /** Removes the loads reported by [router]. */
     fun removePeer(router: RouterId) {
-        peers.remove(router)
+        val removed = peers.remove(router) ?: return
+        removed.loads.forEach { (server, load) ->
+            val left = (totals[server] ?: ServerLoad.NONE) - load
+            if (left == ServerLoad.NONE) totals.remove(server) else totals[server] = left
+        }
+    }
+
+    /** Removes the loads reported by all routers except [kept]. */
+    fun retainPeer(kept: RouterId?) {
+        peers.keys.filter { it != kept }.forEach(::removePeer)
+    }
+
+    /** Sum of the unexpired loads that the routers accepted by [isIncluded] reported. */
+    fun reportedLoads(now: Timestamp, isIncluded: (RouterId) -> Boolean): Map<Int, ServerLoad> {
+        removeExpired(now)
+        val sums = HashMap<Int, ServerLoad>()
+        peers.forEach { (router, reported) ->
+            if (isIncluded(router)) {
+                reported.loads.forEach { (server, load) -> sums.merge(server, load, ServerLoad::plus) }
+            }
+        }
+        return sums
+    }
+
+    private fun removeExpired(now: Timestamp) {
+        if (now < nextExpiryAt) return
+        peers.filterValues { it.validUntil <= now }.keys.forEach(::removePeer)
+        nextExpiryAt = peers.values.minOfOrNull { it.validUntil } ?: Timestamp.DISTANT_FUTURE
     }
 }
--- a/src/main/kotlin/azuredale/engine/ServerLoad.kt
+++ b/src/main/kotlin/azuredale/engine/ServerLoad.kt
@@ -13,6 +13,12 @@
     public operator fun plus(other: ServerLoad): ServerLoad =
         ServerLoad(waitingTokens + other.waitingTokens, running + other.running)
 
+    /** The difference, without negative parts. */
+    public operator fun minus(other: ServerLoad): ServerLoad = ServerLoad(
+        (waitingTokens - other.waitingTokens).coerceAtLeast(0),
+        (running - other.running).coerceAtLeast(0),
+    )
+
     public companion object {
         public val NONE: ServerLoad = ServerLoad()
     }
--- a/src/main/kotlin/azuredale/freshness/StoreReadSchedule.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreReadSchedule.kt
@@ -20,8 +20,14 @@
     fun isDue(now: Timestamp, provenAt: Timestamp, isKnownStale: Boolean): Boolean {
         if (isReading || now < notBefore) return false
         if (isKnownStale) return true
-        val wait = BASE_DELAY_MICROSECONDS + rank().coerceAtMost(MAXIMUM_RANK) * RANK_DELAY_MICROSECONDS
-        return now.microsecondsSince(provenAt) >= wait
+        return now.microsecondsSince(provenAt) >= waitMicroseconds()
+    }
+
+    private fun waitMicroseconds(): Long {
+        val rank = rank()
+        val spread = (rank - MAXIMUM_RANK).coerceAtLeast(0) * SPREAD_DELAY_MICROSECONDS
+        return BASE_DELAY_MICROSECONDS + rank.coerceAtMost(MAXIMUM_RANK) * RANK_DELAY_MICROSECONDS +
+            spread.coerceAtMost(MAXIMUM_SPREAD_MICROSECONDS)
     }
 
     fun recordStart() {
@@ -48,9 +54,15 @@
         /** Longer than a message exchange between routers, so that the next router receives a proof before it reads. */
         const val RANK_DELAY_MICROSECONDS = 200_000L
 
-        /** Caps the delay at 1.25 s, so that the last routers in the order still read within the shortest bound. */
+        /** Ranks up to this one read one after the other; the last of them reads after 1.25 s. */
         const val MAXIMUM_RANK = 4
 
+        /** Between the later ranks, so that a large fleet without proofs does not call the store at the same moment. */
+        const val SPREAD_DELAY_MICROSECONDS = 4_000L
+
+        /** Caps the delay at 1.6 s, so that the last routers still read within the shortest bound, 2 s. */
+        const val MAXIMUM_SPREAD_MICROSECONDS = 350_000L
+
         /** Minimum time between two reads of a table when changes follow each other quickly. */
         const val MINIMUM_INTERVAL_MILLISECONDS = 60L
         const val RETRY_DELAY_MILLISECONDS = 150L
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -96,7 +96,15 @@
             isReady = { isReady() },
         )
     private val poller: StorePoller =
-        StorePoller(view, dependencies.storeReader, clock, exchange::rank, log) { storeChanged(it) }
+        StorePoller(
+            view = view,
+            storeReader = dependencies.storeReader,
+            clock = clock,
+            rank = exchange::rank,
+            log = log,
+            onChange = ::storeChanged,
+            onProof = { exchange.proofRenewed(clock()) },
+        )
     private val registrar =
         RouterRegistrar(
             own = RegisteredRouter(settings.router, settings.peerAddress),
@@ -116,7 +124,7 @@
             recorders =
                 AttemptRecorders(
                     statistics,
-                    onSent = { server, parts -> exchange.promptSent(server.idHash, parts) },
+                    onSent = { server, parts -> exchange.promptSent(server.idHash, parts, clock()) },
                     onExcluded = { log.write(GatewayLogEvent.SERVER_EXCLUDED, "server" to it.server.id) },
                 ),
             retryBudget = FleetRetryBudget(settings.bounds) { exchange.peers.recentFleetSize() },
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -20,6 +20,7 @@
     rank: () -> Int,
     private val log: EventLog,
     private val onChange: (isCatalogNew: Boolean) -> Unit,
+    private val onProof: () -> Unit,
 ) {
     private val catalogSchedule = StoreReadSchedule(rank)
     private val directorySchedule = StoreReadSchedule(rank)
@@ -81,7 +82,8 @@
                     onChange(true)
                 }
             is CatalogRead.Unchanged -> view.confirmCatalog(read.revision, sentAt)
-            is CatalogRead.Missing -> Unit
+            // Shared like any other proof, so that not every router of a fleet polls the store for the first catalog.
+            is CatalogRead.Missing -> view.confirmCatalog(Revision.NONE, sentAt)
             is CatalogRead.Malformed -> {
                 malformedRevision = read.revision
                 log.write(GatewayLogEvent.CATALOG_REFUSED, "revision" to read.revision, "detail" to read.detail)
@@ -89,6 +91,7 @@
         }
         catalogSchedule.recordSuccess(now)
         storeAnswered()
+        onProof()
     }
 
     /** Reads the server directory once and updates the view. */
@@ -115,6 +118,7 @@
                     onChange(false)
                 }
                 storeAnswered()
+                onProof()
             }
         }
     }
--- a/src/main/kotlin/azuredale/peers/Peer.kt
+++ b/src/main/kotlin/azuredale/peers/Peer.kt
@@ -4,12 +4,17 @@
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.RouterId
+import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
 
 /**
  * Another router of the fleet.
  *
  * @property lastReportReceivedAt time at which its latest report arrived.
+ * @property lastHeardAt time at which it was last heard from, directly or by a relay.
+ * @property aliveUntil time at which the router counts as silent unless it is heard from again.
+ * @property contactedAt time at which this router, as a relay, began to report to it as to another relay.
+ * @property changedAt time at which it last became alive, silent, ready or not ready.
  * @property lastReportSentAt time of sending in that report by the sender's clock, which is echoed to the sender.
  * @property nextRetryAt time of the next report to this peer while it is silent.
  */
@@ -18,6 +23,8 @@
     var address: NetworkAddress,
     val firstSeenAt: Timestamp,
 ) {
+    /** Position of the router in orders that all routers agree on. */
+    val hash: Long = StableHash.of(router.name)
     var incarnation: Incarnation? = null
     var failureDomain: FailureDomain? = null
     var callerAddress: NetworkAddress? = null
@@ -27,4 +34,8 @@
     var lastReportSentAt: Long = 0
     var nextRetryAt: Timestamp = Timestamp.DISTANT_PAST
     var isAlive: Boolean = false
+    var lastHeardAt: Timestamp = Timestamp.DISTANT_PAST
+    var aliveUntil: Timestamp = Timestamp.DISTANT_PAST
+    var contactedAt: Timestamp = Timestamp.DISTANT_PAST
+    var changedAt: Timestamp = Timestamp.DISTANT_PAST
 }
--- a/src/main/kotlin/azuredale/peers/PeerCodec.kt
+++ b/src/main/kotlin/azuredale/peers/PeerCodec.kt
@@ -27,6 +27,6 @@
     }
 
     companion object {
-        const val VERSION = 1
+        const val VERSION = 2
     }
 }
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -12,7 +12,6 @@
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
-import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
 
 /** Functions through which [PeerExchange] interacts with the rest of the gateway. */
@@ -30,8 +29,8 @@
 /**
  * Exchanges soft state between routers: server load, prompts cached by servers, proofs of freshness and known routers.
  *
- * Each router periodically sends its own state to all others. Correctness does not depend on it: a lost or late report
- * only makes decisions less accurate or causes an additional call to the store.
+ * [RelayTopology] decides which routers report to each other. Correctness does not depend on the exchange: a lost or
+ * late report only makes decisions less accurate or causes an additional call to the store.
  */
 internal class PeerExchange(
     private val settings: GatewaySettings,
@@ -40,14 +39,15 @@
     private val statistics: ServerStatistics,
     private val usage: TeamUsage,
     private val callbacks: PeerCallbacks,
-    private val isReady: () -> Boolean,
+    isReady: () -> Boolean,
 ) {
     private val codec = PeerCodec()
     private val table = PeerTable(settings.router)
-    private val newReads = ArrayList<ReadEntry>()
+    private val topology = RelayTopology(settings, table, isReady)
+    private val writer = ReportWriter(settings, incarnation, view, statistics, usage, table, topology, isReady)
+    private val reportedStates = LinkedHashMap<Long, ReportedState>()
     private var nextReportAt = Timestamp.DISTANT_PAST
-    private var nextUsageAt = Timestamp.DISTANT_PAST
-    private var routerCursor = 0
+    private var collectsFrom: RouterId? = null
 
     /** The other routers. */
     val peers: PeerTable get() = table
@@ -66,35 +66,44 @@
     }
 
     /** Records, for the next report, that the prompt [parts] were sent to the server whose id has the hash [server]. */
-    fun promptSent(server: Int, parts: List<PromptPart>) {
-        parts.forEach { if (newReads.size < MAXIMUM_READS) newReads += ReadEntry(server, it.id, it.tokens) }
+    fun promptSent(server: Int, parts: List<PromptPart>, now: Timestamp) {
+        parts.forEach { writer.addDomainRead(ReadEntry(server, it.id, it.tokens), now) }
     }
 
-    /** Position of this router among the live routers, in an order that is the same on all of them. */
-    fun rank(): Int {
-        val own = StableHash.of(settings.router.name)
-        return table.alive.count { StableHash.of(it.router.name) < own }
-    }
+    /** Whether this router adds up the reports of its failure domain. */
+    val isRelay: Boolean get() = topology.isRelay
+
+    /** Position of this router in the order in which routers read the store. */
+    fun rank(): Int = topology.rank
 
     /** Updates which peers are alive, and sends a report if it is due. */
     fun tick(now: Timestamp) {
-        table.update(now, peerTimeoutMilliseconds()) { peer ->
+        table.update(now) { peer ->
             if (!peer.isAlive) statistics.loads.removePeer(peer.router)
             callbacks.onPeerChanged(peer)
         }
         if (now < nextReportAt) return
-        nextReportAt = now.plusMilliseconds(period())
         report(now)
     }
 
-    /** Sends a report immediately, for example on a planned stop or for a new catalog. */
+    /** Brings the next report forward after this router obtained a newer proof of freshness from the store. */
+    fun proofRenewed(now: Timestamp) {
+        if (!topology.isMesh) nextReportAt = minOf(nextReportAt, now.plusMilliseconds(PROOF_DELAY_MILLISECONDS))
+    }
+
+    /** Sends reports immediately, for example on a planned stop or for a new catalog. */
     fun report(now: Timestamp) {
-        val bytes = codec.encodeReport(ownReport(now))
-        newReads.clear()
+        topology.update(now)
+        updateSource()
+        nextReportAt = now.plusMilliseconds(period())
+        rememberState(now, writer.begin(now))
+        val encoded = HashMap<ReportScope, ByteArray>()
         table.all.forEach { peer ->
-            if (peer.isAlive || now >= peer.nextRetryAt) {
+            val scope = topology.scopeFor(peer, now)
+            if (scope != null) {
                 peer.nextRetryAt = now.plusMilliseconds(SILENT_PEER_RETRY_MILLISECONDS)
-                send(peer, bytes, now)
+                topology.recordSent(peer, scope, now)
+                send(peer, encoded.getOrPut(scope) { codec.encodeReport(writer.write(scope, now)) }, now)
             }
         }
     }
@@ -102,30 +111,61 @@
     /** Handles a datagram received from [from]. */
     fun received(from: NetworkAddress, bytes: ByteArray, now: Timestamp) {
         val (datagram, report) = codec.decode(bytes) ?: return callbacks.onRefused(from)
+        val scope = ReportScope.entries.getOrNull(report.scope) ?: return callbacks.onRefused(from)
         report.routers.forEach { routerDiscovered(RouterId(it.router), NetworkAddress(it.host, it.peerPort), now) }
-        val peer = table.reportReceived(report, datagram.sentAt, from, now) ?: return
-        val validUntil = now.plusMilliseconds(peerTimeoutMilliseconds())
-        statistics.loads.updatePeer(
-            peer.router,
-            report.loads.associate { it.server to ServerLoad(it.waitingTokens, it.running) },
-            validUntil,
-        )
-        if (report.usage.isNotEmpty()) {
-            val teams = report.usage.associate { it.team to TokenUsage(it.requested, it.granted) }
-            usage.updatePeer(peer.router, teams, now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS))
+        val peer = table.reportReceived(report, datagram.sentAt, from, now, aliveUntil(report, now)) ?: return
+        report.relayed.forEach { row ->
+            val heardAt = now.plusMilliseconds(-row.age.coerceAtLeast(0))
+            table.relayedReceived(row, heardAt, now, heardAt.plusMilliseconds(RELAYED_TIMEOUT_MILLISECONDS))
         }
-        applyReads(report)
+        if (isLoadSource(peer, scope)) applySums(peer, scope, datagram, report, now)
+        applyReads(report, scope, now)
         applyProofs(datagram, report, now)
+        // A router that has just started learns the others from their answers.
+        if (!topology.isMesh && datagram.echoedTime == 0L) {
+            send(peer, codec.encodeReport(writer.write(ReportScope.ROUTER, now)), now)
+        }
     }
 
-    private fun applyReads(report: PeerReport) {
-        if (report.reads.isEmpty()) return
-        val byIdHash =
-            view.directory.entries.values
-                .associateBy { it.idHash }
-        report.reads.groupBy { it.server }.forEach { (idHash, reads) ->
-            val server: ServerId = byIdHash[idHash]?.id ?: return@forEach
-            statistics.cache.record(server, reads.map { PromptPart(it.part, it.tokens) })
+    /** Whether the loads in a report of [peer] are added to those of other reports. */
+    private fun isLoadSource(peer: Peer, scope: ReportScope): Boolean = when (scope) {
+        ReportScope.ROUTER -> topology.isMesh || (topology.isRelay && topology.isInOwnDomain(peer))
+        ReportScope.FAILURE_DOMAIN -> topology.isRelay && !topology.isInOwnDomain(peer)
+        ReportScope.FLEET -> peer.router == topology.ownRelay
+    }
+
+    private fun applySums(peer: Peer, scope: ReportScope, datagram: PeerDatagram, report: PeerReport, now: Timestamp) {
+        // The sums of a relay contain the state that this router reported last.
+        val included =
+            if (scope == ReportScope.FLEET && datagram.echoIncarnation == incarnation.value) {
+                reportedStates[datagram.echoedTime]
+            } else {
+                null
+            }
+        val loads = HashMap<Int, ServerLoad>()
+        report.loads.forEach { entry ->
+            val load = ServerLoad(entry.waitingTokens, entry.running)
+            loads[entry.server] = included?.loads?.get(entry.server)?.let { load - it } ?: load
+        }
+        statistics.loads.updatePeer(peer.router, loads, now.plusMilliseconds(peerTimeoutMilliseconds()))
+        if (report.usage.isEmpty()) return
+        val teams = HashMap<Int, TokenUsage>()
+        report.usage.forEach { entry ->
+            val sum = TokenUsage(entry.requested, entry.granted)
+            teams[entry.team] = included?.usage?.get(entry.team)?.let { sum - it } ?: sum
+        }
+        usage.updatePeer(peer.router, teams, now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS))
+    }
+
+    private fun applyReads(report: PeerReport, scope: ReportScope, now: Timestamp) {
+        report.reads.forEach { read ->
+            val server: ServerId = view.directory.byIdHash[read.server]?.id ?: return@forEach
+            statistics.cache.record(server, listOf(PromptPart(read.part, read.tokens)))
+            when (scope) {
+                ReportScope.ROUTER -> if (topology.isRelay) writer.addDomainRead(read, now)
+                ReportScope.FAILURE_DOMAIN -> writer.addFleetRead(read, now)
+                ReportScope.FLEET -> Unit
+            }
         }
     }
 
@@ -138,7 +178,7 @@
     private fun applyProofs(datagram: PeerDatagram, report: PeerReport, now: Timestamp) {
         val isCatalogOld = report.catalog.version > view.revision.value
         val isDirectoryOld =
-            report.directory.age in 0..MAXIMUM_PROOF_AGE &&
+            report.directory.age in 0..ReportWriter.MAXIMUM_PROOF_AGE_MICROSECONDS &&
                 report.directory.version.toInt() != view.directoryDigest &&
                 now.plusMicroseconds(-report.directory.age) > view.directoryProof.at
         if (isCatalogOld || isDirectoryOld) callbacks.onOutdated(isCatalogOld, isDirectoryOld)
@@ -173,47 +213,32 @@
         callbacks.send(peer.address, bytes)
     }
 
-    private fun ownReport(now: Timestamp) = PeerReport(
-        router = settings.router.name,
-        incarnation = incarnation.value,
-        failureDomain = settings.failureDomain.name,
-        callerHost = settings.callerAddress.host,
-        callerPort = settings.callerAddress.port,
-        weight = settings.weight,
-        isReady = isReady(),
-        catalog = ProofEntry(view.revision.value, age(view.catalogProof.at, now)),
-        directory = ProofEntry(view.directoryDigest.toLong(), age(view.directoryProof.at, now)),
-        loads = ownLoads(),
-        reads = newReads.toList(),
-        usage = ownUsage(now),
-        routers = routersToReport(),
-    )
-
-    private fun age(at: Timestamp, now: Timestamp): Long =
-        now.microsecondsSince(at).let { if (it in 0..MAXIMUM_PROOF_AGE) it else NO_AGE }
-
-    private fun ownLoads(): List<LoadEntry> = statistics.loads.localLoads.mapNotNull { (id, load) ->
-        view.directory.entries[id]?.let { LoadEntry(it.idHash, load.waitingTokens, load.running) }
+    /** Drops reported loads when this router collects them from other routers than before. */
+    private fun updateSource() {
+        val source = if (topology.isMesh || topology.isRelay) settings.router else topology.ownRelay
+        if (source == collectsFrom) return
+        collectsFrom = source
+        statistics.loads.retainPeer(source)
+        usage.retainPeer(source)
     }
 
-    /** Usage changes slowly, so it is sent less often than server loads. */
-    private fun ownUsage(now: Timestamp): List<UsageEntry> {
-        if (now < nextUsageAt) return emptyList()
-        nextUsageAt = now.plusMilliseconds(USAGE_PERIOD_MILLISECONDS)
-        return usage.localUsage(now).map { (team, sum) -> UsageEntry(team, sum.requested, sum.granted) }
+    private fun rememberState(now: Timestamp, state: ReportedState) {
+        reportedStates[now.microseconds] = state
+        if (reportedStates.size > REMEMBERED_STATES) reportedStates.remove(reportedStates.keys.first())
     }
 
-    /** Returns a few live routers per report, in rotation, so that every router soon learns of all others. */
-    private fun routersToReport(): List<RouterEntry> {
-        val alive = table.alive
-        if (alive.isEmpty()) return emptyList()
-        return List(minOf(REPORTED_ROUTERS, alive.size)) {
-            val peer = alive[routerCursor++ % alive.size]
-            RouterEntry(peer.router.name, peer.address.host, peer.address.port)
-        }
+    private fun aliveUntil(report: PeerReport, now: Timestamp): Timestamp {
+        // A router that reports only now and then is known to be alive by its relay's reports.
+        val isMember = topology.isRelay && report.sender.failureDomain == settings.failureDomain.name
+        val isRegular = topology.isMesh || isMember || report.scope != ReportScope.ROUTER.ordinal
+        return now.plusMilliseconds(if (isRegular) peerTimeoutMilliseconds() else RELAYED_TIMEOUT_MILLISECONDS)
     }
 
-    private fun period(): Long = maxOf(MINIMUM_PERIOD_MILLISECONDS, table.all.size * PERIOD_PER_PEER_MILLISECONDS)
+    private fun period(): Long = if (topology.isMesh) {
+        maxOf(MINIMUM_PERIOD_MILLISECONDS, table.all.size * PERIOD_PER_PEER_MILLISECONDS)
+    } else {
+        RELAYED_PERIOD_MILLISECONDS
+    }
 
     private fun peerTimeoutMilliseconds(): Long = maxOf(
         MINIMUM_PEER_TIMEOUT_MILLISECONDS,
@@ -221,27 +246,29 @@
     )
 
     private companion object {
-        const val NO_AGE = -1L
-
-        /** In microseconds. Older proofs are not sent, since no freshness bound would accept them. */
-        const val MAXIMUM_PROOF_AGE = 10_000_000L
-
         /** A server processes a prompt in 30 to 100 ms, so less frequent reports would miss most of that load. */
         const val MINIMUM_PERIOD_MILLISECONDS = 40L
 
-        /** Limits each router to fewer than 170 datagrams per second, for any fleet size. */
+        /** Limits a router without relays to fewer than 170 datagrams per second. */
         const val PERIOD_PER_PEER_MILLISECONDS = 6L
 
+        /** A router of a failure domain sends and receives five datagrams per second. */
+        const val RELAYED_PERIOD_MILLISECONDS = 200L
+
+        /** Combines the proofs of two reads that end shortly after each other. */
+        const val PROOF_DELAY_MILLISECONDS = 10L
+
         /** Long enough that a peer is not considered silent after a few lost datagrams or a short stall. */
         const val MINIMUM_PEER_TIMEOUT_MILLISECONDS = 600L
-        const val PEER_TIMEOUT_PERIODS = 4L
+        const val PEER_TIMEOUT_PERIODS = 5L
+
+        /** Two rotations of a relay through a fleet of 95 routers. */
+        const val RELAYED_TIMEOUT_MILLISECONDS = 6_000L
 
         /** Interval between reports to a peer that does not answer. */
         const val SILENT_PEER_RETRY_MILLISECONDS = 500L
-        const val REPORTED_ROUTERS = 2
-        const val USAGE_PERIOD_MILLISECONDS = 120L
 
-        /** Keeps a datagram within the usual maximum size of a network packet. */
-        const val MAXIMUM_READS = 32
+        /** Reports within the time in which a relay answers. */
+        const val REMEMBERED_STATES = 16
     }
 }
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -44,6 +44,45 @@
     @CborLabel(3) val peerPort: Int,
 )
 
+/** What a router says of itself. */
+@Serializable
+internal class RouterState(
+    @CborLabel(1) val router: String,
+    @CborLabel(2) val incarnation: Long,
+    @CborLabel(3) val failureDomain: String,
+    @CborLabel(4) val callerHost: String,
+    @CborLabel(5) val callerPort: Int,
+    @CborLabel(6) val weight: Double,
+    @CborLabel(7) val isReady: Boolean,
+)
+
+/**
+ * State of one router as passed on by the relay of its failure domain.
+ *
+ * @property age milliseconds since the relay last heard from the router.
+ * @property isAlive whether the relay counts the router as alive.
+ */
+@Serializable
+internal class RelayedRouter(
+    @CborLabel(1) val state: RouterState,
+    @CborLabel(2) val host: String,
+    @CborLabel(3) val peerPort: Int,
+    @CborLabel(4) val isAlive: Boolean,
+    @CborLabel(5) val age: Long,
+)
+
+/** Set of routers whose loads and usage a report adds up. */
+internal enum class ReportScope {
+    /** The sender alone. */
+    ROUTER,
+
+    /** The sender's failure domain; relays send it to each other. */
+    FAILURE_DOMAIN,
+
+    /** All routers, including the receiver; a relay sends it to the routers of its failure domain. */
+    FLEET,
+}
+
 /** Version of a table as known to the sender, and the age of the proof that this version was the newest. */
 @Serializable
 internal class ProofEntry(
@@ -52,25 +91,24 @@
 )
 
 /**
- * State that a router sends to all others several times a second.
+ * State that a router sends to others several times a second.
+ *
+ * Ages of proofs are in microseconds at the time of sending; -1 means that there is none.
  *
- * Ages are in microseconds at the time of sending; -1 means that there is none.
+ * @property scope ordinal of the [ReportScope] that [loads] and [usage] add up.
+ * @property relayed routers that the sender knows of, if it is a relay.
  */
 @Serializable
 internal class PeerReport(
-    @CborLabel(1) val router: String,
-    @CborLabel(2) val incarnation: Long,
-    @CborLabel(3) val failureDomain: String,
-    @CborLabel(4) val callerHost: String,
-    @CborLabel(5) val callerPort: Int,
-    @CborLabel(6) val weight: Double,
-    @CborLabel(7) val isReady: Boolean,
-    @CborLabel(8) val catalog: ProofEntry,
-    @CborLabel(9) val directory: ProofEntry,
-    @CborLabel(10) val loads: List<LoadEntry>,
-    @CborLabel(11) val reads: List<ReadEntry>,
-    @CborLabel(12) val routers: List<RouterEntry>,
-    @CborLabel(13) val usage: List<UsageEntry> = emptyList(),
+    @CborLabel(1) val sender: RouterState,
+    @CborLabel(2) val catalog: ProofEntry,
+    @CborLabel(3) val directory: ProofEntry,
+    @CborLabel(4) val loads: List<LoadEntry>,
+    @CborLabel(5) val reads: List<ReadEntry>,
+    @CborLabel(6) val routers: List<RouterEntry>,
+    @CborLabel(7) val usage: List<UsageEntry> = emptyList(),
+    @CborLabel(8) val scope: Int = 0,
+    @CborLabel(9) val relayed: List<RelayedRouter> = emptyList(),
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -17,6 +17,9 @@
     /** Routers that sent a report recently. */
     val alive: List<Peer> get() = peers.values.filter { it.isAlive }
 
+    /** The router named [router], or null if it is unknown. */
+    fun find(router: RouterId): Peer? = peers[router]
+
     /** Adds [router], or updates the address of a known router that is not alive; returns whether the router is new. */
     fun add(router: RouterId, address: NetworkAddress, now: Timestamp): Boolean {
         if (router == self) return false
@@ -31,11 +34,18 @@
     }
 
     /** Updates the sender of [report] and returns it, or null if the report is outdated or the table is full. */
-    fun reportReceived(report: PeerReport, sentAt: Long, from: NetworkAddress, now: Timestamp): Peer? {
-        val router = RouterId(report.router)
+    fun reportReceived(
+        report: PeerReport,
+        sentAt: Long,
+        from: NetworkAddress,
+        now: Timestamp,
+        aliveUntil: Timestamp,
+    ): Peer? {
+        val state = report.sender
+        val router = RouterId(state.router)
         add(router, from, now)
         val peer = peers[router] ?: return null
-        val incarnation = Incarnation(report.incarnation)
+        val incarnation = Incarnation(state.incarnation)
         val known = peer.incarnation
         // The system clock may have been set back before a restart, so a lower incarnation is accepted once the
         // previous process is silent.
@@ -44,27 +54,65 @@
         if (sentAt < peer.lastReportSentAt) return null
         peer.address = from
         peer.incarnation = incarnation
-        peer.failureDomain = FailureDomain(report.failureDomain)
-        peer.callerAddress = NetworkAddress(report.callerHost, report.callerPort)
-        peer.weight = report.weight
-        peer.isReady = report.isReady
+        peer.update(state, now)
+        peer.aliveUntil = aliveUntil
+        peer.lastHeardAt = now
         peer.lastReportReceivedAt = now
         peer.lastReportSentAt = sentAt
         return peer
     }
 
+    /**
+     * Applies the state of a router that is not heard from directly, as relayed by another router.
+     *
+     * @param heardAt time at which the relay last heard from the router.
+     * @param aliveUntil time until which the router counts as alive, if the relay counts it as alive.
+     */
+    fun relayedReceived(row: RelayedRouter, heardAt: Timestamp, now: Timestamp, aliveUntil: Timestamp) {
+        val router = RouterId(row.state.router)
+        val address = NetworkAddress(row.host, row.peerPort)
+        add(router, address, now)
+        val peer = peers[router] ?: return
+        if (!row.isAlive) {
+            // A router that was heard from since then by other ways is alive.
+            if (heardAt >= peer.lastHeardAt.plusMilliseconds(-SILENCE_TOLERANCE_MILLISECONDS)) {
+                peer.aliveUntil = minOf(peer.aliveUntil, now)
+            }
+            return
+        }
+        if (heardAt <= peer.lastHeardAt) return
+        peer.lastHeardAt = heardAt
+        val incarnation = Incarnation(row.state.incarnation)
+        if (peer.incarnation != incarnation) {
+            peer.lastReportSentAt = 0
+            peer.incarnation = incarnation
+        }
+        peer.update(row.state, now)
+        peer.aliveUntil = maxOf(peer.aliveUntil, aliveUntil)
+    }
+
+    private fun Peer.update(state: RouterState, now: Timestamp) {
+        failureDomain = FailureDomain(state.failureDomain)
+        callerAddress = NetworkAddress(state.callerHost, state.callerPort)
+        weight = state.weight
+        if (isReady != state.isReady) changedAt = now
+        isReady = state.isReady
+    }
+
     /** Updates which routers are alive at [now], calls [onChange] for each change, and removes long-silent routers. */
-    fun update(now: Timestamp, timeoutMilliseconds: Long, onChange: (Peer) -> Unit) {
+    fun update(now: Timestamp, onChange: (Peer) -> Unit) {
         peers.values.forEach { peer ->
-            val isAlive = now <= peer.lastReportReceivedAt.plusMilliseconds(timeoutMilliseconds)
+            val isAlive = now < peer.aliveUntil
             if (isAlive != peer.isAlive) {
                 peer.isAlive = isAlive
+                peer.changedAt = now
                 onChange(peer)
             }
         }
-        peers.values.removeIf { now > maxOf(it.lastReportReceivedAt, it.firstSeenAt).plusSeconds(REMOVE_AFTER_SECONDS) }
-        fleetSizes.addLast(now to alive.size + 1)
-        while (fleetSizes.first().first.plusSeconds(RECENT_SECONDS) < now) fleetSizes.removeFirst()
+        peers.values.removeIf { now > maxOf(it.aliveUntil, it.firstSeenAt).plusSeconds(REMOVE_AFTER_SECONDS) }
+        val size = peers.values.count { it.isAlive } + 1
+        if (fleetSizes.lastOrNull()?.second != size) fleetSizes.addLast(now to size)
+        while (fleetSizes.size > 1 && fleetSizes[1].first.plusSeconds(RECENT_SECONDS) < now) fleetSizes.removeFirst()
     }
 
     /** Largest number of routers, including this one, that may recently have been alive at the same time. */
@@ -74,6 +122,9 @@
         /** Exceeds the largest supported fleet of 390 routers. */
         const val MAXIMUM_PEERS = 1_024
 
+        /** Covers the transit of relayed reports when their times are compared. */
+        const val SILENCE_TOLERANCE_MILLISECONDS = 250L
+
         /** A router that returns announces itself, so one that has been silent for this long can be removed. */
         const val REMOVE_AFTER_SECONDS = 60L
 
--- /dev/null
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -0,0 +1,176 @@
+package azuredale.peers
+
+import azuredale.admission.TeamUsage
+import azuredale.admission.TokenUsage
+import azuredale.engine.ServerLoad
+import azuredale.engine.ServerStatistics
+import azuredale.freshness.StoreView
+import azuredale.gateway.GatewaySettings
+import azuredale.identity.Incarnation
+import azuredale.time.Timestamp
+
+/** Loads and usage of this router as contained in one of its reports. */
+internal class ReportedState(
+    val loads: Map<Int, ServerLoad>,
+    val usage: Map<Int, TokenUsage>,
+)
+
+/**
+ * Writes this router's reports.
+ *
+ * [begin] fixes the contents of one round of reports; [write] then returns the report of a scope.
+ */
+internal class ReportWriter(
+    private val settings: GatewaySettings,
+    private val incarnation: Incarnation,
+    private val view: StoreView,
+    private val statistics: ServerStatistics,
+    private val usage: TeamUsage,
+    private val table: PeerTable,
+    private val topology: RelayTopology,
+    private val isReady: () -> Boolean,
+) {
+    private val domainReads = PromptReadBuffer()
+    private val fleetReads = PromptReadBuffer()
+    private var roundDomainReads: List<ReadEntry> = emptyList()
+    private var roundFleetReads: List<ReadEntry> = emptyList()
+    private var isUsageDue = false
+    private var nextUsageAt = Timestamp.DISTANT_PAST
+    private var routerCursor = 0
+    private val relayedCursors = IntArray(ReportScope.entries.size)
+    private var lastUsage: Map<Int, TokenUsage> = emptyMap()
+
+    /** Adds a prompt part read by a server through a router of this failure domain, for the next reports. */
+    fun addDomainRead(read: ReadEntry, now: Timestamp) {
+        domainReads.add(read, now)
+        addFleetRead(read, now)
+    }
+
+    /** Adds a prompt part read by a server through a router of another failure domain. */
+    fun addFleetRead(read: ReadEntry, now: Timestamp) {
+        if (topology.isRelay) fleetReads.add(read, now)
+    }
+
+    /** Begins a round of reports and returns this router's own state as contained in them. */
+    fun begin(now: Timestamp): ReportedState {
+        roundDomainReads = domainReads.take()
+        roundFleetReads = fleetReads.take()
+        // Usage changes slowly, so it is sent less often than server loads.
+        isUsageDue = now >= nextUsageAt
+        if (isUsageDue) {
+            nextUsageAt = now.plusMilliseconds(usagePeriod())
+            lastUsage = usage.localUsage(now)
+        }
+        return ReportedState(ownLoads(), lastUsage)
+    }
+
+    /** Returns the report that adds up [scope]. */
+    fun write(scope: ReportScope, now: Timestamp) = PeerReport(
+        sender = ownState(),
+        catalog = ProofEntry(view.revision.value, age(view.catalogProof.at, now)),
+        directory = ProofEntry(view.directoryDigest.toLong(), age(view.directoryProof.at, now)),
+        loads = loads(scope, now).map { (server, load) -> LoadEntry(server, load.waitingTokens, load.running) },
+        reads = if (scope == ReportScope.FLEET) roundFleetReads else roundDomainReads,
+        usage = if (isUsageDue) usageEntries(scope, now) else emptyList(),
+        routers = if (topology.isMesh) routersToReport() else emptyList(),
+        scope = scope.ordinal,
+        relayed = if (scope == ReportScope.ROUTER) emptyList() else relayedRouters(scope, now),
+    )
+
+    private fun ownState() = RouterState(
+        router = settings.router.name,
+        incarnation = incarnation.value,
+        failureDomain = settings.failureDomain.name,
+        callerHost = settings.callerAddress.host,
+        callerPort = settings.callerAddress.port,
+        weight = settings.weight,
+        isReady = isReady(),
+    )
+
+    private fun age(at: Timestamp, now: Timestamp): Long =
+        now.microsecondsSince(at).let { if (it in 0..MAXIMUM_PROOF_AGE_MICROSECONDS) it else NO_AGE }
+
+    private fun ownLoads(): Map<Int, ServerLoad> {
+        val loads = HashMap<Int, ServerLoad>()
+        statistics.loads.localLoads.forEach { (id, load) ->
+            view.directory.entries[id]?.let { loads[it.idHash] = load }
+        }
+        return loads
+    }
+
+    private fun loads(scope: ReportScope, now: Timestamp): Map<Int, ServerLoad> {
+        val sums = HashMap(ownLoads())
+        if (scope == ReportScope.ROUTER) return sums
+        statistics.loads
+            .reportedLoads(now) { isIncluded(scope, table.find(it)) }
+            .forEach { (server, load) -> sums.merge(server, load, ServerLoad::plus) }
+        return sums
+    }
+
+    private fun usageEntries(scope: ReportScope, now: Timestamp): List<UsageEntry> {
+        val sums = if (scope == ReportScope.ROUTER) lastUsage else usage.sum(now) { isIncluded(scope, table.find(it)) }
+        return sums.map { (team, sum) -> UsageEntry(team, sum.requested, sum.granted) }
+    }
+
+    private fun isIncluded(scope: ReportScope, peer: Peer?) =
+        scope == ReportScope.FLEET || (peer != null && topology.isInOwnDomain(peer))
+
+    /** Returns a few live routers per report, in rotation, so that every router soon learns of all others. */
+    private fun routersToReport(): List<RouterEntry> {
+        val alive = table.alive
+        if (alive.isEmpty()) return emptyList()
+        return List(minOf(REPORTED_ROUTERS, alive.size)) {
+            val peer = alive[routerCursor++ % alive.size]
+            RouterEntry(peer.router.name, peer.address.host, peer.address.port)
+        }
+    }
+
+    /** Returns the routers that changed recently, then some of the others in rotation. */
+    private fun relayedRouters(scope: ReportScope, now: Timestamp): List<RelayedRouter> {
+        val covered = table.all.filter { isIncluded(scope, it) && it.incarnation != null }
+        val (changed, unchanged) = covered.partition { now < it.changedAt.plusMilliseconds(CHANGE_REPEAT_MILLISECONDS) }
+        val alive = unchanged.filter { it.isAlive }
+        val cursor = relayedCursors[scope.ordinal]
+        val rotated = List(minOf(RELAYED_ROUTERS, alive.size)) { alive[(cursor + it) % alive.size] }
+        relayedCursors[scope.ordinal] = cursor + rotated.size
+        return (changed.take(MAXIMUM_CHANGED_ROUTERS) + rotated).mapNotNull { relayed(it, now) }
+    }
+
+    private fun relayed(peer: Peer, now: Timestamp): RelayedRouter? {
+        val caller = peer.callerAddress ?: return null
+        val state =
+            RouterState(
+                router = peer.router.name,
+                incarnation = peer.incarnation?.value ?: return null,
+                failureDomain = peer.failureDomain?.name ?: return null,
+                callerHost = caller.host,
+                callerPort = caller.port,
+                weight = peer.weight,
+                isReady = peer.isReady,
+            )
+        return RelayedRouter(
+            state = state,
+            host = peer.address.host,
+            peerPort = peer.address.port,
+            isAlive = peer.isAlive,
+            age = now.microsecondsSince(peer.lastHeardAt) / Timestamp.MICROSECONDS_PER_MILLISECOND,
+        )
+    }
+
+    private fun usagePeriod() =
+        if (topology.isMesh) MESH_USAGE_PERIOD_MILLISECONDS else RELAYED_USAGE_PERIOD_MILLISECONDS
+
+    companion object {
+        /** Older proofs are not sent, since no freshness bound would accept them. */
+        const val MAXIMUM_PROOF_AGE_MICROSECONDS = 10_000_000L
+        private const val NO_AGE = -1L
+        private const val REPORTED_ROUTERS = 2
+        private const val RELAYED_ROUTERS = 8
+        private const val MAXIMUM_CHANGED_ROUTERS = 12
+
+        /** A change is in several reports, since a datagram may be lost. */
+        private const val CHANGE_REPEAT_MILLISECONDS = 700L
+        private const val MESH_USAGE_PERIOD_MILLISECONDS = 120L
+        private const val RELAYED_USAGE_PERIOD_MILLISECONDS = 600L
+    }
+}
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -39,8 +39,9 @@
     /** The two backend servers of the only pool. */
     public val servers: List<BackendStandIn> = List(SERVERS) { BackendStandIn(vertx) }
     private val client = WebClient.create(vertx)
-    private val ports = List(PORT_COUNT) { ServerSocket(0).use { it.localPort } }
+    private val ports = freePorts()
     private var lastId = 0
+    private var storeAddress: NetworkAddress? = null
 
     /** The router; null before [start]. */
     internal var daemon: GatewayDaemon? = null
@@ -51,22 +52,10 @@
     /** Starts all components and waits until the router accepts requests. */
     public suspend fun start() {
         val store = address(platform.start())
+        storeAddress = store
         servers.forEachIndexed { index, server -> register(index, server.start()) }
         writeCatalog(version = 1, keys = listOf(KEY))
-        val settings =
-            GatewaySettings(
-                router = RouterId("router-1"),
-                region = Region("region"),
-                failureDomain = FailureDomain("domain"),
-                callerAddress = callerAddress,
-                readinessAddress = address(ports[1]),
-                directoryAddress = address(ports[2]),
-                peerAddress = address(ports[3]),
-                storeAddress = store,
-                weight = 1.0,
-                bounds = FleetBounds(),
-            )
-        vertx.runOnContext { daemon = GatewayProcess(settings).start(vertx) }
+        vertx.runOnContext { daemon = GatewayProcess(settings("router-1", ports, store)).start(vertx) }
         repeat(START_ATTEMPTS) {
             if (daemon?.gateway?.isReady() == true &&
                 runCatching { get("/plain/ready").status }.getOrNull() == OK
@@ -78,6 +67,37 @@
         error("router not ready after $START_ATTEMPTS checks")
     }
 
+    /** Starts a second router, which exchanges reports with the first one, and waits until they know each other. */
+    public suspend fun startPeer() {
+        val settings = settings("router-2", freePorts(), checkNotNull(storeAddress) { "start() comes first" })
+        vertx.runOnContext { GatewayProcess(settings).start(vertx) }
+        repeat(START_ATTEMPTS) {
+            if (daemon
+                    ?.gateway
+                    ?.addresses()
+                    ?.first
+                    ?.size == 2
+            ) {
+                return
+            }
+            delay(START_RETRY_MILLISECONDS)
+        }
+        error("second router not found after $START_ATTEMPTS checks")
+    }
+
+    private fun settings(router: String, ports: List<Int>, store: NetworkAddress) = GatewaySettings(
+        router = RouterId(router),
+        region = Region("region"),
+        failureDomain = FailureDomain("domain"),
+        callerAddress = address(ports[0]),
+        readinessAddress = address(ports[1]),
+        directoryAddress = address(ports[2]),
+        peerAddress = address(ports[3]),
+        storeAddress = store,
+        weight = 1.0,
+        bounds = FleetBounds(),
+    )
+
     /** Writes the catalog with [keys] for the only team. */
     public fun writeCatalog(version: Int, keys: List<String>) {
         val quoted = keys.joinToString(",") { "\"$it\"" }
@@ -152,6 +172,8 @@
         private const val START_ATTEMPTS = 200
         private const val START_RETRY_MILLISECONDS = 50L
 
+        private fun freePorts() = List(PORT_COUNT) { ServerSocket(0).use { it.localPort } }
+
         private fun address(port: Int) = NetworkAddress(LOOPBACK, port)
     }
 }
--- a/src/main/kotlin/azuredale/selftest/SelfTest.kt
+++ b/src/main/kotlin/azuredale/selftest/SelfTest.kt
@@ -27,6 +27,7 @@
             val fixture = GatewayFixture(vertx)
             fixture.servers.forEach { it.behaviour = ::behaviourOf }
             fixture.start()
+            fixture.startPeer()
             repeat(ROUNDS) { round -> checkRound(fixture, round) }
             checkCalls(fixture)
         } finally {
--- /dev/null
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -0,0 +1,141 @@
+package azuredale.peers
+
+import azuredale.admission.TeamUsage
+import azuredale.directory.BackendEntry
+import azuredale.directory.BackendState
+import azuredale.directory.ServerDirectory
+import azuredale.engine.ServerLoad
+import azuredale.engine.ServerStatistics
+import azuredale.freshness.StoreView
+import azuredale.gateway.FleetBounds
+import azuredale.gateway.GatewaySettings
+import azuredale.identity.FailureDomain
+import azuredale.identity.Incarnation
+import azuredale.identity.NetworkAddress
+import azuredale.identity.PoolId
+import azuredale.identity.Region
+import azuredale.identity.RouterId
+import azuredale.identity.ServerId
+import azuredale.time.Timestamp
+
+/** Exchanges of a whole fleet on a virtual clock and network, which loses datagrams of the routers in [cut]. */
+internal class SimulatedExchange(
+    routers: Int,
+    domains: Int,
+) {
+    class Node(
+        val router: RouterId,
+        val address: NetworkAddress,
+        val statistics: ServerStatistics,
+        val view: StoreView,
+        val usage: TeamUsage,
+    ) {
+        lateinit var exchange: PeerExchange
+        var sent = 0
+        var bytes = 0L
+    }
+
+    private class Datagram(
+        val deliverAt: Timestamp,
+        val from: NetworkAddress,
+        val to: NetworkAddress,
+        val bytes: ByteArray,
+    )
+
+    private val network = ArrayDeque<Datagram>()
+    private val byAddress = HashMap<NetworkAddress, Node>()
+    val cut = HashSet<Node>()
+    var now = Timestamp.ofMilliseconds(1_000_000)
+        private set
+    val servers =
+        List(SERVERS) { index ->
+            BackendEntry(
+                id = ServerId("server-$index"),
+                pool = PoolId("pool"),
+                address = NetworkAddress("10.1.0.$index", 80),
+                failureDomain = FailureDomain("domain-0"),
+                slots = 24,
+                state = BackendState.READY,
+            )
+        }
+    val nodes = List(routers) { create(it, domains) }
+
+    init {
+        nodes.forEach { node ->
+            nodes.forEach { if (it !== node) node.exchange.routerDiscovered(it.router, it.address, now) }
+        }
+    }
+
+    private fun create(index: Int, domains: Int): Node {
+        val address = NetworkAddress("10.0.${index / 200}.${index % 200 + 1}", 7_000)
+        val view = StoreView(revocationBoundMilliseconds = 5_000)
+        view.adoptDirectory(ServerDirectory(1, servers.associateBy { it.id }), now)
+        val node = Node(RouterId("router-$index"), address, ServerStatistics { 100_000 }, view, TeamUsage())
+        val settings =
+            GatewaySettings(
+                router = node.router,
+                region = Region("region"),
+                failureDomain = FailureDomain("domain-${index % domains}"),
+                callerAddress = address,
+                readinessAddress = address,
+                directoryAddress = address,
+                peerAddress = address,
+                storeAddress = address,
+                weight = 0.27 + index % 5 * 0.3,
+                bounds = FleetBounds(),
+            )
+        node.exchange =
+            PeerExchange(
+                settings = settings,
+                incarnation = Incarnation(1_000L + index),
+                view = view,
+                statistics = node.statistics,
+                usage = node.usage,
+                callbacks =
+                    PeerCallbacks(
+                        send = { to, bytes ->
+                            node.sent++
+                            node.bytes += bytes.size
+                            network += Datagram(now.plusMilliseconds(DELAY_MILLISECONDS), node.address, to, bytes)
+                        },
+                        onPeerChanged = {},
+                        onOutdated = { _, _ -> },
+                        onRefused = { error("datagram from $it refused") },
+                    ),
+                isReady = { true },
+            )
+        byAddress[address] = node
+        return node
+    }
+
+    /** Runs the fleet for [milliseconds]. */
+    fun run(milliseconds: Long) {
+        val end = now.plusMilliseconds(milliseconds)
+        var step = 0
+        while (now < end) {
+            while (network.isNotEmpty() && network.first().deliverAt <= now) deliver(network.removeFirst())
+            // Routers tick at different moments.
+            nodes.forEachIndexed { index, node ->
+                if ((step + index) % TICK_MILLISECONDS == 0 && node !in cut) node.exchange.tick(now)
+            }
+            step++
+            now = now.plusMilliseconds(1)
+        }
+    }
+
+    private fun deliver(datagram: Datagram) {
+        val target = byAddress.getValue(datagram.to)
+        val source = byAddress.getValue(datagram.from)
+        if (target !in cut && source !in cut) target.exchange.received(datagram.from, datagram.bytes, now)
+    }
+
+    /** Load of server [index] as seen by [node]. */
+    fun loadSeenBy(node: Node, index: Int): ServerLoad =
+        node.statistics.loads.load(servers[index].id, servers[index].idHash, now)
+
+    private companion object {
+        const val SERVERS = 37
+        const val DELAY_MILLISECONDS = 2L
+        const val TICK_MILLISECONDS = 20
+    }
+}
