--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
+import azuredale.intake.Intake
 import azuredale.logging.BoundedAppender
 import azuredale.logging.EventLog
 import azuredale.peers.Peer
@@ -114,12 +115,14 @@
             onFound = { exchange.routerDiscovered(it.router, it.address, clock()) },
         )
     private val routerAddresses = RouterAddresses(settings, exchange.peers) { isReady() }
+    private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val context =
         GatewayContext(
             settings = settings,
             clock = clock,
             authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, ::isClosed),
             selector = ServerSelector({ view.directory }, statistics),
+            intake = intake,
             promptAdmission = PromptAdmission(usage, LoadShedder(usage, random::nextDouble)),
             recorders =
                 AttemptRecorders(
@@ -151,6 +154,7 @@
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
         if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
         exchange.tick(now)
+        intake.recordTick(nextAt = clock().plusMilliseconds(TICK_MILLISECONDS))
     }
 
     /** Handles a datagram from another router. */
@@ -221,6 +225,7 @@
 
     private fun exposeMetrics() {
         metrics.gauge("ready") { if (isReady()) 1.0 else 0.0 }
+        metrics.gauge("requests.waiting") { intake.waiting.toDouble() }
         metrics.gauge("requests.running") { running.toDouble() }
         metrics.gauge("routers.alive") { exchange.peers.alive.size + 1.0 }
         metrics.gauge("catalog.revision") { view.revision.value.toDouble() }
@@ -236,14 +241,17 @@
         metrics.gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
     }
 
-    private companion object {
+    companion object {
+        /** Interval of the check for periodic work; at most the shortest period of reports between routers. */
+        const val TICK_MILLISECONDS = 20L
+
         /**
          * Some callers cache an address response with a lifetime of one second for three seconds. A later request might
          * not finish within the grace period, so its caller is sent to another router.
          */
-        const val ADDRESS_CACHE_MILLISECONDS = 2_700L
+        private const val ADDRESS_CACHE_MILLISECONDS = 2_700L
 
         /** For pools without a declared cache size; plain services cache no prompts. */
-        const val DEFAULT_CACHE_TOKENS = 0L
+        private const val DEFAULT_CACHE_TOKENS = 0L
     }
 }
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -5,6 +5,7 @@
 import azuredale.engine.ServerSelection
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
+import azuredale.intake.Intake
 import azuredale.logging.EventLog
 import azuredale.time.Clock
 import azuredale.time.Timestamp
@@ -37,6 +38,7 @@
     val clock: Clock,
     val authorizer: RequestAuthorizer,
     val selector: ServerSelector,
+    val intake: Intake,
     val promptAdmission: PromptAdmission,
     val recorders: AttemptRecorders,
     val retryBudget: FleetRetryBudget,
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -92,14 +92,14 @@
         gateway.metrics.gauge("server.connections") { backends.openConnections.toDouble() }
         gateway.metrics.gauge("server.connections.opened") { backends.opened.toDouble() }
         gateway.start()
-        vertx.setPeriodic(TICK_MILLISECONDS) { tick() }
+        vertx.setPeriodic(Gateway.TICK_MILLISECONDS) { tick() }
     }
 
     /** Stops gracefully and returns when the process should exit. */
     suspend fun stop() {
         gateway.stop()
         val end = clock().plusMilliseconds(settings.bounds.gracePeriodMilliseconds - GRACE_MARGIN_MILLISECONDS)
-        while (clock() < end && !(gateway.isClosed(clock()) && gateway.running == 0)) delay(TICK_MILLISECONDS)
+        while (clock() < end && !(gateway.isClosed(clock()) && gateway.running == 0)) delay(Gateway.TICK_MILLISECONDS)
         // Lets the last responses leave the socket buffers.
         delay(LAST_ANSWER_MILLISECONDS)
         log.write(GatewayLogEvent.GATEWAY_STOPPED, "running" to gateway.running)
@@ -126,8 +126,6 @@
     }
 
     private companion object {
-        /** Interval of the check for periodic work; equals the shortest period of reports between routers. */
-        const val TICK_MILLISECONDS = 20L
         const val SWEEP_MILLISECONDS = 500L
 
         /** Reserved at the end of the grace period for the last responses and process exit. */
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -6,6 +6,8 @@
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
 import azuredale.identity.ServerId
+import azuredale.intake.IntakeDecision
+import azuredale.intake.WaitingRequest
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Execution
 import azuredale.outcome.Failure
@@ -66,7 +68,14 @@
 ) {
     private val clock = context.clock
     private val head = caller.head
-    private val arrivedAt = clock()
+    private val readAt = clock()
+    private val unreadMicroseconds = context.intake.unreadMicroseconds(readAt)
+
+    /** Earliest time at which the request may have arrived; it may have waited unread while the router was busy. */
+    private val arrivedAt = readAt.plusMicroseconds(-unreadMicroseconds)
+
+    /** Usual time of arrival of a request that is read at the same time. */
+    private val usualArrival = readAt.plusMicroseconds(-unreadMicroseconds / 2)
     private val signals = Channel<Signal>(Channel.UNLIMITED)
     private val excluded = HashSet<ServerId>()
     private var deadline = arrivedAt
@@ -85,7 +94,7 @@
 
     /** Handles the request to completion. */
     suspend fun run() {
-        val authorization = context.authorizer.authorize(head, arrivedAt)
+        val authorization = context.authorizer.authorize(head, readAt)
         if (authorization is Outcome.Refused) {
             refuse(authorization.failure)
             return
@@ -93,7 +102,7 @@
         authorized = (authorization as Outcome.Success).value
         // A retry after a refusal has already used part of its latency target.
         val elapsed = context.promptAdmission.elapsedBefore(authorized.route.name, head.remainingMilliseconds)
-        onTimeUntil = arrivedAt.plusMilliseconds(authorized.route.targetMilliseconds - elapsed)
+        onTimeUntil = usualArrival.plusMilliseconds(authorized.route.targetMilliseconds - elapsed)
         val limit = minOf(head.remainingMilliseconds ?: Long.MAX_VALUE, authorized.route.timeoutMilliseconds)
         deadline = arrivedAt.plusMilliseconds(limit)
         when (val body = caller.readBody(authorized.bodyLimitBytes)) {
@@ -104,6 +113,13 @@
     }
 
     private suspend fun serve(body: Buffer) {
+        if (clock() >= deadline) {
+            refuse(
+                Failure(ErrorKind.DEADLINE_BEFORE_START, "read too late", clock().plusMilliseconds(RETRY_MILLISECONDS)),
+            )
+            return
+        }
+        if (!awaitTurn()) return
         context.retryBudget.recordRequest(authorized.pool, clock())
         caller.onDisconnect { signals.trySend(Signal.CallerGone) }
         val timer = context.timer(deadline) { signals.trySend(Signal.DeadlinePassed) }
@@ -114,6 +130,31 @@
         }
     }
 
+    /** Waits for this request's turn; returns false if it was given up before it started. */
+    private suspend fun awaitTurn(): Boolean {
+        val waitBound =
+            (
+                deadline.microsecondsSince(
+                    arrivedAt,
+                ) / MAXIMUM_WAIT_PARTS
+            ).coerceAtMost(MAXIMUM_WAIT_MICROSECONDS)
+        val request =
+            WaitingRequest(head.key.orEmpty(), arrivedAt, startBy = readAt.plusMicroseconds(waitBound))
+        caller.onDisconnect { context.intake.callerGone(request) }
+        when (context.intake.awaitTurn(request)) {
+            IntakeDecision.START -> return true
+            IntakeDecision.CALLER_GONE -> recordEnd("caller disconnected before the request started")
+            IntakeDecision.OVERLOADED -> refuse(overloaded())
+        }
+        return false
+    }
+
+    private fun overloaded(): Failure {
+        val now = clock()
+        val age = now.microsecondsSince(arrivedAt) / MICROSECONDS
+        return Failure(ErrorKind.OVERLOADED, "not started for $age ms", now.plusMilliseconds(RETRY_MILLISECONDS))
+    }
+
     private suspend fun runAttempts(body: Buffer) {
         var notRun: Failure? = null
         var connectFailures = 0
@@ -457,6 +498,12 @@
         const val MICROSECONDS = Timestamp.MICROSECONDS_PER_MILLISECOND
         const val FIRST_SERVER_ERROR = 500
 
+        /** A request starts within a third of the caller's time, so that another router can serve it after that. */
+        const val MAXIMUM_WAIT_PARTS = 3L
+
+        /** After this time callers regard a router that has not answered as failed. */
+        const val MAXIMUM_WAIT_MICROSECONDS = 1_000_000L
+
         /** Each unreachable server costs a connect time-out, so more attempts would use up the caller's time. */
         const val MAXIMUM_CONNECT_FAILURES = 3
 
--- /dev/null
+++ b/src/main/kotlin/azuredale/intake/Intake.kt
@@ -0,0 +1,91 @@
+package azuredale.intake
+
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import kotlinx.coroutines.CompletableDeferred
+
+/** What becomes of a request that has waited for its turn. */
+internal enum class IntakeDecision {
+    /** It is this request's turn. */
+    START,
+
+    /** The router has fallen too far behind to start the request in time. */
+    OVERLOADED,
+
+    /** The caller has disconnected. */
+    CALLER_GONE,
+}
+
+/**
+ * Lets requests start one after the other, and reads the sockets in between.
+ *
+ * A request starts after the sockets have been read once more, so that a router that reads late notices which callers
+ * have disconnected before it sends their requests to a server.
+ *
+ * @param schedule runs an action at a given time, after the sockets have been read again.
+ */
+internal class Intake(
+    private val clock: Clock,
+    private val schedule: (Timestamp, () -> Unit) -> Unit,
+) {
+    private val queue = IntakeQueue()
+    private val decisions = HashMap<WaitingRequest, CompletableDeferred<IntakeDecision>>()
+    private var isScheduled = false
+    private var expectedTickAt = Timestamp.DISTANT_FUTURE
+
+    /** Number of requests that wait for their turn. */
+    val waiting: Int get() = queue.size
+
+    /** Records periodic work that runs after each reading of the sockets; the next one is due at [nextAt]. */
+    fun recordTick(nextAt: Timestamp) {
+        expectedTickAt = nextAt
+    }
+
+    /** Longest time that a request that is read at [now] may have waited unread, in microseconds. */
+    fun unreadMicroseconds(now: Timestamp): Long = now.microsecondsSince(expectedTickAt).coerceAtLeast(0)
+
+    /** Waits until [request] may start or is given up. */
+    suspend fun awaitTurn(request: WaitingRequest): IntakeDecision {
+        val decision = CompletableDeferred<IntakeDecision>()
+        decisions[request] = decision
+        queue.add(request)?.let { decide(it, IntakeDecision.OVERLOADED) }
+        scheduleNext()
+        return decision.await()
+    }
+
+    /** Gives up [request], whose caller has disconnected, if it still waits. */
+    fun callerGone(request: WaitingRequest) {
+        if (queue.remove(request)) decide(request, IntakeDecision.CALLER_GONE)
+    }
+
+    private fun scheduleNext() {
+        if (isScheduled || queue.size == 0) return
+        isScheduled = true
+        schedule(clock().plusMilliseconds(READING_MILLISECONDS), ::startRequests)
+    }
+
+    private fun startRequests() {
+        isScheduled = false
+        val sliceEnd = clock().plusMilliseconds(SLICE_MILLISECONDS)
+        queue.removeOverdue(clock()).forEach { decide(it, IntakeDecision.OVERLOADED) }
+        while (true) {
+            val now = clock()
+            val request = queue.next(now) ?: break
+            decide(request, IntakeDecision.START)
+            if (clock() >= sliceEnd) break
+        }
+        scheduleNext()
+    }
+
+    private fun decide(request: WaitingRequest, decision: IntakeDecision) {
+        decisions.remove(request)?.complete(decision)
+    }
+
+    private companion object {
+        /** Shortest time of a timer, which runs after the sockets have been read. */
+        const val READING_MILLISECONDS = 1L
+
+        /** Time for which requests are started before the sockets are read again. */
+        const val SLICE_MILLISECONDS = 20L
+    }
+}
