Bound what a faulty server can make a router hold, end stalled streams, and keep connections by server process

Endless heads, chunk sizes and trailers were bounded by the decoder before. - Stalled streams: any byte kept a stream alive until its deadline.

--- a/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
@@ -5,6 +5,7 @@
 import azuredale.gateway.BackendEvent
 import azuredale.gateway.BackendRequest
 import azuredale.gateway.BackendTransport
+import azuredale.identity.NetworkAddress
 import azuredale.identity.ServerId
 import azuredale.time.Clock
 import azuredale.time.Timestamp
@@ -22,10 +23,17 @@
 ) : BackendTransport {
     private class IdleConnection(
         val connection: BackendConnection,
+        val process: ServerProcess,
         val since: Timestamp,
         val closesAt: Timestamp,
     )
 
+    /** A server may start again under its id, also at another address; its connections end with its process. */
+    private data class ServerProcess(
+        val address: NetworkAddress,
+        val startedAtMilliseconds: Long?,
+    )
+
     private class ServerConnections {
         val idle = ArrayDeque<IdleConnection>()
         var open = 0
@@ -49,7 +57,7 @@
         onEvent: (BackendEvent) -> Unit,
     ): BackendAttempt {
         val attempt = Attempt(request.head.id, encode(request, server), onEvent)
-        val kept = takeIdle(server.id, requiresRecentConnection)
+        val kept = takeIdle(server, requiresRecentConnection)
         if (kept != null) attempt.start(kept) else connect(server, attempt)
         return attempt
     }
@@ -67,14 +75,15 @@
         }
     }
 
-    private fun takeIdle(id: ServerId, requiresRecentConnection: Boolean): BackendConnection? {
-        val idle = servers[id]?.idle ?: return null
+    private fun takeIdle(server: BackendEntry, requiresRecentConnection: Boolean): BackendConnection? {
+        val idle = servers[server.id]?.idle ?: return null
         val now = clock()
         while (true) {
             val newest = idle.removeLastOrNull() ?: return null
             val isFresh = now.microsecondsSince(newest.since) <= MAXIMUM_FRESH_IDLE_MICROSECONDS
             when {
-                !newest.connection.isUsable || newest.closesAt <= now -> newest.connection.close()
+                !newest.connection.isUsable || newest.closesAt <= now || newest.process != server.process() ->
+                    newest.connection.close()
                 requiresRecentConnection && !isFresh -> {
                     idle.addLast(newest)
                     return null
@@ -97,7 +106,12 @@
                     BackendConnection(
                         socket = result.result() as NetSocketInternal,
                         decoder = decoder,
-                        onIdle = { connection, hints -> addIdle(serverConnections, connection, hints) },
+                        onIdle = {
+                            connection,
+                            hints,
+                            ->
+                            addIdle(serverConnections, connection, server.process(), hints)
+                        },
                         onClosed = { closed -> removeClosed(serverConnections, closed) },
                     )
                 attempt.start(connection)
@@ -105,11 +119,18 @@
         }
     }
 
-    private fun addIdle(server: ServerConnections, connection: BackendConnection, hints: ConnectionHints) {
+    private fun BackendEntry.process() = ServerProcess(address, startedAtMilliseconds)
+
+    private fun addIdle(
+        server: ServerConnections,
+        connection: BackendConnection,
+        process: ServerProcess,
+        hints: ConnectionHints,
+    ) {
         val now = clock()
         val announced = hints.keepAliveSeconds?.let { now.plusSeconds(it).plusMilliseconds(-CLOSE_MARGIN_MILLISECONDS) }
         val bound = now.plusMilliseconds(MAXIMUM_IDLE_MILLISECONDS)
-        server.idle.addLast(IdleConnection(connection, now, minOf(announced ?: bound, bound)))
+        server.idle.addLast(IdleConnection(connection, process, now, minOf(announced ?: bound, bound)))
     }
 
     private fun removeClosed(server: ServerConnections, connection: BackendConnection) {
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -130,7 +130,11 @@
                     onSent = { server, parts -> exchange.promptSent(server.idHash, parts, clock()) },
                     onExcluded = { log.write(GatewayLogEvent.SERVER_EXCLUDED, "server" to it.server.id) },
                 ),
-            retryBudget = FleetRetryBudget(settings.bounds) { exchange.peers.recentFleetSize() },
+            budgets =
+                RequestBudgets(
+                    retries = FleetRetryBudget(settings.bounds) { exchange.peers.recentFleetSize() },
+                    responseBuffers = ResponseBufferBudget(),
+                ),
             backends = dependencies.backends,
             failureHeaders = dependencies.failureHeaders,
             metrics = metrics,
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -32,6 +32,12 @@
     }
 }
 
+/** Limits that the requests of one router share. */
+internal class RequestBudgets(
+    val retries: FleetRetryBudget,
+    val responseBuffers: ResponseBufferBudget,
+)
+
 /** Dependencies shared by all requests of one router. */
 internal class GatewayContext(
     val settings: GatewaySettings,
@@ -41,7 +47,7 @@
     val intake: Intake,
     val promptAdmission: PromptAdmission,
     val recorders: AttemptRecorders,
-    val retryBudget: FleetRetryBudget,
+    val budgets: RequestBudgets,
     val backends: BackendTransport,
     val failureHeaders: FailureHeaders,
     val metrics: GatewayMetrics,
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -28,6 +28,8 @@
     data object DeadlinePassed : Signal
 
     data object CallerWritable : Signal
+
+    data object ProgressDue : Signal
 }
 
 /** How one attempt ended. */
@@ -120,7 +122,7 @@
             return
         }
         if (!awaitTurn()) return
-        context.retryBudget.recordRequest(authorized.pool, clock())
+        context.budgets.retries.recordRequest(authorized.pool, clock())
         caller.onDisconnect { signals.trySend(Signal.CallerGone) }
         val timer = context.timer(deadline) { signals.trySend(Signal.DeadlinePassed) }
         try {
@@ -212,7 +214,7 @@
         val now = clock()
         return sentCount < authorized.route.maximumServers &&
             now < deadline &&
-            context.retryBudget.tryAcquire(authorized.pool, now)
+            context.budgets.retries.tryAcquire(authorized.pool, now)
     }
 
     private fun unavailable(selection: ServerSelection, now: Timestamp): Failure {
@@ -245,6 +247,7 @@
                 backendAttempt.cancel()
                 throw failure
             } finally {
+                reader.release()
                 recorder.release()
             }
         if (end !is AttemptResult.Done) logFailedAttempt(end, selection.server)
@@ -280,6 +283,15 @@
         private val splitter = ServerSentEventSplitter()
         private var wasSent = false
         private var isWaitingForCaller = false
+        private val buffered = context.budgets.responseBuffers.Part()
+        private var progressDueAt: Timestamp? = null
+        private var progressTimer: Timer? = null
+
+        /** Releases what the attempt holds besides its connection. */
+        fun release() {
+            buffered.release()
+            progressTimer?.cancel()
+        }
 
         suspend fun read(number: Int): AttemptResult {
             for (signal in signals) {
@@ -289,6 +301,7 @@
                         is Signal.CallerGone -> onCallerGone()
                         is Signal.DeadlinePassed -> onDeadlinePassed()
                         is Signal.CallerWritable -> resume()
+                        is Signal.ProgressDue -> checkProgress()
                     }
                 if (end != null) return end
             }
@@ -356,18 +369,47 @@
         private fun onData(bytes: Buffer): AttemptResult? {
             if (!isStream()) {
                 body.appendBuffer(bytes)
-                return null
+                return if (buffered.update(body.length())) null else tooLong("response body")
             }
             val events = splitter.append(bytes)
+            if (!buffered.update(splitter.pendingBytes)) return tooLong("event")
             if (events.isEmpty()) return null
             return forwardEvents(events)
         }
 
+        private fun tooLong(what: String): AttemptResult {
+            backendAttempt.cancel()
+            return onFailed("$what exceeds the limit")
+        }
+
+        /** Postpones the time at which the stream counts as stalled. Bytes without an event are no progress. */
+        private fun recordProgress(now: Timestamp) {
+            val isScheduled = progressDueAt != null
+            progressDueAt = now.plusMilliseconds(STALL_MILLISECONDS)
+            if (!isScheduled) scheduleProgressCheck()
+        }
+
+        private fun scheduleProgressCheck() {
+            progressTimer = context.timer(checkNotNull(progressDueAt)) { signals.trySend(Signal.ProgressDue) }
+        }
+
+        private fun checkProgress(): AttemptResult? {
+            val isStalled = !isWaitingForCaller && progressDueAt?.let { clock() >= it } == true
+            if (isStalled) {
+                backendAttempt.cancel()
+                return onFailed("no event for $STALL_MILLISECONDS ms")
+            }
+            if (isWaitingForCaller) progressDueAt = clock().plusMilliseconds(STALL_MILLISECONDS)
+            scheduleProgressCheck()
+            return null
+        }
+
         private fun isStream(): Boolean = authorized.route.kind == RouteKind.STREAMING && response?.isSuccess == true
 
         private fun forwardEvents(events: List<StreamEvent>): AttemptResult? {
             val now = clock()
             recorder.recordEvent(now)
+            if (progressDueAt == null || events.any { it.hasContent }) recordProgress(now)
             if (firstEventAt == null) firstEventAt = now
             longestPause = maxOf(longestPause, now.microsecondsSince(lastEventAt ?: now))
             lastEventAt = now
@@ -498,6 +540,9 @@
         const val MICROSECONDS = Timestamp.MICROSECONDS_PER_MILLISECOND
         const val FIRST_SERVER_ERROR = 500
 
+        /** Longer than callers wait for the next event of a stream, and than sound streams pause. */
+        const val STALL_MILLISECONDS = 5_000L
+
         /** A request starts within a third of the caller's time, so that another router can serve it after that. */
         const val MAXIMUM_WAIT_PARTS = 3L
 
--- a/src/main/kotlin/azuredale/gateway/ServerSentEventSplitter.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerSentEventSplitter.kt
@@ -2,10 +2,16 @@
 
 import io.vertx.core.buffer.Buffer
 
-/** A complete event of a stream; [number] is null if the event has none. */
+/**
+ * A complete event of a stream.
+ *
+ * @property number its id, null if it has none.
+ * @property hasContent whether it has an id or data; comments and empty events have neither.
+ */
 public class StreamEvent(
     public val bytes: Buffer,
     public val number: Long?,
+    public val hasContent: Boolean,
 )
 
 /**
@@ -32,7 +38,8 @@
         while (position < pending.length()) {
             if (pending.getByte(position) == LINE_FEED && endsEmptyLine(position, start)) {
                 val event = pending.slice(start, position + 1)
-                events += StreamEvent(event, parseNumber(event))
+                val number = parseNumber(event)
+                events += StreamEvent(event, number, hasContent = number != null || hasData(event))
                 start = position + 1
             }
             position++
@@ -52,13 +59,18 @@
         return before >= start && pending.getByte(before) == LINE_FEED
     }
 
-    private fun parseNumber(event: Buffer): Long? {
+    private fun parseNumber(event: Buffer): Long? = field(event, ID_FIELD)?.toLongOrNull()
+
+    private fun hasData(event: Buffer) = !field(event, DATA_FIELD).isNullOrEmpty()
+
+    /** Value of the first line of [event] that begins with [name], null if there is none. */
+    private fun field(event: Buffer, name: String): String? {
         var start = 0
         while (start < event.length()) {
             var end = start
             while (end < event.length() && event.getByte(end) != LINE_FEED) end++
-            if (end - start > ID_FIELD.length && event.getString(start, start + ID_FIELD.length) == ID_FIELD) {
-                return event.getString(start + ID_FIELD.length, end).trim().toLongOrNull()
+            if (end - start > name.length && event.getString(start, start + name.length) == name) {
+                return event.getString(start + name.length, end).trim()
             }
             start = end + 1
         }
@@ -69,5 +81,6 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val DATA_FIELD = "data:"
     }
 }
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -115,7 +115,7 @@
         report.routers.forEach { routerDiscovered(RouterId(it.router), NetworkAddress(it.host, it.peerPort), now) }
         val peer = table.reportReceived(report, datagram.sentAt, from, now, aliveUntil(report, now)) ?: return
         report.relayed.forEach { row ->
-            val heardAt = now.plusMilliseconds(-row.age.coerceAtLeast(0))
+            val heardAt = now.plusMilliseconds(-row.age.coerceIn(0, MAXIMUM_AGE_MILLISECONDS))
             table.relayedReceived(row, heardAt, now, heardAt.plusMilliseconds(RELAYED_TIMEOUT_MILLISECONDS))
         }
         if (isLoadSource(peer, scope)) applySums(peer, scope, datagram, report, now)
@@ -144,14 +144,14 @@
             }
         val loads = HashMap<Int, ServerLoad>()
         report.loads.forEach { entry ->
-            val load = ServerLoad(entry.waitingTokens, entry.running)
+            val load = ServerLoad(entry.waitingTokens.coerceAtLeast(0), entry.running.coerceAtLeast(0))
             loads[entry.server] = included?.loads?.get(entry.server)?.let { load - it } ?: load
         }
         statistics.loads.updatePeer(peer.router, loads, now.plusMilliseconds(peerTimeoutMilliseconds()))
         if (report.usage.isEmpty()) return
         val teams = HashMap<Int, TokenUsage>()
         report.usage.forEach { entry ->
-            val sum = TokenUsage(entry.requested, entry.granted)
+            val sum = TokenUsage(entry.requested.coerceAtLeast(0), entry.granted.coerceAtLeast(0))
             teams[entry.team] = included?.usage?.get(entry.team)?.let { sum - it } ?: sum
         }
         usage.updatePeer(peer.router, teams, now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS))
@@ -265,6 +265,9 @@
         /** Two rotations of a relay through a fleet of 95 routers. */
         const val RELAYED_TIMEOUT_MILLISECONDS = 6_000L
 
+        /** Longest age that a relayed state can have; routers that are silent for longer are forgotten. */
+        const val MAXIMUM_AGE_MILLISECONDS = 60_000L
+
         /** Interval between reports to a peer that does not answer. */
         const val SILENT_PEER_RETRY_MILLISECONDS = 500L
 
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -99,7 +99,11 @@
     )
 
     /** Writes the catalog with [keys] for the only team. */
-    public fun writeCatalog(version: Int, keys: List<String>) {
+    public fun writeCatalog(version: Int, keys: List<String>, timeoutMilliseconds: Int = 2_000) {
+        fun route(name: String, kind: String, servers: Int, more: String) =
+            """{"name":"$name","host":"$HOST","path-prefix":"/$name/","kind":"$kind",""" +
+                """"timeout-ms":$timeoutMilliseconds,"target-latency-ms":500,"priority":1,"service":"pool-a",""" +
+                """"max-attempts":$servers$more}"""
         val quoted = keys.joinToString(",") { "\"$it\"" }
         platform.put(
             StoreKey.CATALOG,
@@ -156,10 +160,6 @@
         return ReceivedResponse(response.statusCode(), emptyMap(), response.bodyAsString().orEmpty())
     }
 
-    private fun route(name: String, kind: String, servers: Int, more: String) =
-        """{"name":"$name","host":"$HOST","path-prefix":"/$name/","kind":"$kind","timeout-ms":2000,""" +
-            """"target-latency-ms":500,"priority":1,"service":"pool-a","max-attempts":$servers$more}"""
-
     public companion object {
         /** API key of the only team. */
         public const val KEY: String = "key-a"
--- a/src/test/kotlin/azuredale/peers/LargeFleetExchangeSpec.kt
+++ b/src/test/kotlin/azuredale/peers/LargeFleetExchangeSpec.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -147,6 +148,29 @@
         }
     }
 
+    @Nested
+    inner class Fuzz {
+        @ParameterizedTest
+        @ValueSource(longs = [1, 2, 3, 4])
+        fun `a malformed datagram is refused and changes nothing for the others`(seed: Long) {
+            // Guards against one malformed message that ends a process or its exchange.
+            val random = Random(seed)
+            val fleet = SimulatedExchange(routers = 20, domains = 4)
+            fleet.recordsDatagrams = true
+            fleet.run(1_000)
+            val sound = fleet.recorded.toList()
+            val node = fleet.nodes[0]
+            repeat(3_000) {
+                val bytes = sound[random.nextInt(sound.size)].copyOf()
+                repeat(1 + random.nextInt(4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
+                val length = if (random.nextInt(4) == 0) random.nextInt(bytes.size + 1) else bytes.size
+                node.exchange.received(node.address, bytes.copyOf(length), fleet.now)
+                node.exchange.tick(fleet.now)
+            }
+            assertTrue(node.exchange.peers.all.size < 1_100)
+        }
+    }
+
     private companion object {
         /** Mean bytes a second for control from the users' design size. */
         const val CONTROL_BYTES = 9_000.0
