--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -115,10 +115,10 @@
     }
 
     private suspend fun serve(body: Buffer) {
-        if (clock() >= deadline) {
-            refuse(
-                Failure(ErrorKind.DEADLINE_BEFORE_START, "read too late", clock().plusMilliseconds(RETRY_MILLISECONDS)),
-            )
+        val now = clock()
+        if (now >= deadline) {
+            val retryAt = now.plusMilliseconds(RETRY_MILLISECONDS)
+            refuse(Failure(ErrorKind.DEADLINE_BEFORE_START, "read too late", retryAt))
             return
         }
         if (!awaitTurn()) return
@@ -134,14 +134,9 @@
 
     /** Waits for this request's turn; returns false if it was given up before it started. */
     private suspend fun awaitTurn(): Boolean {
-        val waitBound =
-            (
-                deadline.microsecondsSince(
-                    arrivedAt,
-                ) / MAXIMUM_WAIT_PARTS
-            ).coerceAtMost(MAXIMUM_WAIT_MICROSECONDS)
-        val request =
-            WaitingRequest(head.key.orEmpty(), arrivedAt, startBy = readAt.plusMicroseconds(waitBound))
+        val thirdOfTime = deadline.microsecondsSince(arrivedAt) / MAXIMUM_WAIT_PARTS
+        val startBy = readAt.plusMicroseconds(minOf(thirdOfTime, MAXIMUM_WAIT_MICROSECONDS))
+        val request = WaitingRequest(head.key.orEmpty(), arrivedAt, startBy)
         caller.onDisconnect { context.intake.callerGone(request) }
         when (context.intake.awaitTurn(request)) {
             IntakeDecision.START -> return true
