--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -263,10 +263,16 @@
             "attempt" to attempt,
             "kind" to kind,
             "detail" to detail,
+            "parts" to head.prompt?.parts?.joinToString(" ") { it.id },
+            "sent" to sentAt?.let { millisecondsBefore(it) },
+            "lastEvent" to lastEventAt?.let { millisecondsBefore(it) },
             "age" to ageMilliseconds(),
         )
     }
 
+    /** Milliseconds since [at], for logs. */
+    private fun millisecondsBefore(at: Timestamp) = clock().microsecondsSince(at) / MICROSECONDS
+
     /** Processes the events of one attempt and forwards the response. */
     private inner class AttemptReader(
         private val server: BackendEntry,
