Quarantine prompt parts that end servers

Cause: the end of a server counted against the server alone (CircuitBreaker). Nothing judged what had been in progress at it, so a request that ends each server that begins to answer it went to the next server, by the router's own repeat, the caller's repeat, and as the next request with the same part. Class of fault: a failure caused by the input is attributed to the component that processes it. Evidence: one part was unanswered at 33 of 33 ends and never answered. Ruled out: overload (the first server ended with 13 prompts on 64 slots); blocking by caller or first part (both are shared with sound requests); judging by one router (each sees 2 to 13 of the unanswered prompts of an end). Change: package quarantine. Routers merge what was unanswered at each end, in any order and over relays; three ends at different times without an answer quarantine the part furthest into the prompts. Answers clear parts everywhere. A suspect goes to one server. The result is kept in the store and read at the start of a router. At most two trials; operators lift it. Reports between routers have version 3.

--- a/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
@@ -9,10 +9,12 @@
 import azuredale.identity.ServerId
 import azuredale.time.Clock
 import azuredale.time.Timestamp
+import io.netty.channel.ConnectTimeoutException
 import io.netty.handler.codec.http.FullHttpRequest
 import io.vertx.core.Vertx
 import io.vertx.core.internal.net.NetSocketInternal
 import io.vertx.core.net.NetClientOptions
+import java.net.ConnectException
 
 /** Connection pool for backend servers. */
 internal class BackendConnectionPool(
@@ -62,6 +64,15 @@
         return attempt
     }
 
+    /** Tries a new connection to [server] and reports whether it was refused, so that no process listens there. */
+    fun probe(server: BackendEntry, onResult: (isRefused: Boolean) -> Unit) {
+        client.connect(server.address.port, server.address.host).onComplete { result ->
+            if (result.succeeded()) result.result().close()
+            val cause = result.cause()
+            onResult(cause is ConnectException && cause !is ConnectTimeoutException)
+        }
+    }
+
     /** Closes idle connections that have timed out or whose servers are not in [present]. */
     fun closeExpired(present: Set<ServerId>) {
         val now = clock()
--- a/src/main/kotlin/azuredale/engine/SelectionRequest.kt
+++ b/src/main/kotlin/azuredale/engine/SelectionRequest.kt
@@ -2,6 +2,7 @@
 
 import azuredale.gateway.PromptShape
 import azuredale.identity.FailureDomain
+import azuredale.identity.PartId
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
 import azuredale.identity.TeamId
@@ -14,6 +15,7 @@
  * @property onTimeUntil when the latency target for the response, or the first event of a stream, expires.
  * @property deadline when the caller stops waiting.
  * @property excluded servers that were already tried.
+ * @property confinedTo a part of the prompt that may crash servers; all requests with it go to one server.
  */
 internal data class SelectionRequest(
     val pool: PoolId,
@@ -23,4 +25,5 @@
     val onTimeUntil: Timestamp,
     val deadline: Timestamp,
     val excluded: Set<ServerId> = emptySet(),
+    val confinedTo: PartId? = null,
 )
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -3,6 +3,7 @@
 import azuredale.directory.BackendEntry
 import azuredale.directory.ServerDirectory
 import azuredale.gateway.PromptShape
+import azuredale.identity.PartId
 import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
 
@@ -40,7 +41,8 @@
     fun select(request: SelectionRequest, now: Timestamp): ServerSelection {
         val ready = directory().ready(request.pool)
         val usable = ready.filter { it.id !in request.excluded && statistics.circuitBreaker(it.id).allowsRequest(now) }
-        val candidates = usable.ifEmpty { ready.filter { it.id !in request.excluded } }
+        val available = usable.ifEmpty { ready.filter { it.id !in request.excluded } }
+        val candidates = request.confinedTo?.let { confined(available, it) } ?: available
         val prompt = request.prompt
         val best =
             if (prompt == null) bestService(request, candidates, now) else bestEngine(request, prompt, candidates, now)
@@ -48,6 +50,10 @@
             ?: ServerSelection.Unavailable("none of ${ready.size} servers of ${request.pool} may be used")
     }
 
+    /** The same server on all routers that agree on [available]. */
+    private fun confined(available: List<BackendEntry>, part: PartId): List<BackendEntry> =
+        listOfNotNull(available.maxByOrNull { StableHash.fraction(part.name, it.id.name) })
+
     private fun bestService(
         request: SelectionRequest,
         candidates: List<BackendEntry>,
@@ -66,7 +72,7 @@
         candidates: List<BackendEntry>,
         now: Timestamp,
     ): ServerSelection.Selected? {
-        val shared = prompt.parts.dropLast(1)
+        val shared = prompt.sharedParts
         val sharedTokens = shared.sumOf { it.tokens }
         statistics.resetStaleEstimates(request.pool, now)
         val session = shared.lastOrNull()?.id.orEmpty()
--- a/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
@@ -10,11 +10,16 @@
     private val statistics: ServerStatistics,
     private val selection: ServerSelection.Selected,
     private val startedAt: Timestamp,
+    private val onAnswered: (Timestamp) -> Unit,
     private val onExcluded: (ServerSelection.Selected) -> Unit,
 ) {
     private val server = selection.server
     private var load = ServerLoad(waitingTokens = selection.uncachedTokens, running = 1)
     private var hasEvent = false
+
+    /** Whether the server went on after it had begun its answer, so that the prompt did not crash it. */
+    var isAnswered = false
+        private set
     private val tokensAhead = statistics.remainingTokens(selection.load)
     private var sentAt = startedAt
     private var firstEventAt = startedAt
@@ -31,7 +36,10 @@
 
     /** Records an event of the stream. */
     fun recordEvent(now: Timestamp) {
-        if (hasEvent) return
+        if (hasEvent) {
+            if (now >= firstEventAt.plusMilliseconds(ANSWER_MILLISECONDS)) recordAnswer(now)
+            return
+        }
         hasEvent = true
         updateLoad(ServerLoad(waitingTokens = 0, running = 1))
         statistics.circuitBreaker(server.id).recordSuccess()
@@ -43,6 +51,7 @@
     /** Records a valid, complete response. */
     fun recordSuccess(now: Timestamp) {
         statistics.circuitBreaker(server.id).recordSuccess()
+        recordAnswer(now)
         if (!hasEvent) return
         val duration = now.microsecondsSince(firstEventAt).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
         statistics.latency(server.pool).recordHold(duration)
@@ -66,6 +75,12 @@
     /** Removes the attempt's load from the server. */
     fun release() = updateLoad(ServerLoad.NONE)
 
+    private fun recordAnswer(now: Timestamp) {
+        if (isAnswered) return
+        isAnswered = true
+        onAnswered(now)
+    }
+
     private fun updateLoad(updated: ServerLoad) {
         statistics.loads.add(
             server.id,
@@ -77,5 +92,8 @@
     private companion object {
         /** Status of a response from a process that is not the addressed server. */
         const val MISDIRECTED = 421
+
+        /** A server that a prompt crashes ends within this time of the first event. */
+        const val ANSWER_MILLISECONDS = 50L
     }
 }
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -3,6 +3,7 @@
 import azuredale.admission.LoadShedder
 import azuredale.admission.PromptAdmission
 import azuredale.admission.TeamUsage
+import azuredale.directory.BackendEntry
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
 import azuredale.freshness.ClockJumpDetector
@@ -17,6 +18,12 @@
 import azuredale.peers.Peer
 import azuredale.peers.PeerCallbacks
 import azuredale.peers.PeerExchange
+import azuredale.quarantine.Quarantine
+import azuredale.quarantine.QuarantineCallbacks
+import azuredale.quarantine.QuarantineKeeper
+import azuredale.quarantine.QuarantineLogEvent
+import azuredale.quarantine.QuarantineStore
+import azuredale.quarantine.ServerEnd
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
@@ -34,6 +41,9 @@
     val sendDatagram: (NetworkAddress, ByteArray) -> Unit,
     /** Schedules an action for a given time. */
     val timer: (Timestamp, () -> Unit) -> Timer,
+    val quarantineStore: QuarantineStore,
+    /** Tries a new connection to a server and reports whether it was refused. */
+    val probe: (BackendEntry, (isRefused: Boolean) -> Unit) -> Unit,
     /** Called when the server directory or the catalog changes. */
     val onChange: () -> Unit,
 )
@@ -80,13 +90,36 @@
     /** Whether a graceful stop has begun. */
     val isStopping: Boolean get() = stoppingSince != null
 
-    private val exchange =
+    private val quarantine =
+        Quarantine(
+            QuarantineCallbacks(
+                onNews = { exchange.reportSoon(clock()) },
+                onChange = { part, isQuarantined, reason ->
+                    val event =
+                        if (isQuarantined) QuarantineLogEvent.PART_QUARANTINED else QuarantineLogEvent.PART_RELEASED
+                    log.write(event, "part" to part, "reason" to reason)
+                },
+            ),
+        )
+    private val serverEnds =
+        ServerEndDetector(clock, dependencies.timer, dependencies.probe) { server, prompts ->
+            log.write(
+                QuarantineLogEvent.SERVER_ENDED,
+                "server" to server.id,
+                "address" to server.address,
+                "unanswered" to prompts.size,
+            )
+            metrics.recordServerEnd()
+            quarantine.recordCrash(ServerEnd.of(server), prompts, clock())
+        }
+    private val exchange: PeerExchange =
         PeerExchange(
             settings = settings,
             incarnation = incarnation,
             view = view,
             statistics = statistics,
             usage = usage,
+            quarantine = quarantine,
             callbacks =
                 PeerCallbacks(
                     send = dependencies.sendDatagram,
@@ -114,6 +147,16 @@
             log = log,
             onFound = { exchange.routerDiscovered(it.router, it.address, clock()) },
         )
+    private val keeper =
+        QuarantineKeeper(
+            quarantine = quarantine,
+            store = dependencies.quarantineStore,
+            clock = clock,
+            scope = scope,
+            rank = exchange::rank,
+            isDivided = { exchange.peers.all.any { !it.isAlive } },
+            log = log,
+        )
     private val routerAddresses = RouterAddresses(settings, exchange.peers) { isReady() }
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val context =
@@ -122,11 +165,16 @@
             clock = clock,
             authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, ::isClosed),
             selector = ServerSelector({ view.directory }, statistics),
-            intake = intake,
-            promptAdmission = PromptAdmission(usage, LoadShedder(usage, random::nextDouble)),
+            admission =
+                RequestAdmission(
+                    intake = intake,
+                    prompts = PromptAdmission(usage, LoadShedder(usage, random::nextDouble)),
+                    quarantine = PromptQuarantine(quarantine, serverEnds, keeper::claimTrial),
+                ),
             recorders =
                 AttemptRecorders(
                     statistics,
+                    onAnswered = quarantine::recordAnswer,
                     onSent = { server, parts -> exchange.promptSent(server.idHash, parts, clock()) },
                     onExcluded = { log.write(GatewayLogEvent.SERVER_EXCLUDED, "server" to it.server.id) },
                 ),
@@ -157,6 +205,7 @@
         poller.logFreshnessChange(now)
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
         if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
+        keeper.tick(now)
         exchange.tick(now)
         intake.recordTick(nextAt = clock().plusMilliseconds(TICK_MILLISECONDS))
     }
@@ -183,7 +232,7 @@
     }
 
     /** Whether this router accepts requests. */
-    fun isReady(): Boolean = !isStopping && view.catalog != null && isCatalogFresh(clock())
+    fun isReady(): Boolean = !isStopping && view.catalog != null && quarantine.isKnown && isCatalogFresh(clock())
 
     /** Addresses of routers for callers, and the seconds for which they may be cached. */
     fun addresses(): Pair<List<NetworkAddress>, Double> = routerAddresses.addresses()
@@ -240,6 +289,7 @@
                 .count { view.directory.isReady(it.id) }
                 .toDouble()
         }
+        metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
         metrics.gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -20,15 +20,22 @@
 internal class AttemptRecorders(
     private val statistics: ServerStatistics,
     private val onSent: (BackendEntry, List<PromptPart>) -> Unit,
+    private val onAnswered: (PromptShape, Timestamp) -> Unit,
     private val onExcluded: (ServerSelection.Selected) -> Unit,
 ) {
     fun create(selection: ServerSelection.Selected, prompt: PromptShape?, now: Timestamp): AttemptRecorder {
-        val shared = prompt?.parts?.dropLast(1).orEmpty()
+        val shared = prompt?.sharedParts.orEmpty()
         if (shared.isNotEmpty()) {
             statistics.cache.record(selection.server.id, shared)
             onSent(selection.server, shared)
         }
-        return AttemptRecorder(statistics, selection, now, onExcluded)
+        return AttemptRecorder(
+            statistics = statistics,
+            selection = selection,
+            startedAt = now,
+            onAnswered = { at -> if (prompt != null) onAnswered(prompt, at) },
+            onExcluded = onExcluded,
+        )
     }
 }
 
@@ -38,14 +45,20 @@
     val responseBuffers: ResponseBufferBudget,
 )
 
+/** Decides which requests are started and sent. */
+internal class RequestAdmission(
+    val intake: Intake,
+    val prompts: PromptAdmission,
+    val quarantine: PromptQuarantine,
+)
+
 /** Dependencies shared by all requests of one router. */
 internal class GatewayContext(
     val settings: GatewaySettings,
     val clock: Clock,
     val authorizer: RequestAuthorizer,
     val selector: ServerSelector,
-    val intake: Intake,
-    val promptAdmission: PromptAdmission,
+    val admission: RequestAdmission,
     val recorders: AttemptRecorders,
     val budgets: RequestBudgets,
     val backends: BackendTransport,
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -9,6 +9,7 @@
 import azuredale.freshness.StoreReader
 import azuredale.identity.NetworkAddress
 import azuredale.logging.EventLog
+import azuredale.quarantine.QuarantineStore
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import io.netty.handler.codec.http.FullHttpRequest
@@ -25,6 +26,7 @@
 internal class PlatformAdapter(
     val storeReader: StoreReader,
     val registry: Registry,
+    val quarantineStore: QuarantineStore,
     val failureHeaders: FailureHeaders,
     val responses: ResponseDecoder,
     val encode: (BackendRequest, BackendEntry) -> FullHttpRequest,
@@ -57,6 +59,8 @@
                     failureHeaders = adapter.failureHeaders,
                     sendDatagram = { to, bytes -> datagrams.send(Buffer.buffer(bytes), to.port, to.host) },
                     timer = ::timer,
+                    quarantineStore = adapter.quarantineStore,
+                    probe = backends::probe,
                     onChange = {},
                 ),
             scope = scope,
--- a/src/main/kotlin/azuredale/gateway/GatewayMetrics.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayMetrics.kt
@@ -13,6 +13,7 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val outcomes = HashMap<ErrorKind?, Counter>()
     private val firstEventLatency = histogram("azuredale.first.event.milliseconds")
+    private val serverEnds = Counter.builder("azuredale.server.ends").register(registry)
     private val requestDuration = histogram("azuredale.request.milliseconds")
 
     /** Counts a finished request; [kind] is null unless this router refused it. */
@@ -28,6 +29,11 @@
         if (kind == null) requestDuration.record(milliseconds(arrivedAt, now))
     }
 
+    /** Counts a server process whose unexpected end this router noticed. */
+    public fun recordServerEnd() {
+        serverEnds.increment()
+    }
+
     /** Registers a gauge that reads [value] at each scrape. */
     public fun gauge(name: String, value: () -> Double) {
         Gauge.builder("azuredale.$name", value) { it() }.strongReference(true).register(registry)
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -14,6 +14,7 @@
 import azuredale.outcome.Outcome
 import azuredale.time.Timestamp
 import io.vertx.core.buffer.Buffer
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.channels.Channel
 
 /** Input to a request's coroutine. */
@@ -49,6 +50,8 @@
         val kind: ErrorKind,
         val detail: String,
         val answer: BufferedResponse? = null,
+        /** Completes with whether the server process has ended; null if that does not matter. */
+        val hasServerEnded: Deferred<Boolean>? = null,
     ) : AttemptResult
 }
 
@@ -71,7 +74,7 @@
     private val clock = context.clock
     private val head = caller.head
     private val readAt = clock()
-    private val unreadMicroseconds = context.intake.unreadMicroseconds(readAt)
+    private val unreadMicroseconds = context.admission.intake.unreadMicroseconds(readAt)
 
     /** Earliest time at which the request may have arrived; it may have waited unread while the router was busy. */
     private val arrivedAt = readAt.plusMicroseconds(-unreadMicroseconds)
@@ -92,6 +95,7 @@
     private var longestPause = 0L
     private var sentAt: Timestamp? = null
     private var lastSelection: ServerSelection.Selected? = null
+    private val promptGate = PromptGate(head.prompt, context.admission.quarantine, clock)
     private lateinit var authorized: AuthorizedRequest
 
     /** Handles the request to completion. */
@@ -103,7 +107,7 @@
         }
         authorized = (authorization as Outcome.Success).value
         // A retry after a refusal has already used part of its latency target.
-        val elapsed = context.promptAdmission.elapsedBefore(authorized.route.name, head.remainingMilliseconds)
+        val elapsed = context.admission.prompts.elapsedBefore(authorized.route.name, head.remainingMilliseconds)
         onTimeUntil = usualArrival.plusMilliseconds(authorized.route.targetMilliseconds - elapsed)
         val limit = minOf(head.remainingMilliseconds ?: Long.MAX_VALUE, authorized.route.timeoutMilliseconds)
         deadline = arrivedAt.plusMilliseconds(limit)
@@ -137,8 +141,8 @@
         val thirdOfTime = deadline.microsecondsSince(arrivedAt) / MAXIMUM_WAIT_PARTS
         val startBy = readAt.plusMicroseconds(minOf(thirdOfTime, MAXIMUM_WAIT_MICROSECONDS))
         val request = WaitingRequest(head.key.orEmpty(), arrivedAt, startBy)
-        caller.onDisconnect { context.intake.callerGone(request) }
-        when (context.intake.awaitTurn(request)) {
+        caller.onDisconnect { context.admission.intake.callerGone(request) }
+        when (context.admission.intake.awaitTurn(request)) {
             IntakeDecision.START -> return true
             IntakeDecision.CALLER_GONE -> recordEnd("caller disconnected before the request started")
             IntakeDecision.OVERLOADED -> refuse(overloaded())
@@ -157,16 +161,11 @@
         var connectFailures = 0
         while (true) {
             val now = clock()
-            val selection = context.selector.select(selectionRequest(), now)
-            if (selection !is ServerSelection.Selected) {
-                giveUp(notRun ?: unavailable(selection, now))
-                return
-            }
-            val refusal = if (attempt == 0) checkLoad(selection, now) else null
-            if (refusal != null) {
-                giveUp(refusal)
-                return
-            }
+            val selection =
+                when (val selected = selectServer(notRun, now)) {
+                    is Outcome.Refused -> return giveUp(selected.failure)
+                    is Outcome.Success -> selected.value
+                }
             when (val end = runAttempt(selection, body)) {
                 is AttemptResult.Done -> return
                 is AttemptResult.NotRun -> {
@@ -180,7 +179,7 @@
                 }
                 is AttemptResult.Failed -> {
                     excluded += selection.server.id
-                    if (!authorized.route.isRepeatable || !mayRetry()) {
+                    if (!authorized.route.isRepeatable || !promptGate.mayRepeat(end.hasServerEnded) || !mayRetry()) {
                         fail(end)
                         return
                     }
@@ -190,7 +189,16 @@
         }
     }
 
-    private fun selectionRequest() = SelectionRequest(
+    /** Selects the server of the next attempt; [notRun] is the failure of the previous attempt, if it was not run. */
+    private suspend fun selectServer(notRun: Failure?, now: Timestamp): Outcome<ServerSelection.Selected> {
+        promptGate.refusal(now)?.let { return Outcome.Refused(it) }
+        val selection = context.selector.select(selectionRequest(now), now)
+        if (selection !is ServerSelection.Selected) return Outcome.Refused(notRun ?: unavailable(selection, now))
+        val refusal = if (attempt == 0) checkLoad(selection, now) else null
+        return refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
+    }
+
+    private fun selectionRequest(now: Timestamp) = SelectionRequest(
         pool = authorized.pool,
         team = authorized.team,
         prompt = head.prompt,
@@ -198,11 +206,12 @@
         onTimeUntil = onTimeUntil,
         deadline = deadline,
         excluded = excluded,
+        confinedTo = promptGate.confinedTo(now),
     )
 
     private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? = head.prompt?.let { prompt ->
         val request = AdmissionRequest(authorized.team, authorized.route.targetMilliseconds, onTimeUntil, deadline)
-        context.promptAdmission.decide(prompt, request, selection.predictedMilliseconds, now)
+        context.admission.prompts.decide(prompt, request, selection.predictedMilliseconds, now)
     }
 
     private fun mayRetry(): Boolean {
@@ -263,7 +272,7 @@
             "attempt" to attempt,
             "kind" to kind,
             "detail" to detail,
-            "parts" to head.prompt?.parts?.joinToString(" ") { it.id },
+            "parts" to head.prompt?.parts?.joinToString(" ", limit = LOGGED_PARTS) { it.id },
             "sent" to sentAt?.let { millisecondsBefore(it) },
             "lastEvent" to lastEventAt?.let { millisecondsBefore(it) },
             "age" to ageMilliseconds(),
@@ -347,7 +356,7 @@
             is BackendEvent.Head -> onHead(event.head)
             is BackendEvent.Data -> onData(event.bytes)
             is BackendEvent.Complete -> onComplete()
-            is BackendEvent.Failed -> onFailed(event.detail)
+            is BackendEvent.Failed -> connectionFailed(event.detail)
         }
 
         private fun onHead(head: ResponseHead): AttemptResult? {
@@ -462,10 +471,13 @@
             return AttemptResult.Done
         }
 
-        private fun onFailed(detail: String): AttemptResult {
+        private fun connectionFailed(detail: String): AttemptResult =
+            onFailed(detail, promptGate.connectionClosed(server, recorder.isAnswered))
+
+        private fun onFailed(detail: String, hasServerEnded: Deferred<Boolean>? = null): AttemptResult {
             recorder.recordFailure(clock())
             val kind = if (hasBegunStream) ErrorKind.STREAM_BROKEN else ErrorKind.BACKEND_FAILED
-            return AttemptResult.Failed(kind, "$detail at ${server.address}")
+            return AttemptResult.Failed(kind, "$detail at ${server.address}", hasServerEnded = hasServerEnded)
         }
     }
 
@@ -553,6 +565,9 @@
         /** Each unreachable server costs a connect time-out, so more attempts would use up the caller's time. */
         const val MAXIMUM_CONNECT_FAILURES = 3
 
+        /** Bounds the length of a log line. */
+        const val LOGGED_PARTS = 16
+
         /** Long enough for a router or server to recover from a brief disruption. */
         const val RETRY_MILLISECONDS = 200L
     }
--- a/src/main/kotlin/azuredale/gateway/RequestHead.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHead.kt
@@ -1,10 +1,15 @@
 package azuredale.gateway
 
+import azuredale.identity.PartId
+
 /** A part of a prompt. Every part but the last may be shared with other requests. */
 public data class PromptPart(
     val id: String,
     val tokens: Int,
-)
+) {
+    /** The id as a typed value. */
+    val partId: PartId get() = PartId(id)
+}
 
 /**
  * Sizes of a prompt and its output, as declared by the request.
@@ -18,7 +23,10 @@
     val promptTokens: Int,
     val maximumOutputTokens: Int,
     val expectedOutputTokens: Int? = null,
-)
+) {
+    /** All parts but the last, which belongs to this request alone. */
+    val sharedParts: List<PromptPart> get() = parts.dropLast(1)
+}
 
 /** An HTTP header to forward. */
 public data class Header(
--- a/src/main/kotlin/azuredale/identity/Identifiers.kt
+++ b/src/main/kotlin/azuredale/identity/Identifiers.kt
@@ -23,6 +23,13 @@
     override fun toString(): String = name
 }
 
+/** Identifies a part of a prompt; requests that share the part name it by the same id. */
+@JvmInline
+@Serializable
+public value class PartId(public val name: String) {
+    override fun toString(): String = name
+}
+
 /** Name of a batch of servers, model versions or adapters that can be recalled together. */
 @JvmInline
 @Serializable
--- a/src/main/kotlin/azuredale/outcome/ErrorKind.kt
+++ b/src/main/kotlin/azuredale/outcome/ErrorKind.kt
@@ -48,6 +48,7 @@
     SHARE_EXCEEDED(429, Execution.NOT_RUN, true, "the team has used its share while others wait"),
     PREDICTED_LATE(503, Execution.NOT_RUN, true, "the request cannot be served in time at the moment"),
     SERVER_REFUSED(503, Execution.NOT_RUN, true, "the backend server refused the request without running it"),
+    PROMPT_QUARANTINED(503, Execution.NOT_RUN, true, "a part of the prompt has crashed several backend servers"),
     CONNECT_FAILED(503, Execution.NOT_RUN, true, "no connection to a backend server could be opened"),
     DEADLINE_BEFORE_START(503, Execution.NOT_RUN, true, "the deadline passed while the request was waiting"),
     DEADLINE_DURING_RUN(504, Execution.UNKNOWN, false, "the deadline passed while the request was running"),
--- a/src/main/kotlin/azuredale/peers/PeerCodec.kt
+++ b/src/main/kotlin/azuredale/peers/PeerCodec.kt
@@ -27,6 +27,6 @@
     }
 
     companion object {
-        const val VERSION = 2
+        const val VERSION = 3
     }
 }
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -12,6 +12,7 @@
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.quarantine.Quarantine
 import azuredale.time.Timestamp
 
 /** Functions through which [PeerExchange] interacts with the rest of the gateway. */
@@ -27,7 +28,8 @@
 )
 
 /**
- * Exchanges soft state between routers: server load, prompts cached by servers, proofs of freshness and known routers.
+ * Exchanges soft state between routers: server load, prompts cached by servers, proofs of freshness, known routers, and
+ * prompt parts that crash servers.
  *
  * [RelayTopology] decides which routers report to each other. Correctness does not depend on the exchange: a lost or
  * late report only makes decisions less accurate or causes an additional call to the store.
@@ -38,13 +40,26 @@
     private val view: StoreView,
     private val statistics: ServerStatistics,
     private val usage: TeamUsage,
+    quarantine: Quarantine,
     private val callbacks: PeerCallbacks,
     isReady: () -> Boolean,
 ) {
     private val codec = PeerCodec()
     private val table = PeerTable(settings.router)
     private val topology = RelayTopology(settings, table, isReady)
-    private val writer = ReportWriter(settings, incarnation, view, statistics, usage, table, topology, isReady)
+    private val quarantineExchange = QuarantineExchange(quarantine)
+    private val writer =
+        ReportWriter(
+            settings,
+            incarnation,
+            view,
+            statistics,
+            usage,
+            table,
+            topology,
+            quarantineExchange,
+            isReady,
+        )
     private val reportedStates = LinkedHashMap<Long, ReportedState>()
     private var nextReportAt = Timestamp.DISTANT_PAST
     private var collectsFrom: RouterId? = null
@@ -88,7 +103,12 @@
 
     /** Brings the next report forward after this router obtained a newer proof of freshness from the store. */
     fun proofRenewed(now: Timestamp) {
-        if (!topology.isMesh) nextReportAt = minOf(nextReportAt, now.plusMilliseconds(PROOF_DELAY_MILLISECONDS))
+        if (!topology.isMesh) reportSoon(now)
+    }
+
+    /** Brings the next report forward after this router learned something that all routers should act on. */
+    fun reportSoon(now: Timestamp) {
+        nextReportAt = minOf(nextReportAt, now.plusMilliseconds(NEWS_DELAY_MILLISECONDS))
     }
 
     /** Sends reports immediately, for example on a planned stop or for a new catalog. */
@@ -182,9 +202,9 @@
                 report.directory.version.toInt() != view.directoryDigest &&
                 now.plusMicroseconds(-report.directory.age) > view.directoryProof.at
         if (isCatalogOld || isDirectoryOld) callbacks.onOutdated(isCatalogOld, isDirectoryOld)
-        if (datagram.echoedTime == 0L || datagram.echoIncarnation != incarnation.value || datagram.echoDelay < 0) return
-        val createdAfter = Timestamp(datagram.echoedTime).plusMicroseconds(datagram.echoDelay)
-        if (createdAfter > now) return
+        val createdAfter = createdAfter(datagram, now)
+        quarantineExchange.apply(report, createdAfter, now)
+        if (createdAfter == null) return
         if (report.catalog.age >= 0) {
             view.confirmCatalog(Revision(report.catalog.version), createdAfter.plusMicroseconds(-report.catalog.age))
         }
@@ -196,6 +216,14 @@
         }
     }
 
+    /** Time after which the report in [datagram] was created, by this router's clock; null if it echoes no report. */
+    private fun createdAfter(datagram: PeerDatagram, now: Timestamp): Timestamp? {
+        if (datagram.echoedTime == 0L || datagram.echoIncarnation != incarnation.value) return null
+        return Timestamp(datagram.echoedTime)
+            .plusMicroseconds(datagram.echoDelay)
+            .takeIf { datagram.echoDelay >= 0 && it <= now }
+    }
+
     private fun send(peer: Peer, report: ByteArray, now: Timestamp) {
         val delay = if (peer.lastReportSentAt == 0L) 0 else now.microsecondsSince(peer.lastReportReceivedAt)
         val datagram =
@@ -255,8 +283,8 @@
         /** A router of a failure domain sends and receives five datagrams per second. */
         const val RELAYED_PERIOD_MILLISECONDS = 200L
 
-        /** Combines the proofs of two reads that end shortly after each other. */
-        const val PROOF_DELAY_MILLISECONDS = 10L
+        /** Combines news that arrive shortly after each other, such as the proofs of two reads. */
+        const val NEWS_DELAY_MILLISECONDS = 10L
 
         /** Long enough that a peer is not considered silent after a few lost datagrams or a short stall. */
         const val MINIMUM_PEER_TIMEOUT_MILLISECONDS = 600L
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -97,6 +97,8 @@
  *
  * @property scope ordinal of the [ReportScope] that [loads] and [usage] add up.
  * @property relayed routers that the sender knows of, if it is a relay.
+ * @property crashes server crashes that the sender recently learned more of.
+ * @property quarantine the quarantine table as known to the sender, null if it knows none.
  */
 @Serializable
 internal class PeerReport(
@@ -109,6 +111,8 @@
     @CborLabel(7) val usage: List<UsageEntry> = emptyList(),
     @CborLabel(8) val scope: Int = 0,
     @CborLabel(9) val relayed: List<RelayedRouter> = emptyList(),
+    @CborLabel(10) val crashes: List<CrashEntry> = emptyList(),
+    @CborLabel(11) val quarantine: QuarantineEntry? = null,
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -28,6 +28,7 @@
     private val usage: TeamUsage,
     private val table: PeerTable,
     private val topology: RelayTopology,
+    private val quarantine: QuarantineExchange,
     private val isReady: () -> Boolean,
 ) {
     private val domainReads = PromptReadBuffer()
@@ -75,6 +76,8 @@
         routers = if (topology.isMesh) routersToReport() else emptyList(),
         scope = scope.ordinal,
         relayed = if (scope == ReportScope.ROUTER) emptyList() else relayedRouters(scope, now),
+        crashes = quarantine.crashes(now),
+        quarantine = quarantine.table { age(it, now) },
     )
 
     private fun ownState() = RouterState(
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -50,6 +50,7 @@
                     PlatformAdapter(
                         storeReader = PlatformStoreReader(store),
                         registry = RouterRegistry(store),
+                        quarantineStore = QuarantineRegistry(store),
                         failureHeaders = ErrorResponseFormat,
                         responses = BackendCodec,
                         encode = BackendCodec::encode,
--- a/src/main/kotlin/azuredale/platform/PlatformNames.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformNames.kt
@@ -52,4 +52,5 @@
     const val CATALOG = "op/config"
     const val SERVERS = "servers/"
     const val ROUTERS = "azuredale/routers/"
+    const val QUARANTINE = "azuredale/quarantine/"
 }
--- a/src/main/kotlin/azuredale/platform/StoreClient.kt
+++ b/src/main/kotlin/azuredale/platform/StoreClient.kt
@@ -95,8 +95,14 @@
         lease: LeaseId?,
     ): WriteResult {
         val put = PutMessage(key, Base64.getEncoder().encodeToString(value), lease?.value ?: 0)
-        val body = TransactionMessage(listOf(ExpectedMessage(key, expected.value)), listOf(put))
-        val text = platformJson.encodeToString(body)
+        return transact(TransactionMessage(listOf(ExpectedMessage(key, expected.value)), listOf(put)), deadline)
+    }
+
+    override suspend fun remove(key: String, expected: KeyVersion, deadline: Timestamp): WriteResult =
+        transact(TransactionMessage(listOf(ExpectedMessage(key, expected.value)), emptyList(), listOf(key)), deadline)
+
+    private suspend fun transact(message: TransactionMessage, deadline: Timestamp): WriteResult {
+        val text = platformJson.encodeToString(message)
         return when (val response = calls.send(HttpMethod.POST, PlatformPath.TRANSACTION, emptyMap(), text, deadline)) {
             is StoreCallResult.Failed ->
                 if (response.failure.reason.isWithoutEffect) {
@@ -105,7 +111,7 @@
                     WriteResult.Unknown(response.failure)
                 }
             is StoreCallResult.Missing ->
-                WriteResult.NotWritten(CallFailure(CallFailureReason.LEASE_ENDED, "lease $lease does not exist"))
+                WriteResult.NotWritten(CallFailure(CallFailureReason.LEASE_ENDED, "the lease does not exist"))
             is StoreCallResult.Conflict ->
                 calls.decode<ConflictMessage, WriteResult>(
                     response,
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -116,12 +116,12 @@
         )
     }
 
-    /** Registers server [index] at [address] with [state]. */
-    public fun register(index: Int, address: NetworkAddress, state: String = "ready") {
+    /** Registers server [index] at [address] with [state]; [generation] distinguishes its processes. */
+    public fun register(index: Int, address: NetworkAddress, state: String = "ready", generation: Int = 1) {
         platform.put(
             StoreKey.SERVERS + "server-$index",
             """{"service":"pool-a","address":"$address","zone":"domain","version":"1","slots":8,""" +
-                """"state":"$state","cold-left-ms":0,"sequence":1}""",
+                """"state":"$state","cold-left-ms":0,"sequence":1,"born":$generation}""",
         )
     }
 
--- a/src/main/kotlin/azuredale/standin/BackendStandIn.kt
+++ b/src/main/kotlin/azuredale/standin/BackendStandIn.kt
@@ -24,6 +24,9 @@
     /** Team that sent the request, or null on a route that allows anonymous callers. */
     public val team: String? get() = request.getHeader(PlatformHeader.TEAM)
 
+    /** Prompt parts as sent, empty for a request without a prompt. */
+    public val promptParts: String get() = request.getHeader(PlatformHeader.PROMPT_PARTS).orEmpty()
+
     /** Number of the last event that the caller received, or null for a stream from its start. */
     public val lastEvent: Long? get() = request.getHeader(PlatformHeader.LAST_EVENT)?.toLongOrNull()
 
--- a/src/main/kotlin/azuredale/store/KeyValueService.kt
+++ b/src/main/kotlin/azuredale/store/KeyValueService.kt
@@ -58,6 +58,9 @@
         lease: LeaseId? = null,
     ): WriteResult
 
+    /** Removes [key] if its version is [expected]. */
+    public suspend fun remove(key: String, expected: KeyVersion, deadline: Timestamp): WriteResult
+
     /** Requests a lease that ends [seconds] after it was last extended. */
     public suspend fun grantLease(seconds: Long, deadline: Timestamp): LeaseResult
 
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -16,6 +16,9 @@
 import azuredale.identity.Region
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.quarantine.Quarantine
+import azuredale.quarantine.QuarantineCallbacks
+import azuredale.time.Clock
 import azuredale.time.Timestamp
 
 /** Exchanges of a whole fleet on a virtual clock and network, which loses datagrams of the routers in [cut]. */
@@ -29,8 +32,10 @@
         val statistics: ServerStatistics,
         val view: StoreView,
         val usage: TeamUsage,
+        clock: Clock,
     ) {
         lateinit var exchange: PeerExchange
+        val quarantine = Quarantine(QuarantineCallbacks(onNews = { exchange.reportSoon(clock()) }))
         var sent = 0
         var bytes = 0L
     }
@@ -74,7 +79,7 @@
         val address = NetworkAddress("10.0.${index / 200}.${index % 200 + 1}", 7_000)
         val view = StoreView(revocationBoundMilliseconds = 5_000)
         view.adoptDirectory(ServerDirectory(1, servers.associateBy { it.id }), now)
-        val node = Node(RouterId("router-$index"), address, ServerStatistics { 100_000 }, view, TeamUsage())
+        val node = Node(RouterId("router-$index"), address, ServerStatistics { 100_000 }, view, TeamUsage(), { now })
         val settings =
             GatewaySettings(
                 router = node.router,
@@ -95,6 +100,7 @@
                 view = view,
                 statistics = node.statistics,
                 usage = node.usage,
+                quarantine = node.quarantine,
                 callbacks =
                     PeerCallbacks(
                         send = { to, bytes ->
@@ -121,7 +127,10 @@
             while (network.isNotEmpty() && network.first().deliverAt <= now) deliver(network.removeFirst())
             // Routers tick at different moments.
             nodes.forEachIndexed { index, node ->
-                if ((step + index) % TICK_MILLISECONDS == 0 && node !in cut) node.exchange.tick(now)
+                if ((step + index) % TICK_MILLISECONDS == 0 && node !in cut) {
+                    node.quarantine.update(now)
+                    node.exchange.tick(now)
+                }
             }
             step++
             now = now.plusMilliseconds(1)
