Treat a stream that ends inside an event as broken off

What callers saw: half a stream that looked complete, when its server ended or closed the connection within an event. Cause: a response without a length ends with its connection, so the end of the connection counted as the end of the stream, and the bytes of the unfinished event were forwarded. A connection that closed before the first event made an empty success. Class of fault: the end of a transport is taken for the end of a message. Ruled out: streams with chunks or a length, whose early end the HTTP decoder reports. Change: a stream is complete only if no event is unfinished and, unless it was resumed, at least one event came. Otherwise the attempt has failed: it is resumed elsewhere or cut, and the end of the server is looked into as after a closed connection. Test: MisbehavingServerSpec.StreamsWithoutLength. Conclusion: such a stream that ends exactly between two events still looks complete; nothing in it tells the difference.

--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -455,8 +455,8 @@
         private fun onComplete(): AttemptResult {
             val head = response ?: return AttemptResult.Failed(ErrorKind.WRONG_ANSWER, "response without a head")
             if (isStream()) {
+                if (isBrokenOff()) return connectionFailed("stream ended without its last event")
                 beginStream()
-                if (splitter.pendingBytes > 0) caller.write(splitter.takeRemainder())
                 caller.end()
                 recorder.recordSuccess(clock())
                 recordEnd("streamed")
@@ -471,6 +471,9 @@
             return AttemptResult.Done
         }
 
+        /** A response without a length ends with its connection, as it does when the server fails within an event. */
+        private fun isBrokenOff() = splitter.pendingBytes > 0 || (!hasBegunStream && lastEventNumber == null)
+
         private fun connectionFailed(detail: String): AttemptResult =
             onFailed(detail, promptGate.connectionClosed(server, recorder.isAnswered))
 
--- a/src/main/kotlin/azuredale/gateway/ServerSentEventSplitter.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerSentEventSplitter.kt
@@ -26,9 +26,6 @@
     /** Number of buffered bytes of an incomplete event. */
     val pendingBytes: Int get() = pending.length()
 
-    /** Takes the buffered bytes, which are the rest of a stream that the server has completed. */
-    fun takeRemainder(): Buffer = pending.also { pending = Buffer.buffer() }
-
     /** Adds [bytes] and returns the events that are now complete. */
     fun append(bytes: Buffer): List<StreamEvent> {
         pending = if (pending.length() == 0) bytes else pending.appendBuffer(bytes)
--- a/src/test/kotlin/azuredale/selftest/MisbehavingServerSpec.kt
+++ b/src/test/kotlin/azuredale/selftest/MisbehavingServerSpec.kt
@@ -174,6 +174,40 @@
             }
     }
 
+    /** Responses without a length that end with their connection before they are complete. */
+    enum class BrokenOff(val events: String) {
+        INSIDE_AN_EVENT("id: 1\ndata: x\n\nid: 2\ndata: y"),
+        BEFORE_THE_BLANK_LINE("id: 1\ndata: x\n\nid: 2\ndata: y\n"),
+        BEFORE_THE_FIRST_EVENT(""),
+    }
+
+    @Nested
+    inner class StreamsWithoutLength {
+        private fun Setting.send(events: (RawRequest) -> String) {
+            server.handler = { request ->
+                request.socket.write(head(request.id) + "Content-Type: text/event-stream\r\n\r\n" + events(request))
+                vertx.setTimer(30) { request.socket.close() }
+                null
+            }
+        }
+
+        @ParameterizedTest
+        @EnumSource(BrokenOff::class)
+        fun `that end inside an event are not complete`(case: BrokenOff) = withRawServer {
+            // Guards against half a stream that its caller takes for a whole one.
+            send { case.events }
+            val result = runCatching { fixture.get("/stream/x", prompt = "a:100,b:100,c:100") }
+            assertTrue(result.getOrNull()?.status != 200, "received ${result.getOrNull()?.text}")
+        }
+
+        @Test
+        fun `that end after an event are complete`() = withRawServer {
+            // Guards against a complete stream that is cut.
+            send { "id: 1\ndata: x\n\n" }
+            assertEquals("id: 1\ndata: x\n\n", fixture.get("/stream/x", prompt = "a:100,b:100,c:100").text)
+        }
+    }
+
     @Nested
     inner class SlowStreams {
         @Test
