Keep together to the request limit that a server names

What servers saw: up to twice the requests a second that they had named, from the moment they named it to its end. Cause: no router read the header. Each router decided by itself how much to send to a server, with no bound for the fleet. Class of fault: a bound for the whole fleet that no part of the fleet holds. Change: engine.ServerLimits. A limit travels in the reports; each router takes the part of it that it has of the pool's requests in progress; the requests of the last 4 s are reported and bound the sum. Work goes to servers without a limit. What no server may take is refused at once, teams above their share first.

--- a/src/main/kotlin/azuredale/engine/LoadTracker.kt
+++ b/src/main/kotlin/azuredale/engine/LoadTracker.kt
@@ -30,6 +30,12 @@
         return totals[idHash]?.let { own + it } ?: own
     }
 
+    /** Work at the server with [idHash] that other routers reported. */
+    fun reportedLoad(idHash: Int, now: Timestamp): ServerLoad {
+        removeExpired(now)
+        return totals[idHash] ?: ServerLoad.NONE
+    }
+
     /** Work at [server] sent by this router. */
     fun localLoad(server: ServerId): ServerLoad = local[server] ?: ServerLoad.NONE
 
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -4,6 +4,7 @@
 import azuredale.directory.ServerDirectory
 import azuredale.gateway.PromptShape
 import azuredale.identity.PartId
+import azuredale.identity.PoolId
 import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
 
@@ -23,6 +24,9 @@
         val load: ServerLoad = ServerLoad.NONE,
     ) : ServerSelection
 
+    /** All servers of the pool that could take the request have named limits, which are used up. */
+    data object LimitsUsedUp : ServerSelection
+
     /** No server of the pool can take the request now. */
     data class Unavailable(val detail: String) : ServerSelection
 }
@@ -37,12 +41,19 @@
     private val directory: () -> ServerDirectory,
     private val statistics: ServerStatistics,
 ) {
+    /** How often the limits of servers recently left none for a request to [pool], between 0 and 1. */
+    fun limitPressure(pool: PoolId, now: Timestamp): Double = statistics.limitPressure.current(pool, now)
+
     /** Selects a server for [request]. */
     fun select(request: SelectionRequest, now: Timestamp): ServerSelection {
         val ready = directory().ready(request.pool)
         val usable = ready.filter { it.id !in request.excluded && statistics.circuitBreaker(it.id).allowsRequest(now) }
         val available = usable.ifEmpty { ready.filter { it.id !in request.excluded } }
-        val candidates = request.confinedTo?.let { confined(available, it) } ?: available
+        val permitted = available.filter { statistics.limits.allowsRequest(it, ready, now) }
+        val isUsedUp = permitted.isEmpty() && available.isNotEmpty()
+        statistics.limitPressure.record(request.pool, isUsedUp, now)
+        if (isUsedUp) return ServerSelection.LimitsUsedUp
+        val candidates = request.confinedTo?.let { confined(permitted, it) } ?: permitted
         val prompt = request.prompt
         val best =
             if (prompt == null) bestService(request, candidates, now) else bestEngine(request, prompt, candidates, now)
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -5,9 +5,15 @@
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
 import azuredale.time.Timestamp
+import kotlin.random.Random
 
 /** Runtime state of the backend servers, as measured by this router and reported by others. */
-internal class ServerStatistics(private val cacheTokens: (ServerId) -> Long) {
+internal class ServerStatistics(
+    routers: () -> Int = { 1 },
+    random: () -> Double = Random.Default::nextDouble,
+    onLimitChange: (ServerId, requestsPerSecond: Double?) -> Unit = { _, _ -> },
+    private val cacheTokens: (ServerId) -> Long,
+) {
     private val prefillSpeeds = HashMap<ServerId, PrefillSpeedEstimator>()
     private val latencies = HashMap<PoolId, PoolLatencyEstimator>()
     private val circuitBreakers = HashMap<ServerId, CircuitBreaker>()
@@ -17,6 +23,12 @@
     /** Outstanding work of the servers. */
     val loads = LoadTracker()
 
+    /** Limits on the request rate that servers name. */
+    val limits = ServerLimits(loads, routers, random, onLimitChange)
+
+    /** How often these limits left no server for a request. */
+    val limitPressure = LimitPressure()
+
     /** Estimated contents of the servers' prompt caches. */
     val cache = PromptCacheModel { (cacheTokens(it) * CACHE_FRACTION).toLong() }
 
@@ -79,6 +91,7 @@
         prefillSpeeds.keys.retainAll(present)
         circuitBreakers.keys.retainAll(present)
         cache.retainServers(present)
+        limits.updateDirectory(directory)
         directory.entries.values.forEach { entry ->
             if (entry.id in startTimes && startTimes[entry.id] != entry.startedAtMilliseconds) {
                 cache.clear(entry.id)
--- a/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
@@ -27,6 +27,12 @@
     init {
         statistics.loads.add(server.id, load)
         statistics.circuitBreaker(server.id).recordSent(startedAt)
+        statistics.limits.recordSent(server, startedAt)
+    }
+
+    /** Records the request rate that the server takes according to its response, null if it named no limit. */
+    fun recordLimit(requestsPerSecond: Double?, now: Timestamp) {
+        statistics.limits.recordAnswer(server, requestsPerSecond, now)
     }
 
     /** Records that the request was written. Latency counts from here, so that it excludes connection setup. */
--- a/src/main/kotlin/azuredale/gateway/BackendExchange.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendExchange.kt
@@ -8,6 +8,7 @@
  *
  * @property requestId id of the request that the response belongs to, null if not given.
  * @property isStamped whether it carries the server's confirmation that it executed the request.
+ * @property requestsPerSecond the rate that the server takes from all routers together, null if it names no limit.
  * @property isNotExecuted whether the server states that it has not executed the request and never will.
  */
 public data class ResponseHead(
@@ -15,6 +16,7 @@
     val requestId: String?,
     val isStamped: Boolean,
     val isNotExecuted: Boolean,
+    val requestsPerSecond: Double?,
     val headers: List<Header>,
 ) {
     /** Whether the status is a success. */
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -70,10 +70,15 @@
 
     /** Runtime state of the backend servers. */
     val statistics =
-        ServerStatistics { id ->
-            view.directory.entries[id]?.let { cacheTokens(it.pool) }
-                ?: DEFAULT_CACHE_TOKENS
-        }
+        ServerStatistics(
+            routers = { exchange.peers.recentFleetSize() },
+            random = random::nextDouble,
+            onLimitChange = { server, requestsPerSecond ->
+                log.write(GatewayLogEvent.SERVER_LIMITED, "server" to server, "requestsPerSecond" to requestsPerSecond)
+                exchange.reportSoon(clock())
+            },
+            cacheTokens = { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS },
+        )
 
     /** Recent token usage of the teams. */
     private val usage = TeamUsage()
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -32,5 +32,6 @@
     SERVER_EXCLUDED(2233, Level.INFO, "failing backend server temporarily excluded"),
     REGISTRATION_FAILED(2234, Level.WARN, "registration of this router failed"),
     REQUEST_FAILED(2235, Level.ERROR, "unexpected error while handling a request"),
+    SERVER_LIMITED(2237, Level.INFO, "backend server named another request limit"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -193,7 +193,7 @@
     private suspend fun selectServer(notRun: Failure?, now: Timestamp): Outcome<ServerSelection.Selected> {
         promptGate.refusal(now)?.let { return Outcome.Refused(it) }
         val selection = context.selector.select(selectionRequest(now), now)
-        if (selection !is ServerSelection.Selected) return Outcome.Refused(notRun ?: unavailable(selection, now))
+        if (selection !is ServerSelection.Selected) return Outcome.Refused(notRun ?: withoutServer(selection, now))
         val refusal = if (attempt == 0) checkLoad(selection, now) else null
         return refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
     }
@@ -209,9 +209,22 @@
         confinedTo = promptGate.confinedTo(now),
     )
 
-    private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? = head.prompt?.let { prompt ->
+    private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? {
+        val pressure = context.selector.limitPressure(authorized.pool, now)
+        val scarcity = minOf(pressure, MAXIMUM_PRESSURE) * authorized.route.targetMilliseconds
+        return admit(selection.predictedMilliseconds + scarcity, now)
+    }
+
+    private fun admit(predictedMilliseconds: Double, now: Timestamp): Failure? = head.prompt?.let { prompt ->
         val request = AdmissionRequest(authorized.team, authorized.route.targetMilliseconds, onTimeUntil, deadline)
-        context.admission.prompts.decide(prompt, request, selection.predictedMilliseconds, now)
+        context.admission.prompts.decide(prompt, request, predictedMilliseconds, now)
+    }
+
+    private fun withoutServer(selection: ServerSelection, now: Timestamp): Failure {
+        val isUsedUp = selection is ServerSelection.LimitsUsedUp
+        // Counts as a request of the team, and returns when that team's share has room.
+        val refusal = if (isUsedUp) admit(predictedMilliseconds = remainingMilliseconds(now).toDouble(), now) else null
+        return refusal ?: unavailable(selection, now)
     }
 
     private fun mayRetry(): Boolean {
@@ -222,7 +235,7 @@
     }
 
     private fun unavailable(selection: ServerSelection, now: Timestamp): Failure {
-        val detail = (selection as? ServerSelection.Unavailable)?.detail.orEmpty()
+        val detail = (selection as? ServerSelection.Unavailable)?.detail ?: "the limits of all servers are used up"
         return Failure(ErrorKind.NO_ELIGIBLE_SERVER, detail, now.plusMilliseconds(RETRY_MILLISECONDS))
     }
 
@@ -235,7 +248,7 @@
                 head = head,
                 body = body,
                 team = authorized.team?.name,
-                remainingMilliseconds = (deadline.microsecondsSince(clock()) / MICROSECONDS).coerceAtLeast(1),
+                remainingMilliseconds = remainingMilliseconds(clock()).coerceAtLeast(1),
                 lastEventNumber = lastEventNumber,
             )
         val requiresRecentConnection = !authorized.route.isRepeatable
@@ -361,6 +374,7 @@
 
         private fun onHead(head: ResponseHead): AttemptResult? {
             response = head
+            if (head.isStamped || head.isNotExecuted) recorder.recordLimit(head.requestsPerSecond, clock())
             return when {
                 head.isNotExecuted -> {
                     backendAttempt.cancel()
@@ -550,6 +564,8 @@
         )
     }
 
+    private fun remainingMilliseconds(now: Timestamp) = deadline.microsecondsSince(now) / MICROSECONDS
+
     private fun ageMilliseconds() = clock().microsecondsSince(arrivedAt) / MICROSECONDS
 
     private companion object {
@@ -568,6 +584,9 @@
         /** Each unreachable server costs a connect time-out, so more attempts would use up the caller's time. */
         const val MAXIMUM_CONNECT_FAILURES = 3
 
+        /** While limits leave no server for some requests, only teams above their fair share are refused in advance. */
+        const val MAXIMUM_PRESSURE = 0.4
+
         /** Bounds the length of a log line. */
         const val LOGGED_PARTS = 16
 
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -2,6 +2,7 @@
 
 import azuredale.admission.TeamUsage
 import azuredale.admission.TokenUsage
+import azuredale.engine.ServerLimitRecord
 import azuredale.engine.ServerLoad
 import azuredale.engine.ServerStatistics
 import azuredale.freshness.StoreView
@@ -140,6 +141,7 @@
         }
         if (isLoadSource(peer, scope)) applySums(peer, scope, datagram, report, now)
         applyReads(report, scope, now)
+        applyLimits(report, now)
         applyProofs(datagram, report, now)
         // A router that has just started learns the others from their answers.
         if (!topology.isMesh && datagram.echoedTime == 0L) {
@@ -164,7 +166,12 @@
             }
         val loads = HashMap<Int, ServerLoad>()
         report.loads.forEach { entry ->
-            val load = ServerLoad(entry.waitingTokens.coerceAtLeast(0), entry.running.coerceAtLeast(0))
+            val load =
+                ServerLoad(
+                    waitingTokens = entry.waitingTokens.coerceAtLeast(0),
+                    running = entry.running.coerceAtLeast(0),
+                    recentRequests = entry.recentRequests.coerceAtLeast(0),
+                )
             loads[entry.server] = included?.loads?.get(entry.server)?.let { load - it } ?: load
         }
         statistics.loads.updatePeer(peer.router, loads, now.plusMilliseconds(peerTimeoutMilliseconds()))
@@ -177,6 +184,16 @@
         usage.updatePeer(peer.router, teams, now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS))
     }
 
+    private fun applyLimits(report: PeerReport, now: Timestamp) {
+        report.limits.forEach { entry ->
+            val server = view.directory.byIdHash[entry.server] ?: return@forEach
+            val limit = entry.requestsPerSecond?.takeIf { it.isFinite() && it >= 0 }
+            val heardAt = now.plusMilliseconds(-entry.age.coerceIn(0, MAXIMUM_AGE_MILLISECONDS))
+            val record = ServerLimitRecord(entry.server, entry.startedAtMilliseconds, limit, heardAt)
+            statistics.limits.merge(server, record, now)
+        }
+    }
+
     private fun applyReads(report: PeerReport, scope: ReportScope, now: Timestamp) {
         report.reads.forEach { read ->
             val server: ServerId = view.directory.byIdHash[read.server]?.id ?: return@forEach
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -12,12 +12,28 @@
  * @property server hash of the server's id.
  * @property waitingTokens prompt tokens waiting that are not cached at the server.
  * @property running number of requests running at the server.
+ * @property recentRequests requests sent to the server within the last seconds, if it names a limit.
  */
 @Serializable
 internal class LoadEntry(
     @CborLabel(1) val server: Int,
     @CborLabel(2) val waitingTokens: Int,
     @CborLabel(3) val running: Int,
+    @CborLabel(4) val recentRequests: Int = 0,
+)
+
+/**
+ * Limit that a server process names in its answers.
+ *
+ * @property requestsPerSecond null if the process no longer names a limit.
+ * @property age milliseconds since the answer that said so was received.
+ */
+@Serializable
+internal class LimitEntry(
+    @CborLabel(1) val server: Int,
+    @CborLabel(2) val startedAtMilliseconds: Long,
+    @CborLabel(3) val requestsPerSecond: Double? = null,
+    @CborLabel(4) val age: Long = 0,
 )
 
 /** A prompt part that a router recently sent to a server, given by the hash of its id, which probably cached it. */
@@ -98,6 +114,7 @@
  * @property scope ordinal of the [ReportScope] that [loads] and [usage] add up.
  * @property relayed routers that the sender knows of, if it is a relay.
  * @property crashes server crashes that the sender recently learned more of.
+ * @property limits limits of servers that changed recently.
  * @property quarantine the quarantine table as known to the sender, null if it knows none.
  */
 @Serializable
@@ -113,6 +130,7 @@
     @CborLabel(9) val relayed: List<RelayedRouter> = emptyList(),
     @CborLabel(10) val crashes: List<CrashEntry> = emptyList(),
     @CborLabel(11) val quarantine: QuarantineEntry? = null,
+    @CborLabel(12) val limits: List<LimitEntry> = emptyList(),
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -62,7 +62,7 @@
             nextUsageAt = now.plusMilliseconds(usagePeriod())
             lastUsage = usage.localUsage(now)
         }
-        return ReportedState(ownLoads(), lastUsage)
+        return ReportedState(ownLoads(now), lastUsage)
     }
 
     /** Returns the report that adds up [scope]. */
@@ -70,12 +70,13 @@
         sender = ownState(),
         catalog = ProofEntry(view.revision.value, age(view.catalogProof.at, now)),
         directory = ProofEntry(view.directoryDigest.toLong(), age(view.directoryProof.at, now)),
-        loads = loads(scope, now).map { (server, load) -> LoadEntry(server, load.waitingTokens, load.running) },
+        loads = loads(scope, now).map { (server, load) -> loadEntry(server, load) },
         reads = if (scope == ReportScope.FLEET) roundFleetReads else roundDomainReads,
         usage = if (isUsageDue) usageEntries(scope, now) else emptyList(),
         routers = if (topology.isMesh) routersToReport() else emptyList(),
         scope = scope.ordinal,
         relayed = if (scope == ReportScope.ROUTER) emptyList() else relayedRouters(scope, now),
+        limits = limitEntries(now),
         crashes = quarantine.crashes(now),
         quarantine = quarantine.table { age(it, now) },
     )
@@ -93,16 +94,35 @@
     private fun age(at: Timestamp, now: Timestamp): Long =
         now.microsecondsSince(at).let { if (it in 0..MAXIMUM_PROOF_AGE_MICROSECONDS) it else NO_AGE }
 
-    private fun ownLoads(): Map<Int, ServerLoad> {
+    private fun ownLoads(now: Timestamp): Map<Int, ServerLoad> {
         val loads = HashMap<Int, ServerLoad>()
         statistics.loads.localLoads.forEach { (id, load) ->
             view.directory.entries[id]?.let { loads[it.idHash] = load }
         }
+        statistics.limits.limitedServers.forEach { id ->
+            val sent = ServerLoad(recentRequests = statistics.limits.sentRequests(id, now))
+            if (sent != ServerLoad.NONE) {
+                view.directory.entries[id]?.let { loads.merge(it.idHash, sent, ServerLoad::plus) }
+            }
+        }
         return loads
     }
 
+    private fun loadEntry(server: Int, load: ServerLoad) =
+        LoadEntry(server, load.waitingTokens, load.running, load.recentRequests)
+
+    private fun limitEntries(now: Timestamp): List<LimitEntry> =
+        statistics.limits.recentChanges(now).take(MAXIMUM_LIMITS).map { record ->
+            LimitEntry(
+                server = record.server,
+                startedAtMilliseconds = record.startedAtMilliseconds,
+                requestsPerSecond = record.requestsPerSecond,
+                age = now.microsecondsSince(record.heardAt) / Timestamp.MICROSECONDS_PER_MILLISECOND,
+            )
+        }
+
     private fun loads(scope: ReportScope, now: Timestamp): Map<Int, ServerLoad> {
-        val sums = HashMap(ownLoads())
+        val sums = HashMap(ownLoads(now))
         if (scope == ReportScope.ROUTER) return sums
         statistics.loads
             .reportedLoads(now) { isIncluded(scope, table.find(it)) }
@@ -170,6 +190,7 @@
         private const val REPORTED_ROUTERS = 2
         private const val RELAYED_ROUTERS = 8
         private const val MAXIMUM_CHANGED_ROUTERS = 12
+        private const val MAXIMUM_LIMITS = 16
 
         /** A change is in several reports, since a datagram may be lost. */
         private const val CHANGE_REPEAT_MILLISECONDS = 700L
--- a/src/main/kotlin/azuredale/platform/BackendCodec.kt
+++ b/src/main/kotlin/azuredale/platform/BackendCodec.kt
@@ -6,6 +6,7 @@
 import azuredale.gateway.BackendRequest
 import azuredale.gateway.Header
 import azuredale.gateway.ResponseHead
+import azuredale.logging.EventLog
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
@@ -16,6 +17,8 @@
 /** Encodes requests to backend servers and decodes the heads of their responses. */
 internal object BackendCodec : ResponseDecoder {
     private const val MISDIRECTED = 421
+    private const val MAXIMUM_LOGGED_CHARACTERS = 40
+    private val log = EventLog("azuredale.platform")
     private val keepAliveTime = Regex("""timeout\s*=\s*(\d+)""")
 
     /** Encodes the HTTP request of one attempt at [server]. */
@@ -42,6 +45,7 @@
             requestId = headers[PlatformHeader.REQUEST_ID],
             isStamped = headers.contains(PlatformHeader.RESPONSE_STAMP),
             isNotExecuted = headers.contains(PlatformHeader.NOT_EXECUTED) || status == MISDIRECTED,
+            requestsPerSecond = headers[PlatformHeader.SERVER_LIMIT]?.let(::limit),
             headers =
                 headers.entries().filter { it.key.lowercase() !in CallerRequestDecoder.unforwardedHeaders }.map {
                     Header(
@@ -52,6 +56,12 @@
         )
     }
 
+    private fun limit(text: String): Double? {
+        val limit = text.trim().toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }
+        if (limit == null) log.write(PlatformLogEvent.LIMIT_MALFORMED, "value" to text.take(MAXIMUM_LOGGED_CHARACTERS))
+        return limit
+    }
+
     override fun hints(response: HttpResponse): ConnectionHints {
         val headers = response.headers()
         val isClosing = headers.getAll("Connection").any { it.contains("close", ignoreCase = true) }
--- a/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
@@ -13,4 +13,5 @@
     WATCH_BROKEN(1101, Level.WARN, "key-value service watch broken"),
     MALFORMED_ANSWER(1102, Level.WARN, "malformed response from the platform"),
     BUDGET_EXHAUSTED(1103, Level.WARN, "platform call budget exhausted"),
+    LIMIT_MALFORMED(1104, Level.WARN, "malformed request limit of a backend server ignored"),
 }
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -20,6 +20,7 @@
 import azuredale.quarantine.QuarantineCallbacks
 import azuredale.time.Clock
 import azuredale.time.Timestamp
+import kotlin.random.Random
 
 /** Exchanges of a whole fleet on a virtual clock and network, which loses datagrams of the routers in [cut]. */
 internal class SimulatedExchange(
@@ -68,6 +69,7 @@
             )
         }
     val nodes = List(routers) { create(it, domains) }
+    private var step = 0
 
     init {
         nodes.forEach { node ->
@@ -75,11 +77,17 @@
         }
     }
 
+    private fun statistics(index: Int): ServerStatistics = ServerStatistics(
+        routers = { nodes[index].exchange.peers.recentFleetSize() },
+        random = Random(index)::nextDouble,
+        cacheTokens = { 100_000 },
+    )
+
     private fun create(index: Int, domains: Int): Node {
         val address = NetworkAddress("10.0.${index / 200}.${index % 200 + 1}", 7_000)
         val view = StoreView(revocationBoundMilliseconds = 5_000)
         view.adoptDirectory(ServerDirectory(1, servers.associateBy { it.id }), now)
-        val node = Node(RouterId("router-$index"), address, ServerStatistics { 100_000 }, view, TeamUsage(), { now })
+        val node = Node(RouterId("router-$index"), address, statistics(index), view, TeamUsage(), { now })
         val settings =
             GatewaySettings(
                 router = node.router,
@@ -122,7 +130,6 @@
     /** Runs the fleet for [milliseconds]. */
     fun run(milliseconds: Long) {
         val end = now.plusMilliseconds(milliseconds)
-        var step = 0
         while (now < end) {
             while (network.isNotEmpty() && network.first().deliverAt <= now) deliver(network.removeFirst())
             // Routers tick at different moments.
