Clear prompt parts only by answers whose end is certain

Cause: a response without a length ends with its connection. A server that ends right after its first event looks as if it had answered, which would clear the part that ended it. Conclusions are drawn at most every 50 ms, so that callers with many parts cannot use up the processor.

--- a/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
@@ -54,10 +54,15 @@
         statistics.recordFirstEvent(server, tokensAhead + selection.uncachedTokens, elapsed, now)
     }
 
-    /** Records a valid, complete response. */
-    fun recordSuccess(now: Timestamp) {
+    /**
+     * Records a valid, complete response.
+     *
+     * @param isDelimited whether the end of the response is certain. Otherwise the server may have ended right after it
+     *   began to answer, so that the response does not show that the prompt is sound.
+     */
+    fun recordSuccess(now: Timestamp, isDelimited: Boolean) {
         statistics.circuitBreaker(server.id).recordSuccess()
-        recordAnswer(now)
+        if (isDelimited) recordAnswer(now)
         if (!hasEvent) return
         val duration = now.microsecondsSince(firstEventAt).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
         statistics.latency(server.pool).recordHold(duration)
--- a/src/main/kotlin/azuredale/gateway/BackendExchange.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendExchange.kt
@@ -8,6 +8,7 @@
  *
  * @property requestId id of the request that the response belongs to, null if not given.
  * @property isStamped whether it carries the server's confirmation that it executed the request.
+ * @property isDelimited whether the response has a length or chunks, so that its end is not the end of its connection.
  * @property requestsPerSecond the rate that the server takes from all routers together, null if it names no limit.
  * @property isNotExecuted whether the server states that it has not executed the request and never will.
  */
@@ -16,6 +17,7 @@
     val requestId: String?,
     val isStamped: Boolean,
     val isNotExecuted: Boolean,
+    val isDelimited: Boolean,
     val requestsPerSecond: Double?,
     val headers: List<Header>,
 ) {
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -472,7 +472,7 @@
                 if (isBrokenOff()) return connectionFailed("stream ended without its last event")
                 beginStream()
                 caller.end()
-                recorder.recordSuccess(clock())
+                recorder.recordSuccess(clock(), head.isDelimited)
                 recordEnd("streamed")
                 return AttemptResult.Done
             }
@@ -480,7 +480,7 @@
             if (head.status >= FIRST_SERVER_ERROR) {
                 return AttemptResult.Failed(ErrorKind.BACKEND_FAILED, "status ${head.status}", answer)
             }
-            recorder.recordSuccess(clock())
+            recorder.recordSuccess(clock(), head.isDelimited)
             forwardResponse(answer)
             return AttemptResult.Done
         }
--- a/src/main/kotlin/azuredale/platform/BackendCodec.kt
+++ b/src/main/kotlin/azuredale/platform/BackendCodec.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.vertx.core.internal.buffer.BufferInternal
 
@@ -45,6 +46,7 @@
             requestId = headers[PlatformHeader.REQUEST_ID],
             isStamped = headers.contains(PlatformHeader.RESPONSE_STAMP),
             isNotExecuted = headers.contains(PlatformHeader.NOT_EXECUTED) || status == MISDIRECTED,
+            isDelimited = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response),
             requestsPerSecond = headers[PlatformHeader.SERVER_LIMIT]?.let(::limit),
             headers =
                 headers.entries().filter { it.key.lowercase() !in CallerRequestDecoder.unforwardedHeaders }.map {
--- a/src/main/kotlin/azuredale/quarantine/CrashEvidence.kt
+++ b/src/main/kotlin/azuredale/quarantine/CrashEvidence.kt
@@ -76,6 +76,7 @@
      */
     fun accused(explanations: (PartId) -> Boolean, now: Timestamp): Set<PartId> {
         removeExpired(now)
+        if (crashes.size < REQUIRED_CRASHES) return emptySet()
         val open = crashes.values.filter { !isExplained(it, explanations) }
         val counts =
             open
--- a/src/main/kotlin/azuredale/quarantine/Quarantine.kt
+++ b/src/main/kotlin/azuredale/quarantine/Quarantine.kt
@@ -48,6 +48,8 @@
     /** Parts in the table on which a server has sent an answer, so that their entries should be removed. */
     private val released = LinkedHashSet<PartId>()
 
+    private var nextUpdateAt = Timestamp.DISTANT_PAST
+
     /** The latest known table of the store. */
     var table = QuarantineTable.UNKNOWN
         private set
@@ -117,8 +119,10 @@
         record.cleared.forEach { if (it in concluded) release(it, "answered at another router") }
     }
 
-    /** Draws conclusions from the evidence; called periodically. */
+    /** Draws conclusions from the evidence if that is due; called periodically. */
     fun update(now: Timestamp) {
+        if (now < nextUpdateAt) return
+        nextUpdateAt = now.plusMilliseconds(UPDATE_MILLISECONDS)
         concluded.entries.removeIf { (part, since) ->
             val isOver = now >= since.plusMilliseconds(UNSTORED_LIFETIME_MILLISECONDS)
             if (isOver) callbacks.onChange(part, false, "could not be stored")
@@ -184,6 +188,9 @@
         /** An older answer says little, since a new version of the model may have changed what crashes it. */
         const val ANSWER_VALID_MILLISECONDS = 10_000L
 
+        /** Limits the processor time that callers with many parts can cause. */
+        const val UPDATE_MILLISECONDS = 50L
+
         /** Time before the first trial; it doubles with each trial. */
         const val TRIAL_MILLISECONDS = 60_000L
 
