Report an unknown outcome if an earlier attempt may have run

What callers saw: 503, which promises that the request was not run, although its first server had closed the connection within the request and may have run it; only the second server had refused it, or none was left. Cause: the final refusal was written from the last attempt alone. Idempotent requests and resumable streams only: others are never sent again. Found while reading how a quarantined request ends after its first attempt. Change: the handler keeps the latest attempt after which the request may have run, and answers with its failure (502).

--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -94,6 +94,9 @@
     private var lastEventAt: Timestamp? = null
     private var longestPause = 0L
     private var sentAt: Timestamp? = null
+
+    /** The latest attempt after which the request may have run. */
+    private var mayHaveRun: AttemptResult.Failed? = null
     private var lastSelection: ServerSelection.Selected? = null
     private val promptGate = PromptGate(head.prompt, context.admission.quarantine, clock)
     private lateinit var authorized: AuthorizedRequest
@@ -184,6 +187,7 @@
                         return
                     }
                     notRun = null
+                    mayHaveRun = end
                 }
             }
         }
@@ -504,11 +508,14 @@
     }
 
     private fun giveUp(failure: Failure) {
-        if (hasBegunStream) {
-            caller.abort()
-            recordEnd("stream aborted")
-        } else {
-            refuse(failure)
+        val earlier = mayHaveRun
+        when {
+            earlier != null -> fail(earlier)
+            hasBegunStream -> {
+                caller.abort()
+                recordEnd("stream aborted")
+            }
+            else -> refuse(failure)
         }
     }
 
--- a/src/test/kotlin/azuredale/selftest/GatewaySpec.kt
+++ b/src/test/kotlin/azuredale/selftest/GatewaySpec.kt
@@ -72,6 +72,14 @@
             assertTrue(arrivalsOf(case.path + "x") <= 2)
         }
 
+        @Test
+        fun `are unknown if only the last of several servers refused the request`() = withGateway {
+            // Guards against reporting "not run" for a request that an earlier attempt may have run.
+            servers[0].behaviour = { BackendBehaviour.Disconnect }
+            servers[1].behaviour = { BackendBehaviour.NotExecuted() }
+            repeat(4) { assertEquals(502, get("/plain/$it").status) }
+        }
+
         @Test
         fun `send an idempotent request to another server after a failure`() = withGateway {
             setBehaviour { BackendBehaviour.Respond("ok") }
