Move the choice of a server out of the request handler

Behaviour is the same but for one case: if a connection failed before and the prompt is quarantined meanwhile, the caller gets the failure of the connection. Both say that the request was not run. Tests: GatewaySpec, ServerLimitSpec, PromptCrashSpec green.

--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -1,11 +1,8 @@
 package azuredale.gateway
 
-import azuredale.admission.AdmissionRequest
 import azuredale.catalog.RouteKind
 import azuredale.directory.BackendEntry
-import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
-import azuredale.identity.ServerId
 import azuredale.intake.IntakeDecision
 import azuredale.intake.WaitingRequest
 import azuredale.outcome.ErrorKind
@@ -82,7 +79,6 @@
     /** Usual time of arrival of a request that is read at the same time. */
     private val usualArrival = readAt.plusMicroseconds(-unreadMicroseconds / 2)
     private val signals = Channel<Signal>(Channel.UNLIMITED)
-    private val excluded = HashSet<ServerId>()
     private var deadline = arrivedAt
     private var onTimeUntil = arrivedAt
     private var attempt = 0
@@ -100,6 +96,7 @@
     private var lastSelection: ServerSelection.Selected? = null
     private val promptGate = PromptGate(head.prompt, context.admission.quarantine, clock)
     private lateinit var authorized: AuthorizedRequest
+    private lateinit var servers: ServerChoice
 
     /** Handles the request to completion. */
     suspend fun run() {
@@ -114,6 +111,7 @@
         onTimeUntil = usualArrival.plusMilliseconds(authorized.route.targetMilliseconds - elapsed)
         val limit = minOf(head.remainingMilliseconds ?: Long.MAX_VALUE, authorized.route.timeoutMilliseconds)
         deadline = arrivedAt.plusMilliseconds(limit)
+        servers = ServerChoice(context, head.prompt, promptGate, authorized, onTimeUntil, deadline)
         when (val body = caller.readBody(authorized.bodyLimitBytes)) {
             is BodyResult.TooLarge -> refuse(Failure(ErrorKind.REQUEST_TOO_LARGE))
             is BodyResult.Incomplete -> recordEnd("caller disconnected before its body was complete")
@@ -165,14 +163,14 @@
         while (true) {
             val now = clock()
             val selection =
-                when (val selected = selectServer(notRun, now)) {
-                    is Outcome.Refused -> return giveUp(selected.failure)
-                    is Outcome.Success -> selected.value
+                when (val next = servers.next(isFirst = attempt == 0, now)) {
+                    is Outcome.Refused -> return giveUp(notRun ?: next.failure)
+                    is Outcome.Success -> next.value
                 }
             when (val end = runAttempt(selection, body)) {
                 is AttemptResult.Done -> return
                 is AttemptResult.NotRun -> {
-                    excluded += selection.server.id
+                    servers.exclude(selection.server.id)
                     notRun = Failure(end.kind, end.detail, clock().plusMilliseconds(RETRY_MILLISECONDS))
                     if (!end.wasSent && ++connectFailures <= MAXIMUM_CONNECT_FAILURES) continue
                     if (!end.wasSent || !mayRetry()) {
@@ -181,7 +179,7 @@
                     }
                 }
                 is AttemptResult.Failed -> {
-                    excluded += selection.server.id
+                    servers.exclude(selection.server.id)
                     if (!authorized.route.isRepeatable || !promptGate.mayRepeat(end.hasServerEnded) || !mayRetry()) {
                         fail(end)
                         return
@@ -193,44 +191,6 @@
         }
     }
 
-    /** Selects the server of the next attempt; [notRun] is the failure of the previous attempt, if it was not run. */
-    private suspend fun selectServer(notRun: Failure?, now: Timestamp): Outcome<ServerSelection.Selected> {
-        promptGate.refusal(now)?.let { return Outcome.Refused(it) }
-        val selection = context.selector.select(selectionRequest(now), now)
-        if (selection !is ServerSelection.Selected) return Outcome.Refused(notRun ?: withoutServer(selection, now))
-        val refusal = if (attempt == 0) checkLoad(selection, now) else null
-        return refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
-    }
-
-    private fun selectionRequest(now: Timestamp) = SelectionRequest(
-        pool = authorized.pool,
-        team = authorized.team,
-        prompt = head.prompt,
-        origin = context.settings.failureDomain,
-        onTimeUntil = onTimeUntil,
-        deadline = deadline,
-        excluded = excluded,
-        confinedTo = promptGate.confinedTo(now),
-    )
-
-    private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? {
-        val pressure = context.selector.limitPressure(authorized.pool, now)
-        val scarcity = minOf(pressure, MAXIMUM_PRESSURE) * authorized.route.targetMilliseconds
-        return admit(selection.predictedMilliseconds + scarcity, now)
-    }
-
-    private fun admit(predictedMilliseconds: Double, now: Timestamp): Failure? = head.prompt?.let { prompt ->
-        val request = AdmissionRequest(authorized.team, authorized.route.targetMilliseconds, onTimeUntil, deadline)
-        context.admission.prompts.decide(prompt, request, predictedMilliseconds, now)
-    }
-
-    private fun withoutServer(selection: ServerSelection, now: Timestamp): Failure {
-        val isUsedUp = selection is ServerSelection.LimitsUsedUp
-        // Counts as a request of the team, and returns when that team's share has room.
-        val refusal = if (isUsedUp) admit(predictedMilliseconds = remainingMilliseconds(now).toDouble(), now) else null
-        return refusal ?: unavailable(selection, now)
-    }
-
     private fun mayRetry(): Boolean {
         val now = clock()
         return sentCount < authorized.route.maximumServers &&
@@ -238,11 +198,6 @@
             context.budgets.retries.tryAcquire(authorized.pool, now)
     }
 
-    private fun unavailable(selection: ServerSelection, now: Timestamp): Failure {
-        val detail = (selection as? ServerSelection.Unavailable)?.detail ?: "the limits of all servers are used up"
-        return Failure(ErrorKind.NO_ELIGIBLE_SERVER, detail, now.plusMilliseconds(RETRY_MILLISECONDS))
-    }
-
     private suspend fun runAttempt(selection: ServerSelection.Selected, body: Buffer): AttemptResult {
         val number = ++attempt
         lastSelection = selection
@@ -591,9 +546,6 @@
         /** Each unreachable server costs a connect time-out, so more attempts would use up the caller's time. */
         const val MAXIMUM_CONNECT_FAILURES = 3
 
-        /** While limits leave no server for some requests, only teams above their fair share are refused in advance. */
-        const val MAXIMUM_PRESSURE = 0.4
-
         /** Bounds the length of a log line. */
         const val LOGGED_PARTS = 16
 
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -0,0 +1,88 @@
+package azuredale.gateway
+
+import azuredale.admission.AdmissionRequest
+import azuredale.engine.SelectionRequest
+import azuredale.engine.ServerSelection
+import azuredale.identity.ServerId
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Failure
+import azuredale.outcome.Outcome
+import azuredale.time.Timestamp
+
+/**
+ * Chooses the server for each attempt of one request, and decides whether the request is admitted.
+ *
+ * @param onTimeUntil when the latency target of the request expires.
+ * @param deadline when the caller stops waiting.
+ */
+internal class ServerChoice(
+    private val context: GatewayContext,
+    private val prompt: PromptShape?,
+    private val promptGate: PromptGate,
+    private val authorized: AuthorizedRequest,
+    private val onTimeUntil: Timestamp,
+    private val deadline: Timestamp,
+) {
+    private val excluded = HashSet<ServerId>()
+
+    /** Keeps further attempts away from [server]. */
+    fun exclude(server: ServerId) {
+        excluded += server
+    }
+
+    /**
+     * Returns the server for the next attempt, or the failure to return to the caller.
+     *
+     * @param isFirst whether the request has not been sent to any server.
+     */
+    suspend fun next(isFirst: Boolean, now: Timestamp): Outcome<ServerSelection.Selected> {
+        promptGate.refusal(now)?.let { return Outcome.Refused(it) }
+        return when (val selection = context.selector.select(selectionRequest(now), now)) {
+            is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
+            is ServerSelection.LimitsUsedUp -> Outcome.Refused(limitsUsedUp(now))
+            is ServerSelection.Selected -> {
+                val refusal = if (isFirst) checkLoad(selection, now) else null
+                refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
+            }
+        }
+    }
+
+    private fun selectionRequest(now: Timestamp) = SelectionRequest(
+        pool = authorized.pool,
+        team = authorized.team,
+        prompt = prompt,
+        origin = context.settings.failureDomain,
+        onTimeUntil = onTimeUntil,
+        deadline = deadline,
+        excluded = excluded,
+        confinedTo = promptGate.confinedTo(now),
+    )
+
+    private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? {
+        val pressure = context.selector.limitPressure(authorized.pool, now)
+        val scarcity = minOf(pressure, MAXIMUM_PRESSURE) * authorized.route.targetMilliseconds
+        return admit(selection.predictedMilliseconds + scarcity, now)
+    }
+
+    /** The refusal counts as a request of the team, whose caller may return when the team's share has room. */
+    private fun limitsUsedUp(now: Timestamp): Failure {
+        val remaining = deadline.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
+        return admit(remaining, now) ?: unavailable("the limits of all servers are used up", now)
+    }
+
+    private fun admit(predictedMilliseconds: Double, now: Timestamp): Failure? = prompt?.let {
+        val request = AdmissionRequest(authorized.team, authorized.route.targetMilliseconds, onTimeUntil, deadline)
+        context.admission.prompts.decide(it, request, predictedMilliseconds, now)
+    }
+
+    private fun unavailable(detail: String, now: Timestamp) =
+        Failure(ErrorKind.NO_ELIGIBLE_SERVER, detail, now.plusMilliseconds(RETRY_MILLISECONDS))
+
+    private companion object {
+        /** While limits leave no server for some requests, only teams above their fair share are refused in advance. */
+        const val MAXIMUM_PRESSURE = 0.4
+
+        /** Long enough for a server to recover from a brief disruption. */
+        const val RETRY_MILLISECONDS = 200L
+    }
+}
--- a/src/main/kotlin/azuredale/quarantine/QuarantineKeeper.kt
+++ b/src/main/kotlin/azuredale/quarantine/QuarantineKeeper.kt
@@ -87,7 +87,7 @@
     }
 
     private companion object {
-        /** Without incidents, only a change by operators is to be noticed. */
+        /** While nothing is quarantined, only entries that operators add are to be noticed. */
         const val INTERVAL_MILLISECONDS = 5_000L
 
         /** A third of the shortest time in which all routers must act on a change, 3 s. */
