--- a/src/main/kotlin/azuredale/quarantine/QuarantineKeeper.kt
+++ b/src/main/kotlin/azuredale/quarantine/QuarantineKeeper.kt
@@ -55,9 +55,13 @@
     private fun call(action: suspend () -> Boolean) {
         isCalling = true
         scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            val isDone = action()
-            isCalling = false
-            notBefore = clock().plusMilliseconds(if (isDone) 0 else RETRY_MILLISECONDS)
+            var isDone = false
+            try {
+                isDone = action()
+            } finally {
+                isCalling = false
+                notBefore = clock().plusMilliseconds(if (isDone) 0 else RETRY_MILLISECONDS)
+            }
         }
     }
 
