Name the parts of the crash evidence by the usual terms

Reading as a newcomer: accuse, judge and convict were figurative; probableCauses, isSuspect and trackedParts say what is computed.

--- a/src/main/kotlin/azuredale/quarantine/CrashEvidence.kt
+++ b/src/main/kotlin/azuredale/quarantine/CrashEvidence.kt
@@ -28,7 +28,7 @@
         val cleared = LinkedHashSet<PartId>()
         var changedAt = firstKnownAt
 
-        fun accuses(part: PartId) = part in suspects && part !in cleared
+        fun isSuspect(part: PartId) = part in suspects && part !in cleared
     }
 
     private val crashes = LinkedHashMap<ServerEnd, Crash>()
@@ -53,7 +53,7 @@
     fun clear(part: PartId, now: Timestamp): Boolean {
         var wasSuspect = false
         crashes.values.forEach { crash ->
-            if (crash.accuses(part)) {
+            if (crash.isSuspect(part)) {
                 crash.cleared += part
                 crash.changedAt = now
                 wasSuspect = true
@@ -62,27 +62,27 @@
         return wasSuspect
     }
 
-    /** Number of crashes that accuse [part] and that no part in [explanations] explains. */
-    fun count(part: PartId, explanations: (PartId) -> Boolean): Int =
-        crashes.values.count { it.accuses(part) && !isExplained(it, explanations) }
+    /** Number of crashes without a known cause of which [part] is a suspect. */
+    fun count(part: PartId, isKnownCause: (PartId) -> Boolean): Int =
+        crashes.values.count { it.isSuspect(part) && !hasKnownCause(it, isKnownCause) }
 
     /**
-     * The parts that explain most of the crashes which no part in [explanations] explains, if they explain enough.
+     * The parts that are suspects of most crashes without a known cause, if these crashes are enough.
      *
-     * By chance some part is in progress at every crash, so a part is accused only by several crashes, and crashes at
-     * about the same time count once, since a common cause may have ended the servers. The latest crash must have been
-     * known for a while, so that a router that has seen an answer on the part can clear it first. Of parts that were
-     * always in progress together, the one furthest into the prompts is accused, as the fewest requests share it.
+     * By chance some part is in progress at every crash, so several crashes are needed, and crashes at about the same
+     * time count once, since a common cause may have ended the servers. The latest crash must have been known for a
+     * while, so that a router that has seen an answer on the part can clear it first. Of parts that were always in
+     * progress together, the one furthest into the prompts is returned, as the fewest requests share it.
      */
-    fun accused(explanations: (PartId) -> Boolean, now: Timestamp): Set<PartId> {
+    fun probableCauses(isKnownCause: (PartId) -> Boolean, now: Timestamp): Set<PartId> {
         removeExpired(now)
         if (crashes.size < REQUIRED_CRASHES) return emptySet()
-        val open = crashes.values.filter { !isExplained(it, explanations) }
+        val open = crashes.values.filter { !hasKnownCause(it, isKnownCause) }
         val counts =
             open
-                .flatMap { crash -> crash.suspects.keys.filter(crash::accuses) }
+                .flatMap { crash -> crash.suspects.keys.filter(crash::isSuspect) }
                 .distinct()
-                .associateWith { part -> countSeparate(open.filter { it.accuses(part) }, now) }
+                .associateWith { part -> countSeparate(open.filter { it.isSuspect(part) }, now) }
         val most = counts.values.maxOrNull() ?: return emptySet()
         if (most < REQUIRED_CRASHES) return emptySet()
         val positions = counts.filterValues { it == most }.mapValues { (part, _) -> position(part, open) }
@@ -97,19 +97,19 @@
         .sortedByDescending { (_, crash) -> crash.changedAt }
         .map { (end, crash) -> CrashRecord(end, crash.suspects.toMap(), crash.cleared.toSet()) }
 
-    /** Discards what is known of [part], so that only further crashes accuse it. */
+    /** Discards what is known of [part], so that only further crashes count. */
     fun forget(part: PartId) {
         crashes.values.forEach { it.suspects.remove(part) }
     }
 
-    private fun isExplained(crash: Crash, explanations: (PartId) -> Boolean) =
-        crash.suspects.keys.any { crash.accuses(it) && explanations(it) }
+    private fun hasKnownCause(crash: Crash, isKnownCause: (PartId) -> Boolean) =
+        crash.suspects.keys.any { crash.isSuspect(it) && isKnownCause(it) }
 
     /** Counts crashes at least [SEPARATE_MILLISECONDS] apart, of which the latest is settled. */
-    private fun countSeparate(accusing: List<Crash>, now: Timestamp): Int {
+    private fun countSeparate(crashes: List<Crash>, now: Timestamp): Int {
         var count = 0
         var last: Timestamp? = null
-        accusing.map { it.firstKnownAt }.sorted().forEach { at ->
+        crashes.map { it.firstKnownAt }.sorted().forEach { at ->
             val isSettled = now >= at.plusMilliseconds(SETTLE_MILLISECONDS)
             if (isSettled && last?.let { at >= it.plusMilliseconds(SEPARATE_MILLISECONDS) } != false) {
                 count++
--- a/src/main/kotlin/azuredale/quarantine/Quarantine.kt
+++ b/src/main/kotlin/azuredale/quarantine/Quarantine.kt
@@ -32,8 +32,8 @@
 /**
  * Decides which prompt parts crash servers, and keeps requests with such parts away from them.
  *
- * The last part of a prompt belongs to one request and is never judged. A router acts on its own conclusion at once;
- * the table in the store makes it outlive the routers, and reaches routers that are cut off from the others.
+ * The last part of a prompt belongs to one request and is never quarantined. A router acts on its own conclusion at
+ * once; the table in the store makes it outlive the routers, and reaches routers that are cut off from the others.
  */
 internal class Quarantine(private val callbacks: QuarantineCallbacks = QuarantineCallbacks()) {
     private val evidence = CrashEvidence()
@@ -72,26 +72,26 @@
 
     /** Whether and where a request with [prompt] may be sent at [now]. */
     fun decide(prompt: PromptShape, now: Timestamp): QuarantineDecision {
-        val shared = judgedParts(prompt)
+        val shared = trackedParts(prompt)
         shared.firstOrNull { isQuarantined(it.partId) }?.let { return quarantined(it.partId) }
         val suspect = shared.filter { !isAnswered(it, now) && crashes(it) > 0 }.maxByOrNull(::crashes)
         return suspect?.let { QuarantineDecision.Confined(it.partId) } ?: QuarantineDecision.Allowed
     }
 
     /** Whether a request with [prompt] whose server crashed may be sent to another server. */
-    fun mayRepeat(prompt: PromptShape, now: Timestamp): Boolean = judgedParts(
+    fun mayRepeat(prompt: PromptShape, now: Timestamp): Boolean = trackedParts(
         prompt,
     ).all { isAnswered(it, now) || (crashes(it) < REPEATABLE_CRASHES && !isQuarantined(it.partId)) }
 
     private fun crashes(part: PromptPart) = evidence.count(part.partId, ::isQuarantined)
 
     /** Whether a server has recently answered all shared parts of [prompt], so that they crash no server. */
-    fun isTrusted(prompt: PromptShape, now: Timestamp): Boolean = judgedParts(prompt).all { isAnswered(it, now) }
+    fun isTrusted(prompt: PromptShape, now: Timestamp): Boolean = trackedParts(prompt).all { isAnswered(it, now) }
 
     /** Records that a server sent an answer on [prompt] and went on. */
     fun recordAnswer(prompt: PromptShape, now: Timestamp) {
         var isNews = false
-        judgedParts(prompt).forEach { part ->
+        trackedParts(prompt).forEach { part ->
             answeredAt[part.partId] = now
             if (evidence.clear(part.partId, now)) isNews = true
             release(part.partId, "answered")
@@ -104,7 +104,7 @@
     fun recordCrash(end: ServerEnd, prompts: List<PromptShape>, now: Timestamp) {
         val suspects = LinkedHashMap<PartId, Int>()
         prompts.forEach { prompt ->
-            judgedParts(prompt).forEachIndexed { position, part ->
+            trackedParts(prompt).forEachIndexed { position, part ->
                 if (!isAnswered(part, now)) suspects.putIfAbsent(part.partId, position)
             }
         }
@@ -129,9 +129,9 @@
             isOver
         }
         while (concluded.size < MAXIMUM_PARTS) {
-            val accused = evidence.accused(::isQuarantined, now)
-            if (accused.isEmpty()) return
-            accused.forEach { part ->
+            val causes = evidence.probableCauses(::isQuarantined, now)
+            if (causes.isEmpty()) return
+            causes.forEach { part ->
                 concluded[part] = now
                 callbacks.onChange(part, true, "in progress at several servers that crashed, never answered")
             }
@@ -176,7 +176,7 @@
         if (wasConcluded || wasStored) callbacks.onChange(part, false, reason)
     }
 
-    private fun judgedParts(prompt: PromptShape): List<PromptPart> =
+    private fun trackedParts(prompt: PromptShape): List<PromptPart> =
         prompt.sharedParts.take(MAXIMUM_PARTS).filter { it.id.length <= MAXIMUM_ID_LENGTH }
 
     private fun isAnswered(part: PromptPart, now: Timestamp) = isAnswered(part.partId, now)
--- a/src/test/kotlin/azuredale/peers/QuarantineExchangeSpec.kt
+++ b/src/test/kotlin/azuredale/peers/QuarantineExchangeSpec.kt
@@ -26,7 +26,7 @@
     inner class Crashes {
         @ParameterizedTest
         @ValueSource(ints = [8, 40, 95])
-        fun `seen by different routers convict a part at all of them within a second`(routers: Int) {
+        fun `seen by different routers quarantine a part at all of them within a second`(routers: Int) {
             // Guards against routers of which each sees too few crashes to conclude anything.
             val fleet = SimulatedExchange(routers, domains = 4)
             fleet.run(3_000)
@@ -42,7 +42,7 @@
         }
 
         @Test
-        fun `do not convict a part that another router answers`() {
+        fun `do not quarantine a part that another router answers`() {
             // Guards against a router that blocks a part of which it saw only the requests that failed.
             val fleet = SimulatedExchange(routers = 40, domains = 4)
             fleet.run(3_000)
--- a/src/test/kotlin/azuredale/quarantine/QuarantineKeeperSpec.kt
+++ b/src/test/kotlin/azuredale/quarantine/QuarantineKeeperSpec.kt
@@ -80,7 +80,7 @@
         routers.forEach { it.keeper.tick(now) }
     }
 
-    private fun convict(router: Router) = repeat(3) { round ->
+    private fun crashThreeTimes(router: Router) = repeat(3) { round ->
         router.quarantine.recordCrash(ServerEnd(round, 1), listOf(prompt), now)
         run(400, router)
     }
@@ -93,7 +93,7 @@
             val first = Router(rank = 0)
             val cutOff = Router(rank = 0, isDivided = true)
             run(100, first, cutOff)
-            convict(first)
+            crashThreeTimes(first)
             run(1_500, first, cutOff)
             assertEquals(ErrorKind.PROMPT_QUARANTINED, cutOff.refusal()?.kind)
         }
@@ -104,7 +104,7 @@
             val router = Router(rank = 0)
             run(100, router)
             store.isDown = true
-            convict(router)
+            crashThreeTimes(router)
             run(5_000, router)
             assertEquals(ErrorKind.PROMPT_QUARANTINED, router.refusal()?.kind)
             store.isDown = false
@@ -117,7 +117,7 @@
             // Guards against a sound part that stays blocked by its entry.
             val router = Router(rank = 0)
             run(100, router)
-            convict(router)
+            crashThreeTimes(router)
             run(500, router)
             router.quarantine.recordAnswer(prompt, now)
             run(500, router)
--- a/src/test/kotlin/azuredale/quarantine/QuarantineSpec.kt
+++ b/src/test/kotlin/azuredale/quarantine/QuarantineSpec.kt
@@ -38,7 +38,7 @@
 
     private fun isQuarantined(part: String) = quarantine.decide(prompt(part), now) is QuarantineDecision.Quarantined
 
-    private fun convict(part: String) = repeat(3) {
+    private fun crashThreeTimes(part: String) = repeat(3) {
         crash(prompt(part))
         pass(400)
     }
@@ -69,7 +69,7 @@
         }
 
         @Test
-        fun `a request whose server crashed is repeated until a second crash accuses its part`() {
+        fun `a request whose server crashed is repeated until a second crash with its part`() {
             // Guards against sound requests that fail with their server, and against a deadly one that is sent on.
             crash(prompt("deadly"))
             assertTrue(quarantine.mayRepeat(prompt("deadly"), now))
@@ -78,7 +78,7 @@
         }
 
         @Test
-        fun `a rack that fails at once accuses nobody`() {
+        fun `a rack that fails at once quarantines nothing`() {
             // Guards against a new part that is blocked because many servers fail for a common reason.
             repeat(8) { crash(prompt("new", "hot")) }
             pass(2_000)
@@ -86,7 +86,7 @@
         }
 
         @Test
-        fun `servers that end again and again under sound requests accuse nobody`() {
+        fun `servers that end again and again under sound requests quarantine nothing`() {
             // Guards against sound parts that are blocked while servers go down and up for a reason of their own.
             val random = Random(7)
             repeat(150) {
@@ -112,7 +112,7 @@
         }
 
         @Test
-        fun `the last part of a prompt is never judged`() {
+        fun `the last part of a prompt is never quarantined`() {
             // Guards against a table full of parts that never come again.
             repeat(4) {
                 quarantine.recordCrash(nextEnd(), listOf(PromptShape(listOf(PromptPart("only", 1)), 1, 1)), now)
@@ -148,7 +148,7 @@
 
         @Test
         fun `an answer that another router saw protects a part`() {
-            // Guards against routers that judge by their own requests alone.
+            // Guards against routers that decide by their own requests alone.
             repeat(4) {
                 val end = nextEnd()
                 quarantine.recordCrash(end, listOf(prompt("busy")), now)
@@ -161,7 +161,7 @@
         @Test
         fun `an answer releases a quarantined part`() {
             // Guards against a part that stays blocked although a request in progress shows that it is sound.
-            convict("part")
+            crashThreeTimes("part")
             quarantine.recordAnswer(prompt("part"), now)
             pass(20)
             assertEquals(listOf("part" to true, "part" to false), changes)
@@ -217,7 +217,7 @@
         @Test
         fun `operators release a part by removing its entry`() {
             // Guards against a part that stays blocked by a router's own evidence after operators have lifted it.
-            convict("part")
+            crashThreeTimes("part")
             adopt(5, "part" to 0)
             adopt(6)
             pass(1_000)
