Log the shares of the teams, the load of each router, and why a report was rejected

The max-min share is computed when the usage changes and not for each request. No decision changes. Checked: LogEventCatalogueSpec, TeamFloodSpec, LargeFleetExchangeSpec, GatewaySpec.

--- a/src/main/kotlin/azuredale/admission/LoadShedder.kt
+++ b/src/main/kotlin/azuredale/admission/LoadShedder.kt
@@ -32,7 +32,7 @@
  * @param jitter returns a random number from 0 to 1 that adds jitter to retry times.
  */
 internal class LoadShedder(
-    private val usage: TeamUsage,
+    private val shares: FairShares,
     private val jitter: () -> Double,
 ) {
     /** Returns null if [request] is admitted, otherwise the failure to return to the caller. */
@@ -43,19 +43,17 @@
         val limit = limitMilliseconds(request, ratio, slack, isRetry)
         if (predictedMilliseconds <= limit) return null
         val kind = if (ratio > 1.0) ErrorKind.SHARE_EXCEEDED else ErrorKind.PREDICTED_LATE
-        val detail = "predicted ${predictedMilliseconds.toLong()} ms, limit ${limit.toLong()} ms, share ${percent(
-            ratio,
-        )} %"
+        val detail =
+            "predicted ${predictedMilliseconds.toLong()} ms, limit ${limit.toLong()} ms, share ${percent(ratio)} %"
         return Failure(kind, detail, retryAt(request, predictedMilliseconds - limit, slack, now))
     }
 
     /** Usage of [team] relative to its fair share once [tokens] are added; above 1 the team exceeds its share. */
     fun shareRatio(team: TeamId, tokens: Int, now: Timestamp): Double {
-        val fleet = usage.fleetUsage(now)
-        val fairShare = MaxMinFairShare.compute(fleet.values.map { it.requested }, fleet.values.sumOf { it.granted })
+        val current = shares.current(now)
+        val fairShare = current.fairShare
         if (fairShare.isInfinite() || fairShare <= 0.0) return 0.0
-        val granted = fleet[TeamUsage.teamHash(team)]?.granted ?: 0
-        return (granted + tokens) / fairShare.coerceAtLeast(tokens.toDouble())
+        return (current.usageOf(team).granted + tokens) / fairShare.coerceAtLeast(tokens.toDouble())
     }
 
     private fun limitMilliseconds(request: AdmissionRequest, ratio: Double, slack: Double, isRetry: Boolean): Double {
--- a/src/main/kotlin/azuredale/admission/PromptAdmission.kt
+++ b/src/main/kotlin/azuredale/admission/PromptAdmission.kt
@@ -23,17 +23,10 @@
         now: Timestamp,
     ): Failure? {
         val team: TeamId? = request.team
-        val tokens = cost(prompt)
+        val tokens = prompt.cost
         if (team != null) usage.recordRequested(team, tokens, now)
         val refusal = loadShedder.decide(request.copy(tokens = tokens), predictedMilliseconds, now)
         if (refusal == null && team != null) usage.recordGranted(team, tokens, now)
         return refusal
     }
-
-    /**
-     * Cost in fair-share accounting: a prompt token counts once, an output token twice. Without a length hint, half of
-     * the output limit is expected.
-     */
-    private fun cost(prompt: PromptShape): Int =
-        prompt.promptTokens + 2 * (prompt.expectedOutputTokens ?: (prompt.maximumOutputTokens / 2))
 }
--- a/src/main/kotlin/azuredale/admission/TeamUsage.kt
+++ b/src/main/kotlin/azuredale/admission/TeamUsage.kt
@@ -16,6 +16,11 @@
         (requested - other.requested).coerceAtLeast(0),
         (granted - other.granted).coerceAtLeast(0),
     )
+
+    companion object {
+        /** Nothing requested. */
+        val NONE = TokenUsage()
+    }
 }
 
 /**
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -1,5 +1,6 @@
 package azuredale.gateway
 
+import azuredale.admission.FairShares
 import azuredale.admission.LoadShedder
 import azuredale.admission.PromptAdmission
 import azuredale.admission.TeamUsage
@@ -82,6 +83,7 @@
 
     /** Recent token usage of the teams. */
     private val usage = TeamUsage()
+    private val shares = FairShares(usage)
 
     /** Metrics of this router. */
     val metrics = GatewayMetrics()
@@ -130,7 +132,9 @@
                     send = dependencies.sendDatagram,
                     onPeerChanged = ::peerChanged,
                     onOutdated = { isCatalogOld, isDirectoryOld -> poller.markOutdated(isCatalogOld, isDirectoryOld) },
-                    onRefused = { log.write(GatewayLogEvent.PEER_MESSAGE_REFUSED, "from" to it) },
+                    onRefused = { from, bytes ->
+                        log.write(GatewayLogEvent.PEER_MESSAGE_REFUSED, "from" to from, "bytes" to bytes.size)
+                    },
                 ),
             isReady = { isReady() },
         )
@@ -173,7 +177,7 @@
             admission =
                 RequestAdmission(
                     intake = intake,
-                    prompts = PromptAdmission(usage, LoadShedder(usage, random::nextDouble)),
+                    prompts = PromptAdmission(usage, LoadShedder(shares, random::nextDouble)),
                     quarantine = PromptQuarantine(quarantine, serverEnds, keeper::claimTrial),
                 ),
             recorders =
@@ -190,11 +194,14 @@
                 ),
             backends = dependencies.backends,
             failureHeaders = dependencies.failureHeaders,
+            shareLog = ShareLog(shares, { view.catalog }, log),
             metrics = metrics,
             log = log,
             timer = dependencies.timer,
         )
 
+    private val loadLog = RouterLoadLog(log)
+
     /** Starts registering this router and reading the store. */
     fun start() {
         exposeMetrics()
@@ -212,6 +219,12 @@
         if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
         keeper.tick(now)
         exchange.tick(now)
+        loadLog.tick(
+            lagMilliseconds = intake.unreadMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND,
+            running = running,
+            knownRouters = exchange.peers.all.size + 1,
+            now = now,
+        )
         intake.recordTick(nextAt = clock().plusMilliseconds(TICK_MILLISECONDS))
     }
 
@@ -224,6 +237,7 @@
     /** Handles a request of a caller. */
     fun serve(caller: Caller) {
         running++
+        loadLog.recordRequest()
         scope.launch(start = CoroutineStart.UNDISPATCHED) {
             try {
                 RequestHandler(caller, context).run()
@@ -240,7 +254,8 @@
     fun isReady(): Boolean = !isStopping && view.catalog != null && quarantine.isKnown && isCatalogFresh(clock())
 
     /** Addresses of routers for callers, and the seconds for which they may be cached. */
-    fun addresses(): Pair<List<NetworkAddress>, Double> = routerAddresses.addresses()
+    fun addresses(): Pair<List<NetworkAddress>, Double> =
+        routerAddresses.addresses().also { loadLog.recordAddressAnswer(it.first.size) }
 
     /** Begins a graceful stop and notifies the other routers at once. */
     fun stop() {
@@ -294,6 +309,7 @@
                 .count { view.directory.isReady(it.id) }
                 .toDouble()
         }
+        metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -63,6 +63,7 @@
     val budgets: RequestBudgets,
     val backends: BackendTransport,
     val failureHeaders: FailureHeaders,
+    val shareLog: ShareLog,
     val metrics: GatewayMetrics,
     val log: EventLog,
     /** Schedules an action for a given time. */
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -33,5 +33,7 @@
     REGISTRATION_FAILED(2234, Level.WARN, "registration of this router failed"),
     REQUEST_FAILED(2235, Level.ERROR, "unexpected error while handling a request"),
     SERVER_LIMITED(2237, Level.INFO, "backend server named another request limit"),
+    TEAMS_CONTEND(2238, Level.INFO, "teams contend for capacity"),
+    ROUTER_LOAD(2239, Level.INFO, "router load"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -487,14 +487,20 @@
     }
 
     private fun refuse(failure: Failure) {
+        val request = if (::authorized.isInitialized) authorized else null
         context.log.write(
             GatewayLogEvent.REQUEST_REFUSED,
             "request" to head.id,
             "kind" to failure.kind,
             "execution" to failure.execution,
             "detail" to failure.detail,
+            "route" to request?.route?.name,
+            "team" to request?.team,
+            "tokens" to head.prompt?.cost,
+            "left" to head.remainingMilliseconds,
             "age" to ageMilliseconds(),
         )
+        if (failure.kind in LOAD_REFUSALS) context.shareLog.recordRefusal(clock())
         context.metrics.recordEnd(failure.kind, arrivedAt, firstEventAt, clock())
         caller.respond(
             failure.kind.status,
@@ -520,6 +526,7 @@
             "pause" to longestPause / MICROSECONDS,
             "route" to authorized.route.name,
             "team" to authorized.team,
+            "tokens" to head.prompt?.cost,
             "late" to (firstEventAt ?: clock()).microsecondsSince(onTimeUntil) / MICROSECONDS,
             "left" to head.remainingMilliseconds,
             "age" to ageMilliseconds(),
@@ -549,6 +556,9 @@
         /** Bounds the length of a log line. */
         const val LOGGED_PARTS = 16
 
+        /** Refusals of requests that a less loaded fleet would serve. */
+        val LOAD_REFUSALS = setOf(ErrorKind.SHARE_EXCEEDED, ErrorKind.PREDICTED_LATE, ErrorKind.OVERLOADED)
+
         /** Long enough for a router or server to recover from a brief disruption. */
         const val RETRY_MILLISECONDS = 200L
     }
--- a/src/main/kotlin/azuredale/gateway/RequestHead.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHead.kt
@@ -26,6 +26,21 @@
 ) {
     /** All parts but the last, which belongs to this request alone. */
     val sharedParts: List<PromptPart> get() = parts.dropLast(1)
+
+    /**
+     * Cost in fair-share accounting: a prompt token counts once, an output token twice. Without a length hint, half of
+     * the output limit is expected.
+     */
+    val cost: Int
+        get() {
+            val outputTokens = expectedOutputTokens ?: (maximumOutputTokens / 2)
+            return (promptTokens + 2L * outputTokens).coerceIn(0, MAXIMUM_COST).toInt()
+        }
+
+    private companion object {
+        /** Larger than any model's context; keeps sums of costs within their type. */
+        const val MAXIMUM_COST = 100_000_000L
+    }
 }
 
 /** An HTTP header to forward. */
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
@@ -0,0 +1,60 @@
+package azuredale.gateway
+
+import azuredale.logging.EventLog
+import azuredale.time.Timestamp
+
+/**
+ * Logs what this router had to do within the last second: a line a second while requests or address queries come.
+ *
+ * The line shows whether a router is behind, and whether the callers' addresses spread the requests over the fleet.
+ */
+internal class RouterLoadLog(private val log: EventLog) {
+    private var nextAt = Timestamp.DISTANT_PAST
+    private var requests = 0
+    private var addressAnswers = 0
+    private var fewestAddresses = Int.MAX_VALUE
+    private var longestLag = 0L
+
+    /** Records that a caller's request was read. */
+    fun recordRequest() {
+        requests++
+    }
+
+    /** Records that a caller was told to use [count] routers. */
+    fun recordAddressAnswer(count: Int) {
+        addressAnswers++
+        fewestAddresses = minOf(fewestAddresses, count)
+    }
+
+    /**
+     * Records periodic work, and writes the line if it is due.
+     *
+     * @param lagMilliseconds how much later than planned the work runs.
+     * @param running requests in progress.
+     * @param knownRouters routers, including this one, that the router knows of.
+     */
+    fun tick(lagMilliseconds: Long, running: Int, knownRouters: Int, now: Timestamp) {
+        longestLag = maxOf(longestLag, lagMilliseconds)
+        if (now < nextAt) return
+        nextAt = now.plusMilliseconds(PERIOD_MILLISECONDS)
+        if (requests > 0 || addressAnswers > 0) {
+            log.write(
+                GatewayLogEvent.ROUTER_LOAD,
+                "requests" to requests,
+                "running" to running,
+                "lag" to longestLag,
+                "addressAnswers" to addressAnswers,
+                "fewestAddresses" to fewestAddresses.takeIf { addressAnswers > 0 },
+                "knownRouters" to knownRouters,
+            )
+        }
+        requests = 0
+        addressAnswers = 0
+        fewestAddresses = Int.MAX_VALUE
+        longestLag = 0
+    }
+
+    private companion object {
+        const val PERIOD_MILLISECONDS = 1_000L
+    }
+}
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -24,8 +24,8 @@
     val onPeerChanged: (Peer) -> Unit,
     /** Called when another router reports a newer catalog or a different server directory. */
     val onOutdated: (isCatalogOld: Boolean, isDirectoryOld: Boolean) -> Unit,
-    /** Called with the source address of an invalid datagram. */
-    val onRefused: (NetworkAddress) -> Unit,
+    /** Called with the source address and the bytes of an invalid datagram. */
+    val onRefused: (NetworkAddress, ByteArray) -> Unit,
 )
 
 /**
@@ -131,8 +131,8 @@
 
     /** Handles a datagram received from [from]. */
     fun received(from: NetworkAddress, bytes: ByteArray, now: Timestamp) {
-        val (datagram, report) = codec.decode(bytes) ?: return callbacks.onRefused(from)
-        val scope = ReportScope.entries.getOrNull(report.scope) ?: return callbacks.onRefused(from)
+        val (datagram, report) = codec.decode(bytes) ?: return callbacks.onRefused(from, bytes)
+        val scope = ReportScope.entries.getOrNull(report.scope) ?: return callbacks.onRefused(from, bytes)
         report.routers.forEach { routerDiscovered(RouterId(it.router), NetworkAddress(it.host, it.peerPort), now) }
         val peer = table.reportReceived(report, datagram.sentAt, from, now, aliveUntil(report, now)) ?: return
         report.relayed.forEach { row ->
--- a/src/test/kotlin/azuredale/admission/TeamFloodSpec.kt
+++ b/src/test/kotlin/azuredale/admission/TeamFloodSpec.kt
@@ -17,7 +17,7 @@
 class TeamFloodSpec {
     private val start = Timestamp.ofMilliseconds(1_000_000)
     private val usage = TeamUsage()
-    private val admission = LoadShedder(usage) { 0.5 }
+    private val admission = LoadShedder(FairShares(usage)) { 0.5 }
     private val flood = TeamId("flood")
     private val small = TeamId("small")
 
@@ -93,8 +93,8 @@
         @CsvSource("0.0", "0.3", "0.7", "0.99")
         fun `retry times are spread`(spread: Double) {
             // Guards against refused callers that retry together and cause the next burst.
-            val spreadAdmission = LoadShedder(usage) { spread }
-            val other = LoadShedder(usage) { spread / 2 + 0.5 }
+            val spreadAdmission = LoadShedder(FairShares(usage)) { spread }
+            val other = LoadShedder(FairShares(usage)) { spread / 2 + 0.5 }
             val first = spreadAdmission.decide(request(small), 900.0, start)?.retryAt
             val second = other.decide(request(small), 900.0, start)?.retryAt
             assertTrue(first != second, "both return at $first")
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -119,7 +119,7 @@
                         },
                         onPeerChanged = {},
                         onOutdated = { _, _ -> },
-                        onRefused = { check(recordsDatagrams) { "datagram from $it refused" } },
+                        onRefused = { from, _ -> check(recordsDatagrams) { "datagram from $from refused" } },
                     ),
                 isReady = { true },
             )
