--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -49,6 +49,9 @@
     /** Address to which callers connect. */
     public val callerAddress: NetworkAddress = address(ports[0])
 
+    /** Address at which the router receives reports of other routers. */
+    public val peerAddress: NetworkAddress = address(ports[3])
+
     /** Starts all components and waits until the router accepts requests. */
     public suspend fun start() {
         val store = address(platform.start())
