Receive reports of up to 64 KB, and bound those that are sent

What callers saw: in fleets of more than 12 routers, teams that are served unequally, and late or failed prompts. Cause: a datagram is read into 2,048 bytes unless the socket is given another size. The report of a relay holds the loads of all servers, the usage of all teams and rows of routers; under load it is larger, is cut short and rejected. So routers went without the fleet's usage, loads and proofs just when they contended, and each computed shares from its own requests. Ruled out: a foreign sender (the sources are the elected relays); a version mismatch (smaller reports of them are accepted). Change: the socket receives whole datagrams of any size; a report gives the usage of the 128 teams that request most, so that it stays below 16 KB at the design size (new case of LargeFleetExchangeSpec, 95 and 390 routers).

--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -9,6 +9,7 @@
 import azuredale.freshness.StoreReader
 import azuredale.identity.NetworkAddress
 import azuredale.logging.EventLog
+import azuredale.peers.PeerCodec
 import azuredale.quarantine.QuarantineStore
 import azuredale.time.Clock
 import azuredale.time.Timestamp
@@ -16,6 +17,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.datagram.DatagramSocket
+import io.vertx.core.datagram.DatagramSocketOptions
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CoroutineScope
@@ -44,7 +46,8 @@
 ) {
     private val log = EventLog("azuredale.gateway")
     private val backends = BackendConnectionPool(vertx, clock, adapter.responses, adapter.encode)
-    private val datagrams: DatagramSocket = vertx.createDatagramSocket()
+    private val datagrams: DatagramSocket =
+        vertx.createDatagramSocket(DatagramSocketOptions().setReceiveBufferSize(PeerCodec.MAXIMUM_DATAGRAM_BYTES))
 
     val gateway =
         Gateway(
--- a/src/main/kotlin/azuredale/peers/PeerCodec.kt
+++ b/src/main/kotlin/azuredale/peers/PeerCodec.kt
@@ -28,5 +28,8 @@
 
     companion object {
         const val VERSION = 3
+
+        /** Largest datagram that a router receives whole; relays of large fleets send several kilobytes. */
+        const val MAXIMUM_DATAGRAM_BYTES = 65_536
     }
 }
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -132,7 +132,10 @@
 
     private fun usageEntries(scope: ReportScope, now: Timestamp): List<UsageEntry> {
         val sums = if (scope == ReportScope.ROUTER) lastUsage else usage.sum(now) { isIncluded(scope, table.find(it)) }
-        return sums.map { (team, sum) -> UsageEntry(team, sum.requested, sum.granted) }
+        return sums.entries
+            .sortedByDescending { it.value.requested }
+            .take(MAXIMUM_TEAMS)
+            .map { (team, sum) -> UsageEntry(team, sum.requested, sum.granted) }
     }
 
     private fun isIncluded(scope: ReportScope, peer: Peer?) =
@@ -192,6 +195,9 @@
         private const val MAXIMUM_CHANGED_ROUTERS = 12
         private const val MAXIMUM_LIMITS = 16
 
+        /** Teams of which a report gives the usage: those that request most contend for capacity. */
+        private const val MAXIMUM_TEAMS = 128
+
         /** A change is in several reports, since a datagram may be lost. */
         private const val CHANGE_REPEAT_MILLISECONDS = 700L
         private const val MESH_USAGE_PERIOD_MILLISECONDS = 120L
--- a/src/test/kotlin/azuredale/peers/LargeFleetExchangeSpec.kt
+++ b/src/test/kotlin/azuredale/peers/LargeFleetExchangeSpec.kt
@@ -7,6 +7,7 @@
 import azuredale.identity.TeamId
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import kotlin.random.Random
 import kotlin.test.Test
@@ -36,6 +37,32 @@
         }
     }
 
+    @Nested
+    inner class Size {
+        @ParameterizedTest
+        @CsvSource("95, 60", "390, 2900")
+        fun `a report of a busy fleet can be received`(routers: Int, teams: Int) {
+            // Guards against reports of relays that grow with servers, teams and routers until nobody can receive them.
+            val fleet = SimulatedExchange(routers, domains = 5)
+            fleet.run(2_000)
+            repeat(4) { round ->
+                fleet.nodes.forEachIndexed { index, node ->
+                    repeat(
+                        10,
+                    ) { node.usage.recordRequested(TeamId("team-${(index * 10 + it) % teams}"), 9_000, fleet.now) }
+                    fleet.servers.forEach { server ->
+                        node.statistics.loads.add(server.id, oneRequest)
+                        val part = PromptPart("a1b2c3d4e5f6$index$round", 5_000)
+                        node.exchange.promptSent(server.idHash, listOf(part), fleet.now)
+                    }
+                }
+                fleet.run(700)
+            }
+            assertTrue(fleet.largestDatagram > 2_048, "reports are not large: ${fleet.largestDatagram} bytes")
+            assertTrue(fleet.largestDatagram <= 16_384, "${fleet.largestDatagram} bytes")
+        }
+    }
+
     @Nested
     inner class Sums {
         @Test
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -55,6 +55,8 @@
     /** Whether sent datagrams are kept in [recorded] and malformed ones are accepted silently. */
     var recordsDatagrams = false
     val recorded = ArrayList<ByteArray>()
+    var largestDatagram = 0
+        private set
     var now = Timestamp.ofMilliseconds(1_000_000)
         private set
     val servers =
@@ -112,6 +114,7 @@
                 callbacks =
                     PeerCallbacks(
                         send = { to, bytes ->
+                            largestDatagram = maxOf(largestDatagram, bytes.size)
                             node.sent++
                             node.bytes += bytes.size
                             if (recordsDatagrams) recorded += bytes
