Leave overloaded routers out of address answers

What callers saw: a team whose callers stay with one router gets a fraction of what others get, and requests are sent on after their callers have left. Cause: some callers keep to one router as long as address answers name it. Nothing took a router that cannot keep up out of the answers, so a flood of such a team ended at that router's processor before any decision about shares. Ruled out: answers that name one router only (the fewest addresses named were 64 at first, 26 later).

--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -14,6 +14,7 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.intake.Intake
+import azuredale.intake.OverloadDetector
 import azuredale.logging.BoundedAppender
 import azuredale.logging.EventLog
 import azuredale.peers.Peer
@@ -137,6 +138,7 @@
                     },
                 ),
             isReady = { isReady() },
+            isOverloaded = { isOverloaded() },
         )
     private val poller: StorePoller =
         StorePoller(
@@ -166,7 +168,7 @@
             isDivided = { exchange.peers.all.any { !it.isAlive } },
             log = log,
         )
-    private val routerAddresses = RouterAddresses(settings, exchange.peers) { isReady() }
+    private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val context =
         GatewayContext(
@@ -201,6 +203,7 @@
         )
 
     private val loadLog = RouterLoadLog(log)
+    private val overload = OverloadDetector()
 
     /** Starts registering this router and reading the store. */
     fun start() {
@@ -213,6 +216,8 @@
     /** Runs periodic work that is due; called every few milliseconds. */
     fun tick() {
         val now = clock()
+        val lag = intake.unreadMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
+        recordLag(lag, now)
         checkClocks()
         poller.logFreshnessChange(now)
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
@@ -220,7 +225,7 @@
         keeper.tick(now)
         exchange.tick(now)
         loadLog.tick(
-            lagMilliseconds = intake.unreadMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND,
+            lagMilliseconds = lag,
             running = running,
             knownRouters = exchange.peers.all.size + 1,
             now = now,
@@ -253,6 +258,17 @@
     /** Whether this router accepts requests. */
     fun isReady(): Boolean = !isStopping && view.catalog != null && quarantine.isKnown && isCatalogFresh(clock())
 
+    private fun isOverloaded(): Boolean = overload.isOverloaded(clock())
+
+    private fun recordLag(lagMilliseconds: Long, now: Timestamp) {
+        val before = overload.isOverloaded(now)
+        overload.recordLag(lagMilliseconds, now)
+        if (!before && overload.isOverloaded(now)) {
+            log.write(GatewayLogEvent.ROUTER_OVERLOADED, "lag" to lagMilliseconds, "running" to running)
+            exchange.reportSoon(now)
+        }
+    }
+
     /** Addresses of routers for callers, and the seconds for which they may be cached. */
     fun addresses(): Pair<List<NetworkAddress>, Double> =
         routerAddresses.addresses().also { loadLog.recordAddressAnswer(it.first.size) }
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -35,5 +35,6 @@
     SERVER_LIMITED(2237, Level.INFO, "backend server named another request limit"),
     TEAMS_CONTEND(2238, Level.INFO, "teams contend for capacity"),
     ROUTER_LOAD(2239, Level.INFO, "router load"),
+    ROUTER_OVERLOADED(2240, Level.WARN, "router cannot keep up; callers are sent to others"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
@@ -8,13 +8,30 @@
     private val settings: GatewaySettings,
     private val peers: PeerTable,
     private val isReady: () -> Boolean,
+    private val isOverloaded: () -> Boolean,
 ) {
-    /** Addresses of the ready routers, and the seconds for which callers may cache them. */
+    private class Candidate(
+        val address: NetworkAddress,
+        val isOverloaded: Boolean,
+    )
+
+    /**
+     * Addresses of the ready routers, and the seconds for which callers may cache them.
+     *
+     * Some callers send all requests of a team to one router, and leave it only when an answer no longer names it. So
+     * routers that are overloaded are left out, unless half of all routers are.
+     */
     fun addresses(): Pair<List<NetworkAddress>, Double> {
-        val others = peers.alive.filter { it.isReady }.mapNotNull { it.callerAddress }
-        val own = if (isReady()) listOf(settings.callerAddress) else emptyList()
+        val own = if (isReady()) listOf(Candidate(settings.callerAddress, isOverloaded())) else emptyList()
+        val others =
+            peers.alive.filter { it.isReady }.mapNotNull { peer ->
+                peer.callerAddress?.let { Candidate(it, peer.isOverloaded) }
+            }
+        val ready = own + others
+        val calm = ready.filterNot { it.isOverloaded }
+        val named = if (calm.size * 2 > ready.size) calm else ready
         val lifetime = minOf(MAXIMUM_LIFETIME_SECONDS, settings.bounds.addressLifetimeSeconds)
-        return (own + others).take(MAXIMUM_ADDRESSES) to lifetime
+        return named.take(MAXIMUM_ADDRESSES).map { it.address } to lifetime
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/peers/Peer.kt
+++ b/src/main/kotlin/azuredale/peers/Peer.kt
@@ -14,7 +14,7 @@
  * @property lastHeardAt time at which it was last heard from, directly or by a relay.
  * @property aliveUntil time at which the router counts as silent unless it is heard from again.
  * @property contactedAt time at which this router, as a relay, began to report to it as to another relay.
- * @property changedAt time at which it last became alive, silent, ready or not ready.
+ * @property changedAt time at which it last changed in being alive, ready or overloaded.
  * @property lastReportSentAt time of sending in that report by the sender's clock, which is echoed to the sender.
  * @property nextRetryAt time of the next report to this peer while it is silent.
  */
@@ -30,6 +30,7 @@
     var callerAddress: NetworkAddress? = null
     var weight: Double = 1.0
     var isReady: Boolean = false
+    var isOverloaded: Boolean = false
     var lastReportReceivedAt: Timestamp = Timestamp.DISTANT_PAST
     var lastReportSentAt: Long = 0
     var nextRetryAt: Timestamp = Timestamp.DISTANT_PAST
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -44,6 +44,7 @@
     quarantine: Quarantine,
     private val callbacks: PeerCallbacks,
     isReady: () -> Boolean,
+    isOverloaded: () -> Boolean = { false },
 ) {
     private val codec = PeerCodec()
     private val table = PeerTable(settings.router)
@@ -60,6 +61,7 @@
             topology,
             quarantineExchange,
             isReady,
+            isOverloaded,
         )
     private val reportedStates = LinkedHashMap<Long, ReportedState>()
     private var nextReportAt = Timestamp.DISTANT_PAST
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -70,6 +70,7 @@
     @CborLabel(5) val callerPort: Int,
     @CborLabel(6) val weight: Double,
     @CborLabel(7) val isReady: Boolean,
+    @CborLabel(8) val isOverloaded: Boolean = false,
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -95,8 +95,9 @@
         failureDomain = FailureDomain(state.failureDomain)
         callerAddress = NetworkAddress(state.callerHost, state.callerPort)
         weight = state.weight
-        if (isReady != state.isReady) changedAt = now
+        if (isReady != state.isReady || isOverloaded != state.isOverloaded) changedAt = now
         isReady = state.isReady
+        isOverloaded = state.isOverloaded
     }
 
     /** Updates which routers are alive at [now], calls [onChange] for each change, and removes long-silent routers. */
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -30,6 +30,7 @@
     private val topology: RelayTopology,
     private val quarantine: QuarantineExchange,
     private val isReady: () -> Boolean,
+    private val isOverloaded: () -> Boolean,
 ) {
     private val domainReads = PromptReadBuffer()
     private val fleetReads = PromptReadBuffer()
@@ -89,6 +90,7 @@
         callerPort = settings.callerAddress.port,
         weight = settings.weight,
         isReady = isReady(),
+        isOverloaded = isOverloaded(),
     )
 
     private fun age(at: Timestamp, now: Timestamp): Long =
@@ -173,6 +175,7 @@
                 callerPort = caller.port,
                 weight = peer.weight,
                 isReady = peer.isReady,
+                isOverloaded = peer.isOverloaded,
             )
         return RelayedRouter(
             state = state,
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -36,7 +36,9 @@
         clock: Clock,
     ) {
         lateinit var exchange: PeerExchange
+        lateinit var settings: GatewaySettings
         val quarantine = Quarantine(QuarantineCallbacks(onNews = { exchange.reportSoon(clock()) }))
+        var isOverloaded = false
         var sent = 0
         var bytes = 0L
     }
@@ -90,7 +92,7 @@
         val view = StoreView(revocationBoundMilliseconds = 5_000)
         view.adoptDirectory(ServerDirectory(1, servers.associateBy { it.id }), now)
         val node = Node(RouterId("router-$index"), address, statistics(index), view, TeamUsage(), { now })
-        val settings =
+        node.settings =
             GatewaySettings(
                 router = node.router,
                 region = Region("region"),
@@ -105,7 +107,7 @@
             )
         node.exchange =
             PeerExchange(
-                settings = settings,
+                settings = node.settings,
                 incarnation = Incarnation(1_000L + index),
                 view = view,
                 statistics = node.statistics,
@@ -125,6 +127,7 @@
                         onRefused = { from, _ -> check(recordsDatagrams) { "datagram from $from refused" } },
                     ),
                 isReady = { true },
+                isOverloaded = { node.isOverloaded },
             )
         byAddress[address] = node
         return node
