Send callers to the larger VMs while these have enough capacity

What callers saw: a team that begins to flood gets a fraction of what it gets at other routers, at once. Cause: address answers named VMs of 0.27 and of 1.5 cores alike. All callers of some teams stay with one of the named routers, so a third of the teams depended on a VM that cannot take the requests of a large team at all. Ruled out: that the routers do not know the fleet (their shares agree since the reports arrive whole). Change: routers on VMs with less than 0.4 of the weight of the largest are left out of address answers while the others have 0.4 of the fleet's capacity; overloaded ones are left out on the same condition.

--- a/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
@@ -12,24 +12,38 @@
 ) {
     private class Candidate(
         val address: NetworkAddress,
+        val weight: Double,
         val isOverloaded: Boolean,
     )
 
     /**
      * Addresses of the ready routers, and the seconds for which callers may cache them.
      *
-     * Some callers send all requests of a team to one router, and leave it only when an answer no longer names it. So
-     * routers that are overloaded are left out, unless half of all routers are.
+     * Callers choose among the addresses at random, and some send all requests of a team to one router and leave it only
+     * when an answer no longer names it. So routers on VMs that are much smaller than others are left out if the rest of
+     * the fleet has enough capacity, and routers that are overloaded unless most of the capacity is.
      */
     fun addresses(): Pair<List<NetworkAddress>, Double> {
-        val own = if (isReady()) listOf(Candidate(settings.callerAddress, isOverloaded())) else emptyList()
+        val own =
+            if (isReady()) {
+                listOf(
+                    Candidate(settings.callerAddress, settings.weight, isOverloaded()),
+                )
+            } else {
+                emptyList()
+            }
         val others =
             peers.alive.filter { it.isReady }.mapNotNull { peer ->
-                peer.callerAddress?.let { Candidate(it, peer.isOverloaded) }
+                peer.callerAddress?.let { Candidate(it, peer.weight, peer.isOverloaded) }
             }
         val ready = own + others
+        val largest = ready.maxOfOrNull { it.weight } ?: 0.0
         val calm = ready.filterNot { it.isOverloaded }
-        val named = if (calm.size * 2 > ready.size) calm else ready
+        val largeAndCalm = calm.filter { it.weight >= largest * SMALL_WEIGHT_FRACTION }
+        val minimumCapacity = ready.sumOf { it.weight } * MINIMUM_CAPACITY
+        val named =
+            listOf(largeAndCalm, calm).firstOrNull { routers -> routers.sumOf { it.weight } >= minimumCapacity }
+                ?: ready
         val lifetime = minOf(MAXIMUM_LIFETIME_SECONDS, settings.bounds.addressLifetimeSeconds)
         return named.take(MAXIMUM_ADDRESSES).map { it.address } to lifetime
     }
@@ -38,6 +52,12 @@
         /** Short, because callers may use the address of a stopped router for up to three times as long. */
         const val MAXIMUM_LIFETIME_SECONDS = 1.0
 
+        /** A VM that is smaller, relative to the largest one, cannot serve a large team alone. */
+        const val SMALL_WEIGHT_FRACTION = 0.4
+
+        /** Part of the fleet's capacity that the named routers have at least. */
+        const val MINIMUM_CAPACITY = 0.4
+
         /** Callers ignore further addresses. */
         const val MAXIMUM_ADDRESSES = 64
     }
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -26,6 +26,7 @@
 internal class SimulatedExchange(
     routers: Int,
     domains: Int,
+    private val weight: (Int) -> Double = { 0.27 + it % 5 * 0.3 },
 ) {
     class Node(
         val router: RouterId,
@@ -102,7 +103,7 @@
                 directoryAddress = address,
                 peerAddress = address,
                 storeAddress = address,
-                weight = 0.27 + index % 5 * 0.3,
+                weight = weight(index),
                 bounds = FleetBounds(),
             )
         node.exchange =
