Reject registrations that are nested too deeply before they are parsed

What callers would see: routers that end again and again, or stop following the servers, because of one odd entry. Cause: the JSON parser and the text of a parsed value recurse once for each level. On a router's threads of 256 KB an entry with 1,000 levels overflows the stack, and the error is none of those that the decoder handles. Evidence: ServerRegistrationSpec failed with StackOverflowError for 1,000, 20,000 and 200,000 levels. Change: the depth is counted without recursion first; entries over 64 levels or 64 KB, or with more than 100,000 slots, are malformed, and the other entries hold.

--- a/src/main/kotlin/azuredale/platform/ServerRegistration.kt
+++ b/src/main/kotlin/azuredale/platform/ServerRegistration.kt
@@ -22,7 +22,13 @@
 internal object ServerRegistration {
     /** Decodes [bytes]; returns a [Malformed] with the reason if they are not a valid registration. */
     fun decode(id: ServerId, bytes: ByteArray): Result = try {
-        entry(id, Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true)) as? JsonObject)
+        val text = bytes.decodeToString(throwOnInvalidSequence = true)
+        when {
+            bytes.size > MAXIMUM_BYTES -> Malformed("${bytes.size} bytes, more than $MAXIMUM_BYTES")
+            // The parser and the text of a parsed value recurse once for each level.
+            JsonNesting.depth(text) > MAXIMUM_DEPTH -> Malformed("nested more than $MAXIMUM_DEPTH levels deep")
+            else -> entry(id, Json.parseToJsonElement(text) as? JsonObject)
+        }
     } catch (exception: SerializationException) {
         Malformed("invalid JSON: ${exception.message?.take(DETAIL_CHARACTERS)}")
     } catch (exception: CharacterCodingException) {
@@ -31,9 +37,11 @@
 
     private fun entry(id: ServerId, fields: JsonObject?): Result {
         if (fields == null) return Malformed("not a JSON object")
-        val state = states[fields.string("state")] ?: return Malformed("unknown state ${fields["state"]}")
+        val state =
+            states[fields.string("state")]
+                ?: return Malformed("unknown state ${fields["state"]}".take(DETAIL_CHARACTERS))
         val address = fields.string("address")?.let { NetworkAddress.parse(it) }
-        val slots = fields.long("slots")?.takeIf { it in 0..Int.MAX_VALUE }
+        val slots = fields.long("slots")?.takeIf { it in 0..MAXIMUM_SLOTS }
         val pool = fields.string("service")
         val domain = fields.string("zone")
         val hasRemainingFields =
@@ -65,5 +73,12 @@
         (this[name] as? JsonPrimitive)?.takeIf { !it.isString }?.longOrNull
 
     private const val DETAIL_CHARACTERS = 200
+
+    /** Registrations are a few hundred bytes of one object. */
+    private const val MAXIMUM_BYTES = 65_536
+    private const val MAXIMUM_DEPTH = 64
+
+    /** More than any server runs at once; keeps sums of slots within their type. */
+    private const val MAXIMUM_SLOTS = 100_000L
     private val states = mapOf("ready" to BackendState.READY, "draining" to BackendState.DRAINING)
 }
