Give test routers ports that no outgoing connection can take

Two of 84 tests failed once with 'router not ready after 200 checks': BindException, since a free port was looked up and released, and an outgoing connection took it before the router did. The ports now come from outside the ephemeral range and are tried for TCP and UDP. The fixture can also return the raw bytes of a response.

--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -13,11 +13,17 @@
 import azuredale.standin.BackendStandIn
 import azuredale.standin.PlatformStandIn
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
+import java.net.BindException
+import java.net.DatagramSocket
 import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 
 /** A complete response as received by a caller. */
 public class ReceivedResponse(
@@ -157,6 +163,30 @@
         )
     }
 
+    /** Sends one request for a stream and returns all bytes that the router sends until it closes the connection. */
+    public suspend fun getRaw(path: String): String {
+        val socket = vertx.createNetClient().connect(callerAddress.port, callerAddress.host).coAwait()
+        val received = Buffer.buffer()
+        val closed = CompletableDeferred<Unit>()
+        socket.handler { received.appendBuffer(it) }
+        socket.closeHandler { closed.complete(Unit) }
+        socket.exceptionHandler { closed.complete(Unit) }
+        val lines =
+            listOf(
+                "GET $path HTTP/1.1",
+                "Host: $HOST",
+                "Connection: close",
+                "${PlatformHeader.REQUEST_ID}: request-${++lastId}",
+                "${PlatformHeader.REMAINING_MILLISECONDS}: 2000",
+                "${PlatformHeader.AUTHORIZATION}: ${PlatformHeader.KEY_SCHEME}$KEY",
+                "${PlatformHeader.TOKEN_COUNT}: $PROMPT_TOKENS,20",
+                "${PlatformHeader.PROMPT_PARTS}: a:100,b:100,c:100",
+            )
+        socket.write(lines.joinToString("\r\n", postfix = "\r\n\r\n"))
+        closed.await()
+        return received.toString()
+    }
+
     /** Calls an endpoint for the platform or callers, such as [PlatformPath.READY], at the readiness address. */
     public suspend fun call(path: String): ReceivedResponse {
         val response = client.request(HttpMethod.GET, ports[1], LOOPBACK, path).send().coAwait()
@@ -170,12 +200,27 @@
         private const val LOOPBACK = "127.0.0.1"
         private const val SERVERS = 2
         private const val PORT_COUNT = 4
+        private const val FIRST_PORT = 10_000
+        private const val PORT_RANGE = 20_000
         private const val PROMPT_TOKENS = 300
         private const val OK = 200
         private const val START_ATTEMPTS = 200
         private const val START_RETRY_MILLISECONDS = 50L
 
-        private fun freePorts() = List(PORT_COUNT) { ServerSocket(0).use { it.localPort } }
+        private val nextPort = AtomicInteger(FIRST_PORT + Random.nextInt(PORT_RANGE))
+
+        /** Ports that are free for TCP and UDP, outside the range from which outgoing connections take theirs. */
+        private fun freePorts() = List(PORT_COUNT) {
+            generateSequence { FIRST_PORT + nextPort.getAndIncrement() % PORT_RANGE }.first(::isFree)
+        }
+
+        private fun isFree(port: Int) = try {
+            ServerSocket(port).close()
+            DatagramSocket(port).close()
+            true
+        } catch (_: BindException) {
+            false
+        }
 
         private fun address(port: Int) = NetworkAddress(LOOPBACK, port)
     }
