Believe a refusal without an id only as the first response of a connection

What callers would see: 503 'not run, try again' for a request that a server runs, or a request that runs at a second server. Cause: a refusal without a request id was taken for the answer to the request in progress. On a kept connection it may be an earlier one that a faulty server writes once more. Change: on a connection that has carried a response, a response without an id is skipped like one with another id, and the connection is closed after the exchange. The first response of a new connection is believed as before.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -47,6 +47,7 @@
     private var isReset = false
     private var isClosed = false
     private var mustClose = false
+    private var hasAnswered = false
 
     init {
         val pipeline = socket.channelHandlerContext().pipeline()
@@ -128,7 +129,9 @@
     private fun headReceived(current: Exchange, response: HttpResponse) {
         val head = decoder.head(response)
         current.hints = decoder.hints(response)
-        val isRefusalWithoutId = head.requestId == null && head.isNotExecuted
+        // On a connection that has carried a response, a refusal without an id may belong to an earlier request.
+        val isRefusalWithoutId = head.requestId == null && head.isNotExecuted && !hasAnswered
+        hasAnswered = true
         current.isMismatched = head.requestId != current.requestId && !isRefusalWithoutId
         if (current.isMismatched) {
             mustClose = true
