End a stream visibly incomplete if the rest of it cannot follow

What callers would see: a stream that broke off and ends as if it were complete. Cause: after a stream had begun, a response of the next server that is no stream (404, 400, 302) was forwarded as a response of its own, which only the HTTP library's check stopped; and a response without events and without a length counted as the end. Change: once a stream has begun, any response that is no stream is a failed attempt; a response without a length and without an event is broken off. The last server's error never follows the beginning of a stream.

--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -263,6 +263,7 @@
         private var response: ResponseHead? = null
         private val body = Buffer.buffer()
         private val splitter = ServerSentEventSplitter()
+        private var hasEvent = false
         private var wasSent = false
         private var isWaitingForCaller = false
         private val buffered = context.budgets.responseBuffers.Part()
@@ -391,6 +392,7 @@
 
         private fun forwardEvents(events: List<StreamEvent>): AttemptResult? {
             val now = clock()
+            hasEvent = true
             recorder.recordEvent(now)
             if (progressDueAt == null || events.any { it.hasContent }) recordProgress(now)
             if (firstEventAt == null) firstEventAt = now
@@ -428,13 +430,15 @@
         private fun onComplete(): AttemptResult {
             val head = response ?: return AttemptResult.Failed(ErrorKind.WRONG_ANSWER, "response without a head")
             if (isStream()) {
-                if (isBrokenOff()) return connectionFailed("stream ended without its last event")
+                if (isBrokenOff(head)) return connectionFailed("stream ended without its last event")
                 beginStream()
                 caller.end()
                 recorder.recordSuccess(clock(), head.isDelimited)
                 recordEnd("streamed")
                 return AttemptResult.Done
             }
+            // Nothing but events of the same stream may follow its beginning.
+            if (hasBegunStream) return AttemptResult.Failed(ErrorKind.STREAM_BROKEN, "status ${head.status}")
             val answer = BufferedResponse(head, body)
             if (head.status >= FIRST_SERVER_ERROR) {
                 return AttemptResult.Failed(ErrorKind.BACKEND_FAILED, "status ${head.status}", answer)
@@ -445,7 +449,9 @@
         }
 
         /** A response without a length ends with its connection, as it does when the server fails within an event. */
-        private fun isBrokenOff() = splitter.pendingBytes > 0 || (!hasBegunStream && lastEventNumber == null)
+        private fun isBrokenOff(head: ResponseHead) = splitter.pendingBytes > 0 ||
+            (!hasBegunStream && lastEventNumber == null) ||
+            (!hasEvent && !head.isDelimited)
 
         private fun connectionFailed(detail: String): AttemptResult =
             onFailed(detail, promptGate.connectionClosed(server, recorder.isAnswered))
--- a/src/test/kotlin/azuredale/selftest/MisbehavingServerSpec.kt
+++ b/src/test/kotlin/azuredale/selftest/MisbehavingServerSpec.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
+import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -117,6 +118,90 @@
         }
     }
 
+    /** A refusal that belongs to an earlier request and that the server writes once more. */
+    enum class EarlierRefusal(val bytes: String) {
+        WITHOUT_ID("HTTP/1.1 503 Busy\r\nX-Azuredale-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+        WITHOUT_ID_OR_HEADER("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"),
+        TOO_MANY("HTTP/1.1 429 Too Many\r\nX-Azuredale-Not-Executed: 1\r\nContent-Length: 3\r\n\r\nold"),
+        WITH_ANOTHER_ID(
+            "HTTP/1.1 503 Busy\r\nX-Azuredale-Request-Id: other\r\nX-Azuredale-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        ),
+    }
+
+    @Nested
+    inner class EarlierRefusals {
+        @ParameterizedTest
+        @EnumSource(EarlierRefusal::class)
+        fun `on a kept connection do not say that the next request has not run`(refusal: EarlierRefusal) =
+            withRawServer {
+                // Guards against an earlier refusal that is taken for the answer to a request which the server runs.
+                val ran = ConcurrentLinkedQueue<String>()
+                server.handler = { request ->
+                    if (request.previous != null) request.socket.write(refusal.bytes)
+                    ran += request.target
+                    vertx.setTimer(30) { answer(request, "own") }
+                    "kept"
+                }
+                val received = List(6) { fixture.get("/once/$it", remainingMilliseconds = 600) }
+                received.forEachIndexed { index, response ->
+                    assertEquals(1, ran.count { it == "/once/$index" }, "runs of request $index")
+                    assertTrue(response.status !in listOf(421, 429, 503), "${response.status} for a request that ran")
+                    assertTrue("old" !in response.text, response.text)
+                }
+            }
+
+        @Test
+        fun `a refusal without an id on a new connection is believed`() = withRawServer {
+            // Guards against callers that are not told to try again although nothing ran.
+            delay(1_000)
+            server.handler = { REFUSAL.also { bytes -> it.socket.write(bytes) } }
+            assertEquals(503, fixture.get("/once/x").status)
+        }
+    }
+
+    /** What a server answers to the request for the rest of a stream that broke off elsewhere. */
+    enum class RestOfStream(val bytes: (String) -> String) {
+        NOT_FOUND({ error(it, "404 Not Found") }),
+        BAD_REQUEST({ error(it, "400 Bad Request") }),
+        FOUND_ELSEWHERE({ error(it, "302 Found") }),
+        SERVER_ERROR({ error(it, "500 Error") }),
+        REFUSED({ error(it, "503 Busy", "X-Azuredale-Not-Executed: 1\r\n") }),
+        EMPTY_WITHOUT_LENGTH(
+            { "HTTP/1.1 200 OK\r\nX-Azuredale-Request-Id: $it\r\nX-Azuredale-Response-Stamp: s\r\n\r\n" },
+        ),
+        HEAD_INSIDE_AN_EVENT({ "data: x\n" + error(it, "500 Error") }),
+        ;
+
+        companion object {
+            fun error(id: String, status: String, more: String = "X-Azuredale-Response-Stamp: s\r\n") =
+                "HTTP/1.1 $status\r\nX-Azuredale-Request-Id: $id\r\n${more}Content-Length: 9\r\n\r\nerrortext"
+        }
+    }
+
+    @Nested
+    inner class BrokenStreams {
+        @ParameterizedTest
+        @EnumSource(RestOfStream::class)
+        fun `never contain the next server's error and never look complete`(rest: RestOfStream) = withRawServer {
+            // Guards against an error in the middle of a stream that began and broke off, or a stream that ends as if whole.
+            server.handler = { request ->
+                val isFirst = server.targets.count { it == request.target } == 1
+                if (isFirst) {
+                    request.socket.write(head(request.id) + "Transfer-Encoding: chunked\r\n\r\n")
+                    request.socket.write("10\r\nid: 1\ndata: x\n\n\r\n")
+                } else {
+                    request.socket.write(rest.bytes(request.id))
+                }
+                vertx.setTimer(40) { request.socket.close() }
+                null
+            }
+            val received = fixture.getRaw("/stream/x")
+            assertTrue("errortext" !in received, received)
+            assertTrue(received.split("HTTP/1.1").size == 2, received)
+            assertTrue("\r\n0\r\n" !in received, "the stream looks complete: $received")
+        }
+    }
+
     /** Bytes without end: how the response begins, and what follows again and again. */
     enum class EndlessBytes(
         val path: String,
