Accept connections from a queue that is short enough to be read in time

What callers saw: a team whose callers keep to one router gets a fraction of its share while that router is flooded, and requests are sent on seconds after their callers have left (GONE). Cause: 1,024 connections wait to be accepted. At several hundred a second a router reads requests that are up to four seconds old, and the event loop's own delay does not show it. Ruled out: that the router's own queue held them (its oldest requests are started or refused within a second).

--- a/src/main/kotlin/azuredale/admission/ShareGate.kt
+++ b/src/main/kotlin/azuredale/admission/ShareGate.kt
@@ -6,9 +6,9 @@
 /**
  * Thins out the requests of teams that ask for more than their fair share, so that all of them get the same.
  *
- * Each router admits the same fraction of a team's requests: the fair share over what the team asked for at all routers.
- * So it does not matter how much a team asks for, at how many routers, how large its requests are, or how often they
- * return. The fraction falls for teams that got more than their share lately, and rises for those that got less.
+ * Each router admits the same fraction of a team's requests: the fair share over what the team asked for at all
+ * routers. So it does not matter how much a team asks for, at how many routers, how large its requests are, or how
+ * often they return. The fraction falls for teams that got more than their share lately, and rises for the others.
  *
  * A credit for each team makes the fraction exact for tokens as well as for requests: every request adds its part of a
  * request, and one that is admitted is subtracted.
--- a/src/main/kotlin/azuredale/edge/CallerServer.kt
+++ b/src/main/kotlin/azuredale/edge/CallerServer.kt
@@ -128,8 +128,11 @@
     private companion object {
         const val BAD_REQUEST = 400
 
-        /** Large enough for a burst of new connections while a slow VM starts. */
-        const val ACCEPT_BACKLOG = 1_024
+        /**
+         * Connections that wait to be accepted. A small VM accepts several hundred a second, so a longer queue holds
+         * only requests that are read after their callers have given up.
+         */
+        const val ACCEPT_BACKLOG = 128
     }
 }
 
--- a/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
@@ -19,9 +19,9 @@
     /**
      * Addresses of the ready routers, and the seconds for which callers may cache them.
      *
-     * Callers choose among the addresses at random, whatever the size of a VM. So routers on VMs that are much smaller
-     * than others are left out if the rest of the fleet has enough capacity, and routers that are overloaded unless most
-     * of the capacity is. Callers that keep to one router are not moved by this.
+     * Callers choose among the addresses at random, whatever the size of a VM. So routers on VMs that are much
+     * smaller than others are left out if the rest of the fleet has enough capacity, and routers that are overloaded
+     * unless most of the capacity is. Callers that keep to one router are not moved by this.
      */
     fun addresses(): Pair<List<NetworkAddress>, Double> {
         val own =
