Read all sockets once more before a request starts, also in a slow round of the event loop

What callers saw: requests are sent on after their callers have left (GONE), on flooded routers. Cause: a request waits for a timer of 1 ms. The event loop runs due timers right after it has read the sockets; when that takes longer than 1 ms, the timer runs in the same round, and the end of the caller's connection is not read before. OverloadedRouterSpec has the case and failed before, as the first timer started both requests. The other test of slices runs one timer more, since a request starts with the second timer after it was read. Price: about 1 ms for each request.

--- a/src/main/kotlin/azuredale/intake/Intake.kt
+++ b/src/main/kotlin/azuredale/intake/Intake.kt
@@ -20,21 +20,30 @@
  * Lets requests start one after the other, and reads the sockets in between.
  *
  * A request starts after the sockets have been read once more, so that a router that reads late notices which callers
- * have disconnected before it sends their requests to a server.
+ * have disconnected before it sends their requests to a server. The event loop runs due timers right after it has read
+ * the sockets, so a timer may run in the same round in which a request was read; all sockets have been read again only
+ * when a second timer, set by the first one, runs.
  *
- * @param schedule runs an action at a given time, after the sockets have been read again.
+ * @param schedule runs an action at a given time; an action that is set by another one runs after the sockets have been
+ *   read again.
  */
 internal class Intake(
     private val clock: Clock,
     private val schedule: (Timestamp, () -> Unit) -> Unit,
 ) {
     private val queue = IntakeQueue()
+
+    /** Requests read since the last timer ran. */
+    private var arrivals = LinkedHashSet<WaitingRequest>()
+
+    /** Requests read before the last timer ran, and since the one before it. */
+    private var earlierArrivals = LinkedHashSet<WaitingRequest>()
     private val decisions = HashMap<WaitingRequest, CompletableDeferred<IntakeDecision>>()
     private var isScheduled = false
     private var expectedTickAt = Timestamp.DISTANT_FUTURE
 
     /** Number of requests that wait for their turn. */
-    val waiting: Int get() = queue.size
+    val waiting: Int get() = queue.size + arrivals.size + earlierArrivals.size
 
     /** Records periodic work that runs after each reading of the sockets; the next one is due at [nextAt]. */
     fun recordTick(nextAt: Timestamp) {
@@ -48,24 +57,29 @@
     suspend fun awaitTurn(request: WaitingRequest): IntakeDecision {
         val decision = CompletableDeferred<IntakeDecision>()
         decisions[request] = decision
-        queue.add(request)?.let { decide(it, IntakeDecision.OVERLOADED) }
+        arrivals += request
         scheduleNext()
         return decision.await()
     }
 
     /** Gives up [request], whose caller has disconnected, if it still waits. */
     fun callerGone(request: WaitingRequest) {
-        if (queue.remove(request)) decide(request, IntakeDecision.CALLER_GONE)
+        if (queue.remove(request) || arrivals.remove(request) || earlierArrivals.remove(request)) {
+            decide(request, IntakeDecision.CALLER_GONE)
+        }
     }
 
     private fun scheduleNext() {
-        if (isScheduled || queue.size == 0) return
+        if (isScheduled || waiting == 0) return
         isScheduled = true
         schedule(clock().plusMilliseconds(READING_MILLISECONDS), ::startRequests)
     }
 
     private fun startRequests() {
         isScheduled = false
+        earlierArrivals.forEach { request -> queue.add(request)?.let { decide(it, IntakeDecision.OVERLOADED) } }
+        earlierArrivals = arrivals
+        arrivals = LinkedHashSet()
         val sliceEnd = clock().plusMilliseconds(SLICE_MILLISECONDS)
         queue.removeOverdue(clock()).forEach { decide(it, IntakeDecision.OVERLOADED) }
         while (true) {
@@ -82,7 +96,7 @@
     }
 
     private companion object {
-        /** Shortest time of a timer, which runs after the sockets have been read. */
+        /** Shortest time of a timer. */
         const val READING_MILLISECONDS = 1L
 
         /** Time for which requests are started before the sockets are read again. */
--- a/src/test/kotlin/azuredale/intake/OverloadedRouterSpec.kt
+++ b/src/test/kotlin/azuredale/intake/OverloadedRouterSpec.kt
@@ -103,12 +103,28 @@
             assertEquals(IntakeDecision.CALLER_GONE, decisions[request])
         }
 
+        @Test
+        fun `a timer that runs in the same round as the reading starts nothing`() {
+            // Guards against requests of callers that left, in a round of the event loop that takes longer than the timer.
+            arrive(request("a"))
+            val read = request("b")
+            arrive(read)
+            timers.removeFirst()()
+            assertEquals(0, decisions.size)
+            intake.callerGone(read)
+            timers.removeFirst()()
+            assertEquals(IntakeDecision.CALLER_GONE, decisions[read])
+            assertEquals(2, decisions.size)
+        }
+
         @Test
         fun `the sockets are read between slices of work`() {
             // Guards against a backlog that is worked off without a look at who has left.
             val requests = List(10) { request("a") }
             requests.forEach { arrive(it, costMilliseconds = 15) }
             timers.removeFirst()()
+            assertEquals(0, decisions.size)
+            timers.removeFirst()()
             assertEquals(2, decisions.size)
             assertEquals(1, timers.size)
         }
