--- a/src/main/kotlin/azuredale/admission/FairShares.kt
+++ b/src/main/kotlin/azuredale/admission/FairShares.kt
@@ -19,12 +19,16 @@
 
     /**
      * Largest difference in granted tokens between two teams that requested more than the fair share, as a fraction of
-     * the fair share.
+     * the fair share; 0 while no two teams contend.
      */
     val gap: Double
         get() {
             val contending = usage.values.filter { it.requested > fairShare }.map { it.granted }
-            return if (contending.size < 2) 0.0 else (contending.max() - contending.min()) / fairShare
+            return if (contending.size < 2 || fairShare <= 0.0) {
+                0.0
+            } else {
+                (contending.max() - contending.min()) / fairShare
+            }
         }
 }
 
--- a/src/main/kotlin/azuredale/gateway/ShareLog.kt
+++ b/src/main/kotlin/azuredale/gateway/ShareLog.kt
@@ -28,7 +28,7 @@
         log.write(
             GatewayLogEvent.TEAMS_CONTEND,
             "capacity" to current.capacity,
-            "fairShare" to current.fairShare.toLong(),
+            "fairShare" to current.fairShare.takeIf { it.isFinite() }?.toLong(),
             "gap" to "%.2f".format(current.gap),
             "teams" to teams,
         )
--- a/src/test/kotlin/azuredale/admission/ShareGateSpec.kt
+++ b/src/test/kotlin/azuredale/admission/ShareGateSpec.kt
@@ -63,6 +63,16 @@
             assertTrue(List(100) { gate.mayAdmit(flood, 9_000, later) }.any { it })
         }
 
+        @Test
+        fun `the gap is a number before and after the first requests are granted`() {
+            // Guards against a metric that shows nothing while a fleet is unfair.
+            usage.recordRequested(flood, 9_000, start)
+            usage.recordRequested(other, 9_000, start)
+            assertEquals(0.0, FairShares(usage).current(start).gap)
+            contend(1_500_000)
+            assertEquals(1.0, FairShares(usage).current(start.plusMilliseconds(50)).gap, 0.01)
+        }
+
         @Test
         fun `a team within its share is not thinned out`() {
             // Guards against small teams that are refused because of a large one.
