Compare the queues of servers, not their caches, to see whether a pool has room

Cause: the mean prediction of a pool counted the prompt parts that each server would have to prefill, so that an idle pool seemed full to a prompt that one server has cached. Change: all servers are compared with the same prompt.

--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -16,7 +16,8 @@
      * @property uncachedTokens prompt tokens that the server probably has to prefill.
      * @property predictedMilliseconds predicted time to the first event.
      * @property load work at the server when it was selected.
-     * @property meanMilliseconds mean of the predictions for all servers that could have been selected.
+     * @property meanMilliseconds mean prediction of all servers that could have been selected, if each had cached as
+     *   much of the prompt as [server].
      */
     data class Selected(
         val server: BackendEntry,
@@ -96,10 +97,13 @@
                 val load = statistics.loads.load(server.id, server.idHash, now)
                 ServerSelection.Selected(server, uncached, statistics.predictMilliseconds(server, uncached, load), load)
             }
-        val mean = predictions.sumOf { it.predictedMilliseconds } / predictions.size.coerceAtLeast(1)
-        return predictions
-            .minByOrNull { cost(it, request, session, (sharedTokens - prompt.promptTokens + it.uncachedTokens)) }
-            ?.copy(meanMilliseconds = mean)
+        val best =
+            predictions
+                .minByOrNull { cost(it, request, session, (sharedTokens - prompt.promptTokens + it.uncachedTokens)) }
+                ?: return null
+        // What a server has not cached says nothing about its queue, so all are compared with the same prompt.
+        val total = predictions.sumOf { statistics.predictMilliseconds(it.server, best.uncachedTokens, it.load) }
+        return best.copy(meanMilliseconds = total / predictions.size)
     }
 
     private fun cost(
--- a/src/test/kotlin/azuredale/engine/HotPrefixSpec.kt
+++ b/src/test/kotlin/azuredale/engine/HotPrefixSpec.kt
@@ -63,6 +63,15 @@
 
     @Nested
     inner class Calm {
+        @Test
+        fun `an idle pool has room although one server only has cached the prompt`() {
+            // Guards against teams that are thinned out in a calm pool, because most servers would have to prefill more.
+            val first = send(prompt("session", 0))
+            statistics.loads.add(first.server.id, ServerLoad(-first.uncachedTokens, -1))
+            val selection = select(prompt("session", 1))
+            assertEquals(selection.predictedMilliseconds, selection.meanMilliseconds, 0.5)
+        }
+
         @Test
         fun `a session stays at the server that has cached its parts`() {
             // Guards against every server prefilling the same prompt parts.
