--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -12,13 +12,17 @@
 import azuredale.platform.StoreKey
 import azuredale.standin.BackendStandIn
 import azuredale.standin.PlatformStandIn
+import io.vertx.core.Context
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import java.net.BindException
 import java.net.DatagramSocket
 import java.net.ServerSocket
@@ -37,8 +41,15 @@
  *
  * The catalog has three routes: `/plain/` (idempotent, up to two servers per request), `/once/` (non-idempotent) and
  * `/stream/` (resumable, up to two servers). All of them accept the API key [KEY] of team `team-a`.
+ *
+ * @param vertx runs the stand-ins and the caller.
+ * @param routerVertx runs the routers; with its own event loops a router can be [stall]ed alone.
  */
-public class GatewayFixture(private val vertx: Vertx) {
+public class GatewayFixture(
+    private val vertx: Vertx,
+    private val routerVertx: Vertx = vertx,
+    private val bounds: FleetBounds = FleetBounds(),
+) {
     /** Stand-in for the platform with its store. */
     public val platform: PlatformStandIn = PlatformStandIn(vertx)
 
@@ -48,6 +59,7 @@
     private val ports = freePorts()
     private var lastId = 0
     private var storeAddress: NetworkAddress? = null
+    private var routerContext: Context? = null
 
     /** The router; null before [start]. */
     internal var daemon: GatewayDaemon? = null
@@ -64,7 +76,10 @@
         storeAddress = store
         servers.forEachIndexed { index, server -> register(index, server.start()) }
         writeCatalog(version = 1, keys = listOf(KEY))
-        vertx.runOnContext { daemon = GatewayProcess(settings("router-1", ports, store)).start(vertx) }
+        routerVertx.runOnContext {
+            routerContext = Vertx.currentContext()
+            daemon = GatewayProcess(settings("router-1", ports, store)).start(routerVertx)
+        }
         repeat(START_ATTEMPTS) {
             if (daemon?.gateway?.isReady() == true &&
                 runCatching { get("/plain/ready").status }.getOrNull() == OK
@@ -79,7 +94,7 @@
     /** Starts a second router, which exchanges reports with the first one, and waits until they know each other. */
     public suspend fun startPeer() {
         val settings = settings("router-2", freePorts(), checkNotNull(storeAddress) { "start() comes first" })
-        vertx.runOnContext { GatewayProcess(settings).start(vertx) }
+        routerVertx.runOnContext { GatewayProcess(settings).start(routerVertx) }
         repeat(START_ATTEMPTS) {
             if (daemon
                     ?.gateway
@@ -94,6 +109,24 @@
         error("second router not found after $START_ATTEMPTS checks")
     }
 
+    /** Blocks the event loop of the router for [milliseconds], as a pause of its VM does. */
+    public fun stall(milliseconds: Long) {
+        checkNotNull(routerContext) { "start() comes first" }.runOnContext { Thread.sleep(milliseconds) }
+    }
+
+    /** Stops the router as the platform's stop signal does, until its process would have ended. */
+    public suspend fun stop() {
+        val stopped = CompletableDeferred<Unit>()
+        checkNotNull(routerContext) { "start() comes first" }.runOnContext {
+            CoroutineScope(routerVertx.dispatcher()).launch {
+                daemon?.stop()
+                stopped.complete(Unit)
+            }
+        }
+        stopped.await()
+        routerVertx.close().coAwait()
+    }
+
     private fun settings(router: String, ports: List<Int>, store: NetworkAddress) = GatewaySettings(
         router = RouterId(router),
         region = Region("region"),
@@ -104,7 +137,7 @@
         peerAddress = address(ports[3]),
         storeAddress = store,
         weight = 1.0,
-        bounds = FleetBounds(),
+        bounds = bounds,
     )
 
     /** Writes the catalog with [keys] for the only team. */
@@ -171,6 +204,13 @@
         socket.handler { received.appendBuffer(it) }
         socket.closeHandler { closed.complete(Unit) }
         socket.exceptionHandler { closed.complete(Unit) }
+        socket.write(rawRequest(path))
+        closed.await()
+        return received.toString()
+    }
+
+    /** The bytes of one request, which has a prompt and ends its connection. */
+    public fun rawRequest(path: String): String {
         val lines =
             listOf(
                 "GET $path HTTP/1.1",
@@ -182,9 +222,7 @@
                 "${PlatformHeader.TOKEN_COUNT}: $PROMPT_TOKENS,20",
                 "${PlatformHeader.PROMPT_PARTS}: a:100,b:100,c:100",
             )
-        socket.write(lines.joinToString("\r\n", postfix = "\r\n\r\n"))
-        closed.await()
-        return received.toString()
+        return lines.joinToString("\r\n", postfix = "\r\n\r\n")
     }
 
     /** Calls an endpoint for the platform or callers, such as [PlatformPath.READY], at the readiness address. */
--- a/src/test/kotlin/azuredale/selftest/RawServer.kt
+++ b/src/test/kotlin/azuredale/selftest/RawServer.kt
@@ -3,6 +3,7 @@
 import azuredale.identity.NetworkAddress
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.net.NetServerOptions
 import io.vertx.core.net.NetSocket
 import io.vertx.kotlin.coroutines.coAwait
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -18,7 +19,10 @@
 )
 
 /** Backend server that sends any bytes, also such that are no HTTP. Requests must have no body. */
-class RawServer(private val vertx: Vertx) {
+class RawServer(
+    private val vertx: Vertx,
+    private val options: NetServerOptions = NetServerOptions(),
+) {
     /** Handles a request and returns the response that counts as sent on the connection, or null. */
     @Volatile
     var handler: (RawRequest) -> String? = { null }
@@ -29,7 +33,7 @@
     suspend fun start(): NetworkAddress {
         val server =
             vertx
-                .createNetServer()
+                .createNetServer(options)
                 .connectHandler(::serve)
                 .listen(0, "127.0.0.1")
                 .coAwait()
