Decide once more at the moment of writing whether a request is sent

What callers saw: two requests reached a server 1.8 s after their deadlines and 3.1 s after the server's leaving was confirmed.

Cause: a server was chosen and the request encoded before a connection was opened; when it was open the request was written without another look. A router that is behind runs the end of the opening before the timer of the deadline, the caller's disconnection and the changed directory. And a deadline that passed during the opening only ended that attempt: the request went on to up to three further servers, now without a timer.

Change: BackendTransport.send asks SendGuard when the connection is open: caller gone, deadline, server still registered as ready under the same process, route and key still valid. The time left is computed then. A deadline that passes before the sending ends the request as not run. A connection that is not used is kept for the next request.

Evidence: BackendConnectionPoolSpec and LateRequestSpec failed before (a request written 200 ms after its deadline; 200 from a second server instead of 503) and pass now; GatewaySpec, OverloadedRouterSpec and MisbehavingServerSpec pass.

Ruled out: encoding the request later alone (the deadline is one of five reasons).

--- a/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
@@ -5,6 +5,7 @@
 import azuredale.gateway.BackendEvent
 import azuredale.gateway.BackendRequest
 import azuredale.gateway.BackendTransport
+import azuredale.gateway.SendDecision
 import azuredale.identity.NetworkAddress
 import azuredale.identity.ServerId
 import azuredale.time.Clock
@@ -54,13 +55,18 @@
 
     override fun send(
         server: BackendEntry,
-        request: BackendRequest,
+        requestId: String,
         requiresRecentConnection: Boolean,
+        decide: () -> SendDecision,
         onEvent: (BackendEvent) -> Unit,
     ): BackendAttempt {
-        val attempt = Attempt(request.head.id, encode(request, server), onEvent)
+        val attempt = Attempt(requestId, decide, { encode(it, server) }, onEvent)
         val kept = takeIdle(server, requiresRecentConnection)
-        if (kept != null) attempt.start(kept) else connect(server, attempt)
+        if (kept == null) {
+            connect(server, attempt)
+        } else if (!attempt.start(kept.connection)) {
+            servers[server.id]?.idle?.addLast(kept)
+        }
         return attempt
     }
 
@@ -86,7 +92,7 @@
         }
     }
 
-    private fun takeIdle(server: BackendEntry, requiresRecentConnection: Boolean): BackendConnection? {
+    private fun takeIdle(server: BackendEntry, requiresRecentConnection: Boolean): IdleConnection? {
         val idle = servers[server.id]?.idle ?: return null
         val now = clock()
         while (true) {
@@ -99,7 +105,7 @@
                     idle.addLast(newest)
                     return null
                 }
-                else -> return newest.connection
+                else -> return newest
             }
         }
     }
@@ -125,7 +131,9 @@
                         },
                         onClosed = { closed -> removeClosed(serverConnections, closed) },
                     )
-                attempt.start(connection)
+                if (!attempt.start(connection)) {
+                    addIdle(serverConnections, connection, server.process(), UNUSED_CONNECTION)
+                }
             }
         }
     }
@@ -151,24 +159,29 @@
 
     private class Attempt(
         private val requestId: String,
-        private val request: FullHttpRequest,
+        private val decide: () -> SendDecision,
+        private val encode: (BackendRequest) -> FullHttpRequest,
         private val onEvent: (BackendEvent) -> Unit,
     ) : BackendAttempt {
         private var exchange: BackendConnection.Exchange? = null
         private var isCancelled = false
 
-        fun start(connection: BackendConnection) {
-            if (isCancelled) {
-                request.release()
-                connection.close()
-                return
+        /** Writes the request to [connection] if it is still to be sent; returns whether it was written. */
+        fun start(connection: BackendConnection): Boolean {
+            if (isCancelled) return false
+            when (val decision = decide()) {
+                is SendDecision.Send -> {
+                    onEvent(BackendEvent.Sent)
+                    exchange =
+                        connection.send(encode(decision.request), requestId) { if (!isCancelled) onEvent(it) }
+                    return true
+                }
+                else -> onEvent(BackendEvent.Withdrawn(decision))
             }
-            onEvent(BackendEvent.Sent)
-            exchange = connection.send(request, requestId) { if (!isCancelled) onEvent(it) }
+            return false
         }
 
         fun failed(detail: String) {
-            request.release()
             if (!isCancelled) onEvent(BackendEvent.NotSent(detail))
         }
 
@@ -192,5 +205,8 @@
         /** Subtracted from the server's keep-alive time, so that no request is sent while the server is closing. */
         const val CLOSE_MARGIN_MILLISECONDS = 400L
         const val MAXIMUM_IDLE_MILLISECONDS = 4_000L
+
+        /** Of a connection that carried no response yet. */
+        val UNUSED_CONNECTION = ConnectionHints(isClosing = false, keepAliveSeconds = null)
     }
 }
--- a/src/main/kotlin/azuredale/edge/CallerServer.kt
+++ b/src/main/kotlin/azuredale/edge/CallerServer.kt
@@ -145,7 +145,8 @@
 ) : Caller {
     private val response = request.response()
     private var onGone: (() -> Unit)? = null
-    private var isDisconnected = false
+    override var isDisconnected = false
+        private set
     private var isEnded = false
 
     init {
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -1,6 +1,7 @@
 package azuredale.engine
 
 import azuredale.directory.BackendEntry
+import azuredale.directory.BackendState
 import azuredale.directory.ServerDirectory
 import azuredale.gateway.PromptShape
 import azuredale.identity.PartId
@@ -47,6 +48,14 @@
     /** How often the limits of servers recently left none for a request to [pool], between 0 and 1. */
     fun limitPressure(pool: PoolId, now: Timestamp): Double = statistics.limitPressure.current(pool, now)
 
+    /** Whether the process that [server] registers is still registered and accepts requests. */
+    fun mayUse(server: BackendEntry): Boolean {
+        val current = directory().entries[server.id] ?: return false
+        return current.state == BackendState.READY &&
+            current.address == server.address &&
+            current.startedAtMilliseconds == server.startedAtMilliseconds
+    }
+
     /** Selects a server for [request]. */
     fun select(request: SelectionRequest, now: Timestamp): ServerSelection {
         val ready = directory().ready(request.pool)
--- a/src/main/kotlin/azuredale/gateway/BackendExchange.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendExchange.kt
@@ -43,6 +43,9 @@
     /** No connection could be opened, so the server has received nothing. */
     public data class NotSent(val detail: String) : BackendEvent
 
+    /** A connection was open, but the request was not written because of [decision]. */
+    public data class Withdrawn(val decision: SendDecision) : BackendEvent
+
     /** The request was written to the server. */
     public data object Sent : BackendEvent
 
@@ -69,14 +72,17 @@
 /** Starts attempts at backend servers. */
 public fun interface BackendTransport {
     /**
-     * Sends [request] to [server] and calls [onEvent] for each event in order.
+     * Sends a request to [server] and calls [onEvent] for each event in order.
      *
+     * @param requestId id that the server returns in its response.
      * @param requiresRecentConnection whether to use only new or recently used connections, which are still open.
+     * @param decide decides, once a connection is open, whether the request is written.
      */
     public fun send(
         server: BackendEntry,
-        request: BackendRequest,
+        requestId: String,
         requiresRecentConnection: Boolean,
+        decide: () -> SendDecision,
         onEvent: (BackendEvent) -> Unit,
     ): BackendAttempt
 }
--- a/src/main/kotlin/azuredale/gateway/Caller.kt
+++ b/src/main/kotlin/azuredale/gateway/Caller.kt
@@ -22,6 +22,9 @@
 public interface Caller {
     public val head: RequestHead
 
+    /** Whether the caller's connection closed before the response was complete. */
+    public val isDisconnected: Boolean
+
     /** Reads the complete body of at most [limitBytes]. */
     public suspend fun readBody(limitBytes: Int): BodyResult
 
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -170,12 +170,15 @@
         )
     private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
+    private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, ::isClosed)
+    private val selector = ServerSelector({ view.directory }, statistics)
     private val context =
         GatewayContext(
             settings = settings,
             clock = clock,
-            authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, ::isClosed),
-            selector = ServerSelector({ view.directory }, statistics),
+            authorizer = authorizer,
+            selector = selector,
+            sendGuard = SendGuard(authorizer) { server, _ -> selector.mayUse(server) },
             admission =
                 RequestAdmission(
                     intake = intake,
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -59,6 +59,7 @@
     val authorizer: RequestAuthorizer,
     val selector: ServerSelector,
     val admission: RequestAdmission,
+    val sendGuard: SendGuard,
     val recorders: AttemptRecorders,
     val budgets: RequestBudgets,
     val backends: BackendTransport,
--- a/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
@@ -3,15 +3,18 @@
 import azuredale.catalog.Catalog
 import azuredale.catalog.Route
 import azuredale.identity.PoolId
+import azuredale.identity.Revision
 import azuredale.identity.TeamId
 import azuredale.outcome.ErrorKind
+import azuredale.outcome.Failure
 import azuredale.outcome.Outcome
 import azuredale.outcome.refused
 import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
 
-/** A request that passed the checks against the catalog. */
+/** A request that passed the checks against the catalog of [revision]. */
 internal class AuthorizedRequest(
+    val revision: Revision,
     val route: Route,
     val pool: PoolId,
     val team: TeamId?,
@@ -28,6 +31,30 @@
     /** Returns the route, pool and team of [head], or the failure to return to the caller. */
     fun authorize(head: RequestHead, now: Timestamp): Outcome<AuthorizedRequest> {
         if (isClosed(now)) return refused(ErrorKind.DRAINING, retryAt = now.plusMilliseconds(ELSEWHERE_MILLISECONDS))
+        return authorizeByCatalog(head, now)
+    }
+
+    /** Returns the failure if [request], which was authorized earlier, may no longer be sent; otherwise null. */
+    fun recheck(head: RequestHead, request: AuthorizedRequest, now: Timestamp): Failure? {
+        val isProven = request.route.allowsAnonymous || isFresh(now)
+        if (isProven && catalog()?.revision == request.revision) return null
+        return when (val again = authorizeByCatalog(head, now)) {
+            is Outcome.Refused -> again.failure
+            is Outcome.Success ->
+                changed(now).takeIf {
+                    again.value.pool != request.pool ||
+                        again.value.team != request.team
+                }
+        }
+    }
+
+    private fun changed(now: Timestamp) = Failure(
+        ErrorKind.NOT_READY,
+        "the route changed while the request waited",
+        now.plusMilliseconds(ELSEWHERE_MILLISECONDS),
+    )
+
+    private fun authorizeByCatalog(head: RequestHead, now: Timestamp): Outcome<AuthorizedRequest> {
         val current =
             catalog() ?: return refused(ErrorKind.NOT_READY, retryAt = now.plusMilliseconds(RETRY_MILLISECONDS))
         val route = current.route(head.host, head.path) ?: return refused(ErrorKind.UNKNOWN_ROUTE)
@@ -40,6 +67,7 @@
         val pool = route.selectPool(StableHash.fraction(head.id))
         return Outcome.Success(
             AuthorizedRequest(
+                revision = current.revision,
                 route = route,
                 pool = pool,
                 team = team?.id,
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -40,6 +40,8 @@
         val kind: ErrorKind,
         val detail: String,
         val wasSent: Boolean,
+        /** Whether no other server may get the request either. */
+        val isFinal: Boolean = false,
     ) : AttemptResult
 
     /** The server may have executed the request; [answer] is its own error response, if there is one. */
@@ -172,6 +174,7 @@
                 is AttemptResult.NotRun -> {
                     servers.exclude(selection.server.id)
                     notRun = Failure(end.kind, end.detail, clock().plusMilliseconds(RETRY_MILLISECONDS))
+                    if (end.isFinal) return giveUp(notRun)
                     if (!end.wasSent && ++connectFailures <= MAXIMUM_CONNECT_FAILURES) continue
                     if (!end.wasSent || !mayRetry()) {
                         giveUp(notRun)
@@ -202,19 +205,14 @@
         val number = ++attempt
         lastSelection = selection
         val recorder = context.recorders.create(selection, head.prompt, clock())
-        val request =
-            BackendRequest(
-                head = head,
-                body = body,
-                team = authorized.team?.name,
-                remainingMilliseconds = remainingMilliseconds(clock()).coerceAtLeast(1),
-                lastEventNumber = lastEventNumber,
-            )
-        val requiresRecentConnection = !authorized.route.isRepeatable
         val backendAttempt =
-            context.backends.send(selection.server, request, requiresRecentConnection) {
-                signals.trySend(Signal.FromBackend(number, it))
-            }
+            context.backends.send(
+                server = selection.server,
+                requestId = head.id,
+                requiresRecentConnection = !authorized.route.isRepeatable,
+                decide = { decideSending(selection.server, body) },
+                onEvent = { signals.trySend(Signal.FromBackend(number, it)) },
+            )
         val reader = AttemptReader(selection.server, recorder, backendAttempt)
         val end =
             try {
@@ -230,6 +228,20 @@
         return end
     }
 
+    private fun decideSending(server: BackendEntry, body: Buffer): SendDecision {
+        val now = clock()
+        context.sendGuard.objection(caller, authorized, server, deadline, now)?.let { return it }
+        return SendDecision.Send(
+            BackendRequest(
+                head = head,
+                body = body,
+                team = authorized.team?.name,
+                remainingMilliseconds = remainingMilliseconds(now).coerceAtLeast(1),
+                lastEventNumber = lastEventNumber,
+            ),
+        )
+    }
+
     private fun logFailedAttempt(end: AttemptResult, server: BackendEntry) {
         val (kind, detail) =
             when (end) {
@@ -305,7 +317,7 @@
             return if (wasSent) {
                 AttemptResult.Failed(kind, "")
             } else {
-                AttemptResult.NotRun(kind, "no connection to the server yet", wasSent = false)
+                AttemptResult.NotRun(kind, "no connection to the server yet", wasSent = false, isFinal = true)
             }
         }
 
@@ -320,6 +332,7 @@
                 recorder.recordFailure(clock())
                 AttemptResult.NotRun(ErrorKind.CONNECT_FAILED, event.detail, wasSent = false)
             }
+            is BackendEvent.Withdrawn -> onWithdrawn(event.decision)
             is BackendEvent.Sent -> {
                 wasSent = true
                 sentAt = clock().also(recorder::recordSent)
@@ -332,6 +345,15 @@
             is BackendEvent.Failed -> connectionFailed(event.detail)
         }
 
+        private fun onWithdrawn(decision: SendDecision): AttemptResult = when (decision) {
+            is SendDecision.Refuse ->
+                AttemptResult.NotRun(decision.failure.kind, decision.failure.detail, wasSent = false, isFinal = true)
+            is SendDecision.ChooseAnother ->
+                AttemptResult.NotRun(ErrorKind.NO_ELIGIBLE_SERVER, decision.detail, wasSent = false)
+            is SendDecision.CallerGone -> onCallerGone()
+            is SendDecision.Send -> error("a request that may be written was withdrawn")
+        }
+
         private fun onHead(head: ResponseHead): AttemptResult? {
             response = head
             if (head.isStamped || head.isNotExecuted) recorder.recordLimit(head.requestsPerSecond, clock())
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/SendGuard.kt
@@ -0,0 +1,56 @@
+package azuredale.gateway
+
+import azuredale.directory.BackendEntry
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Failure
+import azuredale.time.Timestamp
+
+/** Whether a request may be written to the server that was chosen for it, now that the connection is open. */
+public sealed interface SendDecision {
+    /** Write [request] now. */
+    public class Send(public val request: BackendRequest) : SendDecision
+
+    /** The server may not be used any more; another one may be. */
+    public data class ChooseAnother(val detail: String) : SendDecision
+
+    /** The request may not be sent to any server. */
+    public data class Refuse(val failure: Failure) : SendDecision
+
+    /** The caller has disconnected. */
+    public data object CallerGone : SendDecision
+}
+
+/**
+ * Checks what may have changed between the choice of a server and the moment at which the request is written.
+ *
+ * A router that is behind runs its work in the order in which it became due, so a connection may be reported as open
+ * before the timer of the deadline, the disconnection of the caller or a change of the directory is handled.
+ *
+ * @param mayUse whether a server may get requests at a given time.
+ */
+internal class SendGuard(
+    private val authorizer: RequestAuthorizer,
+    private val mayUse: (BackendEntry, Timestamp) -> Boolean,
+) {
+    /** Returns why the request of [caller] may not be written to [server] at [now], or null if it may. */
+    fun objection(
+        caller: Caller,
+        request: AuthorizedRequest,
+        server: BackendEntry,
+        deadline: Timestamp,
+        now: Timestamp,
+    ): SendDecision? {
+        if (caller.isDisconnected) return SendDecision.CallerGone
+        if (now >= deadline) {
+            val retryAt = now.plusMilliseconds(RETRY_MILLISECONDS)
+            return SendDecision.Refuse(Failure(ErrorKind.DEADLINE_BEFORE_START, "no connection in time", retryAt))
+        }
+        if (!mayUse(server, now)) return SendDecision.ChooseAnother("server ${server.id} takes no more requests")
+        return authorizer.recheck(caller.head, request, now)?.let { SendDecision.Refuse(it) }
+    }
+
+    private companion object {
+        /** Long enough for a router to recover from a brief disruption. */
+        const val RETRY_MILLISECONDS = 200L
+    }
+}
--- a/src/test/kotlin/azuredale/edge/BackendConnectionPoolSpec.kt
+++ b/src/test/kotlin/azuredale/edge/BackendConnectionPoolSpec.kt
@@ -5,12 +5,16 @@
 import azuredale.gateway.BackendEvent
 import azuredale.gateway.BackendRequest
 import azuredale.gateway.RequestHead
+import azuredale.gateway.SendDecision
 import azuredale.identity.FailureDomain
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.outcome.ErrorKind
+import azuredale.outcome.Failure
 import azuredale.platform.BackendCodec
 import azuredale.selftest.RawServer
+import azuredale.time.Timestamp
 import azuredale.time.systemClock
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -46,6 +50,12 @@
         state = BackendState.READY,
     )
 
+    private fun decide(deadline: Timestamp): SendDecision = if (clock() < deadline) {
+        SendDecision.Send(BackendRequest(head, Buffer.buffer(), null, 100, null))
+    } else {
+        SendDecision.Refuse(Failure(ErrorKind.DEADLINE_BEFORE_START))
+    }
+
     @Test
     fun `a request is not written after its deadline`() = runBlocking {
         // Guards against a request that waits for its connection and is sent to a server when it is no longer wanted.
@@ -58,8 +68,10 @@
                 val events = ConcurrentLinkedQueue<BackendEvent>()
                 routerVertx.runOnContext {
                     val pool = BackendConnectionPool(routerVertx, clock, BackendCodec, BackendCodec::encode)
-                    val request = BackendRequest(head, Buffer.buffer(), null, 100, null)
-                    pool.send(entry(address), request, requiresRecentConnection = true) { events += it }
+                    val deadline = clock().plusMilliseconds(100)
+                    pool.send(entry(address), head.id, requiresRecentConnection = true, { decide(deadline) }) {
+                        events += it
+                    }
                     // The event loop falls behind while the connection is opened.
                     Thread.sleep(300)
                 }
