Send nothing by a directory that is older than the bound on leaving servers

What callers saw: a router used a server whose leaving had been confirmed 2.8 s before the request was sent (trial in the notes of the issue).

Cause: choosing a server never asked how old the directory was. A router that is behind reads the store late. Worse, after 1.5 s without a proof it took its own delay for an outage of the store and kept servers that were gone for 2.2 s more; in a fleet of more than 66 routers the last ranks wait longer than that between reads anyway.

Change: StoreHealth judges from the router's own reads whether the store answers; slow answers and time-outs count only if the router's work ran in time meanwhile. Servers are retained only after such an outage. While the store answers, a router whose directory is older than the bound (bounds.drain-ms) less 0.3 s refuses requests as not run (STALE_DIRECTORY, 503) at the choice of a server and at the writing; while it does not answer, service goes on as before.

--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -21,7 +21,10 @@
  *
  * A late response never replaces the catalog by an older revision.
  */
-internal class StoreView(private val revocationBoundMilliseconds: Long) {
+internal class StoreView(
+    private val revocationBoundMilliseconds: Long,
+    private val drainBoundMilliseconds: Long,
+) {
     /** The catalog in force, null until the first one has been read. */
     var catalog: Catalog? = null
         private set
@@ -52,6 +55,10 @@
     fun isCatalogFresh(now: Timestamp): Boolean = now.microsecondsSince(catalogProof.at) <=
         (revocationBoundMilliseconds - REVOCATION_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
 
+    /** Whether the directory is certain to show every server that left longer ago than the bound on new requests. */
+    fun isDirectoryFresh(now: Timestamp): Boolean = now.microsecondsSince(directoryProof.at) <=
+        (drainBoundMilliseconds - DRAIN_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
+
     /** Adopts a catalog from a read sent at [sentAt] if it is newer, and returns whether it was. */
     fun adoptCatalog(read: Catalog, sentAt: Timestamp): Boolean {
         val isNewer = read.revision > revision
@@ -73,10 +80,11 @@
      *
      * Registrations expire during a store outage, and live servers register again within about two seconds after it.
      * Until then, missing servers are retained.
+     *
+     * @param hadOutage whether the store was unavailable since the latest proof of freshness.
      */
-    fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp): ServerDirectory? {
+    fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp, hadOutage: Boolean): ServerDirectory? {
         if (read.storeRevision < lastReadDirectory.storeRevision) return null
-        val hadOutage = sentAt.microsecondsSince(directoryProof.at) > OUTAGE_MICROSECONDS
         if (hadOutage && lastReadDirectory !== ServerDirectory.EMPTY) {
             retainedUntil = sentAt.plusMilliseconds(RETENTION_MILLISECONDS)
         }
@@ -115,8 +123,8 @@
         /** Covers the transit time of a request to the server and the clock drift between routers. */
         const val REVOCATION_MARGIN_MILLISECONDS = 700L
 
-        /** Several read periods; without a proof for this long, the store was unavailable to this router. */
-        const val OUTAGE_MICROSECONDS = 1_500_000L
+        /** Covers the transit of a request to the server, and a short pause before it is written. */
+        const val DRAIN_MARGIN_MILLISECONDS = 300L
 
         /** Servers register again within about two seconds after a store outage. */
         const val RETENTION_MILLISECONDS = 2_200L
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -68,7 +68,7 @@
     private val incarnation = Incarnation(clock().microseconds)
 
     /** Local copy of the store's tables. */
-    val view = StoreView(settings.bounds.revocationBoundMilliseconds)
+    val view = StoreView(settings.bounds.revocationBoundMilliseconds, settings.bounds.drainBoundMilliseconds)
 
     /** Runtime state of the backend servers. */
     val statistics =
@@ -178,7 +178,12 @@
             clock = clock,
             authorizer = authorizer,
             selector = selector,
-            sendGuard = SendGuard(authorizer) { server, _ -> selector.mayUse(server) },
+            sendGuard =
+                SendGuard(
+                    authorizer = authorizer,
+                    mayUse = { server, _ -> selector.mayUse(server) },
+                    isDirectoryUsable = poller::isDirectoryUsable,
+                ),
             admission =
                 RequestAdmission(
                     intake = intake,
@@ -222,6 +227,7 @@
         val lag = intake.unreadMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
         recordLag(lag, now)
         checkClocks()
+        poller.tick(lag, now)
         poller.logFreshnessChange(now)
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
         if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -10,6 +10,8 @@
  *
  * @property gracePeriodMilliseconds time between the stop signal and the forced end of the process.
  * @property revocationBoundMilliseconds maximum time after its revocation for which any router may still accept a key.
+ * @property drainBoundMilliseconds maximum time after the store confirmed that a server leaves for which the server may get new
+ *   requests.
  * @property retryRatio allowed retries as a fraction of the requests of a pool.
  * @property retryHeadroom retries allowed in addition to that fraction.
  * @property retryWindowMilliseconds sliding window over which requests and retries are counted.
@@ -18,6 +20,7 @@
 public data class FleetBounds(
     val gracePeriodMilliseconds: Long = 8_000,
     val revocationBoundMilliseconds: Long = 5_000,
+    val drainBoundMilliseconds: Long = 2_000,
     val retryRatio: Double = 0.2,
     val retryHeadroom: Double = 50.0,
     val retryWindowMilliseconds: Long = 10_000,
--- a/src/main/kotlin/azuredale/gateway/SendGuard.kt
+++ b/src/main/kotlin/azuredale/gateway/SendGuard.kt
@@ -27,11 +27,19 @@
  * before the timer of the deadline, the disconnection of the caller or a change of the directory is handled.
  *
  * @param mayUse whether a server may get requests at a given time.
+ * @param isDirectoryUsable whether the directory is recent enough to tell that.
  */
 internal class SendGuard(
     private val authorizer: RequestAuthorizer,
     private val mayUse: (BackendEntry, Timestamp) -> Boolean,
+    private val isDirectoryUsable: (Timestamp) -> Boolean,
 ) {
+    /** Returns the failure if this router does not know which servers accept requests, otherwise null. */
+    fun directoryFailure(now: Timestamp): Failure? = Failure(
+        ErrorKind.STALE_DIRECTORY,
+        retryAt = now.plusMilliseconds(RETRY_MILLISECONDS),
+    ).takeIf { !isDirectoryUsable(now) }
+
     /** Returns why the request of [caller] may not be written to [server] at [now], or null if it may. */
     fun objection(
         caller: Caller,
@@ -45,6 +53,7 @@
             val retryAt = now.plusMilliseconds(RETRY_MILLISECONDS)
             return SendDecision.Refuse(Failure(ErrorKind.DEADLINE_BEFORE_START, "no connection in time", retryAt))
         }
+        directoryFailure(now)?.let { return SendDecision.Refuse(it) }
         if (!mayUse(server, now)) return SendDecision.ChooseAnother("server ${server.id} takes no more requests")
         return authorizer.recheck(caller.head, request, now)?.let { SendDecision.Refuse(it) }
     }
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -37,6 +37,7 @@
      * @param isFirst whether the request has not been sent to any server.
      */
     suspend fun next(isFirst: Boolean, now: Timestamp): Outcome<ServerSelection.Selected> {
+        context.sendGuard.directoryFailure(now)?.let { return Outcome.Refused(it) }
         promptGate.refusal(now)?.let { return Outcome.Refused(it) }
         return when (val selection = context.selector.select(selectionRequest(now), now)) {
             is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -4,11 +4,14 @@
 import azuredale.directory.ServerDirectory
 import azuredale.freshness.CatalogRead
 import azuredale.freshness.DirectoryRead
+import azuredale.freshness.StoreHealth
 import azuredale.freshness.StoreReadSchedule
 import azuredale.freshness.StoreReader
 import azuredale.freshness.StoreView
 import azuredale.identity.Revision
 import azuredale.logging.EventLog
+import azuredale.store.CallFailure
+import azuredale.store.CallFailureReason
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 
@@ -24,6 +27,7 @@
 ) {
     private val catalogSchedule = StoreReadSchedule(rank)
     private val directorySchedule = StoreReadSchedule(rank)
+    private val health = StoreHealth()
     private var isCatalogStale = false
     private var isDirectoryStale = false
     private var isStoreLost = false
@@ -37,6 +41,19 @@
         isDirectoryStale = isDirectoryStale || isDirectory
     }
 
+    /** Updates whether the store answers; [lagMilliseconds] is the delay of this router's periodic work. */
+    fun tick(lagMilliseconds: Long, now: Timestamp) {
+        health.recordLag(lagMilliseconds, now)
+        health.update(now)
+    }
+
+    /**
+     * Whether the directory may be used: it is fresh, or nobody can read a newer one.
+     *
+     * A router whose directory is old although the store answers is behind, and other routers serve its callers better.
+     */
+    fun isDirectoryUsable(now: Timestamp): Boolean = view.isDirectoryFresh(now) || health.isUnavailable
+
     /** Whether [readCatalog] should be called now. */
     fun isCatalogDue(now: Timestamp): Boolean = catalogSchedule.isDue(now, view.catalogProof.at, isCatalogStale)
 
@@ -58,6 +75,7 @@
         catalogSchedule.recordStart()
         isCatalogStale = false
         val sentAt = clock()
+        health.recordSent(sentAt)
         val read =
             storeReader.readCatalog(
                 maxOf(view.revision, malformedRevision),
@@ -67,7 +85,7 @@
         when (read) {
             is CatalogRead.Failed -> {
                 catalogSchedule.recordFailure(now)
-                storeFailed(read.failure.toString())
+                storeFailed(read.failure, sentAt, now)
                 return
             }
             is CatalogRead.Newer ->
@@ -90,7 +108,7 @@
             }
         }
         catalogSchedule.recordSuccess(now)
-        storeAnswered()
+        storeAnswered(sentAt, now)
         onProof()
     }
 
@@ -99,36 +117,37 @@
         directorySchedule.recordStart()
         isDirectoryStale = false
         val sentAt = clock()
-        when (
-            val read =
-                storeReader.readDirectory(
-                    sentAt.plusMilliseconds(StoreReadSchedule.CALL_TIMEOUT_MILLISECONDS),
-                )
-        ) {
+        health.recordSent(sentAt)
+        val read = storeReader.readDirectory(sentAt.plusMilliseconds(StoreReadSchedule.CALL_TIMEOUT_MILLISECONDS))
+        val now = clock()
+        when (read) {
             is DirectoryRead.Failed -> {
-                directorySchedule.recordFailure(clock())
-                storeFailed(read.failure.toString())
+                directorySchedule.recordFailure(now)
+                storeFailed(read.failure, sentAt, now)
             }
             is DirectoryRead.Found -> {
-                directorySchedule.recordSuccess(clock())
+                directorySchedule.recordSuccess(now)
+                storeAnswered(sentAt, now)
                 logMalformed(read.malformed)
-                val before = view.adoptDirectory(read.directory, sentAt)
+                val hadOutage = health.wasUnavailableSince(view.directoryProof.at)
+                val before = view.adoptDirectory(read.directory, sentAt, hadOutage)
                 if (before != null && before.entries != view.directory.entries) {
                     logChanges(before, view.directory)
                     onChange(false)
                 }
-                storeAnswered()
                 onProof()
             }
         }
     }
 
-    private fun storeFailed(detail: String) {
-        if (!isStoreLost) log.write(GatewayLogEvent.STORE_LOST, "detail" to detail)
+    private fun storeFailed(failure: CallFailure, sentAt: Timestamp, now: Timestamp) {
+        health.recordFailure(sentAt, failure.reason in REJECTIONS, now)
+        if (!isStoreLost) log.write(GatewayLogEvent.STORE_LOST, "detail" to failure)
         isStoreLost = true
     }
 
-    private fun storeAnswered() {
+    private fun storeAnswered(sentAt: Timestamp, now: Timestamp) {
+        health.recordAnswer(sentAt, now)
         if (isStoreLost) log.write(GatewayLogEvent.STORE_REGAINED)
         isStoreLost = false
     }
@@ -157,4 +176,10 @@
     }
 
     private fun describe(entry: BackendEntry?) = entry?.let { "${it.state} ${it.pool} ${it.address}" } ?: "gone"
+
+    private companion object {
+        /** Failures after which the store has answered, or has closed the connection, whatever this router's delay. */
+        val REJECTIONS =
+            setOf(CallFailureReason.REFUSED, CallFailureReason.BUDGET_EXHAUSTED, CallFailureReason.ANSWER_LOST)
+    }
 }
--- a/src/main/kotlin/azuredale/outcome/ErrorKind.kt
+++ b/src/main/kotlin/azuredale/outcome/ErrorKind.kt
@@ -42,6 +42,7 @@
     OVERLOADED(503, Execution.NOT_RUN, true, "the router has no room for another request"),
     NOT_READY(503, Execution.NOT_RUN, true, "the router has no document yet"),
     STALE_DOCUMENT(503, Execution.NOT_RUN, true, "the router cannot confirm its document"),
+    STALE_DIRECTORY(503, Execution.NOT_RUN, true, "the router cannot confirm which backend servers may be used"),
     DRAINING(503, Execution.NOT_RUN, true, "the router is shutting down"),
     NO_ELIGIBLE_SERVER(503, Execution.NOT_RUN, true, "no backend server may take this request"),
     CLAIM_UNAVAILABLE(503, Execution.UNKNOWN, true, "the idempotency key cannot be claimed at the moment"),
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -49,12 +49,8 @@
         val default = FleetBounds()
         return FleetBounds(
             gracePeriodMilliseconds = fields.milliseconds("bounds.grace-s", default.gracePeriodMilliseconds),
-            revocationBoundMilliseconds =
-                fields
-                    .number(
-                        "bounds.revoke-ms",
-                        default.revocationBoundMilliseconds.toDouble(),
-                    ).toLong(),
+            revocationBoundMilliseconds = fields.count("bounds.revoke-ms", default.revocationBoundMilliseconds),
+            drainBoundMilliseconds = fields.count("bounds.drain-ms", default.drainBoundMilliseconds),
             retryRatio = fields.number("bounds.retry-budget-ratio", default.retryRatio),
             retryHeadroom = fields.number("bounds.retry-headroom", default.retryHeadroom),
             retryWindowMilliseconds = fields.milliseconds("bounds.budget-window-s", default.retryWindowMilliseconds),
@@ -88,6 +84,9 @@
             return number ?: default
         }
 
+        fun count(name: String, default: Long): Long = number(name, default.toDouble()).toLong()
+
+        /** A value that is given in seconds. */
         fun milliseconds(name: String, default: Long): Long =
             (number(name, default / MILLISECONDS_PER_SECOND) * MILLISECONDS_PER_SECOND).toLong()
 
