Send nothing more to a server that says in an answer that it leaves

The header was not read.

Change: ServerAnnouncements keeps the processes (id, address, start) that said so in any head: success, refusal, failure, stream, answer to another request. They are left out at the choice of a server and at the writing, whatever the store says; a new process under the id is used. Not passed on to other routers: each hears it from the store or its own first answer, and one wrong answer cannot empty a pool for the fleet. ServerProcess is one type now, also for the connection pool.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -40,6 +40,7 @@
 internal class BackendConnection(
     private val socket: NetSocketInternal,
     private val decoder: ResponseDecoder,
+    private val onHead: (ResponseHead) -> Unit,
     private val onIdle: (BackendConnection, ConnectionHints) -> Unit,
     private val onClosed: (BackendConnection) -> Unit,
 ) {
@@ -128,6 +129,7 @@
 
     private fun headReceived(current: Exchange, response: HttpResponse) {
         val head = decoder.head(response)
+        onHead(head)
         current.hints = decoder.hints(response)
         // On a connection that has carried a response, a refusal without an id may belong to an earlier request.
         val isRefusalWithoutId = head.requestId == null && head.isNotExecuted && !hasAnswered
--- a/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
@@ -1,12 +1,14 @@
 package azuredale.edge
 
 import azuredale.directory.BackendEntry
+import azuredale.directory.ServerProcess
+import azuredale.directory.process
 import azuredale.gateway.BackendAttempt
 import azuredale.gateway.BackendEvent
 import azuredale.gateway.BackendRequest
 import azuredale.gateway.BackendTransport
+import azuredale.gateway.ResponseHead
 import azuredale.gateway.SendDecision
-import azuredale.identity.NetworkAddress
 import azuredale.identity.ServerId
 import azuredale.time.Clock
 import azuredale.time.Timestamp
@@ -17,12 +19,17 @@
 import io.vertx.core.net.NetClientOptions
 import java.net.ConnectException
 
-/** Connection pool for backend servers. */
+/**
+ * Connection pool for backend servers.
+ *
+ * @param onHead called with the head of each response, whatever request it belongs to.
+ */
 internal class BackendConnectionPool(
     vertx: Vertx,
     private val clock: Clock,
     private val decoder: ResponseDecoder,
     private val encode: (BackendRequest, BackendEntry) -> FullHttpRequest,
+    private val onHead: (BackendEntry, ResponseHead) -> Unit,
 ) : BackendTransport {
     private class IdleConnection(
         val connection: BackendConnection,
@@ -31,12 +38,6 @@
         val closesAt: Timestamp,
     )
 
-    /** A server may start again under its id, also at another address; its connections end with its process. */
-    private data class ServerProcess(
-        val address: NetworkAddress,
-        val startedAtMilliseconds: Long?,
-    )
-
     private class ServerConnections {
         val idle = ArrayDeque<IdleConnection>()
         var open = 0
@@ -99,7 +100,7 @@
             val newest = idle.removeLastOrNull() ?: return null
             val isFresh = now.microsecondsSince(newest.since) <= MAXIMUM_FRESH_IDLE_MICROSECONDS
             when {
-                !newest.connection.isUsable || newest.closesAt <= now || newest.process != server.process() ->
+                !newest.connection.isUsable || newest.closesAt <= now || newest.process != server.process ->
                     newest.connection.close()
                 requiresRecentConnection && !isFresh -> {
                     idle.addLast(newest)
@@ -123,23 +124,22 @@
                     BackendConnection(
                         socket = result.result() as NetSocketInternal,
                         decoder = decoder,
+                        onHead = { onHead(server, it) },
                         onIdle = {
                             connection,
                             hints,
                             ->
-                            addIdle(serverConnections, connection, server.process(), hints)
+                            addIdle(serverConnections, connection, server.process, hints)
                         },
                         onClosed = { closed -> removeClosed(serverConnections, closed) },
                     )
                 if (!attempt.start(connection)) {
-                    addIdle(serverConnections, connection, server.process(), UNUSED_CONNECTION)
+                    addIdle(serverConnections, connection, server.process, UNUSED_CONNECTION)
                 }
             }
         }
     }
 
-    private fun BackendEntry.process() = ServerProcess(address, startedAtMilliseconds)
-
     private fun addIdle(
         server: ServerConnections,
         connection: BackendConnection,
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -3,6 +3,7 @@
 import azuredale.directory.BackendEntry
 import azuredale.directory.BackendState
 import azuredale.directory.ServerDirectory
+import azuredale.directory.process
 import azuredale.gateway.PromptShape
 import azuredale.identity.PartId
 import azuredale.identity.PoolId
@@ -52,15 +53,16 @@
     fun mayUse(server: BackendEntry): Boolean {
         val current = directory().entries[server.id] ?: return false
         return current.state == BackendState.READY &&
-            current.address == server.address &&
-            current.startedAtMilliseconds == server.startedAtMilliseconds
+            current.process == server.process &&
+            statistics.announcements.allowsRequest(server)
     }
 
     /** Selects a server for [request]. */
     fun select(request: SelectionRequest, now: Timestamp): ServerSelection {
         val ready = directory().ready(request.pool)
-        val usable = ready.filter { it.id !in request.excluded && statistics.circuitBreaker(it.id).allowsRequest(now) }
-        val available = usable.ifEmpty { ready.filter { it.id !in request.excluded } }
+        val willing = ready.filter { it.id !in request.excluded && statistics.announcements.allowsRequest(it) }
+        val usable = willing.filter { statistics.circuitBreaker(it.id).allowsRequest(now) }
+        val available = usable.ifEmpty { willing }
         val permitted = available.filter { statistics.limits.allowsRequest(it, ready, now) }
         val isUsedUp = permitted.isEmpty() && available.isNotEmpty()
         statistics.limitPressure.record(request.pool, isUsedUp, now)
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -26,6 +26,9 @@
     /** Limits on the request rate that servers name. */
     val limits = ServerLimits(loads, routers, random, onLimitChange)
 
+    /** What servers say of themselves in their answers. */
+    val announcements = ServerAnnouncements()
+
     /** How often these limits left no server for a request. */
     val limitPressure = LimitPressure()
 
--- a/src/main/kotlin/azuredale/gateway/BackendExchange.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendExchange.kt
@@ -10,6 +10,7 @@
  * @property isStamped whether it carries the server's confirmation that it executed the request.
  * @property isDelimited whether the response has a length or chunks, so that its end is not the end of its connection.
  * @property requestsPerSecond the rate that the server takes from all routers together, null if it names no limit.
+ * @property isLeaving whether the server states that it leaves.
  * @property isNotExecuted whether the server states that it has not executed the request and never will.
  */
 public data class ResponseHead(
@@ -19,6 +20,7 @@
     val isNotExecuted: Boolean,
     val isDelimited: Boolean,
     val requestsPerSecond: Double?,
+    val isLeaving: Boolean,
     val headers: List<Header>,
 ) {
     /** Whether the status is a success. */
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -248,6 +248,13 @@
         exchange.received(from, bytes, clock())
     }
 
+    /** Handles the head of any response of [server]. */
+    fun serverAnswered(server: BackendEntry, head: ResponseHead) {
+        if (head.isLeaving && statistics.announcements.recordLeaving(server)) {
+            log.write(GatewayLogEvent.SERVER_LEAVING, "server" to server.id, "address" to server.address)
+        }
+    }
+
     /** Handles a request of a caller. */
     fun serve(caller: Caller) {
         running++
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -45,11 +45,14 @@
     private val scope: CoroutineScope,
 ) {
     private val log = EventLog("azuredale.gateway")
-    private val backends = BackendConnectionPool(vertx, clock, adapter.responses, adapter.encode)
+    private val backends =
+        BackendConnectionPool(vertx, clock, adapter.responses, adapter.encode) { server, head ->
+            gateway.serverAnswered(server, head)
+        }
     private val datagrams: DatagramSocket =
         vertx.createDatagramSocket(DatagramSocketOptions().setReceiveBufferSize(PeerCodec.MAXIMUM_DATAGRAM_BYTES))
 
-    val gateway =
+    val gateway: Gateway =
         Gateway(
             settings = settings,
             clock = clock,
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -36,5 +36,6 @@
     TEAMS_CONTEND(2238, Level.INFO, "teams contend for capacity"),
     ROUTER_LOAD(2239, Level.INFO, "router load"),
     ROUTER_OVERLOADED(2240, Level.WARN, "router cannot keep up; callers are sent to others"),
+    SERVER_LEAVING(2241, Level.INFO, "backend server says that it leaves"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/platform/BackendCodec.kt
+++ b/src/main/kotlin/azuredale/platform/BackendCodec.kt
@@ -18,6 +18,7 @@
 /** Encodes requests to backend servers and decodes the heads of their responses. */
 internal object BackendCodec : ResponseDecoder {
     private const val MISDIRECTED = 421
+    private const val LEAVING = "1"
     private const val MAXIMUM_LOGGED_CHARACTERS = 40
     private val log = EventLog("azuredale.platform")
     private val keepAliveTime = Regex("""timeout\s*=\s*(\d+)""")
@@ -47,6 +48,7 @@
             isStamped = headers.contains(PlatformHeader.RESPONSE_STAMP),
             isNotExecuted = headers.contains(PlatformHeader.NOT_EXECUTED) || status == MISDIRECTED,
             isDelimited = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response),
+            isLeaving = headers.getAll(PlatformHeader.SERVER_LEAVING).any { it.trim() == LEAVING },
             requestsPerSecond = headers[PlatformHeader.SERVER_LIMIT]?.let(::limit),
             headers =
                 headers.entries().filter { it.key.lowercase() !in CallerRequestDecoder.unforwardedHeaders }.map {
--- a/src/main/kotlin/azuredale/platform/PlatformNames.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformNames.kt
@@ -13,6 +13,7 @@
     const val EXPECTED_SERVER = "X-Azuredale-Expect-Instance"
     const val ANSWERING_SERVER = "X-Azuredale-Instance-Id"
     const val SERVER_LIMIT = "Server-Limit"
+    const val SERVER_LEAVING = "Server-Leaving"
     const val NOT_EXECUTED = "X-Azuredale-Not-Executed"
     const val LAST_EVENT = "Last-Event-Id"
     const val AUTHORIZATION = "Authorization"
--- a/src/test/kotlin/azuredale/edge/BackendConnectionPoolSpec.kt
+++ b/src/test/kotlin/azuredale/edge/BackendConnectionPoolSpec.kt
@@ -67,7 +67,7 @@
                 val address = server.start()
                 val events = ConcurrentLinkedQueue<BackendEvent>()
                 routerVertx.runOnContext {
-                    val pool = BackendConnectionPool(routerVertx, clock, BackendCodec, BackendCodec::encode)
+                    val pool = BackendConnectionPool(routerVertx, clock, BackendCodec, BackendCodec::encode) { _, _ -> }
                     val deadline = clock().plusMilliseconds(100)
                     pool.send(entry(address), head.id, requiresRecentConnection = true, { decide(deadline) }) {
                         events += it
