Leave a server alone for as long as it asks with a 503

The header was not read, so that the next request could go to the same server at once.

Attempts that are connecting are withdrawn by SendGuard and go elsewhere. If all servers of a pool want nothing, requests are refused at once as not run, with a return spread from the end of the shortest time to twice that.

--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -32,6 +32,9 @@
     /** All servers of the pool that could take the request have named limits, which are used up. */
     data object LimitsUsedUp : ServerSelection
 
+    /** All servers of the pool that could take the request want none before [until]. */
+    data class OnHold(val until: Timestamp) : ServerSelection
+
     /** No server of the pool can take the request now. */
     data class Unavailable(val detail: String) : ServerSelection
 }
@@ -49,18 +52,20 @@
     /** How often the limits of servers recently left none for a request to [pool], between 0 and 1. */
     fun limitPressure(pool: PoolId, now: Timestamp): Double = statistics.limitPressure.current(pool, now)
 
-    /** Whether the process that [server] registers is still registered and accepts requests. */
-    fun mayUse(server: BackendEntry): Boolean {
+    /** Whether the process that [server] registers is still registered and accepts requests at [now]. */
+    fun mayUse(server: BackendEntry, now: Timestamp): Boolean {
         val current = directory().entries[server.id] ?: return false
         return current.state == BackendState.READY &&
             current.process == server.process &&
-            statistics.announcements.allowsRequest(server)
+            statistics.announcements.allowsRequest(server, now)
     }
 
     /** Selects a server for [request]. */
     fun select(request: SelectionRequest, now: Timestamp): ServerSelection {
         val ready = directory().ready(request.pool)
-        val willing = ready.filter { it.id !in request.excluded && statistics.announcements.allowsRequest(it) }
+        val untried = ready.filter { it.id !in request.excluded }
+        val willing = untried.filter { statistics.announcements.allowsRequest(it, now) }
+        if (willing.isEmpty()) return unwilling(request, untried, now)
         val usable = willing.filter { statistics.circuitBreaker(it.id).allowsRequest(now) }
         val available = usable.ifEmpty { willing }
         val permitted = available.filter { statistics.limits.allowsRequest(it, ready, now) }
@@ -75,6 +80,13 @@
             ?: ServerSelection.Unavailable("none of ${ready.size} servers of ${request.pool} may be used")
     }
 
+    /** The result if none of the [untried] servers wants the request. */
+    private fun unwilling(request: SelectionRequest, untried: List<BackendEntry>, now: Timestamp): ServerSelection {
+        val until = untried.minOfOrNull { statistics.announcements.availableAt(it, now) } ?: Timestamp.DISTANT_FUTURE
+        if (until < Timestamp.DISTANT_FUTURE) return ServerSelection.OnHold(until)
+        return ServerSelection.Unavailable("no server of ${request.pool} accepts requests")
+    }
+
     /** The same server on all routers that agree on [available]. */
     private fun confined(available: List<BackendEntry>, part: PartId): List<BackendEntry> =
         listOfNotNull(available.maxByOrNull { StableHash.fraction(part.name, it.id.name) })
--- a/src/main/kotlin/azuredale/gateway/BackendExchange.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendExchange.kt
@@ -11,6 +11,7 @@
  * @property isDelimited whether the response has a length or chunks, so that its end is not the end of its connection.
  * @property requestsPerSecond the rate that the server takes from all routers together, null if it names no limit.
  * @property isLeaving whether the server states that it leaves.
+ * @property retryAfterMilliseconds how long the server, which has no room, wants no requests; null if it does not say.
  * @property isNotExecuted whether the server states that it has not executed the request and never will.
  */
 public data class ResponseHead(
@@ -21,6 +22,7 @@
     val isDelimited: Boolean,
     val requestsPerSecond: Double?,
     val isLeaving: Boolean,
+    val retryAfterMilliseconds: Long?,
     val headers: List<Header>,
 ) {
     /** Whether the status is a success. */
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -181,7 +181,7 @@
             sendGuard =
                 SendGuard(
                     authorizer = authorizer,
-                    mayUse = { server, _ -> selector.mayUse(server) },
+                    mayUse = selector::mayUse,
                     isDirectoryUsable = poller::isDirectoryUsable,
                 ),
             admission =
@@ -207,6 +207,7 @@
             shareLog = ShareLog(shares, { view.catalog }, log),
             metrics = metrics,
             log = log,
+            random = random::nextDouble,
             timer = dependencies.timer,
         )
 
@@ -253,6 +254,10 @@
         if (head.isLeaving && statistics.announcements.recordLeaving(server)) {
             log.write(GatewayLogEvent.SERVER_LEAVING, "server" to server.id, "address" to server.address)
         }
+        val hold = head.retryAfterMilliseconds ?: return
+        if (statistics.announcements.recordHold(server, hold, clock())) {
+            log.write(GatewayLogEvent.SERVER_ON_HOLD, "server" to server.id, "milliseconds" to hold)
+        }
     }
 
     /** Handles a request of a caller. */
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -67,6 +67,8 @@
     val shareLog: ShareLog,
     val metrics: GatewayMetrics,
     val log: EventLog,
+    /** Returns a random number from 0 to 1. */
+    val random: () -> Double,
     /** Schedules an action for a given time. */
     val timer: (Timestamp, () -> Unit) -> Timer,
 )
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -41,6 +41,7 @@
         promptGate.refusal(now)?.let { return Outcome.Refused(it) }
         return when (val selection = context.selector.select(selectionRequest(now), now)) {
             is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
+            is ServerSelection.OnHold -> Outcome.Refused(onHold(selection.until, now))
             is ServerSelection.LimitsUsedUp -> Outcome.Refused(limitsUsedUp(now))
             is ServerSelection.Selected -> {
                 val refusal = if (isFirst) checkLoad(selection, now) else null
@@ -79,6 +80,16 @@
         context.admission.prompts.decide(it, request, prediction, now)
     }
 
+    /** Callers return within the same time again after the servers do, so that not all of them come at one moment. */
+    private fun onHold(until: Timestamp, now: Timestamp): Failure {
+        val spread = (until.microsecondsSince(now) * context.random()).toLong()
+        return Failure(
+            ErrorKind.NO_ELIGIBLE_SERVER,
+            "all servers want no requests for now",
+            until.plusMicroseconds(spread),
+        )
+    }
+
     private fun unavailable(detail: String, now: Timestamp) =
         Failure(ErrorKind.NO_ELIGIBLE_SERVER, detail, now.plusMilliseconds(RETRY_MILLISECONDS))
 
--- a/src/main/kotlin/azuredale/platform/BackendCodec.kt
+++ b/src/main/kotlin/azuredale/platform/BackendCodec.kt
@@ -9,6 +9,7 @@
 import azuredale.logging.EventLog
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
@@ -18,6 +19,8 @@
 /** Encodes requests to backend servers and decodes the heads of their responses. */
 internal object BackendCodec : ResponseDecoder {
     private const val MISDIRECTED = 421
+    private const val UNAVAILABLE = 503
+    private const val MILLISECONDS_PER_SECOND = 1_000.0
     private const val LEAVING = "1"
     private const val MAXIMUM_LOGGED_CHARACTERS = 40
     private val log = EventLog("azuredale.platform")
@@ -49,6 +52,7 @@
             isNotExecuted = headers.contains(PlatformHeader.NOT_EXECUTED) || status == MISDIRECTED,
             isDelimited = HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response),
             isLeaving = headers.getAll(PlatformHeader.SERVER_LEAVING).any { it.trim() == LEAVING },
+            retryAfterMilliseconds = if (status == UNAVAILABLE) retryAfter(headers) else null,
             requestsPerSecond = headers[PlatformHeader.SERVER_LIMIT]?.let(::limit),
             headers =
                 headers.entries().filter { it.key.lowercase() !in CallerRequestDecoder.unforwardedHeaders }.map {
@@ -60,6 +64,18 @@
         )
     }
 
+    /** The longest time that the server names; a server may be behind a proxy that adds its own. */
+    private fun retryAfter(headers: HttpHeaders): Long? =
+        headers.getAll(PlatformHeader.RETRY_AFTER).mapNotNull(::milliseconds).maxOrNull()
+
+    private fun milliseconds(text: String): Long? {
+        val seconds = text.trim().toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }
+        if (seconds == null) {
+            log.write(PlatformLogEvent.RETRY_AFTER_MALFORMED, "value" to text.take(MAXIMUM_LOGGED_CHARACTERS))
+        }
+        return seconds?.let { (it * MILLISECONDS_PER_SECOND).toLong() }
+    }
+
     private fun limit(text: String): Double? {
         val limit = text.trim().toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }
         if (limit == null) log.write(PlatformLogEvent.LIMIT_MALFORMED, "value" to text.take(MAXIMUM_LOGGED_CHARACTERS))
--- a/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
@@ -14,4 +14,5 @@
     MALFORMED_ANSWER(1102, Level.WARN, "malformed response from the platform"),
     BUDGET_EXHAUSTED(1103, Level.WARN, "platform call budget exhausted"),
     LIMIT_MALFORMED(1104, Level.WARN, "malformed request limit of a backend server ignored"),
+    RETRY_AFTER_MALFORMED(1105, Level.WARN, "malformed retry time of a backend server ignored"),
 }
