Answer every request that was read before the end of a planned stop

It can happen here: requests were taken until 2.7 s after the stop signal whatever their time; at the end of the grace period the process ended and their callers' connections closed without an answer, also for requests that may not be repeated.

Change: GracefulStop. From the stop signal on a request is refused at once as not run if neither its deadline nor the usual duration of its route (average and four mean deviations, by DurationEstimator; unknown counts as too long) lies within the grace period. What is still unanswered 0.7 s before its end gets a truthful answer: 502 ROUTER_STOPPED with an unknown outcome, 503 if no server got it, and a visible break for a stream that has begun.

Ruled out: waiting for the requests (some take longer than any grace period).

--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -89,14 +89,15 @@
     /** Metrics of this router. */
     val metrics = GatewayMetrics()
 
-    /** Number of requests in progress. */
-    var running: Int = 0
-        private set
+    /** The planned stop of this router. */
+    val gracefulStop = GracefulStop(settings.bounds, statistics.durations::usualMilliseconds)
+    private val handlers = LinkedHashSet<RequestHandler>()
 
-    private var stoppingSince: Timestamp? = null
+    /** Number of requests in progress. */
+    val running: Int get() = handlers.size
 
     /** Whether a graceful stop has begun. */
-    val isStopping: Boolean get() = stoppingSince != null
+    val isStopping: Boolean get() = gracefulStop.isBegun
 
     private val quarantine =
         Quarantine(
@@ -170,7 +171,7 @@
         )
     private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
-    private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, ::isClosed)
+    private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
     private val selector = ServerSelector({ view.directory }, statistics)
     private val context =
         GatewayContext(
@@ -190,6 +191,8 @@
                     prompts = PromptAdmission(usage, LoadShedder(shares, random::nextDouble)),
                     quarantine = PromptQuarantine(quarantine, serverEnds, keeper::claimTrial),
                 ),
+            gracefulStop = gracefulStop,
+            durations = statistics.durations,
             recorders =
                 AttemptRecorders(
                     statistics,
@@ -262,16 +265,17 @@
 
     /** Handles a request of a caller. */
     fun serve(caller: Caller) {
-        running++
         loadLog.recordRequest()
+        val handler = RequestHandler(caller, context)
+        handlers += handler
         scope.launch(start = CoroutineStart.UNDISPATCHED) {
             try {
-                RequestHandler(caller, context).run()
+                handler.run()
             } catch (failure: Exception) {
                 log.write(GatewayLogEvent.REQUEST_FAILED, "request" to caller.head.id, cause = failure)
                 caller.abort()
             } finally {
-                running--
+                handlers -= handler
             }
         }
     }
@@ -296,15 +300,16 @@
 
     /** Begins a graceful stop and notifies the other routers at once. */
     fun stop() {
-        if (isStopping) return
-        stoppingSince = clock()
+        if (!gracefulStop.begin(clock())) return
         log.write(GatewayLogEvent.GATEWAY_STOPPING, "running" to running)
         exchange.report(clock())
     }
 
-    /** Whether the graceful stop has lasted long enough that callers no longer cache this router's address. */
-    fun isClosed(now: Timestamp): Boolean =
-        stoppingSince?.let { now >= it.plusMilliseconds(ADDRESS_CACHE_MILLISECONDS) } == true
+    /** Whether the graceful stop is over: no request is in progress and no caller knows this router any more. */
+    fun hasStopped(now: Timestamp): Boolean = gracefulStop.isClosed(now) && running == 0
+
+    /** Gives up the requests that are still in progress at the end of a graceful stop; each of them gets an answer. */
+    fun endRequests() = handlers.toList().forEach { it.routerStopped() }
 
     private fun isCatalogFresh(now: Timestamp): Boolean {
         checkClocks()
@@ -357,12 +362,6 @@
         /** Interval of the check for periodic work; at most the shortest period of reports between routers. */
         const val TICK_MILLISECONDS = 20L
 
-        /**
-         * Some callers cache an address response with a lifetime of one second for three seconds. A later request might
-         * not finish within the grace period, so its caller is sent to another router.
-         */
-        private const val ADDRESS_CACHE_MILLISECONDS = 2_700L
-
         /** For pools without a declared cache size; plain services cache no prompts. */
         private const val DEFAULT_CACHE_TOKENS = 0L
     }
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -2,6 +2,7 @@
 
 import azuredale.admission.PromptAdmission
 import azuredale.directory.BackendEntry
+import azuredale.engine.DurationEstimator
 import azuredale.engine.ServerSelection
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
@@ -60,6 +61,8 @@
     val selector: ServerSelector,
     val admission: RequestAdmission,
     val sendGuard: SendGuard,
+    val gracefulStop: GracefulStop,
+    val durations: DurationEstimator,
     val recorders: AttemptRecorders,
     val budgets: RequestBudgets,
     val backends: BackendTransport,
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -108,8 +108,9 @@
     /** Stops gracefully and returns when the process should exit. */
     suspend fun stop() {
         gateway.stop()
-        val end = clock().plusMilliseconds(settings.bounds.gracePeriodMilliseconds - GRACE_MARGIN_MILLISECONDS)
-        while (clock() < end && !(gateway.isClosed(clock()) && gateway.running == 0)) delay(Gateway.TICK_MILLISECONDS)
+        val end = gateway.gracefulStop.endsAt ?: clock()
+        while (clock() < end && !gateway.hasStopped(clock())) delay(Gateway.TICK_MILLISECONDS)
+        gateway.endRequests()
         // Lets the last responses leave the socket buffers.
         delay(LAST_ANSWER_MILLISECONDS)
         log.write(GatewayLogEvent.GATEWAY_STOPPED, "running" to gateway.running)
@@ -138,9 +139,7 @@
     private companion object {
         const val SWEEP_MILLISECONDS = 500L
 
-        /** Reserved at the end of the grace period for the last responses and process exit. */
-        const val GRACE_MARGIN_MILLISECONDS = 600L
-        const val LAST_ANSWER_MILLISECONDS = 100L
+        const val LAST_ANSWER_MILLISECONDS = 200L
 
         /** Limit of the HTTP decoder, which is fixed at startup; the catalog's limit is checked for each request. */
         const val MAXIMUM_HEADER_BYTES = 65_536
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -28,6 +28,8 @@
     data object CallerWritable : Signal
 
     data object ProgressDue : Signal
+
+    data object RouterStopped : Signal
 }
 
 /** How one attempt ended. */
@@ -51,6 +53,8 @@
         val answer: BufferedResponse? = null,
         /** Completes with whether the server process has ended; null if that does not matter. */
         val hasServerEnded: Deferred<Boolean>? = null,
+        /** Whether no other server may get the request. */
+        val isFinal: Boolean = false,
     ) : AttemptResult
 }
 
@@ -121,8 +125,17 @@
         }
     }
 
+    /** Ends the request with an answer, because the process is about to end. */
+    fun routerStopped() {
+        signals.trySend(Signal.RouterStopped)
+    }
+
     private suspend fun serve(body: Buffer) {
         val now = clock()
+        if (!context.gracefulStop.canFinish(authorized.route.name, deadline, now)) {
+            refuse(Failure(ErrorKind.DRAINING, "cannot end in time", now.plusMilliseconds(ELSEWHERE_MILLISECONDS)))
+            return
+        }
         if (now >= deadline) {
             val retryAt = now.plusMilliseconds(RETRY_MILLISECONDS)
             refuse(Failure(ErrorKind.DEADLINE_BEFORE_START, "read too late", retryAt))
@@ -183,7 +196,7 @@
                 }
                 is AttemptResult.Failed -> {
                     servers.exclude(selection.server.id)
-                    if (!authorized.route.isRepeatable || !promptGate.mayRepeat(end.hasServerEnded) || !mayRetry()) {
+                    if (end.isFinal || !authorized.route.isRepeatable || !mayRepeat(end)) {
                         fail(end)
                         return
                     }
@@ -194,6 +207,8 @@
         }
     }
 
+    private suspend fun mayRepeat(end: AttemptResult.Failed) = promptGate.mayRepeat(end.hasServerEnded) && mayRetry()
+
     private fun mayRetry(): Boolean {
         val now = clock()
         return sentCount < authorized.route.maximumServers &&
@@ -297,6 +312,7 @@
                         is Signal.DeadlinePassed -> onDeadlinePassed()
                         is Signal.CallerWritable -> resume()
                         is Signal.ProgressDue -> checkProgress()
+                        is Signal.RouterStopped -> onRouterStopped()
                     }
                 if (end != null) return end
             }
@@ -310,6 +326,15 @@
             return AttemptResult.Done
         }
 
+        private fun onRouterStopped(): AttemptResult {
+            backendAttempt.cancel()
+            return if (wasSent) {
+                AttemptResult.Failed(ErrorKind.ROUTER_STOPPED, "", isFinal = true)
+            } else {
+                AttemptResult.NotRun(ErrorKind.DRAINING, "no connection to a server yet", wasSent, isFinal = true)
+            }
+        }
+
         private fun onDeadlinePassed(): AttemptResult {
             backendAttempt.cancel()
             val kind = if (wasSent) ErrorKind.DEADLINE_DURING_RUN else ErrorKind.DEADLINE_BEFORE_START
@@ -456,6 +481,7 @@
                 beginStream()
                 caller.end()
                 recorder.recordSuccess(clock(), head.isDelimited)
+                recordSuccess()
                 recordEnd("streamed")
                 return AttemptResult.Done
             }
@@ -466,6 +492,7 @@
                 return AttemptResult.Failed(ErrorKind.BACKEND_FAILED, "status ${head.status}", answer)
             }
             recorder.recordSuccess(clock(), head.isDelimited)
+            recordSuccess()
             forwardResponse(answer)
             return AttemptResult.Done
         }
@@ -537,6 +564,12 @@
         )
     }
 
+    private fun recordSuccess() {
+        val sent = sentAt ?: return
+        val milliseconds = clock().microsecondsSince(sent).toDouble() / MICROSECONDS
+        context.durations.record(authorized.route.name, milliseconds)
+    }
+
     private fun recordEnd(result: String) {
         context.metrics.recordEnd(null, arrivedAt, firstEventAt, clock())
         context.log.write(
@@ -587,6 +620,9 @@
         /** Refusals of requests that a less loaded fleet would serve. */
         val LOAD_REFUSALS = setOf(ErrorKind.SHARE_EXCEEDED, ErrorKind.PREDICTED_LATE, ErrorKind.OVERLOADED)
 
+        /** Short, because another router can take the request at once. */
+        const val ELSEWHERE_MILLISECONDS = 20L
+
         /** Long enough for a router or server to recover from a brief disruption. */
         const val RETRY_MILLISECONDS = 200L
     }
--- a/src/main/kotlin/azuredale/outcome/ErrorKind.kt
+++ b/src/main/kotlin/azuredale/outcome/ErrorKind.kt
@@ -56,6 +56,7 @@
     BACKEND_FAILED(502, Execution.UNKNOWN, false, "the backend server failed after the request was sent"),
     STREAM_BROKEN(502, Execution.UNKNOWN, false, "the answer broke off and could not be resumed"),
     WRONG_ANSWER(502, Execution.UNKNOWN, false, "the backend server answered another request"),
+    ROUTER_STOPPED(502, Execution.UNKNOWN, false, "the router stopped while the request was running"),
     TICKET_FOREIGN(409, Execution.UNKNOWN, false, "the ticket belongs to another router or an earlier process"),
     TICKET_EXPIRED(409, Execution.UNKNOWN, false, "the ticket's deadline has passed"),
     CLAIMED_ELSEWHERE(409, Execution.UNKNOWN, false, "the idempotency key was claimed by another request"),
--- a/src/test/kotlin/azuredale/selftest/PlannedStopSpec.kt
+++ b/src/test/kotlin/azuredale/selftest/PlannedStopSpec.kt
@@ -80,7 +80,7 @@
 
         private suspend fun RawServers.requestsAfterStop(workMilliseconds: Long): List<Int?> = coroutineScope {
             workFor { workMilliseconds }
-            List(8) { async { sendAt(0, "/plain/before") } }.awaitAll()
+            listOf("/once/before", "/plain/before").flatMap { path -> List(4) { async { sendAt(0, path) } } }.awaitAll()
             val late = listOf("/once/late", "/plain/late").map { async { sendAt(2_400, it) } }
             val stop = async { fixture.stop() }
             late.awaitAll().map { it?.status }.also { stop.await() }
