Count requests on new connections as old as the event loop was late

The arrival of a request was taken from the periodic work that was due last, so the deadline of a request and the third of its time for its turn were too late by the time that a new connection waits to be registered with the event loop, in the same queue as that work: a second and more at the router of the users' record.

Change: a request that is read counts as waiting for at least as long as the periodic work was late the last time.

--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -228,7 +228,7 @@
     /** Runs periodic work that is due; called every few milliseconds. */
     fun tick() {
         val now = clock()
-        val lag = intake.unreadMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
+        val lag = intake.lagMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
         recordLag(lag, now)
         checkClocks()
         poller.tick(lag, now)
--- a/src/main/kotlin/azuredale/intake/Intake.kt
+++ b/src/main/kotlin/azuredale/intake/Intake.kt
@@ -41,17 +41,27 @@
     private val decisions = HashMap<WaitingRequest, CompletableDeferred<IntakeDecision>>()
     private var isScheduled = false
     private var expectedTickAt = Timestamp.DISTANT_FUTURE
+    private var lastLagMicroseconds = 0L
 
     /** Number of requests that wait for their turn. */
     val waiting: Int get() = queue.size + arrivals.size + earlierArrivals.size
 
     /** Records periodic work that runs after each reading of the sockets; the next one is due at [nextAt]. */
     fun recordTick(nextAt: Timestamp) {
+        lastLagMicroseconds = lagMicroseconds(clock())
         expectedTickAt = nextAt
     }
 
-    /** Longest time that a request that is read at [now] may have waited unread, in microseconds. */
-    fun unreadMicroseconds(now: Timestamp): Long = now.microsecondsSince(expectedTickAt).coerceAtLeast(0)
+    /** How much later than due the periodic work is at [now], in microseconds. */
+    fun lagMicroseconds(now: Timestamp): Long = now.microsecondsSince(expectedTickAt).coerceAtLeast(0)
+
+    /**
+     * Longest time that a request that is read at [now] may have waited unread, in microseconds.
+     *
+     * A new connection waits in the same queue as the periodic work until it is read for the first time, so a request
+     * that is read after that work may have waited for as long as it was late.
+     */
+    fun unreadMicroseconds(now: Timestamp): Long = maxOf(lagMicroseconds(now), lastLagMicroseconds)
 
     /** Waits until [request] may start or is given up. */
     suspend fun awaitTurn(request: WaitingRequest): IntakeDecision {
--- a/src/test/kotlin/azuredale/intake/OverloadedRouterSpec.kt
+++ b/src/test/kotlin/azuredale/intake/OverloadedRouterSpec.kt
@@ -136,6 +136,18 @@
             assertEquals(0, intake.unreadMicroseconds(start.plusMilliseconds(15)))
             assertEquals(1_980_000, intake.unreadMicroseconds(start.plusMilliseconds(2_000)))
         }
+
+        @Test
+        fun `that are read right after late work are as old as that was late`() {
+            // Guards against a deadline that is later than the caller's, because a new connection waited to be read.
+            intake.recordTick(nextAt = start.plusMilliseconds(20))
+            now = start.plusMilliseconds(2_000)
+            intake.recordTick(nextAt = start.plusMilliseconds(2_020))
+            assertEquals(1_980_000, intake.unreadMicroseconds(start.plusMilliseconds(2_001)))
+            now = start.plusMilliseconds(2_025)
+            intake.recordTick(nextAt = start.plusMilliseconds(2_045))
+            assertEquals(5_000, intake.unreadMicroseconds(start.plusMilliseconds(2_026)))
+        }
     }
 
     /** In any order of arrivals, disconnects and turns, a request starts at most once and never after its caller left. */
