--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -183,7 +183,7 @@
                 SendGuard(
                     authorizer = authorizer,
                     mayUse = selector::mayUse,
-                    isDirectoryUsable = poller::isDirectoryUsable,
+                    directoryFault = poller::directoryFault,
                 ),
             admission =
                 RequestAdmission(
@@ -241,6 +241,7 @@
             lagMilliseconds = lag,
             running = running,
             knownRouters = exchange.peers.all.size + 1,
+            directoryAge = poller.directoryAgeMilliseconds(now),
             now = now,
         )
         intake.recordTick(nextAt = clock().plusMilliseconds(TICK_MILLISECONDS))
--- a/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
@@ -32,8 +32,9 @@
      * @param lagMilliseconds how much later than planned the work runs.
      * @param running requests in progress.
      * @param knownRouters routers, including this one, that the router knows of.
+     * @param directoryAge milliseconds since the directory was known to be the newest, null if it never was.
      */
-    fun tick(lagMilliseconds: Long, running: Int, knownRouters: Int, now: Timestamp) {
+    fun tick(lagMilliseconds: Long, running: Int, knownRouters: Int, directoryAge: Long?, now: Timestamp) {
         longestLag = maxOf(longestLag, lagMilliseconds)
         if (now < nextAt) return
         nextAt = now.plusMilliseconds(PERIOD_MILLISECONDS)
@@ -46,6 +47,7 @@
                 "addressAnswers" to addressAnswers,
                 "fewestAddresses" to fewestAddresses.takeIf { addressAnswers > 0 },
                 "knownRouters" to knownRouters,
+                "directoryAge" to directoryAge,
             )
         }
         requests = 0
--- a/src/main/kotlin/azuredale/gateway/SendGuard.kt
+++ b/src/main/kotlin/azuredale/gateway/SendGuard.kt
@@ -27,18 +27,17 @@
  * before the timer of the deadline, the disconnection of the caller or a change of the directory is handled.
  *
  * @param mayUse whether a server may get requests at a given time.
- * @param isDirectoryUsable whether the directory is recent enough to tell that.
+ * @param directoryFault why the directory is too old to tell that, null if it is recent enough.
  */
 internal class SendGuard(
     private val authorizer: RequestAuthorizer,
     private val mayUse: (BackendEntry, Timestamp) -> Boolean,
-    private val isDirectoryUsable: (Timestamp) -> Boolean,
+    private val directoryFault: (Timestamp) -> String?,
 ) {
     /** Returns the failure if this router does not know which servers accept requests, otherwise null. */
-    fun directoryFailure(now: Timestamp): Failure? = Failure(
-        ErrorKind.STALE_DIRECTORY,
-        retryAt = now.plusMilliseconds(RETRY_MILLISECONDS),
-    ).takeIf { !isDirectoryUsable(now) }
+    fun directoryFailure(now: Timestamp): Failure? = directoryFault(now)?.let { detail ->
+        Failure(ErrorKind.STALE_DIRECTORY, detail, now.plusMilliseconds(RETRY_MILLISECONDS))
+    }
 
     /** Returns why the request of [caller] may not be written to [server] at [now], or null if it may. */
     fun objection(
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -48,11 +48,19 @@
     }
 
     /**
-     * Whether the directory may be used: it is fresh, or nobody can read a newer one.
+     * Why the directory may not be used, or null if it is fresh or nobody can read a newer one.
      *
      * A router whose directory is old although the store answers is behind, and other routers serve its callers better.
      */
-    fun isDirectoryUsable(now: Timestamp): Boolean = view.isDirectoryFresh(now) || health.isUnavailable
+    fun directoryFault(now: Timestamp): String? {
+        if (view.isDirectoryFresh(now) || health.isUnavailable) return null
+        return "directory confirmed ${directoryAgeMilliseconds(now)} ms ago"
+    }
+
+    /** Milliseconds since the directory was known to be the newest; null if it never was, or its time is unknown. */
+    fun directoryAgeMilliseconds(now: Timestamp): Long? = view.directoryProof.at
+        .takeIf { it > Timestamp.DISTANT_PAST }
+        ?.let { now.microsecondsSince(it) / Timestamp.MICROSECONDS_PER_MILLISECOND }
 
     /** Whether [readCatalog] should be called now. */
     fun isCatalogDue(now: Timestamp): Boolean = catalogSchedule.isDue(now, view.catalogProof.at, isCatalogStale)
