--- a/src/test/kotlin/azuredale/routing/ServiceContractSpec.kt
+++ b/src/test/kotlin/azuredale/routing/ServiceContractSpec.kt
@@ -181,6 +181,24 @@
         assertEquals("502 BACKEND_FAILED unknown", answer.summary())
     }
 
+    @Test
+    fun `never delivers a response whose head is cut`() {
+        // Guards against a cut head that is delivered as a complete answer with an empty or short body.
+        val head = "HTTP/1.1 200 OK\r\nX-Name: value\r\nContent-Length: 4\r\n\r\n"
+        var cut = 0
+        val raw =
+            vertx.createNetServer().connectHandler { socket ->
+                socket.handler { socket.write(head.take(cut)).onComplete { socket.close() } }
+            }
+        val port = runBlocking { raw.listen(0, "127.0.0.1").coAwait().actualPort() }
+        router.accepted = document(server("s1", HERD, port), server("s2", HERD, port))
+        while (cut < head.length) {
+            val answer = call("POST", "/service/herd/animals", "calf", "Azuredale-Ticket" to ticket())
+            assertEquals("502 BACKEND_FAILED unknown", answer.summary(), "cut at $cut")
+            cut++
+        }
+    }
+
     private fun ticket(): String {
         val answer = JsonObject(call("GET", "/v1/address?team=counter&count=1&tickets=1", "").body())
         return answer
