--- a/src/main/kotlin/azuredale/freshness/StoreHealth.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreHealth.kt
@@ -44,8 +44,8 @@
         if (pending.any { isSlow(it, now) }) recordUnavailable(now)
     }
 
-    /** Whether the store did not answer at some time since [time]. */
-    fun wasUnavailableSince(time: Timestamp): Boolean = lastFailureAt >= time
+    /** Whether the store did not answer at some time since [time]; false if that time is unknown after a clock jump. */
+    fun wasUnavailableSince(time: Timestamp): Boolean = time > Timestamp.DISTANT_PAST && lastFailureAt >= time
 
     private fun isSlow(sentAt: Timestamp, now: Timestamp) =
         now >= sentAt.plusMilliseconds(SLOW_MILLISECONDS) && !wasDelayed(sentAt)
--- a/src/test/kotlin/azuredale/freshness/StoreHealthSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/StoreHealthSpec.kt
@@ -47,6 +47,7 @@
         health.end(read.ending, sentAt, sentAt.plusMilliseconds(900))
         assertEquals(read.isUnavailable, health.isUnavailable)
         assertEquals(read.isUnavailable, health.wasUnavailableSince(sentAt))
+        assertEquals(false, health.wasUnavailableSince(Timestamp.DISTANT_PAST))
         health.recordSent(sentAt.plusMilliseconds(950))
         health.recordAnswer(sentAt.plusMilliseconds(950), sentAt.plusMilliseconds(954))
         assertEquals(false, health.isUnavailable)
