--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -32,38 +32,6 @@
     data object RouterStopped : Signal
 }
 
-/** How one attempt ended. */
-private sealed interface AttemptResult {
-    /** The response was forwarded, or the caller has disconnected. */
-    data object Done : AttemptResult
-
-    /** The server has not executed the request and never will. */
-    class NotRun(
-        val kind: ErrorKind,
-        val detail: String,
-        val wasSent: Boolean,
-        /** Whether no other server may get the request either. */
-        val isFinal: Boolean = false,
-    ) : AttemptResult
-
-    /** The server may have executed the request; [answer] is its own error response, if there is one. */
-    class Failed(
-        val kind: ErrorKind,
-        val detail: String,
-        val answer: BufferedResponse? = null,
-        /** Completes with whether the server process has ended; null if that does not matter. */
-        val hasServerEnded: Deferred<Boolean>? = null,
-        /** Whether no other server may get the request. */
-        val isFinal: Boolean = false,
-    ) : AttemptResult
-}
-
-/** A complete response of a server, buffered until the router has decided to forward it. */
-private class BufferedResponse(
-    val head: ResponseHead,
-    val body: Buffer,
-)
-
 /**
  * Handles one request of a caller: admission, server selection, attempts, and the response.
  *
@@ -329,7 +297,7 @@
         private fun onRouterStopped(): AttemptResult {
             backendAttempt.cancel()
             return if (wasSent) {
-                AttemptResult.Failed(ErrorKind.ROUTER_STOPPED, "", isFinal = true)
+                AttemptResult.Failed(ErrorKind.ROUTER_STOPPED, "the grace period is over", isFinal = true)
             } else {
                 AttemptResult.NotRun(ErrorKind.DRAINING, "no connection to a server yet", wasSent, isFinal = true)
             }
