Group what is asked of a request before it is sent

No behaviour changes. The context of a request had more parameters than the linter allows; the guard, the planned stop and the spread of returns belong to its admission, and the durations of routes to the planned stop, which alone uses them.

--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -26,9 +26,6 @@
     /** Limits on the request rate that servers name. */
     val limits = ServerLimits(loads, routers, random, onLimitChange)
 
-    /** How long requests take, by route. */
-    val durations = DurationEstimator()
-
     /** What servers say of themselves in their answers. */
     val announcements = ServerAnnouncements()
 
--- a/src/main/kotlin/azuredale/engine/DurationEstimator.kt
+++ b/src/main/kotlin/azuredale/gateway/DurationEstimator.kt
@@ -1,4 +1,4 @@
-package azuredale.engine
+package azuredale.gateway
 
 import kotlin.math.abs
 
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -90,7 +90,7 @@
     val metrics = GatewayMetrics()
 
     /** The planned stop of this router. */
-    val gracefulStop = GracefulStop(settings.bounds, statistics.durations::usualMilliseconds)
+    val gracefulStop = GracefulStop(settings.bounds)
     private val handlers = LinkedHashSet<RequestHandler>()
 
     /** Number of requests in progress. */
@@ -179,20 +179,20 @@
             clock = clock,
             authorizer = authorizer,
             selector = selector,
-            sendGuard =
-                SendGuard(
-                    authorizer = authorizer,
-                    mayUse = selector::mayUse,
-                    directoryFault = poller::directoryFault,
-                ),
             admission =
                 RequestAdmission(
                     intake = intake,
                     prompts = PromptAdmission(usage, LoadShedder(shares, random::nextDouble)),
                     quarantine = PromptQuarantine(quarantine, serverEnds, keeper::claimTrial),
+                    sendGuard =
+                        SendGuard(
+                            authorizer = authorizer,
+                            mayUse = selector::mayUse,
+                            directoryFault = poller::directoryFault,
+                        ),
+                    gracefulStop = gracefulStop,
+                    random = random::nextDouble,
                 ),
-            gracefulStop = gracefulStop,
-            durations = statistics.durations,
             recorders =
                 AttemptRecorders(
                     statistics,
@@ -210,7 +210,6 @@
             shareLog = ShareLog(shares, { view.catalog }, log),
             metrics = metrics,
             log = log,
-            random = random::nextDouble,
             timer = dependencies.timer,
         )
 
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -2,7 +2,6 @@
 
 import azuredale.admission.PromptAdmission
 import azuredale.directory.BackendEntry
-import azuredale.engine.DurationEstimator
 import azuredale.engine.ServerSelection
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
@@ -51,6 +50,10 @@
     val intake: Intake,
     val prompts: PromptAdmission,
     val quarantine: PromptQuarantine,
+    val sendGuard: SendGuard,
+    val gracefulStop: GracefulStop,
+    /** Returns a random number from 0 to 1, which spreads the returns of callers. */
+    val random: () -> Double,
 )
 
 /** Dependencies shared by all requests of one router. */
@@ -60,9 +63,6 @@
     val authorizer: RequestAuthorizer,
     val selector: ServerSelector,
     val admission: RequestAdmission,
-    val sendGuard: SendGuard,
-    val gracefulStop: GracefulStop,
-    val durations: DurationEstimator,
     val recorders: AttemptRecorders,
     val budgets: RequestBudgets,
     val backends: BackendTransport,
@@ -70,8 +70,6 @@
     val shareLog: ShareLog,
     val metrics: GatewayMetrics,
     val log: EventLog,
-    /** Returns a random number from 0 to 1. */
-    val random: () -> Double,
     /** Schedules an action for a given time. */
     val timer: (Timestamp, () -> Unit) -> Timer,
 )
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -10,8 +10,8 @@
  *
  * @property gracePeriodMilliseconds time between the stop signal and the forced end of the process.
  * @property revocationBoundMilliseconds maximum time after its revocation for which any router may still accept a key.
- * @property drainBoundMilliseconds maximum time after the store confirmed that a server leaves for which the server may get new
- *   requests.
+ * @property drainBoundMilliseconds maximum time for which a server may get new requests after the store confirmed that
+ *   it leaves.
  * @property retryRatio allowed retries as a fraction of the requests of a pool.
  * @property retryHeadroom retries allowed in addition to that fraction.
  * @property retryWindowMilliseconds sliding window over which requests and retries are counted.
--- a/src/main/kotlin/azuredale/gateway/GracefulStop.kt
+++ b/src/main/kotlin/azuredale/gateway/GracefulStop.kt
@@ -5,13 +5,9 @@
 /**
  * A planned stop of this router: it serves on while callers still know its address, and every request that it has read
  * gets an answer before the process ends.
- *
- * @param usualMilliseconds how long requests of a route usually take at most, null if this is not known.
  */
-internal class GracefulStop(
-    private val bounds: FleetBounds,
-    private val usualMilliseconds: (route: String) -> Double?,
-) {
+internal class GracefulStop(private val bounds: FleetBounds) {
+    private val durations = DurationEstimator()
     private var begunAt: Timestamp? = null
 
     /** Whether the stop has begun. */
@@ -21,6 +17,9 @@
     val endsAt: Timestamp? get() =
         begunAt?.plusMilliseconds(bounds.gracePeriodMilliseconds - ANSWER_MARGIN_MILLISECONDS)
 
+    /** Records that a request of [route] took [milliseconds] from its sending to the end of the response. */
+    fun recordDuration(route: String, milliseconds: Double) = durations.record(route, milliseconds)
+
     /** Begins the stop; returns whether it had not begun before. */
     fun begin(now: Timestamp): Boolean {
         if (isBegun) return false
@@ -40,7 +39,7 @@
     fun canFinish(route: String, deadline: Timestamp, now: Timestamp): Boolean {
         val end = endsAt ?: return true
         if (deadline <= end) return true
-        val usual = usualMilliseconds(route) ?: return false
+        val usual = durations.usualMilliseconds(route) ?: return false
         return now.plusMilliseconds(usual.toLong()) <= end
     }
 
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -100,7 +100,7 @@
 
     private suspend fun serve(body: Buffer) {
         val now = clock()
-        if (!context.gracefulStop.canFinish(authorized.route.name, deadline, now)) {
+        if (!context.admission.gracefulStop.canFinish(authorized.route.name, deadline, now)) {
             refuse(Failure(ErrorKind.DRAINING, "cannot end in time", now.plusMilliseconds(ELSEWHERE_MILLISECONDS)))
             return
         }
@@ -213,7 +213,9 @@
 
     private fun decideSending(server: BackendEntry, body: Buffer): SendDecision {
         val now = clock()
-        context.sendGuard.objection(caller, authorized, server, deadline, now)?.let { return it }
+        context.admission.sendGuard
+            .objection(caller, authorized, server, deadline, now)
+            ?.let { return it }
         return SendDecision.Send(
             BackendRequest(
                 head = head,
@@ -535,7 +537,7 @@
     private fun recordSuccess() {
         val sent = sentAt ?: return
         val milliseconds = clock().microsecondsSince(sent).toDouble() / MICROSECONDS
-        context.durations.record(authorized.route.name, milliseconds)
+        context.admission.gracefulStop.recordDuration(authorized.route.name, milliseconds)
     }
 
     private fun recordEnd(result: String) {
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -37,7 +37,9 @@
      * @param isFirst whether the request has not been sent to any server.
      */
     suspend fun next(isFirst: Boolean, now: Timestamp): Outcome<ServerSelection.Selected> {
-        context.sendGuard.directoryFailure(now)?.let { return Outcome.Refused(it) }
+        context.admission.sendGuard
+            .directoryFailure(now)
+            ?.let { return Outcome.Refused(it) }
         promptGate.refusal(now)?.let { return Outcome.Refused(it) }
         return when (val selection = context.selector.select(selectionRequest(now), now)) {
             is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
@@ -82,7 +84,7 @@
 
     /** Callers return within the same time again after the servers do, so that not all of them come at one moment. */
     private fun onHold(until: Timestamp, now: Timestamp): Failure {
-        val spread = (until.microsecondsSince(now) * context.random()).toLong()
+        val spread = (until.microsecondsSince(now) * context.admission.random()).toLong()
         return Failure(
             ErrorKind.NO_ELIGIBLE_SERVER,
             "all servers want no requests for now",
