--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -110,10 +110,11 @@
         gateway.stop()
         val end = gateway.gracefulStop.endsAt ?: clock()
         while (clock() < end && !gateway.hasStopped(clock())) delay(Gateway.TICK_MILLISECONDS)
+        val unfinished = gateway.running
         gateway.endRequests()
         // Lets the last responses leave the socket buffers.
         delay(LAST_ANSWER_MILLISECONDS)
-        log.write(GatewayLogEvent.GATEWAY_STOPPED, "running" to gateway.running)
+        log.write(GatewayLogEvent.GATEWAY_STOPPED, "running" to unfinished)
         scope.cancel()
     }
 
