Retain servers after an outage only until a router that was cut off alone is connected again

A request reached a server 2.98 s after its registration was removed (bound 2 s).

A router cannot tell the two apart, but the bound holds for it again only from bounds.contact-ms after the cut.

Change: the retention ends 0.3 s before that time, counted from the sending of the last read that was not answered, after which the store may have returned at once. StoreHealth keeps that time instead of the time at which the failure was noticed.

Ruled out: a withdrawn request or an old directory (directoryAge 60 to 540 ms from second 14 on).

--- a/src/main/kotlin/azuredale/freshness/StoreHealth.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreHealth.kt
@@ -10,9 +10,12 @@
  */
 internal class StoreHealth {
     private var lastDelayAt = Timestamp.DISTANT_PAST
-    private var lastFailureAt = Timestamp.DISTANT_PAST
     private val pending = LinkedHashSet<Timestamp>()
 
+    /** When the latest read that the store did not answer was sent; the store may have returned right after that. */
+    var lastUnansweredAt = Timestamp.DISTANT_PAST
+        private set
+
     /** Whether the store did not answer when it was last asked. */
     var isUnavailable = false
         private set
@@ -30,31 +33,31 @@
     /** Records the answer to the read sent at [sentAt]. */
     fun recordAnswer(sentAt: Timestamp, now: Timestamp) {
         pending -= sentAt
-        if (isSlow(sentAt, now)) recordUnavailable(now) else isUnavailable = false
+        if (isSlow(sentAt, now)) recordUnanswered(sentAt) else isUnavailable = false
     }
 
     /** Records that the read sent at [sentAt] failed; [isRejected] if the store answered that it serves no reads. */
-    fun recordFailure(sentAt: Timestamp, isRejected: Boolean, now: Timestamp) {
+    fun recordFailure(sentAt: Timestamp, isRejected: Boolean) {
         pending -= sentAt
-        if (isRejected || !wasDelayed(sentAt)) recordUnavailable(now)
+        if (isRejected || !wasDelayed(sentAt)) recordUnanswered(sentAt)
     }
 
     /** Updates the state by reads that are still without an answer. */
     fun update(now: Timestamp) {
-        if (pending.any { isSlow(it, now) }) recordUnavailable(now)
+        pending.filter { isSlow(it, now) }.forEach(::recordUnanswered)
     }
 
     /** Whether the store did not answer at some time since [time]; false if that time is unknown after a clock jump. */
-    fun wasUnavailableSince(time: Timestamp): Boolean = time > Timestamp.DISTANT_PAST && lastFailureAt >= time
+    fun wasUnavailableSince(time: Timestamp): Boolean = time > Timestamp.DISTANT_PAST && lastUnansweredAt >= time
 
     private fun isSlow(sentAt: Timestamp, now: Timestamp) =
         now >= sentAt.plusMilliseconds(SLOW_MILLISECONDS) && !wasDelayed(sentAt)
 
     private fun wasDelayed(since: Timestamp) = lastDelayAt >= since
 
-    private fun recordUnavailable(now: Timestamp) {
+    private fun recordUnanswered(sentAt: Timestamp) {
         isUnavailable = true
-        lastFailureAt = now
+        lastUnansweredAt = maxOf(lastUnansweredAt, sentAt)
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -2,6 +2,7 @@
 
 import azuredale.catalog.Catalog
 import azuredale.directory.ServerDirectory
+import azuredale.gateway.FleetBounds
 import azuredale.identity.Revision
 import azuredale.time.Timestamp
 
@@ -21,10 +22,7 @@
  *
  * A late response never replaces the catalog by an older revision.
  */
-internal class StoreView(
-    private val revocationBoundMilliseconds: Long,
-    private val drainBoundMilliseconds: Long,
-) {
+internal class StoreView(private val bounds: FleetBounds) {
     /** The catalog in force, null until the first one has been read. */
     var catalog: Catalog? = null
         private set
@@ -53,11 +51,11 @@
 
     /** Whether the catalog is certain to reflect every key revocation that is older than the revocation bound. */
     fun isCatalogFresh(now: Timestamp): Boolean = now.microsecondsSince(catalogProof.at) <=
-        (revocationBoundMilliseconds - REVOCATION_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
+        (bounds.revocationBoundMilliseconds - REVOCATION_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
 
     /** Whether the directory is certain to show every server that left longer ago than the bound on new requests. */
     fun isDirectoryFresh(now: Timestamp): Boolean = now.microsecondsSince(directoryProof.at) <=
-        (drainBoundMilliseconds - DRAIN_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
+        (bounds.drainBoundMilliseconds - DRAIN_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
 
     /** Adopts a catalog from a read sent at [sentAt] if it is newer, and returns whether it was. */
     fun adoptCatalog(read: Catalog, sentAt: Timestamp): Boolean {
@@ -79,14 +77,17 @@
      * Adopts the directory from a read sent at [sentAt]; returns the previous one, or null if the read is outdated.
      *
      * Registrations expire during a store outage, and live servers register again within about two seconds after it.
-     * Until then, missing servers are retained.
+     * Until then, missing servers are retained. But this router alone may have been cut off, and then a missing server has
+     * left; so the retention ends before the router counts as connected again after the earliest end of the outage.
      *
-     * @param hadOutage whether the store was unavailable since the latest proof of freshness.
+     * @param outageUntil earliest time at which an outage of the store since the latest proof of freshness may have
+     *   ended, null if there was none.
      */
-    fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp, hadOutage: Boolean): ServerDirectory? {
+    fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp, outageUntil: Timestamp?): ServerDirectory? {
         if (read.storeRevision < lastReadDirectory.storeRevision) return null
-        if (hadOutage && lastReadDirectory !== ServerDirectory.EMPTY) {
-            retainedUntil = sentAt.plusMilliseconds(RETENTION_MILLISECONDS)
+        if (outageUntil != null && lastReadDirectory !== ServerDirectory.EMPTY) {
+            val connectedAt = outageUntil.plusMilliseconds(bounds.contactMilliseconds - DRAIN_MARGIN_MILLISECONDS)
+            retainedUntil = minOf(sentAt.plusMilliseconds(RETENTION_MILLISECONDS), connectedAt)
         }
         val before = directory
         lastReadDirectory = read
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -68,7 +68,7 @@
     private val incarnation = Incarnation(clock().microseconds)
 
     /** Local copy of the store's tables. */
-    val view = StoreView(settings.bounds.revocationBoundMilliseconds, settings.bounds.drainBoundMilliseconds)
+    val view = StoreView(settings.bounds)
 
     /** Runtime state of the backend servers. */
     val statistics =
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -12,6 +12,7 @@
  * @property revocationBoundMilliseconds maximum time after its revocation for which any router may still accept a key.
  * @property drainBoundMilliseconds maximum time for which a server may get new requests after the store confirmed that
  *   it leaves.
+ * @property contactMilliseconds time after the end of a disruption from which on a router counts as connected again.
  * @property retryRatio allowed retries as a fraction of the requests of a pool.
  * @property retryHeadroom retries allowed in addition to that fraction.
  * @property retryWindowMilliseconds sliding window over which requests and retries are counted.
@@ -21,6 +22,7 @@
     val gracePeriodMilliseconds: Long = 8_000,
     val revocationBoundMilliseconds: Long = 5_000,
     val drainBoundMilliseconds: Long = 2_000,
+    val contactMilliseconds: Long = 3_000,
     val retryRatio: Double = 0.2,
     val retryHeadroom: Double = 50.0,
     val retryWindowMilliseconds: Long = 10_000,
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -93,7 +93,7 @@
         when (read) {
             is CatalogRead.Failed -> {
                 catalogSchedule.recordFailure(now)
-                storeFailed(read.failure, sentAt, now)
+                storeFailed(read.failure, sentAt)
                 return
             }
             is CatalogRead.Newer ->
@@ -131,14 +131,14 @@
         when (read) {
             is DirectoryRead.Failed -> {
                 directorySchedule.recordFailure(now)
-                storeFailed(read.failure, sentAt, now)
+                storeFailed(read.failure, sentAt)
             }
             is DirectoryRead.Found -> {
                 directorySchedule.recordSuccess(now)
                 storeAnswered(sentAt, now)
                 logMalformed(read.malformed)
-                val hadOutage = health.wasUnavailableSince(view.directoryProof.at)
-                val before = view.adoptDirectory(read.directory, sentAt, hadOutage)
+                val outageUntil = health.lastUnansweredAt.takeIf { health.wasUnavailableSince(view.directoryProof.at) }
+                val before = view.adoptDirectory(read.directory, sentAt, outageUntil)
                 if (before != null && before.entries != view.directory.entries) {
                     logChanges(before, view.directory)
                     onChange(false)
@@ -148,8 +148,8 @@
         }
     }
 
-    private fun storeFailed(failure: CallFailure, sentAt: Timestamp, now: Timestamp) {
-        health.recordFailure(sentAt, failure.reason in REJECTIONS, now)
+    private fun storeFailed(failure: CallFailure, sentAt: Timestamp) {
+        health.recordFailure(sentAt, failure.reason in REJECTIONS)
         if (!isStoreLost) log.write(GatewayLogEvent.STORE_LOST, "detail" to failure)
         isStoreLost = true
     }
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -50,6 +50,7 @@
         return FleetBounds(
             gracePeriodMilliseconds = fields.milliseconds("bounds.grace-s", default.gracePeriodMilliseconds),
             revocationBoundMilliseconds = fields.count("bounds.revoke-ms", default.revocationBoundMilliseconds),
+            contactMilliseconds = fields.count("bounds.contact-ms", default.contactMilliseconds),
             drainBoundMilliseconds = fields.count("bounds.drain-ms", default.drainBoundMilliseconds),
             retryRatio = fields.number("bounds.retry-budget-ratio", default.retryRatio),
             retryHeadroom = fields.number("bounds.retry-headroom", default.retryHeadroom),
--- a/src/test/kotlin/azuredale/freshness/StoreHealthSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/StoreHealthSpec.kt
@@ -31,8 +31,8 @@
 
     private fun StoreHealth.end(ending: Ending, sentAt: Timestamp, now: Timestamp) = when (ending) {
         Ending.ANSWER -> recordAnswer(sentAt, now)
-        Ending.TIME_OUT -> recordFailure(sentAt, isRejected = false, now)
-        Ending.REJECTION -> recordFailure(sentAt, isRejected = true, now)
+        Ending.TIME_OUT -> recordFailure(sentAt, isRejected = false)
+        Ending.REJECTION -> recordFailure(sentAt, isRejected = true)
         Ending.NONE -> update(now)
     }
 
--- a/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
@@ -5,6 +5,7 @@
 import azuredale.directory.BackendEntry
 import azuredale.directory.BackendState
 import azuredale.directory.ServerDirectory
+import azuredale.gateway.FleetBounds
 import azuredale.identity.FailureDomain
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
@@ -20,7 +21,7 @@
 import kotlin.test.assertTrue
 
 class StoreViewSpec {
-    private val view = StoreView(revocationBoundMilliseconds = 5_000, drainBoundMilliseconds = 2_000)
+    private val view = StoreView(FleetBounds())
     private val start = Timestamp.ofMilliseconds(1_000_000)
 
     private fun after(milliseconds: Long) = start.plusMilliseconds(milliseconds)
@@ -86,43 +87,53 @@
         @Test
         fun `ignores a read that is older than the one in force`() {
             // Guards against a drained server that gets new requests after a slow response.
-            view.adoptDirectory(directory(10, "a"), start, hadOutage = false)
-            assertNull(view.adoptDirectory(directory(9, "a", "b"), after(10), hadOutage = false))
+            view.adoptDirectory(directory(10, "a"), start, outageUntil = null)
+            assertNull(view.adoptDirectory(directory(9, "a", "b"), after(10), outageUntil = null))
             assertEquals(setOf(ServerId("a")), view.directory.entries.keys)
         }
 
         @Test
         fun `removes a server at once while the store is available`() {
-            view.adoptDirectory(directory(10, "a", "b"), start, hadOutage = false)
-            view.adoptDirectory(directory(11, "a"), after(500), hadOutage = false)
+            view.adoptDirectory(directory(10, "a", "b"), start, outageUntil = null)
+            view.adoptDirectory(directory(11, "a"), after(500), outageUntil = null)
             assertEquals(setOf(ServerId("a")), view.directory.entries.keys)
         }
 
         @Test
         fun `retains servers whose registrations expired during a store outage until they had time to register`() {
             // Guards against a pool that appears empty after an outage, and against servers that are never removed.
-            view.adoptDirectory(directory(10, "a", "b"), start, hadOutage = false)
-            assertNotNull(view.adoptDirectory(directory(11, "a"), after(6_000), hadOutage = true))
+            view.adoptDirectory(directory(10, "a", "b"), start, outageUntil = null)
+            assertNotNull(view.adoptDirectory(directory(11, "a"), after(6_000), outageUntil = after(5_800)))
             assertEquals(2, view.directory.entries.size)
             assertFalse(view.isRetentionOver(after(7_000)))
             view.confirmDirectory(view.directoryDigest, after(7_500))
             assertTrue(view.isRetentionOver(after(8_300)))
-            view.adoptDirectory(directory(12, "a"), after(8_300), hadOutage = false)
+            view.adoptDirectory(directory(12, "a"), after(8_300), outageUntil = null)
             assertEquals(setOf(ServerId("a")), view.directory.entries.keys)
         }
 
+        @Test
+        fun `retains no server for longer than a router that was cut off alone may use it`() {
+            // Guards against a router that was cut off from the store, reads it late and then uses servers that have left.
+            view.adoptDirectory(directory(10, "a", "b"), start, outageUntil = null)
+            view.adoptDirectory(directory(11, "a"), after(14_200), outageUntil = after(12_700))
+            assertEquals(2, view.directory.entries.size)
+            assertFalse(view.isRetentionOver(after(15_300)))
+            assertTrue(view.isRetentionOver(after(15_400)))
+        }
+
         @Test
         fun `removes a server at once after a long pause of this router`() {
             // Guards against a router that takes its own delay for an outage and keeps using servers that have left.
-            view.adoptDirectory(directory(10, "a", "b"), start, hadOutage = false)
-            view.adoptDirectory(directory(11, "a"), after(6_000), hadOutage = false)
+            view.adoptDirectory(directory(10, "a", "b"), start, outageUntil = null)
+            view.adoptDirectory(directory(11, "a"), after(6_000), outageUntil = null)
             assertEquals(setOf(ServerId("a")), view.directory.entries.keys)
         }
 
         @Test
         fun `is fresh for the bound on requests to leaving servers, less the transit`() {
             // Guards against a router that sends requests to servers whose leaving it cannot know yet.
-            view.adoptDirectory(directory(10, "a"), start, hadOutage = false)
+            view.adoptDirectory(directory(10, "a"), start, outageUntil = null)
             assertTrue(view.isDirectoryFresh(after(1_700)))
             assertFalse(view.isDirectoryFresh(after(1_701)))
             view.confirmDirectory(view.directoryDigest, after(1_000))
@@ -134,8 +145,8 @@
         @Test
         fun `does not retain a server whose address another server has taken`() {
             // Guards against requests to an address that now belongs to a server of another pool.
-            view.adoptDirectory(directory(10, "a"), start, hadOutage = false)
-            view.adoptDirectory(directory(11, "new"), after(6_000), hadOutage = true)
+            view.adoptDirectory(directory(10, "a"), start, outageUntil = null)
+            view.adoptDirectory(directory(11, "new"), after(6_000), outageUntil = after(5_800))
             assertEquals(setOf(ServerId("new")), view.directory.entries.keys)
         }
     }
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -90,8 +90,8 @@
 
     private fun create(index: Int, domains: Int): Node {
         val address = NetworkAddress("10.0.${index / 200}.${index % 200 + 1}", 7_000)
-        val view = StoreView(revocationBoundMilliseconds = 5_000, drainBoundMilliseconds = 2_000)
-        view.adoptDirectory(ServerDirectory(1, servers.associateBy { it.id }), now, hadOutage = false)
+        val view = StoreView(FleetBounds())
+        view.adoptDirectory(ServerDirectory(1, servers.associateBy { it.id }), now, outageUntil = null)
         val node = Node(RouterId("router-$index"), address, statistics(index), view, TeamUsage(), { now })
         node.settings =
             GatewaySettings(
