--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -77,8 +77,8 @@
      * Adopts the directory from a read sent at [sentAt]; returns the previous one, or null if the read is outdated.
      *
      * Registrations expire during a store outage, and live servers register again within about two seconds after it.
-     * Until then, missing servers are retained. But this router alone may have been cut off, and then a missing server has
-     * left; so the retention ends before the router counts as connected again after the earliest end of the outage.
+     * Until then, missing servers are retained. But this router alone may have been cut off, and then a missing server
+     * has left; so the retention ends before the router counts as connected again after the earliest end of the outage.
      *
      * @param outageUntil earliest time at which an outage of the store since the latest proof of freshness may have
      *   ended, null if there was none.
