--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -30,11 +30,23 @@
         }
     }
 
+    private static final int SLICES = 20;
     private static final Timer TIMER = new Timer(true);
 
     private Client() {}
 
     static Answer send(Router router, String method, String path, String id, int budget, byte[] body) {
+        return send(router, method, path, id, budget, "", body, 0);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param headers further header lines, each with its line end.
+     * @param milliseconds time that the client's link takes for the body, at least.
+     */
+    static Answer send(Router router, String method, String path, String id, int budget, String headers, byte[] body,
+            int milliseconds) {
         Answer answer = new Answer();
         long start = System.nanoTime();
         boolean[] isOver = {false};
@@ -55,9 +67,16 @@
             }, budget);
             OutputStream output = socket.getOutputStream();
             output.write((method + " " + path + " HTTP/1.1\r\nHost: ficu95.example\r\nX-Azuredale-Request-Id: " + id
-                + "\r\nX-Azuredale-Deadline-Ms: " + budget + "\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes());
-            output.write(body);
-            output.flush();
+                + "\r\nX-Azuredale-Deadline-Ms: " + budget + "\r\n" + headers + "Content-Length: " + body.length + "\r\n\r\n").getBytes());
+            if (milliseconds == 0) {
+                output.write(body);
+            } else {
+                int slice = body.length / SLICES;
+                for (int number = 0; number < SLICES; number++) {
+                    output.write(body, number * slice, number < SLICES - 1 ? slice : body.length - number * slice);
+                    Thread.sleep(milliseconds / SLICES);
+                }
+            }
             answer.isSent = true;
             InputStream input = socket.getInputStream();
             Http.Head head = Http.readHead(input);
@@ -66,7 +85,7 @@
             answer.stamp = head.header("X-Azuredale-Response-Stamp");
             answer.body = input.readNBytes(head.length());
             answer.isWhole = answer.body.length == head.length();
-        } catch (IOException failure) {
+        } catch (IOException | InterruptedException failure) {
             answer.isUnanswered = isOver[0];
             answer.fault = String.valueOf(failure.getMessage());
         }
