Review: take back case 5, whose check was stricter than the rule

Fault excuses ends of processes beside a disturbance, and SYSTEM.md lists hup and roll_term among the disturbances.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review
 mkdir -p target/review
-javac -d target/review review/standin/*.java review/[1-5]/*.java
+javac -d target/review review/standin/*.java review/[1-4]/*.java
