Close a backend connection that holds bytes after a response

Cause: two parts of one connection judge it by different signs. The HTTP decoder keeps bytes that make up no whole message, the connection went by messages alone and put itself into the pool when the last one had come. Bytes behind a response that were read with its end stayed in the decoder, and the head of the next response was parsed behind them: its status line ended up in a header's value, its id, stamp and length were taken.

Ruled out: the pool (a connection that has been closed is never taken), a whole second response (matched by its id, skipped), the order of writes.

Change: BackendResponseDecoder knows whether every byte that it has read belongs to a complete response: nothing buffered, no line of a further head taken, no blank line skipped. Only then is the connection used again. A response that is itself complete is still delivered.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -7,11 +7,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.vertx.core.buffer.Buffer
@@ -51,12 +49,13 @@
     private var isClosed = false
     private var mustClose = false
     private var hasAnswered = false
+    private val responseDecoder = BackendResponseDecoder { exchange?.isHeadRequest == true }
 
     init {
         val pipeline = socket.channelHandlerContext().pipeline()
         pipeline.addFirst("byte-monitor", ByteMonitor())
         pipeline.addBefore(SOCKET_HANDLER, "encoder", HttpRequestEncoder())
-        pipeline.addBefore(SOCKET_HANDLER, "decoder", HeadAwareDecoder())
+        pipeline.addBefore(SOCKET_HANDLER, "decoder", responseDecoder)
         socket.messageHandler(::handleMessage)
         socket.closeHandler { closed() }
         socket.exceptionHandler { isReset = true }
@@ -185,6 +184,8 @@
             return
         }
         exchange = null
+        // Bytes after the response would be parsed as the beginning of the next one.
+        if (!responseDecoder.isBetweenResponses) mustClose = true
         // If the server responds before it has read the complete request, it would parse the rest as another request.
         val isReusable = current.isWritten && !mustClose && !isClosed && hints != null && !hints.isClosing
         if (!isReusable) close()
@@ -228,11 +229,6 @@
         }
     }
 
-    private inner class HeadAwareDecoder : HttpResponseDecoder(HttpDecoderConfig()) {
-        override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
-            exchange?.isHeadRequest == true || super.isContentAlwaysEmpty(message)
-    }
-
     private companion object {
         /** Name of the handler that Vert.x adds at the end of a connection's pipeline. */
         const val SOCKET_HANDLER = "handler"
--- /dev/null
+++ b/src/main/kotlin/azuredale/edge/BackendResponseDecoder.kt
@@ -0,0 +1,34 @@
+package azuredale.edge
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
+
+/**
+ * Decodes the responses on one connection and knows whether it has read a part of a further one.
+ *
+ * @param isHeadRequest whether the request in progress is a HEAD request, whose response has no body.
+ */
+internal class BackendResponseDecoder(private val isHeadRequest: () -> Boolean) :
+    HttpResponseDecoder(HttpDecoderConfig()) {
+    private var hasPartialResponse = false
+
+    /** Whether all bytes read so far belong to complete responses. */
+    val isBetweenResponses: Boolean get() = !hasPartialResponse && actualReadableBytes() == 0
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        val readableBefore = buffer.readableBytes()
+        super.decode(context, buffer, out)
+        when {
+            out.lastOrNull() is LastHttpContent -> hasPartialResponse = false
+            // The decoder may keep the first lines of a head, or skip bytes before it, without any output.
+            buffer.readableBytes() < readableBefore -> hasPartialResponse = true
+        }
+    }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        isHeadRequest() || super.isContentAlwaysEmpty(message)
+}
