Fail an attempt at once when a foreign response ends with the connection

What callers saw: a server that sends a response to an earlier request, with neither a length nor chunks, on a connection in use: the caller waits until its deadline, although the response to its request can't come any more (the foreign one takes all further bytes).

Evidence: ResponseMatchingSpec, OtherResponses, WITHOUT_LENGTH: nothing within the second that the spec waits before, a failure at once after. A request that may be repeated now has its time left for another server.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -159,17 +159,22 @@
         current.isMismatched = head.requestId != current.requestId && !isRefusalWithoutId
         if (current.isMismatched) {
             mustClose = true
-            if (++current.skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
+            if (endsWithConnection(head, response)) {
+                fail("a response to another request ends with the connection")
+            } else if (++current.skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
                 fail("more than $MAXIMUM_SKIPPED_RESPONSES responses to other requests")
             }
         } else {
             current.hasHead = true
-            current.endsWithConnection = !head.isDelimited && !responseDecoder.isContentAlwaysEmpty(response)
+            current.endsWithConnection = endsWithConnection(head, response)
             current.skippedBytes = 0
             current.report(BackendEvent.Head(head))
         }
     }
 
+    private fun endsWithConnection(head: ResponseHead, response: HttpResponse) =
+        !head.isDelimited && !responseDecoder.isContentAlwaysEmpty(response)
+
     private fun contentReceived(current: Exchange, content: HttpContent) {
         if (content.decoderResult().isFailure) {
             fail("response body is malformed: ${content.decoderResult().cause()?.message}")
--- a/src/test/kotlin/azuredale/edge/ResponseMatchingSpec.kt
+++ b/src/test/kotlin/azuredale/edge/ResponseMatchingSpec.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import org.junit.jupiter.params.provider.MethodSource
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -93,6 +94,42 @@
         }
     }
 
+    /** Responses that no request asked for, sent before the response to the second request. */
+    enum class Other(
+        val bytes: String,
+        val expected: String,
+    ) {
+        EMPTY_LINES("\r\n\r\n", "complete"),
+        WITHOUT_LENGTH(response("1", "old").replace(Regex("Content-Length: \\d+\r\n"), ""), "failed"),
+        OTHER_PROTOCOL("xHTTP/1.1 200 OK\r\nX-Azuredale-Request-Id: 2\r\n\r\n", "failed"),
+    }
+
+    @Nested
+    inner class OtherResponses {
+        @ParameterizedTest
+        @EnumSource(Other::class)
+        fun `are told from the response to the request`(other: Other) = withBackendPool {
+            // Guards against an interim or foreign response that is taken for the final one, or awaited without end.
+            server.handler = { request ->
+                if (request.previous != null) request.socket.write(other.bytes)
+                later { request.socket.write(response(request.id, "own")) }
+                "kept"
+            }
+            assertTrue(exchange("server-0", "1").isComplete)
+            val received = exchange("server-0", "2")
+            val result =
+                if (received.isComplete) {
+                    "complete"
+                } else if (received.failure != null) {
+                    "failed"
+                } else {
+                    "nothing"
+                }
+            assertEquals(other.expected, result, received.failure)
+            if (received.isComplete) assertEquals("own", received.text)
+        }
+    }
+
     @Nested
     inner class Connections {
         @Test
