Skip interim responses that name the request

What callers saw: an interim response (103) with the id of the request was taken for the final one; the caller got its status and an empty body, and the server's answer was lost.

Evidence: ResponseMatchingSpec, OtherResponses, INTERIM_WITH_THE_ID: an empty body before, the server's own after.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import io.vertx.core.buffer.Buffer
@@ -156,7 +157,8 @@
         // On a connection that has carried a response, a refusal without an id may belong to an earlier request.
         val isRefusalWithoutId = head.requestId == null && head.isNotExecuted && !hasAnswered
         hasAnswered = true
-        current.isMismatched = head.requestId != current.requestId && !isRefusalWithoutId
+        val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        current.isMismatched = isInterim || (head.requestId != current.requestId && !isRefusalWithoutId)
         if (current.isMismatched) {
             mustClose = true
             if (endsWithConnection(head, response)) {
--- a/src/test/kotlin/azuredale/edge/ResponseMatchingSpec.kt
+++ b/src/test/kotlin/azuredale/edge/ResponseMatchingSpec.kt
@@ -99,6 +99,7 @@
         val bytes: String,
         val expected: String,
     ) {
+        INTERIM_WITH_THE_ID("HTTP/1.1 103 Early Hints\r\nX-Azuredale-Request-Id: 2\r\n\r\n", "complete"),
         EMPTY_LINES("\r\n\r\n", "complete"),
         WITHOUT_LENGTH(response("1", "old").replace(Regex("Content-Length: \\d+\r\n"), ""), "failed"),
         OTHER_PROTOCOL("xHTTP/1.1 200 OK\r\nX-Azuredale-Request-Id: 2\r\n\r\n", "failed"),
