Name the connection in failures of attempts, and log unexpected bytes

A response that a server sent malformed and one that was joined to bytes of an earlier response left the same line in the log. At most one line a connection.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -41,25 +41,27 @@
  * responses to be skipped fails the request.
  */
 internal class BackendConnection(
+    private val number: Long,
     private val socket: NetSocketInternal,
     private val decoder: ResponseDecoder,
     private val onHead: (ResponseHead) -> Unit,
     private val onIdle: (BackendConnection, ConnectionHints) -> Unit,
+    private val onUnexpectedBytes: (detail: String) -> Unit,
     private val onClosed: (BackendConnection) -> Unit,
 ) {
     private var exchange: Exchange? = null
     private var isReset = false
 
-    /** Whether the server ended the connection in order, after all of its bytes, as opposed to a failure of either side. */
+    /** Whether the server ended the connection in order, so that all of its bytes were read. */
     private var hasServerEnded = false
     private var isClosed = false
     private var mustClose = false
-    private var hasAnswered = false
+    private var responseCount = 0
     private val responseDecoder = BackendResponseDecoder { exchange?.isHeadRequest == true }
 
     init {
         val channel = socket.channelHandlerContext().channel()
-        // Reports the server's end of the connection as an event; without it, any failure to read or write looks the same.
+        // Reports the server's end of the connection as an event. Otherwise it looks the same as a failed write.
         channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         val pipeline = channel.pipeline()
         pipeline.addFirst("byte-monitor", ByteMonitor())
@@ -155,8 +157,8 @@
         onHead(head)
         current.hints = decoder.hints(response)
         // On a connection that has carried a response, a refusal without an id may belong to an earlier request.
-        val isRefusalWithoutId = head.requestId == null && head.isNotExecuted && !hasAnswered
-        hasAnswered = true
+        val isRefusalWithoutId = head.requestId == null && head.isNotExecuted && responseCount == 0
+        responseCount++
         val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         current.isMismatched = isInterim || (head.requestId != current.requestId && !isRefusalWithoutId)
         if (current.isMismatched) {
@@ -208,7 +210,10 @@
         }
         exchange = null
         // Bytes after the response would be parsed as the beginning of the next one.
-        if (!responseDecoder.isBetweenResponses) mustClose = true
+        if (!responseDecoder.isBetweenResponses) {
+            mustClose = true
+            onUnexpectedBytes("${responseDecoder.bufferedBytes} bytes with the end of a response${position()}")
+        }
         // If the server responds before it has read the complete request, it would parse the rest as another request.
         val isReusable = current.isWritten && !mustClose && !isClosed && hints != null && !hints.isClosing
         if (!isReusable) close()
@@ -220,16 +225,20 @@
         val current = exchange
         exchange = null
         close()
-        current?.report(BackendEvent.Failed(detail))
+        current?.report(BackendEvent.Failed(detail + position()))
     }
 
+    /** Where on the connection something happened, for logs. */
+    private fun position() = " (connection $number, $responseCount responses)"
+
     private fun closed() {
         if (isClosed) return
         isClosed = true
         val current = exchange
         exchange = null
         onClosed(this)
-        current?.report(BackendEvent.Failed(if (isReset) "connection was reset" else "connection was closed"))
+        val detail = if (isReset) "connection was reset" else "connection was closed"
+        current?.report(BackendEvent.Failed(detail + position()))
     }
 
     /** Precedes the decoder: records how the connection ends, and bounds the bytes that belong to no response. */
@@ -241,8 +250,19 @@
                 context.fireChannelRead(message)
                 return
             }
+            if (current ==
+                null
+            ) {
+                unexpectedBytes(message)
+            } else {
+                fail("more than $MAXIMUM_SKIPPED_BYTES bytes outside the response")
+            }
             ReferenceCountUtil.release(message)
-            if (current == null) close() else fail("more than $MAXIMUM_SKIPPED_BYTES bytes outside the response")
+        }
+
+        private fun unexpectedBytes(message: Any) {
+            if (!mustClose) onUnexpectedBytes("${(message as? ByteBuf)?.readableBytes()} bytes while idle${position()}")
+            close()
         }
 
         override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
--- a/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnectionPool.kt
@@ -7,9 +7,11 @@
 import azuredale.gateway.BackendEvent
 import azuredale.gateway.BackendRequest
 import azuredale.gateway.BackendTransport
+import azuredale.gateway.GatewayLogEvent
 import azuredale.gateway.ResponseHead
 import azuredale.gateway.SendDecision
 import azuredale.identity.ServerId
+import azuredale.logging.EventLog
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import io.netty.channel.ConnectTimeoutException
@@ -46,6 +48,7 @@
     private val client =
         vertx.createNetClient(NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS).setTcpNoDelay(true))
     private val servers = HashMap<ServerId, ServerConnections>()
+    private val log = EventLog("azuredale.gateway")
 
     /** Number of open connections, for metrics. */
     val openConnections: Int get() = servers.values.sumOf { it.open }
@@ -122,6 +125,7 @@
                 opened++
                 val connection =
                     BackendConnection(
+                        number = opened,
                         socket = result.result() as NetSocketInternal,
                         decoder = decoder,
                         onHead = { onHead(server, it) },
@@ -131,6 +135,9 @@
                             ->
                             addIdle(serverConnections, connection, server.process, hints)
                         },
+                        onUnexpectedBytes = { detail ->
+                            log.write(GatewayLogEvent.UNEXPECTED_BYTES, "server" to server.id, "detail" to detail)
+                        },
                         onClosed = { closed -> removeClosed(serverConnections, closed) },
                     )
                 if (!attempt.start(connection)) {
--- a/src/main/kotlin/azuredale/edge/BackendResponseDecoder.kt
+++ b/src/main/kotlin/azuredale/edge/BackendResponseDecoder.kt
@@ -19,6 +19,9 @@
     /** Whether all bytes read so far belong to complete responses. */
     val isBetweenResponses: Boolean get() = !hasPartialResponse && actualReadableBytes() == 0
 
+    /** Bytes read but not decoded yet, for logs. */
+    val bufferedBytes: Int get() = actualReadableBytes()
+
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         val readableBefore = buffer.readableBytes()
         super.decode(context, buffer, out)
--- a/src/test/kotlin/azuredale/edge/ResponseMatchingSpec.kt
+++ b/src/test/kotlin/azuredale/edge/ResponseMatchingSpec.kt
@@ -1,5 +1,6 @@
 package azuredale.edge
 
+import azuredale.gateway.BackendEvent
 import azuredale.selftest.RawRequest
 import azuredale.selftest.response
 import kotlinx.coroutines.async
@@ -12,6 +13,7 @@
 import org.junit.jupiter.params.provider.MethodSource
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
 /** Servers that send a copy of a response, whole or cut, on a connection that carries further requests. */
@@ -140,6 +142,26 @@
             repeat(5) { assertTrue(exchange("server-0", "$it").isComplete) }
             assertEquals(1, server.openConnections.get())
         }
+
+        @Test
+        fun `are named in the failure of an attempt`() = withBackendPool {
+            // Guards against a response that cannot be told from joined ones in the logs.
+            server.handler = { request ->
+                request.socket.write(
+                    if (request.previous ==
+                        null
+                    ) {
+                        response(request.id, "own")
+                    } else {
+                        "no response\r\n\r\n"
+                    },
+                )
+                "kept"
+            }
+            exchange("server-0", "1")
+            val failed = assertIs<BackendEvent.Failed>(exchange("server-0", "2").events.last())
+            assertTrue("connection 1, 1 responses" in failed.detail, failed.detail)
+        }
     }
 
     companion object {
