Share one fixture and one response builder among the specs of the edge

BackendConnectionPoolSpec had a pool, an entry and a request of its own; RawServer.response and the builder of the new specs did the same.

--- a/src/test/kotlin/azuredale/edge/BackendPoolFixture.kt
+++ b/src/test/kotlin/azuredale/edge/BackendPoolFixture.kt
@@ -36,10 +36,10 @@
     private val vertx: Vertx,
     private val routerVertx: Vertx,
 ) {
-    private val clock = systemClock()
     private val context = routerVertx.orCreateContext
     private lateinit var pool: BackendConnectionPool
     private lateinit var address: NetworkAddress
+    val clock = systemClock()
     val server = RawServer(vertx)
 
     suspend fun start() {
@@ -54,28 +54,37 @@
         vertx.setTimer(LATER_MILLISECONDS) { action() }
     }
 
-    /** Sends one request to the process named [server] at [address] and returns what arrives within a second. */
+    /**
+     * Sends one request to the process named [server] at [address] and returns what arrives within a second.
+     *
+     * @param stallMilliseconds how long the event loop falls behind while the connection is opened.
+     * @param decide decides, once a connection is open, whether the request is written.
+     */
     suspend fun exchange(
         server: String,
         id: String,
         body: Buffer = Buffer.buffer(),
         address: NetworkAddress = this.address,
+        stallMilliseconds: Long = 0,
+        decide: () -> SendDecision = { write(id, body) },
     ): ReceivedEvents {
         val events = ConcurrentLinkedQueue<BackendEvent>()
         val end = CompletableDeferred<Unit>()
         context.runOnContext {
             val attempt =
-                pool.send(entry(server, address), id, requiresRecentConnection = false, { decide(id, body) }) { event ->
+                pool.send(entry(server, address), id, requiresRecentConnection = false, decide) { event ->
                     events += event
                     if (event is BackendEvent.Complete || event is BackendEvent.Failed) end.complete(Unit)
                 }
             routerVertx.setTimer(EXCHANGE_MILLISECONDS) { attempt.cancel() }
+            Thread.sleep(stallMilliseconds)
         }
         withTimeoutOrNull(EXCHANGE_MILLISECONDS) { end.await() }
         return ReceivedEvents(events.toList())
     }
 
-    private fun decide(id: String, body: Buffer) = SendDecision.Send(
+    /** The decision to write request [id]. */
+    fun write(id: String, body: Buffer = Buffer.buffer()) = SendDecision.Send(
         BackendRequest(
             RequestHead(
                 id = id,
--- a/src/test/kotlin/azuredale/edge/ResponseEndSpec.kt
+++ b/src/test/kotlin/azuredale/edge/ResponseEndSpec.kt
@@ -1,7 +1,7 @@
 package azuredale.edge
 
 import azuredale.identity.NetworkAddress
-import azuredale.selftest.response
+import azuredale.selftest.RawServer.Companion.response
 import io.vertx.core.buffer.Buffer
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
--- a/src/test/kotlin/azuredale/edge/ResponseMatchingSpec.kt
+++ b/src/test/kotlin/azuredale/edge/ResponseMatchingSpec.kt
@@ -2,7 +2,8 @@
 
 import azuredale.gateway.BackendEvent
 import azuredale.selftest.RawRequest
-import azuredale.selftest.response
+import azuredale.selftest.RawServer.Companion.STAMP
+import azuredale.selftest.RawServer.Companion.response
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
@@ -41,9 +42,9 @@
         val statuses: Statuses,
         val isChunked: Boolean,
     ) {
-        fun first(id: String) = response(id, "first", statuses.first, isChunked, statuses.more)
+        fun first(id: String) = response(id, "first", STAMP + statuses.more, statuses.first, isChunked)
 
-        fun second(id: String) = response(id, "second", statuses.second, isChunked)
+        fun second(id: String) = response(id, "second", STAMP, statuses.second, isChunked)
 
         /** Answers [request], whose id is `1-CUT` or `2-CUT`; the copy has CUT bytes. */
         fun answer(fixture: BackendPoolFixture, request: RawRequest): String {
--- a/src/test/kotlin/azuredale/selftest/RawServer.kt
+++ b/src/test/kotlin/azuredale/selftest/RawServer.kt
@@ -76,10 +76,20 @@
     }
 
     companion object {
-        /** A complete response to request [id], or one without an id. */
-        fun response(id: String?, text: String, more: String = "X-Azuredale-Response-Stamp: s\r\n"): String {
+        const val STAMP = "X-Azuredale-Response-Stamp: s\r\n"
+
+        /** A complete response to request [id], or one without an id, with a length or in one chunk. */
+        fun response(
+            id: String?,
+            text: String,
+            more: String = STAMP,
+            status: String = "200 OK",
+            isChunked: Boolean = false,
+        ): String {
             val idLine = id?.let { "X-Azuredale-Request-Id: $it\r\n" }.orEmpty()
-            return "HTTP/1.1 200 OK\r\n$idLine${more}Content-Length: ${text.length}\r\n\r\n$text"
+            val framing = if (isChunked) "Transfer-Encoding: chunked" else "Content-Length: ${text.length}"
+            val body = if (isChunked) "${text.length.toString(16)}\r\n$text\r\n0\r\n\r\n" else text
+            return "HTTP/1.1 $status\r\n$idLine${more}$framing\r\n\r\n$body"
         }
     }
 }
