Describe the end of a connection in one place, and flatten a branch

The class comment names the two new conditions, so that a reader need not find them in the handlers; ByteMonitor decides in one when. No change of behaviour; the specs of the edge pass as before.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -38,7 +38,11 @@
  * Matches responses to requests by the echoed request ID. It skips responses to other requests and waits for the right
  * one, so an HTTP client that pairs responses with requests by their order cannot be used. After a mismatched response
  * or unexpected data, the connection is not used again. A server that sends more than a bounded number of bytes or
- * responses to be skipped fails the request.
+ * responses to be skipped fails the request, and so does a head that was joined from two responses. A response that
+ * ends with its connection is complete only if the server ended the connection in order.
+ *
+ * @param number number of the connection in this router, for logs.
+ * @param onUnexpectedBytes called when bytes that belong to no request end the use of the connection.
  */
 internal class BackendConnection(
     private val number: Long,
@@ -212,7 +216,7 @@
         // Bytes after the response would be parsed as the beginning of the next one.
         if (!responseDecoder.isBetweenResponses) {
             mustClose = true
-            onUnexpectedBytes("${responseDecoder.bufferedBytes} bytes with the end of a response${position()}")
+            onUnexpectedBytes("${responseDecoder.bufferedBytes} bytes after a response${position()}")
         }
         // If the server responds before it has read the complete request, it would parse the rest as another request.
         val isReusable = current.isWritten && !mustClose && !isClosed && hints != null && !hints.isClosing
@@ -246,16 +250,14 @@
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             val current = exchange
             if (current != null && message is ByteBuf) current.skippedBytes += message.readableBytes()
-            if (current != null && current.skippedBytes <= MAXIMUM_SKIPPED_BYTES) {
-                context.fireChannelRead(message)
-                return
-            }
-            if (current ==
-                null
-            ) {
-                unexpectedBytes(message)
-            } else {
-                fail("more than $MAXIMUM_SKIPPED_BYTES bytes outside the response")
+            when {
+                current == null -> unexpectedBytes(message)
+                current.skippedBytes > MAXIMUM_SKIPPED_BYTES ->
+                    fail("more than $MAXIMUM_SKIPPED_BYTES bytes outside the response")
+                else -> {
+                    context.fireChannelRead(message)
+                    return
+                }
             }
             ReferenceCountUtil.release(message)
         }
