Regard a response that ended with its connection as a whole one

BackendResponseDecoder heard of the end of a response in decode() only; one without a length ends in decodeLast().

--- a/src/main/kotlin/azuredale/edge/BackendResponseDecoder.kt
+++ b/src/main/kotlin/azuredale/edge/BackendResponseDecoder.kt
@@ -25,11 +25,15 @@
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         val readableBefore = buffer.readableBytes()
         super.decode(context, buffer, out)
-        when {
-            out.lastOrNull() is LastHttpContent -> hasPartialResponse = false
-            // The decoder may keep the first lines of a head, or skip bytes before it, without any output.
-            buffer.readableBytes() < readableBefore -> hasPartialResponse = true
-        }
+        // The decoder may keep the first lines of a head, or skip bytes before it, without any output.
+        if (buffer.readableBytes() < readableBefore) hasPartialResponse = true
+        if (out.lastOrNull() is LastHttpContent) hasPartialResponse = false
+    }
+
+    /** Called at the end of the connection, which also ends a response without a length. */
+    override fun decodeLast(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        super.decodeLast(context, buffer, out)
+        if (out.lastOrNull() is LastHttpContent) hasPartialResponse = false
     }
 
     public override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
