Split the handling of a request into named steps, and keep all reasons against a server in one place

Cause: RequestHandler (640 lines) held authorization, admission, attempts, reading of responses, answers and logs; the reasons not to choose a server stood in five places (selector, breaker, limits, announcements, send guard). Parts that are built side by side would meet in both.

Change: RequestHandler (authorize, read, wait), BackendAttempts (choose, send, retry), AttemptReader (one response), CallerResponse (answer), RequestProgress, RequestLog, RequestSignal and StallDetector. ServerEligibility holds the reasons as one closed list, EnginePlacement the cost of a server with its terms, ServicePlacement the choice for plain services.

--- /dev/null
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -0,0 +1,103 @@
+package azuredale.engine
+
+import azuredale.directory.BackendEntry
+import azuredale.directory.BackendState
+import azuredale.directory.ServerDirectory
+import azuredale.directory.process
+import azuredale.identity.PartId
+import azuredale.sharing.StableHash
+import azuredale.time.Timestamp
+
+/** Why a server may not get a request; the reasons are checked in this order. */
+internal enum class Ineligibility {
+    /** The server process is no longer registered, or it is registered as leaving. */
+    NOT_REGISTERED,
+
+    /** An earlier attempt of the request was sent to the server, or failed to reach it. */
+    ALREADY_TRIED,
+
+    /** The server said that it leaves, or that it wants no requests for a while. */
+    UNWILLING,
+
+    /** Recent requests failed at the server. */
+    CIRCUIT_OPEN,
+
+    /** The rate of requests that the server takes from all routers together is used up. */
+    LIMIT_USED_UP,
+}
+
+/** The servers that may get a request. */
+internal sealed interface Eligibility {
+    /** At least one of [servers] may get the request. */
+    class Servers(val servers: List<BackendEntry>) : Eligibility
+
+    /** No server may get the request. */
+    class None(val selection: ServerSelection) : Eligibility
+}
+
+/**
+ * Decides which servers may get a request. Every reason not to choose a server is checked here and nowhere else.
+ *
+ * A server whose circuit is open is still used when the circuits of all servers that want the request are open.
+ */
+internal class ServerEligibility(
+    private val directory: () -> ServerDirectory,
+    private val statistics: ServerStatistics,
+) {
+    /** Whether the process that [server] registers may get a request that was selected for it before [now]. */
+    fun mayUse(server: BackendEntry, now: Timestamp): Boolean =
+        isRegistered(server) && statistics.announcements.allowsRequest(server, now)
+
+    /** Why [server] may not get [request] at [now], or null if it may; has no effect. */
+    fun ineligibility(server: BackendEntry, request: SelectionRequest, now: Timestamp): Ineligibility? = when {
+        !isRegistered(server) -> Ineligibility.NOT_REGISTERED
+        else ->
+            refusalOf(server, request, now) ?: when {
+                !statistics.circuitBreaker(server.id).allowsRequest(now) -> Ineligibility.CIRCUIT_OPEN
+                !hasLimitLeft(server, request, now) -> Ineligibility.LIMIT_USED_UP
+                else -> null
+            }
+    }
+
+    /** The servers that may get [request]; records how often limits leave none. */
+    fun assess(request: SelectionRequest, now: Timestamp): Eligibility {
+        val ready = directory().ready(request.pool)
+        val willing = ready.filter { refusalOf(it, request, now) == null }
+        if (willing.isEmpty()) return Eligibility.None(unwilling(request, ready, now))
+        val closed = willing.filter { statistics.circuitBreaker(it.id).allowsRequest(now) }
+        val available = closed.ifEmpty { willing }
+        val permitted = available.filter { hasLimitLeft(it, request, now) }
+        statistics.limitPressure.record(request.pool, permitted.isEmpty(), now)
+        if (permitted.isEmpty()) return Eligibility.None(ServerSelection.LimitsUsedUp)
+        return Eligibility.Servers(request.confinedTo?.let { confined(permitted, it) } ?: permitted)
+    }
+
+    /** Why a registered [server] and [request] rule each other out for good, or until a known time. */
+    private fun refusalOf(server: BackendEntry, request: SelectionRequest, now: Timestamp): Ineligibility? = when {
+        server.id in request.excluded -> Ineligibility.ALREADY_TRIED
+        !statistics.announcements.allowsRequest(server, now) -> Ineligibility.UNWILLING
+        else -> null
+    }
+
+    private fun isRegistered(server: BackendEntry): Boolean {
+        val current = directory().entries[server.id] ?: return false
+        return current.state == BackendState.READY && current.process == server.process
+    }
+
+    private fun hasLimitLeft(server: BackendEntry, request: SelectionRequest, now: Timestamp) =
+        statistics.limits.allowsRequest(server, directory().ready(request.pool), now)
+
+    /** The result if none of the [ready] servers wants the request. */
+    private fun unwilling(request: SelectionRequest, ready: List<BackendEntry>, now: Timestamp): ServerSelection {
+        val until =
+            ready
+                .filter { refusalOf(it, request, now) == Ineligibility.UNWILLING }
+                .minOfOrNull { statistics.announcements.availableAt(it, now) } ?: Timestamp.DISTANT_FUTURE
+        if (until < Timestamp.DISTANT_FUTURE) return ServerSelection.OnHold(until)
+        return ServerSelection.Unavailable("no server of ${request.pool} accepts requests")
+    }
+
+    /** The same server on all routers that agree on [available]. */
+    private fun confined(available: List<BackendEntry>, part: PartId): List<BackendEntry> =
+        listOfNotNull(available.maxByOrNull { StableHash.fraction(part.name, it.id.name) })
+}
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
@@ -0,0 +1,123 @@
+package azuredale.gateway
+
+import azuredale.directory.BackendEntry
+import azuredale.engine.ServerSelection
+import azuredale.outcome.Failure
+import azuredale.outcome.Outcome
+import io.vertx.core.buffer.Buffer
+
+/**
+ * Sends one request to a server, and to further ones as far as that is allowed.
+ *
+ * A non-idempotent request or a stream that cannot be resumed is sent to a server at most once, unless that server
+ * stated that it did not execute the request.
+ */
+internal class BackendAttempts(
+    private val exchange: RequestExchange,
+    private val body: Buffer,
+) {
+    private val context = exchange.context
+    private val clock = context.clock
+    private val head = exchange.caller.head
+    private val progress = exchange.progress
+    private val route = exchange.authorized.route
+    private val servers =
+        ServerChoice(
+            context = context,
+            prompt = head.prompt,
+            promptGate = exchange.promptGate,
+            authorized = exchange.authorized,
+            onTimeUntil = progress.onTimeUntil,
+            deadline = progress.deadline,
+        )
+
+    /** Runs attempts until the request has ended. */
+    suspend fun run() {
+        var notRun: Failure? = null
+        var connectFailures = 0
+        while (true) {
+            val selection =
+                when (val next = servers.next(isFirst = progress.attempts == 0, clock())) {
+                    is Outcome.Refused -> return exchange.response.giveUp(notRun ?: next.failure)
+                    is Outcome.Success -> next.value
+                }
+            when (val end = runAttempt(selection)) {
+                is AttemptResult.Done -> return
+                is AttemptResult.NotRun -> {
+                    servers.exclude(selection.server.id)
+                    notRun = Failure(end.kind, end.detail, clock().plusMilliseconds(RETRY_MILLISECONDS))
+                    if (end.isFinal) return exchange.response.giveUp(notRun)
+                    if (!end.wasSent && ++connectFailures <= MAXIMUM_CONNECT_FAILURES) continue
+                    if (!end.wasSent || !mayRetry()) return exchange.response.giveUp(notRun)
+                }
+                is AttemptResult.Failed -> {
+                    servers.exclude(selection.server.id)
+                    if (end.isFinal || !route.isRepeatable || !mayRepeat(end)) return exchange.response.fail(end)
+                    notRun = null
+                    exchange.response.recordPossibleRun(end)
+                }
+            }
+        }
+    }
+
+    private suspend fun mayRepeat(end: AttemptResult.Failed) =
+        exchange.promptGate.mayRepeat(end.hasServerEnded) && mayRetry()
+
+    private fun mayRetry(): Boolean {
+        val now = clock()
+        return progress.sentCount < route.maximumServers &&
+            now < progress.deadline &&
+            context.budgets.retries.tryAcquire(exchange.authorized.pool, now)
+    }
+
+    private suspend fun runAttempt(selection: ServerSelection.Selected): AttemptResult {
+        val number = ++progress.attempts
+        progress.selection = selection
+        val recorder = context.recorders.create(selection, head.prompt, clock())
+        val backendAttempt =
+            context.backends.send(
+                server = selection.server,
+                requestId = head.id,
+                requiresRecentConnection = !route.isRepeatable,
+                decide = { decideSending(selection.server) },
+                onEvent = { exchange.signals.trySend(RequestSignal.FromBackend(number, it)) },
+            )
+        val reader = AttemptReader(exchange, number, selection.server, recorder, backendAttempt)
+        val end =
+            try {
+                reader.read()
+            } catch (failure: Throwable) {
+                backendAttempt.cancel()
+                throw failure
+            } finally {
+                reader.release()
+                recorder.release()
+            }
+        exchange.log.attemptFailed(end, selection.server)
+        return end
+    }
+
+    private fun decideSending(server: BackendEntry): SendDecision {
+        val now = clock()
+        context.admission.sendGuard
+            .objection(exchange.caller, exchange.authorized, server, progress.deadline, now)
+            ?.let { return it }
+        return SendDecision.Send(
+            BackendRequest(
+                head = head,
+                body = body,
+                team = exchange.authorized.team?.name,
+                remainingMilliseconds = progress.remainingMilliseconds(now).coerceAtLeast(1),
+                lastEventNumber = progress.lastEventNumber,
+            ),
+        )
+    }
+
+    private companion object {
+        /** Each unreachable server costs a connect time-out, so more attempts would use up the caller's time. */
+        const val MAXIMUM_CONNECT_FAILURES = 3
+
+        /** Long enough for a router or server to recover from a brief disruption. */
+        const val RETRY_MILLISECONDS = 200L
+    }
+}
