Bound the request bodies that a router holds, and end a process that runs out of memory

Cause: a router read the bodies of all uploads that waited, without any bound together, ran out of heap after a freeze and answered nothing any more; the process lived on, so that it was not started again.

Change: RequestBodyBudget reserves the declared length before the first byte is read (40 % of the heap, a quarter of it for bodies of up to 16 KiB); a caller's connection is not read until there is room, in order of arrival, and the request is refused as not run when none comes within a third of its time. A request whose time is over is dropped unread. A cancelled attempt closes its channel at once. Gauges azuredale_request_body_bytes and azuredale_request_bodies_refused.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -106,7 +106,6 @@
         var isWritten = false
         var hints: ConnectionHints? = null
         var isMismatched = false
-        var hasHead = false
 
         /** Whether the end of the connection is the end of the response, which has neither a length nor chunks. */
         var endsWithConnection = false
@@ -119,11 +118,13 @@
 
         fun report(event: BackendEvent) = onEvent(event)
 
-        /** Cancels the request by closing the connection. */
+        /** Cancels the request by closing the connection; what is not yet written of it is dropped. */
         fun cancel() {
             if (exchange !== this) return
             exchange = null
-            this@BackendConnection.close()
+            mustClose = true
+            // The socket's own close waits until everything is written, also to a server that does not read.
+            socket.channelHandlerContext().channel().close()
         }
 
         fun pause(isPaused: Boolean) {
@@ -173,7 +174,6 @@
                 fail("more than $MAXIMUM_SKIPPED_RESPONSES responses to other requests")
             }
         } else {
-            current.hasHead = true
             current.endsWithConnection = endsWithConnection(head, response)
             current.skippedBytes = 0
             current.report(BackendEvent.Head(head))
--- a/src/main/kotlin/azuredale/edge/CallerServer.kt
+++ b/src/main/kotlin/azuredale/edge/CallerServer.kt
@@ -202,6 +202,7 @@
     override var isDisconnected = false
         private set
     private var isEnded = false
+    private var isPaused = false
 
     init {
         response.exceptionHandler { disconnected() }
@@ -209,23 +210,49 @@
         response.endHandler { responseEnded() }
     }
 
-    override suspend fun readBody(limitBytes: Int): BodyResult {
+    override val declaredBytes: Long? = declaredLength()
+
+    private fun declaredLength(): Long? {
+        val length = request.getHeader("Content-Length")?.toLongOrNull()
+        return if (length == null && request.getHeader("Transfer-Encoding") == null) 0 else length
+    }
+
+    override fun pause() {
+        isPaused = true
+        request.pause()
+    }
+
+    private fun resume() {
+        if (isPaused) request.resume()
+        isPaused = false
+    }
+
+    override suspend fun readBody(limitBytes: Int, mayHold: (Long) -> Boolean): BodyResult {
         val result = CompletableDeferred<BodyResult>()
+        val declared = declaredBytes ?: 0
+        if (declared > limitBytes) return BodyResult.TooLarge
         var bytes = Buffer.buffer()
-        val contentLength = request.getHeader("Content-Length")?.toLongOrNull() ?: 0
-        if (contentLength > limitBytes) return BodyResult.TooLarge
         request.handler { chunk ->
             if (result.isCompleted) return@handler
-            bytes = if (bytes.length() == 0) chunk else bytes.appendBuffer(chunk)
-            if (bytes.length() > limitBytes) result.complete(BodyResult.TooLarge)
+            val count = bytes.length() + chunk.length()
+            when {
+                count > limitBytes -> result.complete(BodyResult.TooLarge)
+                !mayHold(count.toLong()) -> result.complete(BodyResult.NoRoom)
+                bytes.length() > 0 -> bytes.appendBuffer(chunk)
+                chunk.length() >= declared -> bytes = chunk
+                else -> bytes = Buffer.buffer(declared.toInt()).appendBuffer(chunk)
+            }
         }
         request.exceptionHandler { result.complete(BodyResult.Incomplete) }
         request.endHandler { result.complete(BodyResult.Complete(bytes)) }
+        resume()
         return result.await()
     }
 
     override fun respond(status: Int, headers: List<Header>, body: Buffer, onWritten: () -> Unit) {
         if (isDisconnected) return onWritten()
+        // What is left of the body is read and dropped, so that the next request of the connection can follow.
+        resume()
         response.begin(status, headers, isClosing())
         response.putHeader("Content-Length", body.length().toString())
         response.end(body).onComplete { onWritten() }
--- a/src/main/kotlin/azuredale/gateway/Caller.kt
+++ b/src/main/kotlin/azuredale/gateway/Caller.kt
@@ -12,6 +12,9 @@
 
     /** The caller disconnected or sent invalid data before the body was complete. */
     public data object Incomplete : BodyResult
+
+    /** The router has no memory for the rest of the body. */
+    public data object NoRoom : BodyResult
 }
 
 /**
@@ -25,8 +28,18 @@
     /** Whether the caller's connection closed before the response was complete. */
     public val isDisconnected: Boolean
 
-    /** Reads the complete body of at most [limitBytes]. */
-    public suspend fun readBody(limitBytes: Int): BodyResult
+    /** Length of the body as declared by the caller, null if it is not declared; 0 if there is no body. */
+    public val declaredBytes: Long?
+
+    /** Stops reading the caller's connection until [readBody] is called or the request is answered. */
+    public fun pause()
+
+    /**
+     * Reads the complete body of at most [limitBytes].
+     *
+     * @param mayHold called with the number of bytes before more of them are held; false ends the reading.
+     */
+    public suspend fun readBody(limitBytes: Int, mayHold: (Long) -> Boolean): BodyResult
 
     /** Sends a complete response; calls [onWritten] when its bytes are no longer held, also if writing them failed. */
     public fun respond(status: Int, headers: List<Header>, body: Buffer, onWritten: () -> Unit = {})
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -176,6 +176,8 @@
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
     private val selector = ServerSelector({ view.directory }, statistics)
+    private val requestBodies =
+        RequestBodyBudget(RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()), dependencies.timer)
     private val context =
         GatewayContext(
             settings = settings,
@@ -207,6 +209,7 @@
                 RequestBudgets(
                     retries = FleetRetryBudget(settings.bounds) { exchange.peers.recentFleetSize() },
                     responseBuffers = ResponseBufferBudget(),
+                    requestBodies = requestBodies,
                 ),
             backends = dependencies.backends,
             failureHeaders = dependencies.failureHeaders,
@@ -383,6 +386,8 @@
         }
         metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
+        metrics.gauge("request.body.bytes") { requestBodies.heldBytes.toDouble() }
+        metrics.gauge("request.bodies.refused") { requestBodies.refusals.toDouble() }
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
         metrics.gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -43,6 +43,7 @@
 internal class RequestBudgets(
     val retries: FleetRetryBudget,
     val responseBuffers: ResponseBufferBudget,
+    val requestBodies: RequestBodyBudget,
 )
 
 /** Decides which requests are started and sent. */
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -51,25 +51,53 @@
         progress.onTimeUntil = usualArrival.plusMilliseconds(route.targetMilliseconds - elapsed)
         val limit = minOf(head.remainingMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
         progress.deadline = progress.arrivedAt.plusMilliseconds(limit)
-        when (val body = caller.readBody(authorized.bodyLimitBytes)) {
+        if (!canServe(authorized)) return
+        if ((caller.declaredBytes ?: 0) > authorized.bodyLimitBytes) {
+            return response.refuse(Failure(ErrorKind.REQUEST_TOO_LARGE))
+        }
+        val room = context.budgets.requestBodies.tryReserve(caller.declaredBytes) ?: awaitRoom()
+        if (room == null) return response.refuse(overloaded("no memory for the request body"))
+        try {
+            read(authorized, room)
+        } finally {
+            room.release()
+        }
+    }
+
+    private suspend fun awaitRoom(): RequestBodyBudget.Reservation? {
+        caller.pause()
+        return context.budgets.requestBodies.reserve(caller.declaredBytes, latestStart())
+    }
+
+    private suspend fun read(authorized: AuthorizedRequest, room: RequestBodyBudget.Reservation) {
+        when (val body = caller.readBody(authorized.bodyLimitBytes, room::grow)) {
             is BodyResult.TooLarge -> response.refuse(Failure(ErrorKind.REQUEST_TOO_LARGE))
+            is BodyResult.NoRoom -> response.refuse(overloaded("no memory for the rest of the request body"))
             is BodyResult.Incomplete -> log.ended("caller disconnected before its body was complete")
-            is BodyResult.Complete -> serve(authorized, body.bytes)
+            is BodyResult.Complete -> if (canServe(authorized)) serve(authorized, body.bytes)
         }
     }
 
-    private suspend fun serve(authorized: AuthorizedRequest, body: Buffer) {
+    /** Whether the request can still end in time; otherwise it is refused. */
+    private fun canServe(authorized: AuthorizedRequest): Boolean {
         val now = clock()
-        if (!context.admission.gracefulStop.canFinish(authorized.route.name, progress.deadline, now)) {
-            val retryAt = now.plusMilliseconds(ELSEWHERE_MILLISECONDS)
-            response.refuse(Failure(ErrorKind.DRAINING, "cannot end in time", retryAt))
-            return
-        }
-        if (now >= progress.deadline) {
-            val retryAt = now.plusMilliseconds(RETRY_MILLISECONDS)
-            response.refuse(Failure(ErrorKind.DEADLINE_BEFORE_START, "read too late", retryAt))
-            return
-        }
+        val failure =
+            when {
+                !context.admission.gracefulStop.canFinish(authorized.route.name, progress.deadline, now) -> {
+                    val retryAt = now.plusMilliseconds(ELSEWHERE_MILLISECONDS)
+                    Failure(ErrorKind.DRAINING, "cannot end in time", retryAt)
+                }
+                now >= progress.deadline -> {
+                    val retryAt = now.plusMilliseconds(RETRY_MILLISECONDS)
+                    Failure(ErrorKind.DEADLINE_BEFORE_START, "read too late", retryAt)
+                }
+                else -> return true
+            }
+        response.refuse(failure)
+        return false
+    }
+
+    private suspend fun serve(authorized: AuthorizedRequest, body: Buffer) {
         if (!awaitTurn()) return
         context.budgets.retries.recordRequest(authorized.pool, clock())
         caller.onDisconnect { signals.trySend(RequestSignal.CallerGone) }
@@ -87,22 +115,26 @@
 
     /** Waits for this request's turn; returns false if it was given up before it started. */
     private suspend fun awaitTurn(): Boolean {
-        val thirdOfTime = progress.deadline.microsecondsSince(progress.arrivedAt) / MAXIMUM_WAIT_PARTS
-        val startBy = readAt.plusMicroseconds(minOf(thirdOfTime, MAXIMUM_WAIT_MICROSECONDS))
-        val request = WaitingRequest(head.key.orEmpty(), progress.arrivedAt, startBy)
+        val request = WaitingRequest(head.key.orEmpty(), progress.arrivedAt, latestStart())
         caller.onDisconnect { context.admission.intake.callerGone(request) }
         when (context.admission.intake.awaitTurn(request)) {
             IntakeDecision.START -> return true
             IntakeDecision.CALLER_GONE -> log.ended("caller disconnected before the request started")
-            IntakeDecision.OVERLOADED -> response.refuse(overloaded())
+            IntakeDecision.OVERLOADED -> response.refuse(overloaded("not started"))
         }
         return false
     }
 
-    private fun overloaded(): Failure {
+    /** The time until which the request has to begin; later, its caller is better served by another router. */
+    private fun latestStart(): Timestamp {
+        val thirdOfTime = progress.deadline.microsecondsSince(progress.arrivedAt) / MAXIMUM_WAIT_PARTS
+        return readAt.plusMicroseconds(minOf(thirdOfTime, MAXIMUM_WAIT_MICROSECONDS))
+    }
+
+    private fun overloaded(detail: String): Failure {
         val now = clock()
         val retryAt = RetryTime.at(progress.remainingMilliseconds(now), context.admission.random(), now)
-        return Failure(ErrorKind.OVERLOADED, "not started for ${progress.ageMilliseconds(now)} ms", retryAt)
+        return Failure(ErrorKind.OVERLOADED, "$detail for ${progress.ageMilliseconds(now)} ms", retryAt)
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -1,5 +1,6 @@
 package azuredale.platform
 
+import azuredale.gateway.FatalErrors
 import azuredale.gateway.GatewayDaemon
 import azuredale.gateway.GatewaySettings
 import azuredale.gateway.PlatformAdapter
@@ -9,6 +10,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
@@ -25,6 +27,7 @@
             Vertx.vertx(
                 VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1),
             )
+        vertx.exceptionHandler(FatalErrors::handle)
         vertx.runOnContext {
             val daemon = start(vertx)
             stopOnSignal(vertx, daemon)
@@ -37,7 +40,8 @@
     /** Starts the router on the current event loop of [vertx]; returns before its sockets are open. */
     internal fun start(vertx: Vertx): GatewayDaemon {
         val clock = systemClock()
-        val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+        val failures = CoroutineExceptionHandler { _, failure -> FatalErrors.handle(failure) }
+        val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob() + failures)
         val rateLimiter = CallRateLimiter(CALLS_PER_SECOND, CALL_BURST, clock)
         val store = StoreClient(vertx, settings.storeAddress, rateLimiter, clock)
         val daemon =
