--- a/src/main/kotlin/azuredale/admission/LoadShedder.kt
+++ b/src/main/kotlin/azuredale/admission/LoadShedder.kt
@@ -51,7 +51,30 @@
     private val gate = ShareGate(shares, jitter)
 
     /** Returns null if [request] is admitted, otherwise the failure to return to the caller. */
-    fun decide(request: AdmissionRequest, prediction: LatencyPrediction, now: Timestamp): Failure? {
+    fun decide(request: AdmissionRequest, prediction: LatencyPrediction, now: Timestamp): Failure? = judge(
+        request = request,
+        prediction = prediction,
+        mayAdmit = { gate.mayAdmit(it, request.tokens, now) },
+        onAdmitted = { gate.recordAdmitted(it, request.tokens) },
+        now = now,
+    )
+
+    /** What [decide] would return; has no effect. */
+    fun preview(request: AdmissionRequest, prediction: LatencyPrediction, now: Timestamp): Failure? = judge(
+        request = request,
+        prediction = prediction,
+        mayAdmit = { gate.wouldAdmit(it, now) },
+        onAdmitted = {},
+        now = now,
+    )
+
+    private fun judge(
+        request: AdmissionRequest,
+        prediction: LatencyPrediction,
+        mayAdmit: (TeamId) -> Boolean,
+        onAdmitted: (TeamId) -> Unit,
+        now: Timestamp,
+    ): Failure? {
         val team = request.team
         val ratio = team?.let { shareRatio(it, request.tokens, now) } ?: 1.0
         val slack = request.onTimeUntil.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
@@ -59,9 +82,9 @@
         val idle = request.targetMilliseconds * MINIMUM_FRACTION
         if (prediction.milliseconds <= idle && prediction.meanMilliseconds <= idle) return null
         val limit = limitMilliseconds(request, ratio, slack, isRetry, now)
-        val isThinnedOut = team != null && !gate.mayAdmit(team, request.tokens, now)
+        val isThinnedOut = team != null && !mayAdmit(team)
         if (!isThinnedOut && prediction.milliseconds <= limit) {
-            if (team != null) gate.recordAdmitted(team, request.tokens)
+            if (team != null) onAdmitted(team)
             return null
         }
         val kind = if (isThinnedOut || ratio > 1.0) ErrorKind.SHARE_EXCEEDED else ErrorKind.PREDICTED_LATE
--- a/src/main/kotlin/azuredale/admission/PromptAdmission.kt
+++ b/src/main/kotlin/azuredale/admission/PromptAdmission.kt
@@ -29,4 +29,12 @@
         if (refusal == null && team != null) usage.recordGranted(team, tokens, now)
         return refusal
     }
+
+    /** What [decide] would return; has no effect. */
+    fun preview(
+        prompt: PromptShape,
+        request: AdmissionRequest,
+        prediction: LatencyPrediction,
+        now: Timestamp,
+    ): Failure? = loadShedder.preview(request.copy(tokens = prompt.cost), prediction, now)
 }
--- a/src/main/kotlin/azuredale/admission/ShareGate.kt
+++ b/src/main/kotlin/azuredale/admission/ShareGate.kt
@@ -34,6 +34,12 @@
         return credit > 0
     }
 
+    /** What [mayAdmit] would return, for a team without a credit as if it had none left over; has no effect. */
+    fun wouldAdmit(team: TeamId, now: Timestamp): Boolean {
+        val fraction = fraction(team, now)
+        return fraction >= 1.0 || (credits[team] ?: fraction) > 0
+    }
+
     /** Subtracts a request of [team] that was admitted. */
     fun recordAdmitted(team: TeamId, tokens: Int) {
         credits.computeIfPresent(team) { _, credit -> credit - tokens }
--- a/src/main/kotlin/azuredale/command/CommandLine.kt
+++ b/src/main/kotlin/azuredale/command/CommandLine.kt
@@ -71,6 +71,7 @@
     linkedMapOf(
         "gateway" to ::GatewayCommand,
         "self-test" to ::SelfTestCommand,
+        "explain" to ::ExplainCommand,
         "router" to ::RouterCommand,
         "check" to ::CheckCommand,
         "submit" to ::SubmitCommand,
--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -21,6 +21,17 @@
     val distanceMilliseconds: Double,
     val affinityMilliseconds: Double,
 ) {
+    /** The terms by name, in milliseconds, for explanations. */
+    val terms: Map<String, Double>
+        get() =
+            linkedMapOf(
+                "first-event" to predictedMilliseconds,
+                "repeated" to repeatedMilliseconds,
+                "crowding" to crowdingMilliseconds,
+                "distance" to distanceMilliseconds,
+                "affinity" to affinityMilliseconds,
+            )
+
     /** The sum of all terms; the server with the lowest sum gets the prompt. */
     val total: Double
         get() =
@@ -59,7 +70,6 @@
         candidates: List<BackendEntry>,
         now: Timestamp,
     ): ServerSelection.Selected? {
-        statistics.resetStaleEstimates(request.pool, now)
         val outline = PromptOutline(prompt)
         val placements = candidates.map { placement(request, outline, it, now) }
         val best = placements.minByOrNull { it.cost.total }?.selection ?: return null
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -61,13 +61,20 @@
 
     /** The servers that may get [request]; records how often limits leave none. */
     fun assess(request: SelectionRequest, now: Timestamp): Eligibility {
+        val eligible = candidates(request, now)
+        val isUsedUp = eligible is Eligibility.None && eligible.selection is ServerSelection.LimitsUsedUp
+        if (isUsedUp || eligible is Eligibility.Servers) statistics.limitPressure.record(request.pool, isUsedUp, now)
+        return eligible
+    }
+
+    /** The servers that may get [request]; has no effect. */
+    fun candidates(request: SelectionRequest, now: Timestamp): Eligibility {
         val ready = directory().ready(request.pool)
         val willing = ready.filter { refusalOf(it, request, now) == null }
         if (willing.isEmpty()) return Eligibility.None(unwilling(request, ready, now))
         val closed = willing.filter { statistics.circuitBreaker(it.id).allowsRequest(now) }
         val available = closed.ifEmpty { willing }
         val permitted = available.filter { hasLimitLeft(it, request, now) }
-        statistics.limitPressure.record(request.pool, permitted.isEmpty(), now)
         if (permitted.isEmpty()) return Eligibility.None(ServerSelection.LimitsUsedUp)
         return Eligibility.Servers(request.confinedTo?.let { confined(permitted, it) } ?: permitted)
     }
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -52,10 +52,22 @@
     /** Whether the process that [server] registers is still registered and accepts requests at [now]. */
     fun mayUse(server: BackendEntry, now: Timestamp): Boolean = eligibility.mayUse(server, now)
 
+    /** Outstanding work at [server], of all routers together. */
+    fun load(server: BackendEntry, now: Timestamp): ServerLoad = statistics.loads.load(server.id, server.idHash, now)
+
     /** Selects a server for [request]. */
     fun select(request: SelectionRequest, now: Timestamp): ServerSelection {
+        statistics.resetStaleEstimates(request.pool, now)
+        return select(request, eligibility.assess(request, now), now)
+    }
+
+    /** What [select] would return; has no effect. */
+    fun preview(request: SelectionRequest, now: Timestamp): ServerSelection =
+        select(request, eligibility.candidates(request, now), now)
+
+    private fun select(request: SelectionRequest, eligible: Eligibility, now: Timestamp): ServerSelection {
         val candidates =
-            when (val eligible = eligibility.assess(request, now)) {
+            when (eligible) {
                 is Eligibility.None -> return eligible.selection
                 is Eligibility.Servers -> eligible.servers
             }
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -8,6 +8,8 @@
 import azuredale.directory.BackendEntry
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
+import azuredale.explain.ExplainEndpoint
+import azuredale.explain.RoutingExplainer
 import azuredale.freshness.ClockJumpDetector
 import azuredale.freshness.StoreReader
 import azuredale.freshness.StoreView
@@ -219,6 +221,8 @@
             timer = dependencies.timer,
         )
 
+    /** Answers of this router to operators who ask where a request would go. */
+    val explanations = ExplainEndpoint(RoutingExplainer(context, view), clock) { intake.waiting > 0 }
     private val loadLog = RouterLoadLog(log)
     private val overload = OverloadDetector()
 
--- a/src/main/kotlin/azuredale/gateway/PromptGate.kt
+++ b/src/main/kotlin/azuredale/gateway/PromptGate.kt
@@ -29,18 +29,23 @@
 
     /** Returns the failure if the prompt may not be sent to any server now; may claim a trial that is due. */
     suspend fun refusal(now: Timestamp): Failure? {
+        val failure = preview(now) ?: return null
+        val decision = prompt?.let { quarantine.parts.decide(it, now) } as? QuarantineDecision.Quarantined
+        val trialAt = decision?.trialAt ?: return failure
+        if (now < trialAt || !quarantine.claimTrial(decision.part, decision.trials)) return failure
+        trialOf = decision.part
+        return null
+    }
+
+    /** Returns the failure if the prompt may not be sent to any server now, other than for a trial; has no effect. */
+    fun preview(now: Timestamp): Failure? {
         if (prompt == null) return null
         if (!quarantine.parts.isKnown) {
             return Failure(ErrorKind.NOT_READY, "quarantine not known", now.plusMilliseconds(RETRY_MILLISECONDS))
         }
         val decision = quarantine.parts.decide(prompt, now)
         if (decision !is QuarantineDecision.Quarantined || decision.part == trialOf) return null
-        val trialAt = decision.trialAt
-        if (trialAt != null && now >= trialAt && quarantine.claimTrial(decision.part, decision.trials)) {
-            trialOf = decision.part
-            return null
-        }
-        val retryAt = maxOf(trialAt ?: now, now.plusMilliseconds(Quarantine.TRIAL_MILLISECONDS))
+        val retryAt = maxOf(decision.trialAt ?: now, now.plusMilliseconds(Quarantine.TRIAL_MILLISECONDS))
         return Failure(ErrorKind.PROMPT_QUARANTINED, "part ${decision.part}", retryAt)
     }
 
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -10,6 +10,9 @@
 import azuredale.outcome.Outcome
 import azuredale.time.Timestamp
 
+/** Returns null if a prompt is admitted, otherwise the failure to return to the caller. */
+private typealias PromptDecision = (PromptShape, AdmissionRequest, LatencyPrediction, Timestamp) -> Failure?
+
 /**
  * Chooses the server for each attempt of one request, and decides whether the request is admitted.
  *
@@ -37,22 +40,22 @@
      * @param isFirst whether the request has not been sent to any server.
      */
     suspend fun next(isFirst: Boolean, now: Timestamp): Outcome<ServerSelection.Selected> {
-        context.admission.sendGuard
-            .directoryFailure(now)
-            ?.let { return Outcome.Refused(it) }
+        directoryFailure(now)?.let { return it }
         promptGate.refusal(now)?.let { return Outcome.Refused(it) }
-        return when (val selection = context.selector.select(selectionRequest(now), now)) {
-            is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
-            is ServerSelection.OnHold -> Outcome.Refused(onHold(selection.until, now))
-            is ServerSelection.LimitsUsedUp -> Outcome.Refused(limitsUsedUp(now))
-            is ServerSelection.Selected -> {
-                val refusal = if (isFirst) checkLoad(selection, now) else null
-                refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
-            }
-        }
+        val selection = context.selector.select(selectionRequest(now), now)
+        return decide(selection, isFirst, context.admission.prompts::decide, now)
+    }
+
+    /** What [next] would return for a first attempt; has no effect. */
+    fun preview(now: Timestamp): Outcome<ServerSelection.Selected> {
+        directoryFailure(now)?.let { return it }
+        promptGate.preview(now)?.let { return Outcome.Refused(it) }
+        val selection = context.selector.preview(selectionRequest(now), now)
+        return decide(selection, isFirst = true, context.admission.prompts::preview, now)
     }
 
-    private fun selectionRequest(now: Timestamp) = SelectionRequest(
+    /** What the choice of a server depends on. */
+    fun selectionRequest(now: Timestamp) = SelectionRequest(
         pool = authorized.pool,
         team = authorized.team,
         prompt = prompt,
@@ -63,23 +66,43 @@
         confinedTo = promptGate.confinedTo(now),
     )
 
-    private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? {
+    private fun directoryFailure(now: Timestamp) = context.admission.sendGuard
+        .directoryFailure(now)
+        ?.let { Outcome.Refused(it) }
+
+    private fun decide(
+        selection: ServerSelection,
+        isFirst: Boolean,
+        admit: PromptDecision,
+        now: Timestamp,
+    ): Outcome<ServerSelection.Selected> = when (selection) {
+        is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
+        is ServerSelection.OnHold -> Outcome.Refused(onHold(selection.until, now))
+        is ServerSelection.LimitsUsedUp -> Outcome.Refused(limitsUsedUp(admit, now))
+        is ServerSelection.Selected -> {
+            val refusal = if (isFirst) checkLoad(selection, admit, now) else null
+            refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
+        }
+    }
+
+    private fun checkLoad(selection: ServerSelection.Selected, admit: PromptDecision, now: Timestamp): Failure? {
         val pressure = context.selector.limitPressure(authorized.pool, now)
         val scarcity = minOf(pressure, MAXIMUM_PRESSURE) * authorized.route.targetMilliseconds
         val prediction =
             LatencyPrediction(selection.predictedMilliseconds + scarcity, selection.meanMilliseconds + scarcity)
-        return admit(prediction, now)
+        return admitted(prediction, admit, now)
     }
 
     /** The refusal counts as a request of the team, whose caller may return when the team's share has room. */
-    private fun limitsUsedUp(now: Timestamp): Failure {
+    private fun limitsUsedUp(admit: PromptDecision, now: Timestamp): Failure {
         val remaining = deadline.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
-        return admit(LatencyPrediction(remaining), now) ?: unavailable("the limits of all servers are used up", now)
+        return admitted(LatencyPrediction(remaining), admit, now)
+            ?: unavailable("the limits of all servers are used up", now)
     }
 
-    private fun admit(prediction: LatencyPrediction, now: Timestamp): Failure? = prompt?.let {
+    private fun admitted(prediction: LatencyPrediction, admit: PromptDecision, now: Timestamp): Failure? = prompt?.let {
         val request = AdmissionRequest(authorized.team, authorized.route.targetMilliseconds, onTimeUntil, deadline)
-        context.admission.prompts.decide(it, request, prediction, now)
+        admit(it, request, prediction, now)
     }
 
     /** Callers return within the same time again after the servers do, so that not all of them come at one moment. */
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -68,6 +68,7 @@
                 isReady = daemon.gateway::isReady,
                 addresses = { daemon.gateway.addresses() },
                 metrics = daemon.gateway.metrics::scrape,
+                explain = daemon.gateway.explanations::answer,
             )
         CoroutineScope(vertx.dispatcher()).launch {
             PlatformEndpoints(vertx, callbacks).start(setOf(settings.readinessAddress, settings.directoryAddress))
--- a/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
@@ -1,7 +1,9 @@
 package azuredale.platform
 
+import azuredale.explain.ExplainEndpoint
 import azuredale.identity.NetworkAddress
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
@@ -26,6 +28,8 @@
     val addresses: (String?) -> Pair<List<NetworkAddress>, Double>,
     /** Metrics in the Prometheus text format. */
     val metrics: () -> String,
+    /** Status and text of the answer to an operator's question about a request. */
+    val explain: (String) -> Pair<Int, String>,
 )
 
 /** HTTP endpoints for the platform and for callers: readiness, router addresses and metrics. */
@@ -56,6 +60,7 @@
     private fun answer(request: HttpServerRequest) {
         val response = request.response()
         when {
+            request.method() == HttpMethod.POST && request.path() == ExplainEndpoint.PATH -> explain(request)
             request.method() != HttpMethod.GET -> response.setStatusCode(METHOD_NOT_ALLOWED).end()
             request.path() == PlatformPath.READY ->
                 response
@@ -69,6 +74,15 @@
         }
     }
 
+    private fun explain(request: HttpServerRequest) {
+        val body = Buffer.buffer()
+        request.handler { if (body.length() <= ExplainEndpoint.MAXIMUM_BYTES) body.appendBuffer(it) }
+        request.endHandler {
+            val (status, text) = callbacks.explain(body.toString())
+            request.response().setStatusCode(status).end(text)
+        }
+    }
+
     private fun addresses(request: HttpServerRequest) {
         val (addresses, seconds) = callbacks.addresses(request.getParam("zone"))
         if (addresses.isEmpty()) {
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -67,6 +67,9 @@
     /** Address to which callers connect. */
     public val callerAddress: NetworkAddress = address(ports[0])
 
+    /** Address at which the router answers the platform and operators. */
+    public val readinessAddress: NetworkAddress = address(ports[1])
+
     /** Address at which the router receives reports of other routers. */
     public val peerAddress: NetworkAddress = address(ports[3])
 
--- /dev/null
+++ b/src/test/kotlin/azuredale/explain/ExplainSpec.kt
@@ -0,0 +1,119 @@
+package azuredale.explain
+
+import azuredale.command.CommandLine
+import azuredale.command.ExitCode
+import azuredale.command.Terminal
+import azuredale.selftest.GatewayFixture
+import azuredale.standin.BackendBehaviour
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.json.Json
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+
+/** An operator asks a running router where a request would go. */
+class ExplainSpec {
+    private val output = StringBuilder()
+    private val errors = StringBuilder()
+
+    private fun withGateway(test: suspend GatewayFixture.() -> Unit) = runBlocking {
+        val vertx = Vertx.vertx()
+        try {
+            withTimeout(60_000) {
+                val fixture = GatewayFixture(vertx)
+                fixture.start()
+                fixture.test()
+            }
+        } finally {
+            vertx.close().coAwait()
+        }
+    }
+
+    /** Runs the command against the router and returns its exit code. */
+    private suspend fun GatewayFixture.explain(vararg arguments: String): Int = withContext(Dispatchers.IO) {
+        output.clear()
+        val router = listOf("explain", "--router", readinessAddress.toString())
+        CommandLine().run(router + arguments, Terminal(output, errors))
+    }
+
+    private suspend fun GatewayFixture.explanation(vararg arguments: String): RoutingExplanation {
+        assertEquals(ExitCode.SUCCESS, explain("--json", *arguments), errors.toString())
+        return Json.decodeFromString(RoutingExplanation.serializer(), output.toString())
+    }
+
+    private val prompt = arrayOf("--route", "stream", "--team", "team-a", "--tokens", "300,20", "--parts", PARTS)
+
+    @Nested
+    inner class Requests {
+        @Test
+        fun `go to the server that the explanation names`() = withGateway {
+            // Guards against an explanation by other rules than those of the decision.
+            servers.forEach { it.behaviour = { BackendBehaviour.Stream(first = 1, last = 2) } }
+            repeat(5) { round ->
+                val explained = explanation(*prompt)
+                assertEquals(RoutingVerdict.ADMITTED, explained.verdict, "round $round: $explained")
+                get("/stream/x$round", prompt = PARTS)
+                val served = servers.single { server -> server.calls.any { it.target == "/stream/x$round" } }
+                assertEquals(explained.chosen, "server-${servers.indexOf(served)}", "round $round")
+            }
+        }
+
+        @Test
+        fun `that would be refused are explained by the kind of the refusal`() = withGateway {
+            assertEquals("UNKNOWN_ROUTE", explanation("--host", "api.example", "--path", "/none/").kind)
+            assertEquals("UNKNOWN_KEY", explanation("--route", "plain", "--team", "nobody").kind)
+        }
+
+        @Test
+        fun `are kept from a leaving server with its reason`() = withGateway {
+            register(0, readinessAddress, state = "draining")
+            while (explanation(*prompt).servers.none { it.reason != null }) delay(20)
+            val explained = explanation(*prompt)
+            assertEquals("NOT_REGISTERED", explained.servers.single { it.server == "server-0" }.reason)
+            assertEquals("server-1", explained.chosen)
+        }
+    }
+
+    @Nested
+    inner class Asking {
+        @Test
+        fun `sends nothing and changes no answer`() = withGateway {
+            // Guards against questions that count as requests or reserve capacity.
+            val first = explanation(*prompt)
+            repeat(20) { explanation(*prompt) }
+            val last = explanation(*prompt)
+            assertEquals(first.servers, last.servers)
+            assertEquals(0, servers.sumOf { server -> server.calls.count { it.target.startsWith("/stream/") } })
+        }
+
+        @Test
+        fun `prints a table for operators`() = withGateway {
+            assertEquals(ExitCode.SUCCESS, explain(*prompt))
+            assertContains(output, "admitted, to server")
+            assertContains(output, "first event ms")
+        }
+
+        @Test
+        fun `fails with a clear error if the router does not answer or the question is wrong`() = withGateway {
+            assertEquals(ExitCode.USAGE, explain("--team", "team-a"))
+            assertContains(errors, "either a route or a host and a path is required")
+            val closed = arrayOf("explain", "--router", "127.0.0.1:1", "--route", "plain")
+            val code = withContext(Dispatchers.IO) { CommandLine().run(closed.toList(), Terminal(output, errors)) }
+            assertEquals(ExitCode.FAILURE, code)
+            assertContains(errors, "router at 127.0.0.1:1")
+            assertNotNull(explanation("--route", "plain", "--team", "team-a").chosen)
+        }
+    }
+
+    private companion object {
+        const val PARTS = "a:100,b:100,c:100"
+    }
+}
