Let routers exchange the memory that requests in progress take

Cause: no router knows how much of a server's memory running requests take, so neither admission nor the weighing of kept prompt parts can count on room.

Change: engine.EngineMemory answers, without effect, a server's declared memory, what is committed by all routers together and what is free. ServerLoad and LoadEntry carry committedTokens (default 0, so that older reports are still read), which relays add up as they do waitingTokens. Nothing commits memory yet.

--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -23,6 +23,9 @@
     /** Outstanding work of the servers. */
     val loads = LoadTracker()
 
+    /** Memory of the servers that requests in progress take. */
+    val memory = EngineMemory(loads, cacheTokens)
+
     /** Limits on the request rate that servers name. */
     val limits = ServerLimits(loads, routers, random, onLimitChange)
 
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -173,6 +173,7 @@
                     waitingTokens = entry.waitingTokens.coerceAtLeast(0),
                     running = entry.running.coerceAtLeast(0),
                     recentRequests = entry.recentRequests.coerceAtLeast(0),
+                    committedTokens = entry.committedTokens.coerceAtLeast(0),
                 )
             loads[entry.server] = included?.loads?.get(entry.server)?.let { load - it } ?: load
         }
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -13,6 +13,7 @@
  * @property waitingTokens prompt tokens waiting that are not cached at the server.
  * @property running number of requests running at the server.
  * @property recentRequests requests sent to the server within the last seconds, if it names a limit.
+ * @property committedTokens memory of the server that the router's requests in progress take or may still take.
  */
 @Serializable
 internal class LoadEntry(
@@ -20,6 +21,7 @@
     @CborLabel(2) val waitingTokens: Int,
     @CborLabel(3) val running: Int,
     @CborLabel(4) val recentRequests: Int = 0,
+    @CborLabel(5) val committedTokens: Int = 0,
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -111,7 +111,7 @@
     }
 
     private fun loadEntry(server: Int, load: ServerLoad) =
-        LoadEntry(server, load.waitingTokens, load.running, load.recentRequests)
+        LoadEntry(server, load.waitingTokens, load.running, load.recentRequests, load.committedTokens)
 
     private fun limitEntries(now: Timestamp): List<LimitEntry> =
         statistics.limits.recentChanges(now).take(MAXIMUM_LIMITS).map { record ->
