--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -13,6 +13,7 @@
 import azuredale.freshness.ClockJumpDetector
 import azuredale.freshness.StoreReader
 import azuredale.freshness.StoreView
+import azuredale.identity.FailureDomain
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
@@ -73,7 +74,7 @@
     private val incarnation = Incarnation(clock().microseconds)
 
     /** Local copy of the store's tables. */
-    val view = StoreView(settings.bounds)
+    val view = StoreView(settings.bounds, ::evacuationsChanged)
 
     /** Runtime state of the backend servers. */
     val statistics =
@@ -177,9 +178,9 @@
     private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
-    private val selector = ServerSelector({ view.directory }, statistics)
     private val requestBodies =
         RequestBodyBudget(RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()), dependencies.timer)
+    private val selector = ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated)
     private val context =
         GatewayContext(
             settings = settings,
@@ -318,7 +319,11 @@
     }
 
     /** Whether this router accepts requests. */
-    fun isReady(): Boolean = !isStopping && view.catalog != null && quarantine.isKnown && isCatalogFresh(clock())
+    fun isReady(): Boolean = !isStopping &&
+        view.catalog != null &&
+        quarantine.isKnown &&
+        view.evacuations.isKnown &&
+        isCatalogFresh(clock())
 
     private fun isOverloaded(): Boolean = overload.isOverloaded(clock())
 
@@ -365,6 +370,12 @@
         if (isCatalogNew) exchange.report(clock())
     }
 
+    private fun evacuationsChanged(before: Set<FailureDomain>, after: Set<FailureDomain>) {
+        (after - before).forEach { log.write(GatewayLogEvent.DOMAIN_EVACUATED, "domain" to it) }
+        (before - after).forEach { log.write(GatewayLogEvent.EVACUATION_ENDED, "domain" to it) }
+        exchange.reportSoon(clock())
+    }
+
     private fun peerChanged(peer: Peer) {
         val event = if (peer.isAlive) GatewayLogEvent.PEER_FOUND else GatewayLogEvent.PEER_LOST
         log.write(event, "router" to peer.router, "address" to peer.address, "incarnation" to peer.incarnation)
@@ -388,6 +399,12 @@
                 .count { view.directory.isReady(it.id) }
                 .toDouble()
         }
+        metrics.gauge("domains.evacuated") {
+            view.evacuations.table
+                ?.domains
+                ?.size
+                ?.toDouble() ?: 0.0
+        }
         metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
         metrics.gauge("request.body.bytes") { requestBodies.heldBytes.toDouble() }
