--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -324,9 +324,9 @@
         }
     }
 
-    /** Addresses of routers for callers, and the seconds for which they may be cached. */
-    fun addresses(): Pair<List<NetworkAddress>, Double> =
-        routerAddresses.addresses().also { loadLog.recordAddressAnswer(it.first.size) }
+    /** Addresses of routers for [caller], and the seconds for which they may be cached. */
+    fun addresses(caller: AddressCaller): Pair<List<NetworkAddress>, Double> =
+        routerAddresses.addresses(caller).also { loadLog.recordAddressAnswer(caller, it.first.size) }
 
     /** Begins a graceful stop and notifies the other routers at once. */
     fun stop() {
--- a/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
@@ -14,6 +14,7 @@
     private var refusals = 0
     private var addressAnswers = 0
     private var fewestAddresses = Int.MAX_VALUE
+    private val addressCallers = HashSet<String>()
     private var longestLag = 0L
 
     /** Records that a caller's request was read. */
@@ -24,9 +25,10 @@
     /** Records that a request was refused before it was decoded; returns whether a line about it is to be written. */
     fun recordRefusal(): Boolean = ++refusals <= LOGGED_REFUSALS
 
-    /** Records that a caller was told to use [count] routers. */
-    fun recordAddressAnswer(count: Int) {
+    /** Records that [caller] was told to use [count] routers. */
+    fun recordAddressAnswer(caller: AddressCaller, count: Int) {
         addressAnswers++
+        addressCallers += caller.host
         fewestAddresses = minOf(fewestAddresses, count)
     }
 
@@ -50,6 +52,7 @@
                 "running" to running,
                 "lag" to longestLag,
                 "addressAnswers" to addressAnswers,
+                "addressCallers" to addressCallers.size,
                 "fewestAddresses" to fewestAddresses.takeIf { addressAnswers > 0 },
                 "knownRouters" to knownRouters,
                 "directoryAge" to directoryAge,
@@ -58,6 +61,7 @@
         requests = 0
         refusals = 0
         addressAnswers = 0
+        addressCallers.clear()
         fewestAddresses = Int.MAX_VALUE
         longestLag = 0
     }
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -62,7 +62,7 @@
         val callbacks =
             EndpointCallbacks(
                 isReady = daemon.gateway::isReady,
-                addresses = { daemon.gateway.addresses() },
+                addresses = daemon.gateway::addresses,
                 metrics = daemon.gateway.metrics::scrape,
             )
         CoroutineScope(vertx.dispatcher()).launch {
--- a/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
@@ -1,5 +1,7 @@
 package azuredale.platform
 
+import azuredale.gateway.AddressCaller
+import azuredale.identity.FailureDomain
 import azuredale.identity.NetworkAddress
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
@@ -22,8 +24,8 @@
 internal class EndpointCallbacks(
     /** Whether this router accepts requests. */
     val isReady: () -> Boolean,
-    /** Addresses of routers for a caller in the given failure domain, and their lifetime in seconds. */
-    val addresses: (String?) -> Pair<List<NetworkAddress>, Double>,
+    /** Addresses of routers for a caller, and their lifetime in seconds. */
+    val addresses: (AddressCaller) -> Pair<List<NetworkAddress>, Double>,
     /** Metrics in the Prometheus text format. */
     val metrics: () -> String,
 )
@@ -70,7 +72,7 @@
     }
 
     private fun addresses(request: HttpServerRequest) {
-        val (addresses, seconds) = callbacks.addresses(request.getParam("zone"))
+        val (addresses, seconds) = callbacks.addresses(caller(request))
         if (addresses.isEmpty()) {
             request.response().setStatusCode(UNAVAILABLE).end()
             return
@@ -79,6 +81,12 @@
         request.response().putHeader("Content-Type", "application/json").end(body)
     }
 
+    private fun caller(request: HttpServerRequest) = AddressCaller(
+        host = request.remoteAddress()?.hostAddress().orEmpty(),
+        name = request.getParam("name").orEmpty(),
+        failureDomain = FailureDomain(request.getParam("zone").orEmpty()),
+    )
+
     private companion object {
         const val OK = 200
         const val NOT_FOUND = 404
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -1,5 +1,6 @@
 package azuredale.selftest
 
+import azuredale.gateway.AddressCaller
 import azuredale.gateway.FleetBounds
 import azuredale.gateway.GatewayDaemon
 import azuredale.gateway.GatewaySettings
@@ -98,7 +99,7 @@
         repeat(START_ATTEMPTS) {
             if (daemon
                     ?.gateway
-                    ?.addresses()
+                    ?.addresses(AddressCaller.UNKNOWN)
                     ?.first
                     ?.size == 2
             ) {
