Let relays pass on when they last heard from every router

A relay described eight routers in full per report, so with 128 routers each heard of each other about every four seconds and counted one as silent after six. Ages left out the time for which a datagram waited to be read, so a late router regarded lost ones as alive for longer, and routers that changed beyond twelve in a report were left out for 0.7 s.

Relays now send once a second, or every 0.4 s while many routers change, the age of the last sign of life of every router in six bytes each. Ages count from the earliest time of creation, which the echo shows. So the time-out for relayed routers is 5 s instead of 6, a second below the bound on answers that name lost routers at the shortest contact time.

A description and a sign of life now have times of their own (describedAt, lastHeardAt), since signs of life would otherwise hide later descriptions.

--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -136,11 +136,14 @@
         val (datagram, report) = codec.decode(bytes) ?: return callbacks.onRefused(from, bytes)
         val scope = ReportScope.entries.getOrNull(report.scope) ?: return callbacks.onRefused(from, bytes)
         report.routers.forEach { routerDiscovered(RouterId(it.router), NetworkAddress(it.host, it.peerPort), now) }
-        val peer = table.reportReceived(report, datagram.sentAt, from, now, aliveUntil(report, now)) ?: return
+        // A datagram may have waited unread, so ages count from the earliest time at which it was created.
+        val createdAt = createdAfter(datagram, now) ?: now
+        val peer = table.reportReceived(report, datagram.sentAt, from, now, createdAt, aliveUntil(report, now)) ?: return
         report.relayed.forEach { row ->
-            val heardAt = now.plusMilliseconds(-row.age.coerceIn(0, MAXIMUM_AGE_MILLISECONDS))
+            val heardAt = createdAt.plusMilliseconds(-row.age.coerceIn(0, MAXIMUM_AGE_MILLISECONDS))
             table.relayedReceived(row, heardAt, now, heardAt.plusMilliseconds(RELAYED_TIMEOUT_MILLISECONDS))
         }
+        report.liveness?.let { table.relayedLiveness(it, createdAt, RELAYED_TIMEOUT_MILLISECONDS, now) }
         if (isLoadSource(peer, scope)) applySums(peer, scope, datagram, report, now)
         applyReads(report, scope, now)
         applyLimits(report, now)
@@ -309,8 +312,11 @@
         const val MINIMUM_PEER_TIMEOUT_MILLISECONDS = 600L
         const val PEER_TIMEOUT_PERIODS = 5L
 
-        /** Two rotations of a relay through a fleet of 95 routers. */
-        const val RELAYED_TIMEOUT_MILLISECONDS = 6_000L
+        /**
+         * Time since a router was last heard from, by whichever way, for which it counts as alive: several periods in
+         * which relays pass liveness on, and a second less than the time for which answers may name a lost router.
+         */
+        const val RELAYED_TIMEOUT_MILLISECONDS = 5_000L
 
         /** Longest age that a relayed state can have; routers that are silent for longer are forgotten. */
         const val MAXIMUM_AGE_MILLISECONDS = 60_000L
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -76,7 +76,7 @@
 /**
  * State of one router as passed on by the relay of its failure domain.
  *
- * @property age milliseconds since the relay last heard from the router.
+ * @property age milliseconds since the router described itself so, or, if it is silent, since it was last heard from.
  * @property isAlive whether the relay counts the router as alive.
  */
 @Serializable
@@ -116,6 +116,7 @@
  * @property relayed routers that the sender knows of, if it is a relay.
  * @property crashes server crashes that the sender recently learned more of.
  * @property limits limits of servers that changed recently.
+ * @property liveness when the sender last heard from the routers that it knows, if it is a relay: [PackedLiveness].
  * @property quarantine the quarantine table as known to the sender, null if it knows none.
  */
 @Serializable
@@ -132,6 +133,7 @@
     @CborLabel(10) val crashes: List<CrashEntry> = emptyList(),
     @CborLabel(11) val quarantine: QuarantineEntry? = null,
     @CborLabel(12) val limits: List<LimitEntry> = emptyList(),
+    @ByteString @CborLabel(13) val liveness: ByteArray? = null,
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -9,6 +9,7 @@
 /** The other routers of the fleet, as known from their own reports. */
 internal class PeerTable(private val self: RouterId) {
     private val peers = LinkedHashMap<RouterId, Peer>()
+    private val byProcessKey = HashMap<Int, Peer>()
     private val fleetSizes = ArrayDeque<Pair<Timestamp, Int>>()
 
     /** All known routers, including those that are currently silent. */
@@ -33,12 +34,17 @@
         return isNew
     }
 
-    /** Updates the sender of [report] and returns it, or null if the report is outdated or the table is full. */
+    /**
+     * Updates the sender of [report] and returns it, or null if the report is outdated or the table is full.
+     *
+     * @param heardAt time at which the report was created at the earliest, which relays pass on.
+     */
     fun reportReceived(
         report: PeerReport,
         sentAt: Long,
         from: NetworkAddress,
         now: Timestamp,
+        heardAt: Timestamp,
         aliveUntil: Timestamp,
     ): Peer? {
         val state = report.sender
@@ -53,10 +59,11 @@
         if (known != incarnation) peer.lastReportSentAt = 0
         if (sentAt < peer.lastReportSentAt) return null
         peer.address = from
-        peer.incarnation = incarnation
+        setIncarnation(peer, incarnation)
         peer.update(state, now)
         peer.aliveUntil = aliveUntil
-        peer.lastHeardAt = now
+        peer.lastHeardAt = maxOf(peer.lastHeardAt, heardAt)
+        peer.describedAt = maxOf(peer.describedAt, heardAt)
         peer.lastReportReceivedAt = now
         peer.lastReportSentAt = sentAt
         return peer
@@ -65,7 +72,7 @@
     /**
      * Applies the state of a router that is not heard from directly, as relayed by another router.
      *
-     * @param heardAt time at which the relay last heard from the router.
+     * @param heardAt time of the description, or, of a silent router, at which the relay last heard from it.
      * @param aliveUntil time until which the router counts as alive, if the relay counts it as alive.
      */
     fun relayedReceived(row: RelayedRouter, heardAt: Timestamp, now: Timestamp, aliveUntil: Timestamp) {
@@ -73,22 +80,53 @@
         val address = NetworkAddress(row.host, row.peerPort)
         add(router, address, now)
         val peer = peers[router] ?: return
-        if (!row.isAlive) {
-            // A router that was heard from since then by other ways is alive.
-            if (heardAt >= peer.lastHeardAt.plusMilliseconds(-SILENCE_TOLERANCE_MILLISECONDS)) {
-                peer.aliveUntil = minOf(peer.aliveUntil, now)
-            }
-            return
+        if (!row.isAlive) return relayedSilent(peer, heardAt, now)
+        if (heardAt > peer.lastHeardAt) {
+            peer.lastHeardAt = heardAt
+            peer.aliveUntil = maxOf(peer.aliveUntil, aliveUntil)
         }
-        if (heardAt <= peer.lastHeardAt) return
-        peer.lastHeardAt = heardAt
+        if (heardAt <= peer.describedAt) return
+        peer.describedAt = heardAt
         val incarnation = Incarnation(row.state.incarnation)
         if (peer.incarnation != incarnation) {
             peer.lastReportSentAt = 0
-            peer.incarnation = incarnation
+            setIncarnation(peer, incarnation)
         }
         peer.update(row.state, now)
-        peer.aliveUntil = maxOf(peer.aliveUntil, aliveUntil)
+    }
+
+    /**
+     * Applies the [PackedLiveness] in a report that was created at [createdAt] or later.
+     *
+     * @param timeoutMilliseconds time since a router was heard from for which it counts as alive.
+     */
+    fun relayedLiveness(bytes: ByteArray, createdAt: Timestamp, timeoutMilliseconds: Long, now: Timestamp) {
+        PackedLiveness.forEach(bytes) { processKey, isAlive, age ->
+            val peer = byProcessKey[processKey]
+            val heardAt = createdAt.plusMilliseconds(-age)
+            when {
+                peer == null -> Unit
+                !isAlive -> relayedSilent(peer, heardAt, now)
+                heardAt > peer.lastHeardAt -> {
+                    peer.lastHeardAt = heardAt
+                    peer.aliveUntil = maxOf(peer.aliveUntil, heardAt.plusMilliseconds(timeoutMilliseconds))
+                }
+            }
+        }
+    }
+
+    /** A router that was heard from since [heardAt] by other ways is alive. */
+    private fun relayedSilent(peer: Peer, heardAt: Timestamp, now: Timestamp) {
+        if (heardAt >= peer.lastHeardAt.plusMilliseconds(-SILENCE_TOLERANCE_MILLISECONDS)) {
+            peer.aliveUntil = minOf(peer.aliveUntil, now)
+        }
+    }
+
+    private fun setIncarnation(peer: Peer, incarnation: Incarnation) {
+        if (peer.incarnation == incarnation) return
+        byProcessKey.remove(peer.processKey, peer)
+        peer.incarnation = incarnation
+        byProcessKey[peer.processKey] = peer
     }
 
     private fun Peer.update(state: RouterState, now: Timestamp) {
@@ -110,7 +148,11 @@
                 onChange(peer)
             }
         }
-        peers.values.removeIf { now > maxOf(it.aliveUntil, it.firstSeenAt).plusSeconds(REMOVE_AFTER_SECONDS) }
+        peers.values.removeIf { peer ->
+            val isForgotten = now > maxOf(peer.aliveUntil, peer.firstSeenAt).plusSeconds(REMOVE_AFTER_SECONDS)
+            if (isForgotten) byProcessKey.remove(peer.processKey, peer)
+            isForgotten
+        }
         val size = peers.values.count { it.isAlive } + 1
         if (fleetSizes.lastOrNull()?.second != size) fleetSizes.addLast(now to size)
         while (fleetSizes.size > 1 && fleetSizes[1].first.plusSeconds(RECENT_SECONDS) < now) fleetSizes.removeFirst()
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -37,6 +37,8 @@
     private var roundDomainReads: List<ReadEntry> = emptyList()
     private var roundFleetReads: List<ReadEntry> = emptyList()
     private var isUsageDue = false
+    private var isLivenessDue = false
+    private var lastLivenessAt = Timestamp.DISTANT_PAST
     private var nextUsageAt = Timestamp.DISTANT_PAST
     private var routerCursor = 0
     private val relayedCursors = IntArray(ReportScope.entries.size)
@@ -63,9 +65,20 @@
             nextUsageAt = now.plusMilliseconds(usagePeriod())
             lastUsage = usage.localUsage(now)
         }
+        isLivenessDue = topology.isRelay && now >= lastLivenessAt.plusMilliseconds(livenessPeriod(now))
+        if (isLivenessDue) lastLivenessAt = now
         return ReportedState(ownLoads(now), lastUsage)
     }
 
+    /** Many routers that change together, such as a lost failure domain, do not fit into the descriptions in full. */
+    private fun livenessPeriod(now: Timestamp): Long {
+        val changed = table.all.count { isChanged(it, now) }
+        return if (changed > MAXIMUM_CHANGED_ROUTERS) URGENT_LIVENESS_MILLISECONDS else LIVENESS_MILLISECONDS
+    }
+
+    private fun isChanged(peer: Peer, now: Timestamp) =
+        now < peer.changedAt.plusMilliseconds(CHANGE_REPEAT_MILLISECONDS)
+
     /** Returns the report that adds up [scope]. */
     fun write(scope: ReportScope, now: Timestamp) = PeerReport(
         sender = ownState(),
@@ -80,8 +93,14 @@
         limits = limitEntries(now),
         crashes = quarantine.crashes(now),
         quarantine = quarantine.table { age(it, now) },
+        liveness = liveness(scope, now),
     )
 
+    private fun liveness(scope: ReportScope, now: Timestamp): ByteArray? {
+        if (!isLivenessDue || scope == ReportScope.ROUTER) return null
+        return PackedLiveness.pack(table.all, { isIncluded(scope, it) }, now)
+    }
+
     private fun ownState() = RouterState(
         router = settings.router.name,
         incarnation = incarnation.value,
@@ -156,7 +175,7 @@
     /** Returns the routers that changed recently, then some of the others in rotation. */
     private fun relayedRouters(scope: ReportScope, now: Timestamp): List<RelayedRouter> {
         val covered = table.all.filter { isIncluded(scope, it) && it.incarnation != null }
-        val (changed, unchanged) = covered.partition { now < it.changedAt.plusMilliseconds(CHANGE_REPEAT_MILLISECONDS) }
+        val (changed, unchanged) = covered.partition { isChanged(it, now) }
         val alive = unchanged.filter { it.isAlive }
         val cursor = relayedCursors[scope.ordinal]
         val rotated = List(minOf(RELAYED_ROUTERS, alive.size)) { alive[(cursor + it) % alive.size] }
@@ -182,7 +201,7 @@
             host = peer.address.host,
             peerPort = peer.address.port,
             isAlive = peer.isAlive,
-            age = now.microsecondsSince(peer.lastHeardAt) / Timestamp.MICROSECONDS_PER_MILLISECOND,
+            age = now.microsecondsSince(if (peer.isAlive) peer.describedAt else peer.lastHeardAt) / Timestamp.MICROSECONDS_PER_MILLISECOND,
         )
     }
 
@@ -203,6 +222,10 @@
 
         /** A change is in several reports, since a datagram may be lost. */
         private const val CHANGE_REPEAT_MILLISECONDS = 700L
+
+        /** Several times within the silence that is tolerated, so that a lost datagram does not matter. */
+        private const val LIVENESS_MILLISECONDS = 1_000L
+        private const val URGENT_LIVENESS_MILLISECONDS = 400L
         private const val MESH_USAGE_PERIOD_MILLISECONDS = 120L
         private const val RELAYED_USAGE_PERIOD_MILLISECONDS = 600L
     }
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -52,9 +52,16 @@
     )
 
     private val network = ArrayDeque<Datagram>()
+    private val waiting = ArrayDeque<Pair<Timestamp, Datagram>>()
     private val byAddress = HashMap<NetworkAddress, Node>()
     val cut = HashSet<Node>()
 
+    /** Milliseconds for which datagrams to a router wait until it reads them. */
+    val delayed = HashMap<Node, Long>()
+
+    /** Whether the network loses the next datagram. */
+    var isLost: () -> Boolean = { false }
+
     /** Whether sent datagrams are kept in [recorded] and malformed ones are accepted silently. */
     var recordsDatagrams = false
     val recorded = ArrayList<ByteArray>()
@@ -139,6 +146,7 @@
         val end = now.plusMilliseconds(milliseconds)
         while (now < end) {
             while (network.isNotEmpty() && network.first().deliverAt <= now) deliver(network.removeFirst())
+            while (waiting.isNotEmpty() && waiting.first().first <= now) read(waiting.removeFirst().second)
             // Routers tick at different moments.
             nodes.forEachIndexed { index, node ->
                 if ((step + index) % TICK_MILLISECONDS == 0 && node !in cut) {
@@ -154,9 +162,14 @@
     private fun deliver(datagram: Datagram) {
         val target = byAddress.getValue(datagram.to)
         val source = byAddress.getValue(datagram.from)
-        if (target !in cut && source !in cut) target.exchange.received(datagram.from, datagram.bytes, now)
+        if (target in cut || source in cut || isLost()) return
+        val readAt = datagram.deliverAt.plusMilliseconds(delayed[target] ?: 0)
+        if (now < readAt) waiting += readAt to datagram else read(datagram)
     }
 
+    private fun read(datagram: Datagram) =
+        byAddress.getValue(datagram.to).exchange.received(datagram.from, datagram.bytes, now)
+
     /** Load of server [index] as seen by [node]. */
     fun loadSeenBy(node: Node, index: Int): ServerLoad =
         node.statistics.loads.load(servers[index].id, servers[index].idHash, now)
