Send callers away from crowded routers, as far as the others bear them

Callers of a team keep to a router with their connections, and answers left it out only for a lag.

Each router states its spare capacity in quarters, from the lag, requests that wait or run per core, and callers' connections, averaged over half a second. Answers by selection weigh VM sizes with it and leave crowded routers out while the spare capacity of the others covers them; a router comes back a quarter a second. Fleets of equal VMs with up to 64 routers get the answers of before.

Small VMs stay out of a selection only while the larger ones get at most 1.5 times what their size deserves; before, 40% of the fleet's capacity could get all callers.

RouterCapacity takes overload detection out of Gateway.

Tests: SpareCapacitySpec, RouterAddressesSpec, LogEventCatalogueSpec, OverloadDetectorSpec: passed.

--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -15,7 +15,7 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.intake.Intake
-import azuredale.intake.OverloadDetector
+import azuredale.intake.RouterWork
 import azuredale.logging.BoundedAppender
 import azuredale.logging.EventLog
 import azuredale.outcome.ErrorKind
@@ -51,6 +51,8 @@
     val probe: (BackendEntry, (isRefused: Boolean) -> Unit) -> Unit,
     /** Called when the server directory or the catalog changes. */
     val onChange: () -> Unit,
+    /** Number of connections that callers have open. */
+    val openCallerConnections: () -> Int = { 0 },
 )
 
 /**
@@ -142,7 +144,8 @@
                     },
                 ),
             isReady = { isReady() },
-            isOverloaded = { isOverloaded() },
+            isOverloaded = { capacity.isOverloaded(clock()) },
+            spareQuarters = { capacity.spareQuarters },
         )
     private val poller: StorePoller =
         StorePoller(
@@ -172,7 +175,15 @@
             isDivided = { exchange.peers.all.any { !it.isAlive } },
             log = log,
         )
-    private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
+    private val capacity = RouterCapacity(settings.weight, log) { exchange.reportSoon(clock()) }
+    private val routerAddresses =
+        RouterAddresses(
+            settings = settings,
+            peers = exchange.peers,
+            isReady = ::isReady,
+            isOverloaded = { capacity.isOverloaded(clock()) },
+            spareQuarters = { capacity.spareQuarters },
+        )
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
     private val selector = ServerSelector({ view.directory }, statistics)
@@ -217,7 +228,6 @@
         )
 
     private val loadLog = RouterLoadLog(log)
-    private val overload = OverloadDetector()
 
     /** Starts registering this router and reading the store. */
     fun start() {
@@ -231,7 +241,7 @@
     fun tick() {
         val now = clock()
         val lag = intake.lagMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
-        recordLag(lag, now)
+        capacity.record(work(lag), now)
         checkClocks()
         poller.tick(lag, now)
         poller.logFreshnessChange(now)
@@ -242,6 +252,7 @@
         loadLog.tick(
             lagMilliseconds = lag,
             running = running,
+            spareQuarters = capacity.spareQuarters,
             knownRouters = exchange.peers.all.size + 1,
             directoryAge = poller.directoryAgeMilliseconds(now),
             now = now,
@@ -276,7 +287,7 @@
         val request = preview()
         if (!intake.isBehind(request.key.orEmpty())) return null
         val now = clock()
-        overload.recordDelay(now)
+        capacity.recordDelay(now)
         metrics.recordEnd(ErrorKind.OVERLOADED, now, null, now)
         val retryAt = RetryTime.at(request.remainingMilliseconds ?: 0, random.nextDouble(), now)
         val failure = Failure(ErrorKind.OVERLOADED, "requests with this key wait too long", retryAt)
@@ -313,16 +324,12 @@
     /** Whether this router accepts requests. */
     fun isReady(): Boolean = !isStopping && view.catalog != null && quarantine.isKnown && isCatalogFresh(clock())
 
-    private fun isOverloaded(): Boolean = overload.isOverloaded(clock())
-
-    private fun recordLag(lagMilliseconds: Long, now: Timestamp) {
-        val before = overload.isOverloaded(now)
-        overload.recordLag(lagMilliseconds, now)
-        if (!before && overload.isOverloaded(now)) {
-            log.write(GatewayLogEvent.ROUTER_OVERLOADED, "lag" to lagMilliseconds, "running" to running)
-            exchange.reportSoon(now)
-        }
-    }
+    private fun work(lagMilliseconds: Long) = RouterWork(
+        lagMilliseconds = lagMilliseconds,
+        waiting = intake.waiting,
+        running = running,
+        connections = dependencies.openCallerConnections().toDouble() / settings.maximumCallerConnections,
+    )
 
     /** Addresses of routers for [caller], and the seconds for which they may be cached. */
     fun addresses(caller: AddressCaller): Pair<List<NetworkAddress>, Double> =
@@ -371,6 +378,7 @@
     private fun exposeMetrics() {
         metrics.gauge("ready") { if (isReady()) 1.0 else 0.0 }
         metrics.gauge("requests.waiting") { intake.waiting.toDouble() }
+        metrics.gauge("capacity.spare.quarters") { capacity.spareQuarters.toDouble() }
         metrics.gauge("requests.running") { running.toDouble() }
         metrics.gauge("routers.alive") { exchange.peers.alive.size + 1.0 }
         metrics.gauge("catalog.revision") { view.revision.value.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -54,6 +54,8 @@
     private val datagrams: DatagramSocket =
         vertx.createDatagramSocket(DatagramSocketOptions().setReceiveBufferSize(PeerCodec.MAXIMUM_DATAGRAM_BYTES))
 
+    private var callers: CallerServer? = null
+
     val gateway: Gateway =
         Gateway(
             settings = settings,
@@ -70,10 +72,10 @@
                     quarantineStore = adapter.quarantineStore,
                     probe = backends::probe,
                     onChange = {},
+                    openCallerConnections = { callers?.openConnections ?: 0 },
                 ),
             scope = scope,
         )
-    private var callers: CallerServer? = null
     private var lastSweepAt = Timestamp.DISTANT_PAST
 
     /** Opens all sockets and starts serving requests. */
--- a/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
@@ -2,7 +2,9 @@
 
 import azuredale.identity.NetworkAddress
 import azuredale.identity.RouterId
+import azuredale.intake.SpareCapacity
 import azuredale.peers.PeerTable
+import azuredale.sharing.StableHash
 
 /** Response to callers that ask which routers to use. */
 internal class RouterAddresses(
@@ -10,55 +12,89 @@
     private val peers: PeerTable,
     private val isReady: () -> Boolean,
     private val isOverloaded: () -> Boolean,
+    private val spareQuarters: () -> Int = { SpareCapacity.ALL },
 ) {
     private class Candidate(
         val router: RouterId,
         val address: NetworkAddress,
         val weight: Double,
         val isOverloaded: Boolean,
-    )
+        spareQuarters: Int,
+    ) {
+        val isCrowded = isOverloaded || spareQuarters == 0
+
+        /** A crowded router that has to stay in the answers gets as little as an almost crowded one. */
+        val spare = weight * (if (isCrowded) 1 else spareQuarters) / SpareCapacity.ALL
+    }
 
     /**
      * Addresses of ready routers for [caller], and the seconds for which callers may cache them.
      *
-     * Callers choose among the addresses at random, whatever the size of a VM. So routers on VMs that are much
-     * smaller than others are left out if the rest of the fleet has enough capacity, and routers that are overloaded
-     * unless most of the capacity is. A fleet with more routers than an answer may name, or with VMs of unequal size,
-     * gives each caller a selection of the others; any other fleet names all of them.
+     * A fleet with more routers than an answer may name, or with VMs of unequal size, gives each caller a selection of
+     * them; any other fleet names all.
      */
     fun addresses(caller: AddressCaller): Pair<List<NetworkAddress>, Double> {
-        val own =
-            if (isReady()) {
-                listOf(
-                    Candidate(settings.router, settings.callerAddress, settings.weight, isOverloaded()),
-                )
-            } else {
-                emptyList()
-            }
-        val others =
-            peers.alive.filter { it.isReady }.mapNotNull { peer ->
-                peer.callerAddress?.let { Candidate(peer.router, it, peer.weight, peer.isOverloaded) }
+        val ready = readyRouters()
+        val lifetime = minOf(MAXIMUM_LIFETIME_SECONDS, settings.bounds.addressLifetimeSeconds)
+        return (if (isSelective(ready)) select(ready, caller) else all(ready)) to lifetime
+    }
+
+    private fun readyRouters(): List<Candidate> {
+        val ready = ArrayList<Candidate>()
+        if (isReady()) {
+            val quarters = spareQuarters()
+            ready +=
+                Candidate(settings.router, settings.callerAddress, settings.weight, isOverloaded(), quarters)
+        }
+        peers.alive.forEach { peer ->
+            val address = peer.callerAddress
+            if (peer.isReady && address != null) {
+                ready += Candidate(peer.router, address, peer.weight, peer.isOverloaded, peer.spareQuarters)
             }
-        val ready = own + others
-        val largest = ready.maxOfOrNull { it.weight } ?: 0.0
+        }
+        return ready
+    }
+
+    /** All routers, except overloaded ones unless most of the capacity is overloaded. */
+    private fun all(ready: List<Candidate>): List<NetworkAddress> {
         val calm = ready.filterNot { it.isOverloaded }
+        val named = if (weight(calm) >= weight(ready) * MINIMUM_CAPACITY) calm else ready
+        return named.map { it.address }
+    }
+
+    /**
+     * A selection by capacity. VMs that are much smaller than others are left out if the others have enough capacity.
+     */
+    private fun select(ready: List<Candidate>, caller: AddressCaller): List<NetworkAddress> {
+        val largest = ready.maxOf { it.weight }
+        val calm = ready.filterNot { it.isCrowded }
         val largeAndCalm = calm.filter { it.weight >= largest * SMALL_WEIGHT_FRACTION }
-        val minimumCapacity = ready.sumOf { it.weight } * MINIMUM_CAPACITY
-        val named =
-            listOf(largeAndCalm, calm).firstOrNull { routers -> routers.sumOf { it.weight } >= minimumCapacity }
-                ?: ready
-        val lifetime = minOf(MAXIMUM_LIFETIME_SECONDS, settings.bounds.addressLifetimeSeconds)
-        val addresses = if (isSelective(ready)) select(named, caller) else named.map { it.address }
-        return addresses to lifetime
+        val isEnough = weight(largeAndCalm) * MAXIMUM_SIZE_RATIO >= weight(ready)
+        val named = if (isEnough) largeAndCalm else calm + unrelieved(ready, calm)
+        return AddressSelection.select(named.map { AddressCandidate(it.router, it.address, it.spare) }, caller)
     }
 
-    private fun isSelective(routers: List<Candidate>): Boolean {
-        if (routers.size > AddressSelection.MAXIMUM_ADDRESSES) return true
-        return routers.isNotEmpty() && routers.maxOf { it.weight } > routers.minOf { it.weight } * MAXIMUM_SIZE_RATIO
+    /**
+     * Crowded routers that stay in the answers, because the spare capacity of the [calm] ones would not bear the load
+     * of all that are crowded. All routers that answer choose the same ones.
+     */
+    private fun unrelieved(ready: List<Candidate>, calm: List<Candidate>): List<Candidate> {
+        var spare = calm.sumOf { it.spare }
+        return ready
+            .filter { it.isCrowded }
+            .sortedBy { StableHash.of(it.router.name) }
+            .filterNot { crowded ->
+                spare -= crowded.weight
+                spare >= 0
+            }
     }
 
-    private fun select(routers: List<Candidate>, caller: AddressCaller): List<NetworkAddress> =
-        AddressSelection.select(routers.map { AddressCandidate(it.router, it.address, it.weight) }, caller)
+    private fun isSelective(ready: List<Candidate>): Boolean = ready.size > AddressSelection.MAXIMUM_ADDRESSES ||
+        ready.maxOfOrNull { it.weight }?.let { largest ->
+            ready.any { it.weight * MAXIMUM_SIZE_RATIO < largest }
+        } == true
+
+    private fun weight(routers: List<Candidate>) = routers.sumOf { it.weight }
 
     private companion object {
         /** Short, because callers may use the address of a stopped router for up to three times as long. */
@@ -70,7 +106,7 @@
         /** Part of the fleet's capacity that the named routers have at least. */
         const val MINIMUM_CAPACITY = 0.4
 
-        /** Routers that all get the same load get at most this many times what the size of their VM deserves. */
+        /** A router gets at most this many times the load that the size of its VM deserves in the whole fleet. */
         const val MAXIMUM_SIZE_RATIO = 1.5
     }
 }
--- a/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
@@ -37,10 +37,18 @@
      *
      * @param lagMilliseconds how much later than planned the work runs.
      * @param running requests in progress.
+     * @param spareQuarters quarters of the router's capacity that are spare.
      * @param knownRouters routers, including this one, that the router knows of.
      * @param directoryAge milliseconds since the directory was known to be the newest, null if it never was.
      */
-    fun tick(lagMilliseconds: Long, running: Int, knownRouters: Int, directoryAge: Long?, now: Timestamp) {
+    fun tick(
+        lagMilliseconds: Long,
+        running: Int,
+        spareQuarters: Int,
+        knownRouters: Int,
+        directoryAge: Long?,
+        now: Timestamp,
+    ) {
         longestLag = maxOf(longestLag, lagMilliseconds)
         if (now < nextAt) return
         nextAt = now.plusMilliseconds(PERIOD_MILLISECONDS)
@@ -51,6 +59,7 @@
                 "refusedUnread" to refusals,
                 "running" to running,
                 "lag" to longestLag,
+                "spareQuarters" to spareQuarters,
                 "addressAnswers" to addressAnswers,
                 "addressCallers" to addressCallers.size,
                 "fewestAddresses" to fewestAddresses.takeIf { addressAnswers > 0 },
--- a/src/main/kotlin/azuredale/peers/Peer.kt
+++ b/src/main/kotlin/azuredale/peers/Peer.kt
@@ -4,6 +4,7 @@
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.RouterId
+import azuredale.intake.SpareCapacity
 import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
 
@@ -15,7 +16,7 @@
  * @property describedAt time of the description of the router that is known, by which a later one is recognized.
  * @property aliveUntil time at which the router counts as silent unless it is heard from again.
  * @property contactedAt time at which this router, as a relay, began to report to it as to another relay.
- * @property changedAt time at which it last changed in being alive, ready or overloaded.
+ * @property changedAt time at which it last changed in being alive, ready, overloaded or crowded.
  * @property lastReportSentAt time of sending in that report by the sender's clock, which is echoed to the sender.
  * @property nextRetryAt time of the next report to this peer while it is silent.
  */
@@ -40,6 +41,7 @@
     var weight: Double = 1.0
     var isReady: Boolean = false
     var isOverloaded: Boolean = false
+    var spareQuarters: Int = SpareCapacity.ALL
     var lastReportReceivedAt: Timestamp = Timestamp.DISTANT_PAST
     var lastReportSentAt: Long = 0
     var nextRetryAt: Timestamp = Timestamp.DISTANT_PAST
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -13,6 +13,7 @@
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.intake.SpareCapacity
 import azuredale.quarantine.Quarantine
 import azuredale.time.Timestamp
 
@@ -45,6 +46,7 @@
     private val callbacks: PeerCallbacks,
     isReady: () -> Boolean,
     isOverloaded: () -> Boolean = { false },
+    spareQuarters: () -> Int = { SpareCapacity.ALL },
 ) {
     private val codec = PeerCodec()
     private val table = PeerTable(settings.router)
@@ -62,6 +64,7 @@
             quarantineExchange,
             isReady,
             isOverloaded,
+            spareQuarters,
         )
     private val reportedStates = LinkedHashMap<Long, ReportedState>()
     private var nextReportAt = Timestamp.DISTANT_PAST
@@ -138,7 +141,8 @@
         report.routers.forEach { routerDiscovered(RouterId(it.router), NetworkAddress(it.host, it.peerPort), now) }
         // A datagram may have waited unread, so ages count from the earliest time at which it was created.
         val createdAt = createdAfter(datagram, now) ?: now
-        val peer = table.reportReceived(report, datagram.sentAt, from, now, createdAt, aliveUntil(report, now)) ?: return
+        val peer =
+            table.reportReceived(report, datagram.sentAt, from, now, createdAt, aliveUntil(report, now)) ?: return
         report.relayed.forEach { row ->
             val heardAt = createdAt.plusMilliseconds(-row.age.coerceIn(0, MAXIMUM_AGE_MILLISECONDS))
             table.relayedReceived(row, heardAt, now, heardAt.plusMilliseconds(RELAYED_TIMEOUT_MILLISECONDS))
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -2,6 +2,7 @@
 
 package azuredale.peers
 
+import azuredale.intake.SpareCapacity
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborLabel
@@ -60,7 +61,11 @@
     @CborLabel(3) val peerPort: Int,
 )
 
-/** What a router says of itself. */
+/**
+ * What a router says of itself.
+ *
+ * @property spareQuarters quarters of its capacity that are spare; 0 if it is crowded.
+ */
 @Serializable
 internal class RouterState(
     @CborLabel(1) val router: String,
@@ -71,6 +76,7 @@
     @CborLabel(6) val weight: Double,
     @CborLabel(7) val isReady: Boolean,
     @CborLabel(8) val isOverloaded: Boolean = false,
+    @CborLabel(9) val spareQuarters: Int = SpareCapacity.ALL,
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -4,6 +4,7 @@
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.RouterId
+import azuredale.intake.SpareCapacity
 import azuredale.time.Timestamp
 
 /** The other routers of the fleet, as known from their own reports. */
@@ -133,9 +134,11 @@
         failureDomain = FailureDomain(state.failureDomain)
         callerAddress = NetworkAddress(state.callerHost, state.callerPort)
         weight = state.weight
-        if (isReady != state.isReady || isOverloaded != state.isOverloaded) changedAt = now
+        val isCrowdChanged = (spareQuarters == 0) != (state.spareQuarters == 0)
+        if (isReady != state.isReady || isOverloaded != state.isOverloaded || isCrowdChanged) changedAt = now
         isReady = state.isReady
         isOverloaded = state.isOverloaded
+        spareQuarters = state.spareQuarters.coerceIn(0, SpareCapacity.ALL)
     }
 
     /** Updates which routers are alive at [now], calls [onChange] for each change, and removes long-silent routers. */
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -31,6 +31,7 @@
     private val quarantine: QuarantineExchange,
     private val isReady: () -> Boolean,
     private val isOverloaded: () -> Boolean,
+    private val spareQuarters: () -> Int,
 ) {
     private val domainReads = PromptReadBuffer()
     private val fleetReads = PromptReadBuffer()
@@ -110,6 +111,7 @@
         weight = settings.weight,
         isReady = isReady(),
         isOverloaded = isOverloaded(),
+        spareQuarters = spareQuarters(),
     )
 
     private fun age(at: Timestamp, now: Timestamp): Long =
@@ -195,13 +197,16 @@
                 weight = peer.weight,
                 isReady = peer.isReady,
                 isOverloaded = peer.isOverloaded,
+                spareQuarters = peer.spareQuarters,
             )
         return RelayedRouter(
             state = state,
             host = peer.address.host,
             peerPort = peer.address.port,
             isAlive = peer.isAlive,
-            age = now.microsecondsSince(if (peer.isAlive) peer.describedAt else peer.lastHeardAt) / Timestamp.MICROSECONDS_PER_MILLISECOND,
+            age =
+                now.microsecondsSince(if (peer.isAlive) peer.describedAt else peer.lastHeardAt) /
+                    Timestamp.MICROSECONDS_PER_MILLISECOND,
         )
     }
 
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -16,6 +16,7 @@
 import azuredale.identity.Region
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.intake.SpareCapacity
 import azuredale.quarantine.Quarantine
 import azuredale.quarantine.QuarantineCallbacks
 import azuredale.time.Clock
@@ -40,6 +41,7 @@
         lateinit var settings: GatewaySettings
         val quarantine = Quarantine(QuarantineCallbacks(onNews = { exchange.reportSoon(clock()) }))
         var isOverloaded = false
+        var spareQuarters = SpareCapacity.ALL
         var sent = 0
         var bytes = 0L
     }
@@ -136,6 +138,7 @@
                     ),
                 isReady = { true },
                 isOverloaded = { node.isOverloaded },
+                spareQuarters = { node.spareQuarters },
             )
         byAddress[address] = node
         return node
