--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -18,7 +18,7 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.intake.Intake
-import azuredale.intake.OverloadDetector
+import azuredale.intake.RouterWork
 import azuredale.logging.BoundedAppender
 import azuredale.logging.EventLog
 import azuredale.outcome.ErrorKind
@@ -54,6 +54,8 @@
     val probe: (BackendEntry, (isRefused: Boolean) -> Unit) -> Unit,
     /** Called when the server directory or the catalog changes. */
     val onChange: () -> Unit,
+    /** Number of connections that callers have open. */
+    val openCallerConnections: () -> Int = { 0 },
 )
 
 /**
@@ -145,7 +147,8 @@
                     },
                 ),
             isReady = { isReady() },
-            isOverloaded = { isOverloaded() },
+            isOverloaded = { capacity.isOverloaded(clock()) },
+            spareQuarters = { capacity.spareQuarters },
         )
     private val poller: StorePoller =
         StorePoller(
@@ -175,7 +178,15 @@
             isDivided = { exchange.peers.all.any { !it.isAlive } },
             log = log,
         )
-    private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
+    private val capacity = RouterCapacity(settings.weight, log) { exchange.reportSoon(clock()) }
+    private val routerAddresses =
+        RouterAddresses(
+            settings = settings,
+            peers = exchange.peers,
+            isReady = ::isReady,
+            isOverloaded = { capacity.isOverloaded(clock()) },
+            spareQuarters = { capacity.spareQuarters },
+        )
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
     private val requestBodies =
@@ -225,7 +236,6 @@
     /** Answers of this router to operators who ask where a request would go. */
     val explanations = ExplainEndpoint(RoutingExplainer(context, view), clock) { intake.waiting > 0 }
     private val loadLog = RouterLoadLog(log)
-    private val overload = OverloadDetector()
 
     /** Starts registering this router and reading the store. */
     fun start() {
@@ -239,7 +249,7 @@
     fun tick() {
         val now = clock()
         val lag = intake.lagMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
-        recordLag(lag, now)
+        capacity.record(work(lag), now)
         checkClocks()
         poller.tick(lag, now)
         poller.logFreshnessChange(now)
@@ -250,6 +260,7 @@
         loadLog.tick(
             lagMilliseconds = lag,
             running = running,
+            spareQuarters = capacity.spareQuarters,
             knownRouters = exchange.peers.all.size + 1,
             directoryAge = poller.directoryAgeMilliseconds(now),
             now = now,
@@ -284,7 +295,7 @@
         val request = preview()
         if (!intake.isBehind(request.key.orEmpty())) return null
         val now = clock()
-        overload.recordDelay(now)
+        capacity.recordDelay(now)
         metrics.recordEnd(ErrorKind.OVERLOADED, now, null, now)
         val retryAt = RetryTime.at(request.remainingMilliseconds ?: 0, random.nextDouble(), now)
         val failure = Failure(ErrorKind.OVERLOADED, "requests with this key wait too long", retryAt)
@@ -325,20 +336,16 @@
         view.evacuations.isKnown &&
         isCatalogFresh(clock())
 
-    private fun isOverloaded(): Boolean = overload.isOverloaded(clock())
-
-    private fun recordLag(lagMilliseconds: Long, now: Timestamp) {
-        val before = overload.isOverloaded(now)
-        overload.recordLag(lagMilliseconds, now)
-        if (!before && overload.isOverloaded(now)) {
-            log.write(GatewayLogEvent.ROUTER_OVERLOADED, "lag" to lagMilliseconds, "running" to running)
-            exchange.reportSoon(now)
-        }
-    }
+    private fun work(lagMilliseconds: Long) = RouterWork(
+        lagMilliseconds = lagMilliseconds,
+        waiting = intake.waiting,
+        running = running,
+        connections = dependencies.openCallerConnections().toDouble() / settings.maximumCallerConnections,
+    )
 
-    /** Addresses of routers for callers, and the seconds for which they may be cached. */
-    fun addresses(): Pair<List<NetworkAddress>, Double> =
-        routerAddresses.addresses().also { loadLog.recordAddressAnswer(it.first.size) }
+    /** Addresses of routers for [caller], and the seconds for which they may be cached. */
+    fun addresses(caller: AddressCaller): Pair<List<NetworkAddress>, Double> =
+        routerAddresses.addresses(caller).also { loadLog.recordAddressAnswer(caller, it.first.size) }
 
     /** Begins a graceful stop and notifies the other routers at once. */
     fun stop() {
@@ -389,6 +396,7 @@
     private fun exposeMetrics() {
         metrics.gauge("ready") { if (isReady()) 1.0 else 0.0 }
         metrics.gauge("requests.waiting") { intake.waiting.toDouble() }
+        metrics.gauge("capacity.spare.quarters") { capacity.spareQuarters.toDouble() }
         metrics.gauge("requests.running") { running.toDouble() }
         metrics.gauge("routers.alive") { exchange.peers.alive.size + 1.0 }
         metrics.gauge("catalog.revision") { view.revision.value.toDouble() }
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -2,6 +2,7 @@
 
 package azuredale.peers
 
+import azuredale.intake.SpareCapacity
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborLabel
@@ -62,7 +63,11 @@
     @CborLabel(3) val peerPort: Int,
 )
 
-/** What a router says of itself. */
+/**
+ * What a router says of itself.
+ *
+ * @property spareQuarters quarters of its capacity that are spare; 0 if it is crowded.
+ */
 @Serializable
 internal class RouterState(
     @CborLabel(1) val router: String,
@@ -73,12 +78,13 @@
     @CborLabel(6) val weight: Double,
     @CborLabel(7) val isReady: Boolean,
     @CborLabel(8) val isOverloaded: Boolean = false,
+    @CborLabel(9) val spareQuarters: Int = SpareCapacity.ALL,
 )
 
 /**
  * State of one router as passed on by the relay of its failure domain.
  *
- * @property age milliseconds since the relay last heard from the router.
+ * @property age milliseconds since the router described itself so, or, if it is silent, since it was last heard from.
  * @property isAlive whether the relay counts the router as alive.
  */
 @Serializable
@@ -118,6 +124,7 @@
  * @property relayed routers that the sender knows of, if it is a relay.
  * @property crashes server crashes that the sender recently learned more of.
  * @property limits limits of servers that changed recently.
+ * @property liveness when the sender last heard from the routers that it knows, if it is a relay: [PackedLiveness].
  * @property quarantine the quarantine table as known to the sender, null if it knows none.
  * @property evacuations the evacuated failure domains as known to the sender, null if it knows of no table.
  */
@@ -136,6 +143,7 @@
     @CborLabel(11) val quarantine: QuarantineEntry? = null,
     @CborLabel(12) val limits: List<LimitEntry> = emptyList(),
     @CborLabel(13) val evacuations: EvacuationEntry? = null,
+    @ByteString @CborLabel(14) val liveness: ByteArray? = null,
 )
 
 /**
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -66,7 +66,7 @@
         val callbacks =
             EndpointCallbacks(
                 isReady = daemon.gateway::isReady,
-                addresses = { daemon.gateway.addresses() },
+                addresses = daemon.gateway::addresses,
                 metrics = daemon.gateway.metrics::scrape,
                 explain = daemon.gateway.explanations::answer,
             )
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -16,6 +16,7 @@
 import azuredale.identity.Region
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.intake.SpareCapacity
 import azuredale.quarantine.Quarantine
 import azuredale.quarantine.QuarantineCallbacks
 import azuredale.time.Clock
@@ -44,6 +45,7 @@
         lateinit var settings: GatewaySettings
         val quarantine = Quarantine(QuarantineCallbacks(onNews = { exchange.reportSoon(clock()) }))
         var isOverloaded = false
+        var spareQuarters = SpareCapacity.ALL
         var sent = 0
         var bytes = 0L
     }
@@ -56,9 +58,16 @@
     )
 
     private val network = ArrayDeque<Datagram>()
+    private val waiting = ArrayDeque<Pair<Timestamp, Datagram>>()
     private val byAddress = HashMap<NetworkAddress, Node>()
     val cut = HashSet<Node>()
 
+    /** Milliseconds for which datagrams to a router wait until it reads them. */
+    val delayed = HashMap<Node, Long>()
+
+    /** Whether the network loses the next datagram. */
+    var isLost: () -> Boolean = { false }
+
     /** Whether sent datagrams are kept in [recorded] and malformed ones are accepted silently. */
     var recordsDatagrams = false
     val recorded = ArrayList<ByteArray>()
@@ -133,6 +142,7 @@
                     ),
                 isReady = { true },
                 isOverloaded = { node.isOverloaded },
+                spareQuarters = { node.spareQuarters },
             )
         byAddress[address] = node
         return node
@@ -143,6 +153,7 @@
         val end = now.plusMilliseconds(milliseconds)
         while (now < end) {
             while (network.isNotEmpty() && network.first().deliverAt <= now) deliver(network.removeFirst())
+            while (waiting.isNotEmpty() && waiting.first().first <= now) read(waiting.removeFirst().second)
             // Routers tick at different moments.
             nodes.forEachIndexed { index, node ->
                 if ((step + index) % TICK_MILLISECONDS == 0 && node !in cut) {
@@ -158,9 +169,14 @@
     private fun deliver(datagram: Datagram) {
         val target = byAddress.getValue(datagram.to)
         val source = byAddress.getValue(datagram.from)
-        if (target !in cut && source !in cut) target.exchange.received(datagram.from, datagram.bytes, now)
+        if (target in cut || source in cut || isLost()) return
+        val readAt = datagram.deliverAt.plusMilliseconds(delayed[target] ?: 0)
+        if (now < readAt) waiting += readAt to datagram else read(datagram)
     }
 
+    private fun read(datagram: Datagram) =
+        byAddress.getValue(datagram.to).exchange.received(datagram.from, datagram.bytes, now)
+
     /** Load of server [index] as seen by [node]. */
     fun loadSeenBy(node: Node, index: Int): ServerLoad =
         node.statistics.loads.load(servers[index].id, servers[index].idHash, now)
