Weigh kept prompt prefixes against wait and memory for each request

The model of the servers' caches had a fixed capacity, took each sent prompt for kept, also if the server never read it, and let parts of running requests yield. A repeated prefill counted three times, however many requests it delayed. In a fleet with relays, routers whose views of the loads differ sent a new session to different servers before reports of it arrived.

Change: parts are on their way when sent, kept from the first event, in use until the request ends, and dropped with a process that ends, leaves or is registered as leaving. Idle parts yield to the memory that running requests take; until that is wired (freeTokens), 0.6 of the declared memory is for idle parts. PlacementCost charges the prefill of shared parts for the requests that it delays (learned arrival rate and stay; three at least, as before), less what another holder saves at the session's rate, and never more than the time until the latency target; what is pushed out, by how often it is asked for; and for parts that nobody keeps, the chance that another router has them read elsewhere before it has the report. With ample memory and few requests behind the choice is as before.

--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -9,7 +9,10 @@
  * What it costs to send a prompt to one server, in milliseconds of delay for its caller and for those behind it.
  *
  * @property predictedMilliseconds predicted time to the first event.
- * @property repeatedMilliseconds prefill of shared parts that another server may have cached.
+ * @property repeatedMilliseconds delay of the requests behind it by prefill of shared parts that another server may
+ *   have cached, less what a further holder of these parts saves.
+ * @property evictionMilliseconds prefill of the parts that the prompt pushes out of the server's memory, as far as they
+ *   are asked for again.
  * @property crowdingMilliseconds delay of the other requests that run at the server.
  * @property distanceMilliseconds cost of traffic to another failure domain.
  * @property affinityMilliseconds order of the servers for a session that none has cached.
@@ -17,6 +20,7 @@
 internal data class PlacementCost(
     val predictedMilliseconds: Double,
     val repeatedMilliseconds: Double,
+    val evictionMilliseconds: Double,
     val crowdingMilliseconds: Double,
     val distanceMilliseconds: Double,
     val affinityMilliseconds: Double,
@@ -24,19 +28,8 @@
     /** The sum of all terms; the server with the lowest sum gets the prompt. */
     val total: Double
         get() =
-            predictedMilliseconds + repeatedMilliseconds + crowdingMilliseconds + distanceMilliseconds +
-                affinityMilliseconds
-}
-
-/** What the placement of a prompt needs of it, the same for every server. */
-internal class PromptOutline(val prompt: PromptShape) {
-    private val shared = prompt.sharedParts
-
-    /** Tokens of the parts that other requests may share. */
-    val sharedTokens: Int = shared.sumOf { it.tokens }
-
-    /** The deepest shared part, which identifies a session; empty if the prompt shares nothing. */
-    val session: String = shared.lastOrNull()?.id.orEmpty()
+            predictedMilliseconds + repeatedMilliseconds + evictionMilliseconds + crowdingMilliseconds +
+                distanceMilliseconds + affinityMilliseconds
 }
 
 /** A server to which a prompt may be sent, and what that costs. */
@@ -46,10 +39,10 @@
 )
 
 /**
- * Chooses the model engine for a prompt by predicted time to the first event and by the cost of repeated prefill.
+ * Chooses the model engine for a prompt by predicted time to the first event and by what the choice costs others.
  *
- * Prefilling a prompt part that another server has cached takes time from the requests queued behind it, so a server
- * with the parts in its cache is passed over only when another server is clearly faster.
+ * Prefilling a prompt part that another server has cached takes time from the requests queued behind it, and pushes
+ * other parts out of a full memory, so a server that has them is passed over only when another one costs less.
  */
 internal class EnginePlacement(private val statistics: ServerStatistics) {
     /** The best of [candidates] for [prompt], null if there are none. */
@@ -60,17 +53,22 @@
         now: Timestamp,
     ): ServerSelection.Selected? {
         statistics.resetStaleEstimates(request.pool, now)
-        val outline = PromptOutline(prompt)
+        val outline = outline(prompt, candidates, now)
         val placements = candidates.map { placement(request, outline, it, now) }
-        val best = placements.minByOrNull { it.cost.total }?.selection ?: return null
+        val best = placements.minByOrNull { it.cost.total } ?: return null
+        statistics.prefixes.recordChoice(outline, best, placements)
         // What a server has not cached says nothing about its queue, so all are compared with the same prompt.
         val total =
             placements.sumOf {
-                statistics.predictMilliseconds(it.selection.server, best.uncachedTokens, it.selection.load)
+                statistics.predictMilliseconds(it.selection.server, best.selection.uncachedTokens, it.selection.load)
             }
-        return best.copy(meanMilliseconds = total / placements.size)
+        return best.selection.copy(meanMilliseconds = total / placements.size)
     }
 
+    /** What the choice among [candidates] for [prompt] needs; has no effect. */
+    fun outline(prompt: PromptShape, candidates: List<BackendEntry>, now: Timestamp): PromptOutline =
+        PromptOutline(prompt, candidates, statistics, now)
+
     /** What it costs to send the prompt of [outline] to [server]; has no effect. */
     fun placement(request: SelectionRequest, outline: PromptOutline, server: BackendEntry, now: Timestamp): Placement {
         val cached = statistics.cache.cachedTokens(server.id, outline.prompt)
@@ -78,31 +76,71 @@
         val load = statistics.loads.load(server.id, server.idHash, now)
         val selection =
             ServerSelection.Selected(server, uncached, statistics.predictMilliseconds(server, uncached, load), load)
-        return Placement(selection, cost(request, outline, selection))
+        return Placement(selection, cost(request, outline, selection, now))
     }
 
     private fun cost(
         request: SelectionRequest,
         outline: PromptOutline,
         selection: ServerSelection.Selected,
+        now: Timestamp,
     ): PlacementCost {
         val server = selection.server
-        val repeatedTokens =
-            (outline.sharedTokens - outline.prompt.promptTokens + selection.uncachedTokens).coerceAtLeast(0)
+        val untilLate = request.onTimeUntil.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
         return PlacementCost(
             predictedMilliseconds = selection.predictedMilliseconds,
             repeatedMilliseconds =
-                repeatedTokens * statistics.prefillSpeed(server.id).millisecondsPerToken * REPEATED_PREFILL_WEIGHT,
+                withinTarget(repeatedMilliseconds(outline, selection), selection.predictedMilliseconds, untilLate),
+            evictionMilliseconds = evictionMilliseconds(outline, selection),
             crowdingMilliseconds = selection.load.running * RUNNING_MILLISECONDS,
             distanceMilliseconds = if (server.failureDomain == request.origin) 0.0 else REMOTE_PENALTY_MILLISECONDS,
-            affinityMilliseconds = StableHash.fraction(outline.session, server.id.name) * AFFINITY_MILLISECONDS,
+            affinityMilliseconds = affinityMilliseconds(outline, server),
         )
     }
 
-    private companion object {
-        /** Weight of repeated prefill time, in addition to its share of the predicted latency. */
-        const val REPEATED_PREFILL_WEIGHT = 3.0
+    private fun repeatedMilliseconds(outline: PromptOutline, selection: ServerSelection.Selected): Double {
+        val server = selection.server
+        val repeatedTokens = outline.repeatedTokens(selection.uncachedTokens)
+        if (repeatedTokens == 0) return 0.0
+        val millisecondsPerToken = statistics.prefillSpeed(server.id).millisecondsPerToken
+        val behind =
+            PrefixWeighing.requestsBehind(
+                running = selection.load.running,
+                waitMilliseconds = selection.predictedMilliseconds,
+                holdMilliseconds = statistics.latency(server.pool).holdMilliseconds,
+                readMilliseconds = outline.ownTokens * millisecondsPerToken,
+                slots = server.slots,
+            )
+        val cost = repeatedTokens * millisecondsPerToken * behind
+        return (cost - outline.valueOfAnotherHolder(millisecondsPerToken)).coerceAtLeast(0.0)
+    }
+
+    /** Waiting at a server that keeps the parts never makes a prompt late that another server would answer on time. */
+    private fun withinTarget(repeated: Double, predicted: Double, untilLate: Double) =
+        if (predicted < untilLate) minOf(repeated, untilLate - predicted) else repeated
+
+    private fun affinityMilliseconds(outline: PromptOutline, server: BackendEntry): Double {
+        val order = StableHash.fraction(outline.session, server.id.name) * AFFINITY_MILLISECONDS
+        if (outline.home == null || outline.home == server.id) return order
+        return order + outline.scatterMilliseconds(statistics.prefillSpeed(server.id).millisecondsPerToken)
+    }
 
+    private fun evictionMilliseconds(outline: PromptOutline, selection: ServerSelection.Selected): Double {
+        val server = selection.server.id
+        val millisecondsPerToken = statistics.prefillSpeed(server).millisecondsPerToken
+        // Without knowledge of the running requests' memory, a part of it is set aside for all that is not shared.
+        val tokens =
+            if (statistics.knowsFreeTokens(server)) {
+                selection.uncachedTokens + outline.answerTokens
+            } else {
+                outline.repeatedTokens(selection.uncachedTokens)
+            }
+        return statistics.cache.evictionLoss(server, tokens, outline.shared) { id, lost ->
+            lost * millisecondsPerToken * outline.lossOf(id)
+        }
+    }
+
+    private companion object {
         /** Each running request slows down every generation step slightly. */
         const val RUNNING_MILLISECONDS = 0.5
 
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -1,17 +1,27 @@
 package azuredale.engine
 
 import azuredale.directory.BackendEntry
+import azuredale.directory.BackendState
 import azuredale.directory.ServerDirectory
+import azuredale.gateway.PromptPart
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
 import azuredale.time.Timestamp
 import kotlin.random.Random
 
-/** Runtime state of the backend servers, as measured by this router and reported by others. */
+/**
+ * Runtime state of the backend servers, as measured by this router and reported by others.
+ *
+ * @param reportDelayMilliseconds how long other routers take on the mean to learn what this one sent.
+ * @param freeTokens tokens of a server's memory that running requests leave; null if unknown.
+ * @param cacheTokens tokens of a server's memory.
+ */
 internal class ServerStatistics(
     routers: () -> Int = { 1 },
     random: () -> Double = Random.Default::nextDouble,
     onLimitChange: (ServerId, requestsPerSecond: Double?) -> Unit = { _, _ -> },
+    private val reportDelayMilliseconds: () -> Long = { 0 },
+    private val freeTokens: (ServerId) -> Long? = { null },
     private val cacheTokens: (ServerId) -> Long,
 ) {
     private val prefillSpeeds = HashMap<ServerId, PrefillSpeedEstimator>()
@@ -33,7 +43,19 @@
     val limitPressure = LimitPressure()
 
     /** Estimated contents of the servers' prompt caches. */
-    val cache = PromptCacheModel { (cacheTokens(it) * CACHE_FRACTION).toLong() }
+    val cache = PromptCacheModel { freeTokens(it) ?: (cacheTokens(it) * CACHE_FRACTION).toLong() }
+
+    /** Whether it is known how much of the memory of [server] running requests leave. */
+    fun knowsFreeTokens(server: ServerId): Boolean = freeTokens(server) != null
+
+    /** How often prompt parts are asked for. */
+    val demand = PartDemand()
+
+    /** How far predictions on kept prompt parts hold. */
+    val prefixes = PrefixOutcomes()
+
+    /** Seconds until other routers know on the mean what this one sent. */
+    fun reportDelaySeconds(): Double = reportDelayMilliseconds() / MILLISECONDS_PER_SECOND
 
     /** Estimated prefill speed of [server]. */
     fun prefillSpeed(server: ServerId): PrefillSpeedEstimator =
@@ -45,12 +67,36 @@
     /** Failure state of [server]. */
     fun circuitBreaker(server: ServerId): CircuitBreaker = circuitBreakers.getOrPut(server) { CircuitBreaker() }
 
-    /** Records a first event [milliseconds] after the request was sent, with [tokens] to prefill before it. */
-    fun recordFirstEvent(server: BackendEntry, tokens: Double, milliseconds: Double, now: Timestamp) {
+    /** Records that another router reports that [server] reads [part]. */
+    fun recordReportedRead(server: ServerId, part: PromptPart, now: Timestamp) {
+        demand.record(part.id, now)
+        cache.record(server, listOf(part))
+    }
+
+    /** Records that a request with the shared [parts] is sent to [server]. */
+    fun recordPrompt(server: ServerId, parts: List<PromptPart>, now: Timestamp): PartsInUse {
+        parts.forEach { demand.record(it.id, now) }
+        return cache.begin(server, parts)
+    }
+
+    /**
+     * Records a first event [milliseconds] after the request was sent, with [tokens] to prefill before it.
+     *
+     * @param keptTokens tokens of the prompt that the server was predicted to keep.
+     */
+    fun recordFirstEvent(
+        server: BackendEntry,
+        tokens: Double,
+        milliseconds: Double,
+        now: Timestamp,
+        keptTokens: Int = 0,
+    ) {
         lastFirstEventAt[server.pool] = now
         val speed = prefillSpeed(server.id)
         val latency = latency(server.pool)
         val fixed = latency.fixedMilliseconds
+        val late = milliseconds - fixed - tokens * speed.millisecondsPerToken
+        prefixes.recordFirstEvent(keptTokens, keptTokens * speed.millisecondsPerToken, late)
         latency.recordFixed(milliseconds - tokens * speed.millisecondsPerToken, tokens)
         speed.record(tokens, milliseconds - fixed)
     }
@@ -100,6 +146,7 @@
                 cache.clear(entry.id)
                 circuitBreakers.remove(entry.id)
             }
+            if (entry.state == BackendState.DRAINING) cache.clear(entry.id)
         }
         startTimes = directory.entries.mapValues { it.value.startedAtMilliseconds }
     }
@@ -108,7 +155,9 @@
         /** A router sees tens of first events per second, so a gap of this length only follows a stall. */
         const val ESTIMATE_LIFETIME_MILLISECONDS = 1_000L
 
-        /** Fraction of a server's memory for shared prompt parts; running requests and unshared parts use the rest. */
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+
+        /** Fraction of a server's memory for idle prompt parts, as long as it is unknown what running requests take. */
         const val CACHE_FRACTION = 0.6
 
         /** About half of a typical prompt. */
--- a/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
@@ -1,17 +1,25 @@
 package azuredale.gateway
 
+import azuredale.engine.PartsInUse
 import azuredale.engine.ServerLoad
 import azuredale.engine.ServerSelection
 import azuredale.engine.ServerStatistics
 import azuredale.time.Timestamp
 
-/** Records the load, latency and result of one attempt at a backend server. */
+/**
+ * Records the load, latency and result of one attempt at a backend server.
+ *
+ * @param parts the prompt's shared parts, in use at the server until [release].
+ * @param keptTokens tokens of the prompt that the server was predicted to keep.
+ */
 internal class AttemptRecorder(
     private val statistics: ServerStatistics,
     private val selection: ServerSelection.Selected,
     private val startedAt: Timestamp,
     private val onAnswered: (Timestamp) -> Unit,
     private val onExcluded: (ServerSelection.Selected) -> Unit,
+    private val parts: PartsInUse? = null,
+    private val keptTokens: Int = 0,
 ) {
     private val server = selection.server
     private var load = ServerLoad(waitingTokens = selection.uncachedTokens, running = 1)
@@ -53,6 +61,7 @@
         }
         hasEvent = true
         updateLoad(ServerLoad(waitingTokens = 0, running = 1))
+        parts?.confirm()
         statistics.circuitBreaker(server.id).recordSuccess()
         val elapsed = (now.microsecondsSince(sentAt) - unreadMicroseconds).coerceAtLeast(0)
         firstEventAt = now
@@ -61,6 +70,7 @@
             tokens = tokensAhead + selection.uncachedTokens,
             milliseconds = elapsed.toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND,
             now = now,
+            keptTokens = keptTokens,
         )
     }
 
@@ -94,7 +104,10 @@
     }
 
     /** Removes the attempt's load from the server. */
-    fun release() = updateLoad(ServerLoad.NONE)
+    fun release() {
+        updateLoad(ServerLoad.NONE)
+        parts?.end()
+    }
 
     private fun recordAnswer(now: Timestamp) {
         if (isAnswered) return
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -82,6 +82,7 @@
                 log.write(GatewayLogEvent.SERVER_LIMITED, "server" to server, "requestsPerSecond" to requestsPerSecond)
                 exchange.reportSoon(clock())
             },
+            reportDelayMilliseconds = { exchange.reportDelayMilliseconds() },
             cacheTokens = { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS },
         )
 
@@ -122,6 +123,7 @@
                 "unanswered" to prompts.size,
             )
             metrics.recordServerEnd()
+            statistics.cache.clear(server.id)
             quarantine.recordCrash(ServerEnd.of(server), prompts, clock())
         }
     private val exchange: PeerExchange =
@@ -217,11 +219,13 @@
         )
 
     private val loadLog = RouterLoadLog(log)
+    private val prefixLog = PrefixLog(statistics.prefixes, log)
     private val overload = OverloadDetector()
 
     /** Starts registering this router and reading the store. */
     fun start() {
         exposeMetrics()
+        prefixLog.expose(metrics)
         log.write(GatewayLogEvent.GATEWAY_STARTED, "router" to settings.router, "incarnation" to incarnation)
         scope.launch(start = CoroutineStart.UNDISPATCHED) { registrar.run() }
         tick()
@@ -246,6 +250,7 @@
             directoryAge = poller.directoryAgeMilliseconds(now),
             now = now,
         )
+        prefixLog.tick(now)
         intake.recordTick(nextAt = clock().plusMilliseconds(TICK_MILLISECONDS))
     }
 
@@ -258,6 +263,7 @@
     /** Handles the head of any response of [server]. */
     fun serverAnswered(server: BackendEntry, head: ResponseHead) {
         if (head.isLeaving && statistics.announcements.recordLeaving(server)) {
+            statistics.cache.clear(server.id)
             log.write(GatewayLogEvent.SERVER_LEAVING, "server" to server.id, "address" to server.address)
         }
         val hold = head.retryAfterMilliseconds ?: return
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -25,16 +25,16 @@
 ) {
     fun create(selection: ServerSelection.Selected, prompt: PromptShape?, now: Timestamp): AttemptRecorder {
         val shared = prompt?.sharedParts.orEmpty()
-        if (shared.isNotEmpty()) {
-            statistics.cache.record(selection.server.id, shared)
-            onSent(selection.server, shared)
-        }
+        val parts = if (shared.isEmpty()) null else statistics.recordPrompt(selection.server.id, shared, now)
+        if (parts != null) onSent(selection.server, shared)
         return AttemptRecorder(
             statistics = statistics,
             selection = selection,
             startedAt = now,
             onAnswered = { at -> if (prompt != null) onAnswered(prompt, at) },
             onExcluded = onExcluded,
+            parts = parts,
+            keptTokens = if (prompt == null) 0 else prompt.promptTokens - selection.uncachedTokens,
         )
     }
 }
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -39,5 +39,6 @@
     SERVER_LEAVING(2241, Level.INFO, "backend server says that it leaves"),
     SERVER_ON_HOLD(2242, Level.INFO, "backend server wants no requests for a while"),
     UNEXPECTED_BYTES(2243, Level.INFO, "backend server sent bytes that belong to no request; connection closed"),
+    PREFIXES_WEIGHED(2255, Level.INFO, "kept prompt parts weighed"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -70,6 +70,9 @@
     /** The other routers. */
     val peers: PeerTable get() = table
 
+    /** How long other routers take on the mean to learn what this one sent; a relayed report waits for three rounds. */
+    fun reportDelayMilliseconds(): Long = period() * (if (topology.isMesh) 1 else RELAYED_ROUNDS) / 2
+
     /** Number of datagrams sent, for metrics. */
     var datagramsSent: Long = 0
         private set
@@ -199,7 +202,7 @@
     private fun applyReads(report: PeerReport, scope: ReportScope, now: Timestamp) {
         report.reads.forEach { read ->
             val server: ServerId = view.directory.byIdHash[read.server]?.id ?: return@forEach
-            statistics.cache.record(server, listOf(PromptPart(read.part, read.tokens)))
+            statistics.recordReportedRead(server, PromptPart(read.part, read.tokens), now)
             when (scope) {
                 ReportScope.ROUTER -> if (topology.isRelay) writer.addDomainRead(read, now)
                 ReportScope.FAILURE_DOMAIN -> writer.addFleetRead(read, now)
@@ -302,6 +305,9 @@
         /** A router of a failure domain sends and receives five datagrams per second. */
         const val RELAYED_PERIOD_MILLISECONDS = 200L
 
+        /** From a router to its relay, to the other relays, and to their routers. */
+        const val RELAYED_ROUNDS = 3L
+
         /** Combines news that arrive shortly after each other, such as the proofs of two reads. */
         const val NEWS_DELAY_MILLISECONDS = 10L
 
