--- a/src/main/kotlin/azuredale/command/ExplainCommand.kt
+++ b/src/main/kotlin/azuredale/command/ExplainCommand.kt
@@ -7,8 +7,8 @@
 import azuredale.explain.explanationLines
 import azuredale.explain.serverHeader
 import azuredale.explain.serverRow
-import azuredale.report.printTable
 import azuredale.identity.NetworkAddress
+import azuredale.report.printTable
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.ext.web.client.WebClient
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -111,9 +111,8 @@
                 .minOfOrNull { statistics.announcements.availableAt(it, now) } ?: Timestamp.DISTANT_FUTURE
         if (until < Timestamp.DISTANT_FUTURE) return ServerSelection.OnHold(until)
         val evacuated = ready.count { isEvacuated(it.failureDomain) }
-        return ServerSelection.Unavailable(
-            "none of ${ready.size} servers of ${request.pool} accepts requests, $evacuated in evacuated failure domains",
-        )
+        val detail = "none of ${ready.size} servers of ${request.pool} accepts requests"
+        return ServerSelection.Unavailable("$detail, $evacuated in evacuated failure domains")
     }
 
     /** The same server on all routers that agree on [available]. */
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -2,6 +2,7 @@
 
 import azuredale.directory.BackendEntry
 import azuredale.directory.ServerDirectory
+import azuredale.gateway.PromptShape
 import azuredale.identity.FailureDomain
 import azuredale.identity.PoolId
 import azuredale.time.Timestamp
@@ -64,14 +65,19 @@
     /** Selects a server for [request]. */
     fun select(request: SelectionRequest, now: Timestamp): ServerSelection {
         statistics.resetStaleEstimates(request.pool, now)
-        return select(request, eligibility.assess(request, now), now)
+        return select(request, eligibility.assess(request, now), engines::select, now)
     }
 
     /** What [select] would return; has no effect. */
     fun preview(request: SelectionRequest, now: Timestamp): ServerSelection =
-        select(request, eligibility.candidates(request, now), now)
+        select(request, eligibility.candidates(request, now), engines::preview, now)
 
-    private fun select(request: SelectionRequest, eligible: Eligibility, now: Timestamp): ServerSelection {
+    private fun select(
+        request: SelectionRequest,
+        eligible: Eligibility,
+        place: (SelectionRequest, PromptShape, List<BackendEntry>, Timestamp) -> ServerSelection.Selected?,
+        now: Timestamp,
+    ): ServerSelection {
         val candidates =
             when (eligible) {
                 is Eligibility.None -> return eligible.selection
@@ -80,7 +86,7 @@
         val best =
             when (val prompt = request.prompt) {
                 null -> services.select(request, candidates, now)
-                else -> engines.select(request, prompt, candidates, now)
+                else -> place(request, prompt, candidates, now)
             }
         return best ?: ServerSelection.Unavailable("no server of ${request.pool} may be used")
     }
--- a/src/main/kotlin/azuredale/explain/RoutingExplainer.kt
+++ b/src/main/kotlin/azuredale/explain/RoutingExplainer.kt
@@ -3,6 +3,7 @@
 import azuredale.catalog.Catalog
 import azuredale.catalog.Route
 import azuredale.directory.BackendEntry
+import azuredale.engine.Eligibility
 import azuredale.engine.PromptOutline
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
@@ -81,13 +82,24 @@
     private fun age(at: Timestamp, now: Timestamp): Long? =
         if (at == Timestamp.DISTANT_PAST) null else now.microsecondsSince(at) / MICROSECONDS
 
-    private fun servers(request: SelectionRequest, now: Timestamp): List<ServerExplanation> =
-        view.directory.entries.values
-            .filter { it.pool == request.pool }
-            .map { server(it, request, now) }
+    private fun servers(request: SelectionRequest, now: Timestamp): List<ServerExplanation> {
+        val servers =
+            view.directory.entries.values
+                .filter { it.pool == request.pool }
+        val eligible = context.selector.eligibility.candidates(request, now)
+        val candidates = (eligible as? Eligibility.Servers)?.servers.orEmpty()
+        val outline = request.prompt?.let { context.selector.engines.outline(it, candidates, now) }
+        return servers
+            .map { server(it, request, outline, now) }
             .sortedWith(compareBy({ it.reason != null }, { it.cost }, { it.server }))
+    }
 
-    private fun server(server: BackendEntry, request: SelectionRequest, now: Timestamp): ServerExplanation {
+    private fun server(
+        server: BackendEntry,
+        request: SelectionRequest,
+        outline: PromptOutline?,
+        now: Timestamp,
+    ): ServerExplanation {
         val explanation =
             ServerExplanation(
                 server = server.id.name,
@@ -98,13 +110,13 @@
                         .ineligibility(server, request, now)
                         ?.name,
             )
-        val prompt = request.prompt ?: return explanation.copy(running = context.selector.load(server, now).running)
-        val placement = context.selector.engines.placement(request, PromptOutline(prompt), server, now)
+        if (outline == null) return explanation.copy(running = context.selector.load(server, now).running)
+        val placement = context.selector.engines.placement(request, outline, server, now)
         val selection = placement.selection
         return explanation.copy(
             running = selection.load.running,
             waitingTokens = selection.load.waitingTokens,
-            keptTokens = prompt.promptTokens - selection.uncachedTokens,
+            keptTokens = outline.prompt.promptTokens - selection.uncachedTokens,
             predictedMilliseconds = selection.predictedMilliseconds,
             costs = placement.cost.terms,
         )
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -87,6 +87,7 @@
                 log.write(GatewayLogEvent.SERVER_LIMITED, "server" to server, "requestsPerSecond" to requestsPerSecond)
                 exchange.reportSoon(clock())
             },
+            reportDelayMilliseconds = { exchange.reportDelayMilliseconds() },
             cacheTokens = { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS },
         )
 
@@ -127,6 +128,7 @@
                 "unanswered" to prompts.size,
             )
             metrics.recordServerEnd()
+            statistics.cache.clear(server.id)
             quarantine.recordCrash(ServerEnd.of(server), prompts, clock())
         }
     private val exchange: PeerExchange =
@@ -236,10 +238,12 @@
     /** Answers of this router to operators who ask where a request would go. */
     val explanations = ExplainEndpoint(RoutingExplainer(context, view), clock) { intake.waiting > 0 }
     private val loadLog = RouterLoadLog(log)
+    private val prefixLog = PrefixLog(statistics.prefixes, log)
 
     /** Starts registering this router and reading the store. */
     fun start() {
         exposeMetrics()
+        prefixLog.expose(metrics)
         log.write(GatewayLogEvent.GATEWAY_STARTED, "router" to settings.router, "incarnation" to incarnation)
         scope.launch(start = CoroutineStart.UNDISPATCHED) { registrar.run() }
         tick()
@@ -265,6 +269,7 @@
             directoryAge = poller.directoryAgeMilliseconds(now),
             now = now,
         )
+        prefixLog.tick(now)
         intake.recordTick(nextAt = clock().plusMilliseconds(TICK_MILLISECONDS))
     }
 
@@ -277,6 +282,7 @@
     /** Handles the head of any response of [server]. */
     fun serverAnswered(server: BackendEntry, head: ResponseHead) {
         if (head.isLeaving && statistics.announcements.recordLeaving(server)) {
+            statistics.cache.clear(server.id)
             log.write(GatewayLogEvent.SERVER_LEAVING, "server" to server.id, "address" to server.address)
         }
         val hold = head.retryAfterMilliseconds ?: return
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -45,5 +45,6 @@
     DOMAIN_EVACUATED(2244, Level.WARN, "failure domain evacuated; its servers get no more requests"),
     EVACUATION_ENDED(2245, Level.INFO, "failure domain no longer evacuated"),
     EVACUATION_MALFORMED(2246, Level.WARN, "evacuation without a valid failure domain ignored"),
+    PREFIXES_WEIGHED(2255, Level.INFO, "kept prompt parts weighed"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -129,6 +129,7 @@
  * @property evacuations the evacuated failure domains as known to the sender, null if it knows of no table.
  */
 @Serializable
+@Suppress("LongParameterList")
 internal class PeerReport(
     @CborLabel(1) val sender: RouterState,
     @CborLabel(2) val catalog: ProofEntry,
