--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -23,11 +23,16 @@
 import kotlin.random.Random
 
 /** Exchanges of a whole fleet on a virtual clock and network, which loses datagrams of the routers in [cut]. */
-internal class SimulatedExchange(
+internal class SimulatedExchange private constructor(
     routers: Int,
     domains: Int,
-    private val weight: (Int) -> Double = { 0.27 + it % 5 * 0.3 },
+    private val weight: (Int) -> Double,
+    private val isRunning: Boolean,
 ) {
+    /** A fleet whose routers know each other and the servers. */
+    constructor(routers: Int, domains: Int, weight: (Int) -> Double = ::mixedWeight) :
+        this(routers, domains, weight, isRunning = true)
+
     class Node(
         val router: RouterId,
         val address: NetworkAddress,
@@ -40,6 +45,9 @@
         lateinit var settings: GatewaySettings
         val quarantine = Quarantine(QuarantineCallbacks(onNews = { exchange.reportSoon(clock()) }))
         var isOverloaded = false
+
+        /** Called when another router reports a newer catalog or a different server directory. */
+        var onOutdated: (Boolean, Boolean) -> Unit = { _, _ -> }
         var sent = 0
         var bytes = 0L
     }
@@ -77,7 +85,7 @@
     private var step = 0
 
     init {
-        nodes.forEach { node ->
+        nodes.filter { isRunning }.forEach { node ->
             nodes.forEach { if (it !== node) node.exchange.routerDiscovered(it.router, it.address, now) }
         }
     }
@@ -91,7 +99,8 @@
     private fun create(index: Int, domains: Int): Node {
         val address = NetworkAddress("10.0.${index / 200}.${index % 200 + 1}", 7_000)
         val view = StoreView(FleetBounds())
-        view.adoptDirectory(ServerDirectory(1, servers.associateBy { it.id }), now, outageUntil = null)
+        val known = ServerDirectory(1, servers.associateBy { it.id })
+        if (isRunning) view.adoptDirectory(known, now, outageUntil = null)
         val node = Node(RouterId("router-$index"), address, statistics(index), view, TeamUsage(), { now })
         node.settings =
             GatewaySettings(
@@ -124,7 +133,7 @@
                             network += Datagram(now.plusMilliseconds(DELAY_MILLISECONDS), node.address, to, bytes)
                         },
                         onPeerChanged = {},
-                        onOutdated = { _, _ -> },
+                        onOutdated = { catalog, directory -> node.onOutdated(catalog, directory) },
                         onRefused = { from, _ -> check(recordsDatagrams) { "datagram from $from refused" } },
                     ),
                 isReady = { true },
@@ -161,9 +170,14 @@
     fun loadSeenBy(node: Node, index: Int): ServerLoad =
         node.statistics.loads.load(servers[index].id, servers[index].idHash, now)
 
-    private companion object {
-        const val SERVERS = 37
-        const val DELAY_MILLISECONDS = 2L
-        const val TICK_MILLISECONDS = 20
+    companion object {
+        /** A fleet whose routers know nothing yet. */
+        fun starting(routers: Int, domains: Int) = SimulatedExchange(routers, domains, ::mixedWeight, isRunning = false)
+
+        private fun mixedWeight(index: Int) = 0.27 + index % 5 * 0.3
+
+        private const val SERVERS = 37
+        private const val DELAY_MILLISECONDS = 2L
+        private const val TICK_MILLISECONDS = 20
     }
 }
