Pass changes of the server directory on in reports, so that few routers read the store

Each change of one registration made every router read all registrations itself: 770 reads for ten changes in a fleet of 76 routers, and 1,667 while 37 servers register at the start.

Reports of fleets with relays now carry the registrations that changed within the last second. A receiver applies them to its copy and adopts the result only if it is the announced directory by size and digest, at a higher revision of the store, in a report whose time is known by an echo; StoreView.adoptDirectory decides as for a read. Otherwise it reads the store as before, after up to 300 ms by rank.

Changes arrive within 2 s with the first three readers killed, all relays killed, the store silent to a third of the routers, and after a router was cut off.

Rejected: comparing the digest before the change, which fails for every router that read the store between two reads of the sender; a copy of any age that results in the announced digest is as sure.

--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -35,6 +35,9 @@
     private var lastReadDirectory = ServerDirectory.EMPTY
     private var retainedUntil = Timestamp.DISTANT_PAST
 
+    /** The directory as last read, which is what routers pass on; it contains no retained servers. */
+    val readDirectory: ServerDirectory get() = lastReadDirectory
+
     /** Digest of the directory as last read; routers compare it to detect differences. */
     val directoryDigest: Int get() = lastReadDirectory.digest
 
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -137,6 +137,7 @@
                     send = dependencies.sendDatagram,
                     onPeerChanged = ::peerChanged,
                     onOutdated = { isCatalogOld, isDirectoryOld -> poller.markOutdated(isCatalogOld, isDirectoryOld) },
+                    onDirectoryLearned = { directory, provenAt -> poller.directoryLearned(directory, provenAt) },
                     onRefused = { from, bytes ->
                         log.write(GatewayLogEvent.PEER_MESSAGE_REFUSED, "from" to from, "bytes" to bytes.size)
                     },
@@ -150,6 +151,7 @@
             storeReader = dependencies.storeReader,
             clock = clock,
             rank = exchange::rank,
+            changeDelayMilliseconds = exchange::changeDelayMilliseconds,
             log = log,
             onChange = ::storeChanged,
             onProof = { exchange.proofRenewed(clock()) },
@@ -384,6 +386,7 @@
         metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
+        metrics.gauge("directories.learned") { exchange.directoriesLearned.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
         metrics.gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
     }
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -21,6 +21,7 @@
     private val storeReader: StoreReader,
     private val clock: Clock,
     rank: () -> Int,
+    private val changeDelayMilliseconds: () -> Long,
     private val log: EventLog,
     private val onChange: (isCatalogNew: Boolean) -> Unit,
     private val onProof: () -> Unit,
@@ -29,7 +30,7 @@
     private val directorySchedule = StoreReadSchedule(rank)
     private val health = StoreHealth()
     private var isCatalogStale = false
-    private var isDirectoryStale = false
+    private var directoryStaleSince: Timestamp? = null
     private var isStoreLost = false
     private var wasCatalogFresh = false
     private var malformedRevision = Revision.NONE
@@ -38,7 +39,13 @@
     /** Records that another router has newer data. */
     fun markOutdated(isCatalog: Boolean, isDirectory: Boolean) {
         isCatalogStale = isCatalogStale || isCatalog
-        isDirectoryStale = isDirectoryStale || isDirectory
+        if (isDirectory && directoryStaleSince == null) directoryStaleSince = clock()
+    }
+
+    /** Adopts a directory that another router passed on; it was the newest at [provenAt] at the earliest. */
+    fun directoryLearned(directory: ServerDirectory, provenAt: Timestamp) {
+        directoryStaleSince = null
+        adoptDirectory(directory, provenAt)
     }
 
     /** Updates whether the store answers; [lagMilliseconds] is the delay of this router's periodic work. */
@@ -66,8 +73,10 @@
     fun isCatalogDue(now: Timestamp): Boolean = catalogSchedule.isDue(now, view.catalogProof.at, isCatalogStale)
 
     /** Whether [readDirectory] should be called now. */
-    fun isDirectoryDue(now: Timestamp): Boolean =
-        directorySchedule.isDue(now, view.directoryProof.at, isDirectoryStale || view.isRetentionOver(now))
+    fun isDirectoryDue(now: Timestamp): Boolean {
+        val isStale = directoryStaleSince?.let { now >= it.plusMilliseconds(changeDelayMilliseconds()) } ?: false
+        return directorySchedule.isDue(now, view.directoryProof.at, isStale || view.isRetentionOver(now))
+    }
 
     /** Logs when the catalog becomes stale or fresh, which decides whether requests that need a key are refused. */
     fun logFreshnessChange(now: Timestamp) {
@@ -123,7 +132,7 @@
     /** Reads the server directory once and updates the view. */
     suspend fun readDirectory() {
         directorySchedule.recordStart()
-        isDirectoryStale = false
+        directoryStaleSince = null
         val sentAt = clock()
         health.recordSent(sentAt)
         val read = storeReader.readDirectory(sentAt.plusMilliseconds(StoreReadSchedule.CALL_TIMEOUT_MILLISECONDS))
@@ -137,17 +146,20 @@
                 directorySchedule.recordSuccess(now)
                 storeAnswered(sentAt, now)
                 logMalformed(read.malformed)
-                val outageUntil = health.lastUnansweredAt.takeIf { health.wasUnavailableSince(view.directoryProof.at) }
-                val before = view.adoptDirectory(read.directory, sentAt, outageUntil)
-                if (before != null && before.entries != view.directory.entries) {
-                    logChanges(before, view.directory)
-                    onChange(false)
-                }
+                adoptDirectory(read.directory, sentAt)
                 onProof()
             }
         }
     }
 
+    private fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp) {
+        val outageUntil = health.lastUnansweredAt.takeIf { health.wasUnavailableSince(view.directoryProof.at) }
+        val before = view.adoptDirectory(read, sentAt, outageUntil) ?: return
+        if (before.entries == view.directory.entries) return
+        logChanges(before, view.directory)
+        onChange(false)
+    }
+
     private fun storeFailed(failure: CallFailure, sentAt: Timestamp) {
         health.recordFailure(sentAt, failure.reason in REJECTIONS)
         if (!isStoreLost) log.write(GatewayLogEvent.STORE_LOST, "detail" to failure)
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -2,6 +2,7 @@
 
 import azuredale.admission.TeamUsage
 import azuredale.admission.TokenUsage
+import azuredale.directory.ServerDirectory
 import azuredale.engine.ServerLimitRecord
 import azuredale.engine.ServerLoad
 import azuredale.engine.ServerStatistics
@@ -24,6 +25,8 @@
     val onPeerChanged: (Peer) -> Unit,
     /** Called when another router reports a newer catalog or a different server directory. */
     val onOutdated: (isCatalogOld: Boolean, isDirectoryOld: Boolean) -> Unit,
+    /** Called with a directory that results from another router's changes, and a time at which it was the newest. */
+    val onDirectoryLearned: (ServerDirectory, Timestamp) -> Unit,
     /** Called with the source address and the bytes of an invalid datagram. */
     val onRefused: (NetworkAddress, ByteArray) -> Unit,
 )
@@ -50,6 +53,7 @@
     private val table = PeerTable(settings.router)
     private val topology = RelayTopology(settings, table, isReady)
     private val quarantineExchange = QuarantineExchange(quarantine)
+    private val directoryExchange = DirectoryExchange(view, ::directoryLearned)
     private val writer =
         ReportWriter(
             settings,
@@ -60,6 +64,7 @@
             table,
             topology,
             quarantineExchange,
+            directoryExchange,
             isReady,
             isOverloaded,
         )
@@ -78,6 +83,9 @@
     var bytesSent: Long = 0
         private set
 
+    /** Number of directories that this router learned from others instead of the store, for metrics. */
+    val directoriesLearned: Long get() = directoryExchange.adoptions
+
     /** Adds a router that was discovered by other means, for example through the store. */
     fun routerDiscovered(router: RouterId, address: NetworkAddress, now: Timestamp) {
         if (table.add(router, address, now)) nextReportAt = now
@@ -94,6 +102,14 @@
     /** Position of this router in the order in which routers read the store. */
     fun rank(): Int = topology.rank
 
+    /**
+     * Milliseconds to wait for the changes of the directory before they are read from the store.
+     *
+     * Without relays no changes are passed on. The relays, which are first in rank, wait least: all others need them.
+     */
+    fun changeDelayMilliseconds(): Long =
+        if (topology.isMesh) 0 else topology.rank.coerceAtMost(LAST_CHANGE_RANK) * CHANGE_DELAY_MILLISECONDS
+
     /** Updates which peers are alive, and sends a report if it is due. */
     fun tick(now: Timestamp) {
         table.update(now) { peer ->
@@ -215,13 +231,17 @@
      * counted from that time, so that a delay of the datagram in transit never makes a proof appear too recent.
      */
     private fun applyProofs(datagram: PeerDatagram, report: PeerReport, now: Timestamp) {
+        val createdAfter = createdAfter(datagram, now)
+        if (createdAfter != null && report.directory.age >= 0) {
+            directoryExchange.apply(report, createdAfter.plusMicroseconds(-report.directory.age), now)
+        }
         val isCatalogOld = report.catalog.version > view.revision.value
         val isDirectoryOld =
             report.directory.age in 0..ReportWriter.MAXIMUM_PROOF_AGE_MICROSECONDS &&
                 report.directory.version.toInt() != view.directoryDigest &&
-                now.plusMicroseconds(-report.directory.age) > view.directoryProof.at
+                now.plusMicroseconds(-report.directory.age) > view.directoryProof.at &&
+                directoryExchange.isLater(report)
         if (isCatalogOld || isDirectoryOld) callbacks.onOutdated(isCatalogOld, isDirectoryOld)
-        val createdAfter = createdAfter(datagram, now)
         quarantineExchange.apply(report, createdAfter, now)
         if (createdAfter == null) return
         if (report.catalog.age >= 0) {
@@ -235,6 +255,12 @@
         }
     }
 
+    private fun directoryLearned(directory: ServerDirectory, provenAt: Timestamp) {
+        callbacks.onDirectoryLearned(directory, provenAt)
+        // The routers of the failure domain get the change from this one only.
+        if (topology.isRelay) nextReportAt = Timestamp.DISTANT_PAST
+    }
+
     /** Time after which the report in [datagram] was created, by this router's clock; null if it echoes no report. */
     private fun createdAfter(datagram: PeerDatagram, now: Timestamp): Timestamp? {
         if (datagram.echoedTime == 0L || datagram.echoIncarnation != incarnation.value) return null
@@ -318,6 +344,10 @@
         /** Interval between reports to a peer that does not answer. */
         const val SILENT_PEER_RETRY_MILLISECONDS = 500L
 
+        /** Ranks up to this one wait one after the other, the last of them for one and a half periods of reports. */
+        const val LAST_CHANGE_RANK = 4
+        const val CHANGE_DELAY_MILLISECONDS = 75L
+
         /** Reports within the time in which a relay answers. */
         const val REMEMBERED_STATES = 16
     }
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -117,6 +117,7 @@
  * @property crashes server crashes that the sender recently learned more of.
  * @property limits limits of servers that changed recently.
  * @property quarantine the quarantine table as known to the sender, null if it knows none.
+ * @property directoryNews the latest changes of the directory; null in fleets without relays.
  */
 @Serializable
 internal class PeerReport(
@@ -132,6 +133,7 @@
     @CborLabel(10) val crashes: List<CrashEntry> = emptyList(),
     @CborLabel(11) val quarantine: QuarantineEntry? = null,
     @CborLabel(12) val limits: List<LimitEntry> = emptyList(),
+    @CborLabel(20) val directoryNews: DirectoryNews? = null,
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -29,6 +29,7 @@
     private val table: PeerTable,
     private val topology: RelayTopology,
     private val quarantine: QuarantineExchange,
+    private val directory: DirectoryExchange,
     private val isReady: () -> Boolean,
     private val isOverloaded: () -> Boolean,
 ) {
@@ -55,6 +56,7 @@
 
     /** Begins a round of reports and returns this router's own state as contained in them. */
     fun begin(now: Timestamp): ReportedState {
+        directory.begin(now)
         roundDomainReads = domainReads.take()
         roundFleetReads = fleetReads.take()
         // Usage changes slowly, so it is sent less often than server loads.
@@ -80,6 +82,7 @@
         limits = limitEntries(now),
         crashes = quarantine.crashes(now),
         quarantine = quarantine.table { age(it, now) },
+        directoryNews = if (topology.isMesh) null else directory.news(scope, now),
     )
 
     private fun ownState() = RouterState(
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -48,6 +48,7 @@
 
         /** Called when another router reports a newer catalog or a different server directory. */
         var onOutdated: (Boolean, Boolean) -> Unit = { _, _ -> }
+        var onDirectoryLearned: (ServerDirectory, Timestamp) -> Unit = { _, _ -> }
         var sent = 0
         var bytes = 0L
     }
@@ -134,6 +135,7 @@
                         },
                         onPeerChanged = {},
                         onOutdated = { catalog, directory -> node.onOutdated(catalog, directory) },
+                        onDirectoryLearned = { directory, at -> node.onDirectoryLearned(directory, at) },
                         onRefused = { from, _ -> check(recordsDatagrams) { "datagram from $from refused" } },
                     ),
                 isReady = { true },
--- a/src/test/kotlin/azuredale/peers/SimulatedStore.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedStore.kt
@@ -106,6 +106,7 @@
                 storeReader = this,
                 clock = { fleet.now },
                 rank = node.exchange::rank,
+                changeDelayMilliseconds = node.exchange::changeDelayMilliseconds,
                 log = log,
                 onChange = { if (it) node.exchange.report(fleet.now) },
                 onProof = { node.exchange.proofRenewed(fleet.now) },
@@ -117,12 +118,16 @@
                 clock = { fleet.now },
                 scope = scope,
                 rank = node.exchange::rank,
-                isDivided = { node.exchange.peers.all.any { !it.isAlive } },
+                isDivided = {
+                    node.exchange.peers.all
+                        .any { !it.isAlive }
+                },
                 log = log,
             )
 
         init {
             node.onOutdated = poller::markOutdated
+            node.onDirectoryLearned = poller::directoryLearned
         }
 
         fun tick() {
--- a/src/test/kotlin/azuredale/peers/StoreCallBudgetSpec.kt
+++ b/src/test/kotlin/azuredale/peers/StoreCallBudgetSpec.kt
@@ -3,10 +3,11 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
+import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Load pattern: a fleet that starts at once, before its servers and its configuration, and then runs through changes. */
+/** Load pattern: a fleet that starts at once, before its servers and its configuration, and then sees changes. */
 class StoreCallBudgetSpec {
     /** Store and routers that start within 1.5 s, while the servers register and the configuration is not there yet. */
     private class Start(routers: Int) {
@@ -25,6 +26,14 @@
             store.writeCatalog()
             store.run(1_000)
         }
+
+        /** Changes of one server's registration at a time, and of the catalog every fifth time. */
+        fun change(times: Int) = repeat(times) { index ->
+            val server = fleet.servers[index % fleet.servers.size]
+            if (index % 2 == 0) store.remove(server) else store.put(fleet.servers[index - 1])
+            if (index % 5 == 4) store.writeCatalog()
+            store.run(1_000)
+        }
     }
 
     @Nested
@@ -39,13 +48,76 @@
             assertTrue(start.fleet.nodes.all(start.store::hasCatalog))
             start.store.calls.clear()
             start.store.run(10_000)
-            assertTrue(start.store.calls.values.sum() < 60, "${start.store.calls}")
+            assertTrue(
+                start.store.calls.values
+                    .sum() < 60,
+                "${start.store.calls}",
+            )
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = [76, 128])
+        fun `a change of a registration does not make every router read the store`(routers: Int) {
+            // Guards against a fleet that pays a call a router for each server that comes or goes.
+            val start = Start(routers)
+            start.run()
+            start.store.calls.clear()
+            start.change(10)
+            assertEquals(emptyList(), start.store.outdated().map { it.router.name })
+            assertTrue(start.store.calls.getValue(SimulatedStore.Call.DIRECTORY) < routers, "${start.store.calls}")
+        }
+    }
+
+    @Nested
+    inner class Faults {
+        private val start = Start(76).also { it.run() }
+        private val fleet = start.fleet
+
+        private fun assertChangeArrives(within: Int) {
+            start.store.remove(fleet.servers[3])
+            start.store.run(within)
+            assertEquals(emptyList(), start.store.outdated().map { it.router.name })
+        }
+
+        @Test
+        fun `the first readers are killed`() {
+            // Guards against a fleet that waits for changes from routers that are gone.
+            fleet.cut += fleet.nodes.filter { it.exchange.rank() < 3 }
+            assertChangeArrives(DRAIN_MILLISECONDS)
+        }
+
+        @Test
+        fun `all relays are killed`() {
+            // Guards against routers that nobody passes changes on to.
+            fleet.cut += fleet.nodes.filter { it.exchange.isRelay }
+            assertChangeArrives(DRAIN_MILLISECONDS)
+        }
+
+        @Test
+        fun `the store is silent to a third of the routers, the first readers among them`() {
+            // Guards against a change that stays with the routers that the store answers.
+            start.store.silentTo += fleet.nodes.sortedBy { it.exchange.rank() }.take(25)
+            assertChangeArrives(DRAIN_MILLISECONDS)
+        }
+
+        @Test
+        fun `a router that was cut off has missed changes`() {
+            // Guards against a copy that changes no longer fit.
+            val node = fleet.nodes.last()
+            fleet.cut += node
+            start.change(4)
+            fleet.cut -= node
+            start.store.run(DRAIN_MILLISECONDS)
+            assertEquals(emptyList(), start.store.outdated().map { it.router.name })
         }
     }
 
     private companion object {
         const val START_MILLISECONDS = 1_500
         const val SERVER_MILLISECONDS = 80
+
+        /** The users' bound on new requests to a server that leaves. */
+        const val DRAIN_MILLISECONDS = 2_000
         const val BEFORE_TRAFFIC_MILLISECONDS = 5_000
     }
 }
