Let a router that starts beside many others hear from them before it reads the store

In a fleet that starts at once every router read the configuration, the registrations and the quarantine while they were still empty, before it could know that others had done so.

FirstReadDelay holds back a router's first reads for 250 to 650 ms after it has listed 12 or more other routers; what a report calls for is read at once. A small fleet reads as soon as the routers are listed, and a router that cannot register reads after 1 s.

A router that starts again in a running fleet has configuration, registrations and quarantine within a second. A configuration reaches every router that the store answers within 2 s with all relays killed and the store silent to 25 others.

--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -9,6 +9,7 @@
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
 import azuredale.freshness.ClockJumpDetector
+import azuredale.freshness.FirstReadDelay
 import azuredale.freshness.StoreReader
 import azuredale.freshness.StoreView
 import azuredale.identity.Incarnation
@@ -29,6 +30,7 @@
 import azuredale.quarantine.QuarantineLogEvent
 import azuredale.quarantine.QuarantineStore
 import azuredale.quarantine.ServerEnd
+import azuredale.sharing.StableHash
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
@@ -67,6 +69,7 @@
     private val random: Random = Random.Default,
 ) {
     private val log = EventLog("azuredale.gateway")
+    private val firstReads = FirstReadDelay(clock(), StableHash.of(settings.router.name))
     private val clockJumps = ClockJumpDetector(clock, wallClock)
     private val incarnation = Incarnation(clock().microseconds)
 
@@ -152,6 +155,7 @@
             clock = clock,
             rank = exchange::rank,
             changeDelayMilliseconds = exchange::changeDelayMilliseconds,
+            isHeld = ::isHeld,
             log = log,
             onChange = ::storeChanged,
             onProof = { exchange.proofRenewed(clock()) },
@@ -163,6 +167,7 @@
             clock = clock,
             log = log,
             onFound = { exchange.routerDiscovered(it.router, it.address, clock()) },
+            onListed = { firstReads.recordListed(clock()) },
         )
     private val keeper =
         QuarantineKeeper(
@@ -239,7 +244,7 @@
         poller.logFreshnessChange(now)
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
         if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
-        keeper.tick(now)
+        if (!isHeld(now)) keeper.tick(now)
         exchange.tick(now)
         loadLog.tick(
             lagMilliseconds = lag,
@@ -343,6 +348,8 @@
     /** Gives up the requests that are still in progress at the end of a graceful stop; each of them gets an answer. */
     fun endRequests() = handlers.toList().forEach { it.routerStopped() }
 
+    private fun isHeld(now: Timestamp): Boolean = firstReads.isHeld(now, exchange.isMesh)
+
     private fun isCatalogFresh(now: Timestamp): Boolean {
         checkClocks()
         return view.isCatalogFresh(now)
--- a/src/main/kotlin/azuredale/gateway/RouterRegistrar.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterRegistrar.kt
@@ -14,6 +14,7 @@
     private val clock: Clock,
     private val log: EventLog,
     private val onFound: (RegisteredRouter) -> Unit,
+    private val onListed: () -> Unit,
 ) {
     /** Keeps this router registered until cancelled. */
     suspend fun run() {
@@ -43,6 +44,7 @@
     private suspend fun discoverRouters() {
         val routers = registry.routers(clock().plusMilliseconds(CALL_TIMEOUT_MILLISECONDS))
         if (routers == null) logFailure("router registrations could not be read") else routers.forEach(onFound)
+        onListed()
     }
 
     private suspend fun renewUntilEnded(lease: LeaseId) {
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -15,13 +15,18 @@
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 
-/** Keeps a [StoreView] up to date: reads the store when this router's [StoreReadSchedule] is due, and logs changes. */
+/**
+ * Keeps a [StoreView] up to date: reads the store when this router's [StoreReadSchedule] is due, and logs changes.
+ *
+ * @param isHeld whether reads wait that no other router's report calls for.
+ */
 internal class StorePoller(
     private val view: StoreView,
     private val storeReader: StoreReader,
     private val clock: Clock,
     rank: () -> Int,
     private val changeDelayMilliseconds: () -> Long,
+    private val isHeld: (Timestamp) -> Boolean,
     private val log: EventLog,
     private val onChange: (isCatalogNew: Boolean) -> Unit,
     private val onProof: () -> Unit,
@@ -70,11 +75,15 @@
         ?.let { now.microsecondsSince(it) / Timestamp.MICROSECONDS_PER_MILLISECOND }
 
     /** Whether [readCatalog] should be called now. */
-    fun isCatalogDue(now: Timestamp): Boolean = catalogSchedule.isDue(now, view.catalogProof.at, isCatalogStale)
+    fun isCatalogDue(now: Timestamp): Boolean =
+        (isCatalogStale || !isHeld(now)) && catalogSchedule.isDue(now, view.catalogProof.at, isCatalogStale)
 
     /** Whether [readDirectory] should be called now. */
     fun isDirectoryDue(now: Timestamp): Boolean {
-        val isStale = directoryStaleSince?.let { now >= it.plusMilliseconds(changeDelayMilliseconds()) } ?: false
+        // No changes complete an empty copy, unless the servers are as new as this router.
+        val delay = if (view.readDirectory === ServerDirectory.EMPTY) 0 else changeDelayMilliseconds()
+        val isStale = directoryStaleSince?.let { now >= it.plusMilliseconds(delay) } ?: false
+        if (!isStale && isHeld(now)) return false
         return directorySchedule.isDue(now, view.directoryProof.at, isStale || view.isRetentionOver(now))
     }
 
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -96,6 +96,9 @@
         parts.forEach { writer.addDomainRead(ReadEntry(server, it.id, it.tokens), now) }
     }
 
+    /** Whether so few routers are known that every router reports to all others. */
+    val isMesh: Boolean get() = topology.isMesh
+
     /** Whether this router adds up the reports of its failure domain. */
     val isRelay: Boolean get() = topology.isRelay
 
--- a/src/test/kotlin/azuredale/peers/SimulatedStore.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedStore.kt
@@ -6,6 +6,7 @@
 import azuredale.directory.ServerDirectory
 import azuredale.freshness.CatalogRead
 import azuredale.freshness.DirectoryRead
+import azuredale.freshness.FirstReadDelay
 import azuredale.freshness.StoreReader
 import azuredale.gateway.StorePoller
 import azuredale.identity.PartId
@@ -16,6 +17,7 @@
 import azuredale.quarantine.QuarantineKeeper
 import azuredale.quarantine.QuarantineStore
 import azuredale.quarantine.QuarantineTable
+import azuredale.sharing.StableHash
 import azuredale.store.CallFailure
 import azuredale.store.CallFailureReason
 import azuredale.time.Timestamp
@@ -50,10 +52,12 @@
     fun start(node: SimulatedExchange.Node) {
         fleet.cut -= node
         started += node
+        members.getValue(node).firstReads = FirstReadDelay(fleet.now, StableHash.of(node.router.name))
         val known = started.toList()
         repeat(REGISTRATION_CALLS) { count(Call.REGISTRATION) }
         answers += fleet.now.plusMilliseconds(REGISTRATION_MILLISECONDS) to {
             known.forEach { node.exchange.routerDiscovered(it.router, it.address, fleet.now) }
+            members.getValue(node).firstReads.recordListed(fleet.now)
         }
     }
 
@@ -100,6 +104,7 @@
         StoreReader,
         QuarantineStore {
         private val log = EventLog("simulated")
+        lateinit var firstReads: FirstReadDelay
         private val poller =
             StorePoller(
                 view = node.view,
@@ -107,6 +112,7 @@
                 clock = { fleet.now },
                 rank = node.exchange::rank,
                 changeDelayMilliseconds = node.exchange::changeDelayMilliseconds,
+                isHeld = ::isHeld,
                 log = log,
                 onChange = { if (it) node.exchange.report(fleet.now) },
                 onProof = { node.exchange.proofRenewed(fleet.now) },
@@ -135,9 +141,11 @@
             poller.tick(0, now)
             if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
             if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
-            keeper.tick(now)
+            if (!isHeld(now)) keeper.tick(now)
         }
 
+        private fun isHeld(now: Timestamp) = firstReads.isHeld(now, node.exchange.isMesh)
+
         /** Returns whether the store answers. */
         private suspend fun call(call: Call): Boolean {
             count(call)
--- a/src/test/kotlin/azuredale/peers/StoreCallBudgetSpec.kt
+++ b/src/test/kotlin/azuredale/peers/StoreCallBudgetSpec.kt
@@ -14,10 +14,10 @@
         val fleet = SimulatedExchange.starting(routers, domains = 5)
         val store = SimulatedStore(fleet)
 
-        fun run() {
+        fun run(without: SimulatedExchange.Node? = null) {
             val starts = fleet.nodes.indices.groupBy { it * START_MILLISECONDS / fleet.nodes.size }
             repeat(BEFORE_TRAFFIC_MILLISECONDS) { millisecond ->
-                starts[millisecond]?.forEach { store.start(fleet.nodes[it]) }
+                starts[millisecond]?.map { fleet.nodes[it] }?.filter { it !== without }?.forEach(store::start)
                 if (millisecond % SERVER_MILLISECONDS == 0) {
                     fleet.servers.getOrNull(millisecond / SERVER_MILLISECONDS)?.let(store::put)
                 }
@@ -68,6 +68,45 @@
         }
     }
 
+    @Nested
+    inner class Starting {
+        @ParameterizedTest
+        @ValueSource(ints = [76, 128])
+        fun `a fleet that starts at once makes a few calls a router`(routers: Int) {
+            // Guards against routers that each read tables which are still empty, and each change of them.
+            val start = Start(routers)
+            start.run()
+            assertTrue(
+                start.store.calls.values
+                    .sum() < CALLS_OF_A_START * routers,
+                "${start.store.calls}",
+            )
+        }
+
+        @Test
+        fun `a router that starts again in a running fleet has caught up within a second`() {
+            // Guards against a router that waits for others although it has to read the tables itself.
+            val start = Start(76)
+            val node = start.fleet.nodes.last()
+            start.run(without = node)
+            start.store.start(node)
+            start.store.run(1_000)
+            assertTrue(start.store.hasCatalog(node) && node.quarantine.isKnown)
+            assertEquals(emptyList(), start.store.outdated().map { it.router.name })
+        }
+
+        @Test
+        fun `a router that starts alone reads as soon as it is registered`() {
+            // Guards against a small fleet that waits for routers which do not exist.
+            val fleet = SimulatedExchange.starting(3, domains = 3)
+            val store = SimulatedStore(fleet)
+            store.writeCatalog()
+            store.start(fleet.nodes[0])
+            store.run(100)
+            assertTrue(store.hasCatalog(fleet.nodes[0]))
+        }
+    }
+
     @Nested
     inner class Faults {
         private val start = Start(76).also { it.run() }
@@ -100,6 +139,17 @@
             assertChangeArrives(DRAIN_MILLISECONDS)
         }
 
+        @Test
+        fun `a configuration reaches the routers that the store answers`() {
+            // Guards against routers that wait for the configuration from readers that are gone or hear no answer.
+            fleet.cut += fleet.nodes.filter { it.exchange.isRelay }
+            start.store.silentTo += (fleet.nodes - fleet.cut).sortedBy { it.exchange.rank() }.take(25)
+            start.store.writeCatalog()
+            start.store.run(CONFIGURATION_MILLISECONDS)
+            val late = (fleet.nodes - fleet.cut - start.store.silentTo).filterNot(start.store::hasCatalog)
+            assertEquals(emptyList(), late.map { it.router.name })
+        }
+
         @Test
         fun `a router that was cut off has missed changes`() {
             // Guards against a copy that changes no longer fit.
@@ -118,6 +168,12 @@
 
         /** The users' bound on new requests to a server that leaves. */
         const val DRAIN_MILLISECONDS = 2_000
+
+        /** The users' shortest bound on configurations. */
+        const val CONFIGURATION_MILLISECONDS = 2_000
+
+        /** Three to register, one for the first configuration, and a share of what few routers read for all. */
+        const val CALLS_OF_A_START = 6
         const val BEFORE_TRAFFIC_MILLISECONDS = 5_000
     }
 }
