Decode a large configuration on the worker thread, and read before a late time-out

A configuration with 1,400 routes more was decoded on the event loop of each router: text, message, base64, JSON and tables; a reader decoded the base64 of an unchanged one at each poll. Beside load a small VM answered 404 for a route that had been written 3 s before.

Values of 16 KB or more are decoded on the worker thread and adopted on the event loop; the base64 of a known revision is not decoded. A read whose deadline passed while the router stood still now reads the sockets once more before it gives up: timers run before the sockets are read, so that the answer was dropped.

--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -39,6 +39,7 @@
         val clock = systemClock()
         val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
         val rateLimiter = CallRateLimiter(CALLS_PER_SECOND, CALL_BURST, clock)
+        val decoder = LargeValueDecoder(vertx)
         val store = StoreClient(vertx, settings.storeAddress, rateLimiter, clock)
         val daemon =
             GatewayDaemon(
@@ -48,7 +49,7 @@
                 wallClock = { Timestamp.ofMilliseconds(System.currentTimeMillis()) },
                 adapter =
                     PlatformAdapter(
-                        storeReader = PlatformStoreReader(store),
+                        storeReader = PlatformStoreReader(store) { size, decode -> decoder.decode(size, decode) },
                         registry = RouterRegistry(store),
                         quarantineStore = QuarantineRegistry(store),
                         failureHeaders = ErrorResponseFormat,
--- a/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
@@ -9,17 +9,25 @@
 import azuredale.store.KeyValueService
 import azuredale.store.ListResult
 import azuredale.store.ReadResult
+import azuredale.store.StoredValue
 import azuredale.time.Timestamp
 
-/** Reads and decodes the operators' catalog and the backend servers' registrations in the store. */
-internal class PlatformStoreReader(private val service: KeyValueService) : StoreReader {
+/**
+ * Reads and decodes the operators' catalog and the backend servers' registrations in the store.
+ *
+ * @param decodeCatalog runs the decoder of a catalog, whose stored value has the given number of bytes.
+ */
+internal class PlatformStoreReader(
+    private val service: KeyValueService,
+    private val decodeCatalog: suspend (Int, () -> CatalogRead) -> CatalogRead = { _, decode -> decode() },
+) : StoreReader {
     override suspend fun readCatalog(known: Revision, deadline: Timestamp): CatalogRead =
         when (val read = service.read(StoreKey.CATALOG, deadline)) {
             is ReadResult.Failed -> CatalogRead.Failed(read.failure)
             is ReadResult.Missing -> CatalogRead.Missing
             is ReadResult.Found -> {
                 val revision = Revision(read.stored.version.value)
-                if (revision <= known) CatalogRead.Unchanged(revision) else decode(read.stored.bytes, revision)
+                if (revision <= known) CatalogRead.Unchanged(revision) else decode(read.stored, revision)
             }
         }
 
@@ -30,7 +38,7 @@
                 val decoded =
                     list.items.associate {
                         val id = it.key.removePrefix(StoreKey.SERVERS)
-                        id to ServerRegistration.decode(ServerId(id), it.value.bytes)
+                        id to registration(ServerId(id), it.value)
                     }
                 val entries = decoded.values.filterIsInstance<ServerRegistration.Entry>().map { it.entry }
                 DirectoryRead.Found(
@@ -40,8 +48,20 @@
             }
         }
 
-    private fun decode(bytes: ByteArray, revision: Revision): CatalogRead = try {
-        CatalogRead.Newer(platformJson.decodeFromString<CatalogMessage>(bytes.decodeToString()).toCatalog(revision))
+    private fun registration(id: ServerId, stored: StoredValue) = try {
+        ServerRegistration.decode(id, stored.bytes)
+    } catch (exception: IllegalArgumentException) {
+        ServerRegistration.Malformed(exception.message.orEmpty())
+    }
+
+    /** Also builds the catalog's tables where [decodeCatalog] runs. */
+    private suspend fun decode(stored: StoredValue, revision: Revision): CatalogRead =
+        decodeCatalog(stored.size) { catalog(stored, revision) }
+
+    private fun catalog(stored: StoredValue, revision: Revision): CatalogRead = try {
+        CatalogRead.Newer(
+            platformJson.decodeFromString<CatalogMessage>(stored.bytes.decodeToString()).toCatalog(revision),
+        )
     } catch (exception: IllegalArgumentException) {
         CatalogRead.Malformed(revision, exception.message.orEmpty())
     }
--- a/src/main/kotlin/azuredale/platform/StoreCalls.kt
+++ b/src/main/kotlin/azuredale/platform/StoreCalls.kt
@@ -18,8 +18,7 @@
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import java.net.ConnectException
 import java.net.NoRouteToHostException
@@ -35,13 +34,13 @@
 /** Result of one call to the store. */
 internal sealed interface StoreCallResult {
     /** Status 200 with the response [body]. */
-    class Success(val body: String) : StoreCallResult
+    class Success(val body: Buffer) : StoreCallResult
 
     /** Status 404: the key or lease does not exist. */
     data object Missing : StoreCallResult
 
     /** Status 412: a precondition failed; [body] has the current items. */
-    class Conflict(val body: String) : StoreCallResult
+    class Conflict(val body: Buffer) : StoreCallResult
 
     /** The call failed or its response was unusable. */
     class Failed(val failure: CallFailure) : StoreCallResult
@@ -53,10 +52,15 @@
     private val address: NetworkAddress,
     private val rateLimiter: CallRateLimiter,
     private val clock: Clock,
+    private val decoder: LargeValueDecoder,
 ) {
     private val log = EventLog("azuredale.platform")
 
-    /** Sends one call. It ends by [deadline]; if no response has arrived by then, the connection is closed. */
+    /**
+     * Sends one call. It ends by [deadline]; if no response has arrived by then, the connection is closed.
+     *
+     * On a router that stands still at the deadline, the call ends soon after the router goes on.
+     */
     suspend fun send(
         method: HttpMethod,
         path: String,
@@ -80,7 +84,11 @@
     }
 
     /** Decodes the body of [response] as [M]; after a malformed body it is unknown whether the call took effect. */
-    inline fun <reified M, R> decode(response: StoreCallResult, onMessage: (M) -> R, onFailure: (CallFailure) -> R): R {
+    suspend inline fun <reified M, R> decode(
+        response: StoreCallResult,
+        crossinline onMessage: (M) -> R,
+        onFailure: (CallFailure) -> R,
+    ): R {
         val body =
             when (response) {
                 is StoreCallResult.Success -> response.body
@@ -89,12 +97,15 @@
                 is StoreCallResult.Failed -> return onFailure(response.failure)
             }
         return try {
-            onMessage(platformJson.decodeFromString<M>(body))
+            read(body) { onMessage(platformJson.decodeFromString<M>(it)) }
         } catch (exception: IllegalArgumentException) {
             onFailure(malformed(exception))
         }
     }
 
+    suspend fun <R> read(body: Buffer, onText: (String) -> R): R =
+        decoder.decode(body.length()) { onText(body.toString()) }
+
     fun malformed(exception: IllegalArgumentException): CallFailure {
         log.write(PlatformLogEvent.MALFORMED_ANSWER, cause = exception)
         return CallFailure(CallFailureReason.ANSWER_LOST, "invalid body: ${exception.message?.take(DETAIL_CHARACTERS)}")
@@ -107,37 +118,46 @@
         body: String?,
         milliseconds: Long,
     ): StoreCallResult = try {
-        withTimeout(milliseconds) {
-            val uri = QueryStringEncoder(path).apply { query.forEach(::addParam) }.toString()
-            val options =
-                RequestOptions()
-                    .setMethod(method)
-                    .setHost(address.host)
-                    .setPort(address.port)
-                    .setURI(uri)
-            val call = AbortableCall()
-            try {
-                val response = call.send(client, options, body).coAwait()
-                interpret(response.status, response.text)
-            } finally {
-                call.abort()
-            }
+        val uri = QueryStringEncoder(path).apply { query.forEach(::addParam) }.toString()
+        val options =
+            RequestOptions()
+                .setMethod(method)
+                .setHost(address.host)
+                .setPort(address.port)
+                .setURI(uri)
+        val call = AbortableCall()
+        try {
+            val response = await(call.send(client, options, body), milliseconds)
+            interpret(response.status, response.body)
+        } finally {
+            call.abort()
         }
-    } catch (exception: TimeoutCancellationException) {
-        failed(CallFailureReason.DEADLINE_PASSED, "no response within $milliseconds ms")
     } catch (exception: CancellationException) {
         throw exception
     } catch (exception: Exception) {
         failed(reasonOf(exception), exception.message ?: exception.javaClass.simpleName)
     }
 
-    private fun interpret(status: Int, text: String): StoreCallResult = when (status) {
-        OK -> StoreCallResult.Success(text)
+    /**
+     * Awaits [sent] for [milliseconds].
+     *
+     * A router that stood still may only now read a response that came in time, so it reads before it gives up.
+     */
+    private suspend fun await(sent: Future<StoreResponse>, milliseconds: Long): StoreResponse {
+        val endsAt = clock().plusMilliseconds(milliseconds)
+        withTimeoutOrNull(milliseconds) { sent.coAwait() }?.let { return it }
+        val isLate = clock() > endsAt.plusMilliseconds(LATE_MILLISECONDS)
+        val response = if (isLate) withTimeoutOrNull(LATE_READ_MILLISECONDS) { sent.coAwait() } else null
+        return response ?: throw TimeoutException("no response within $milliseconds ms")
+    }
+
+    private fun interpret(status: Int, body: Buffer): StoreCallResult = when (status) {
+        OK -> StoreCallResult.Success(body)
         NOT_FOUND -> StoreCallResult.Missing
-        CONDITION_FAILED -> StoreCallResult.Conflict(text)
+        CONDITION_FAILED -> StoreCallResult.Conflict(body)
         // With these statuses the store reports that the call had no effect.
         in CLIENT_ERRORS, UNAVAILABLE ->
-            failed(CallFailureReason.REFUSED, "status $status: ${text.take(DETAIL_CHARACTERS)}")
+            failed(CallFailureReason.REFUSED, "status $status: ${body.toString().take(DETAIL_CHARACTERS)}")
         else -> failed(CallFailureReason.ANSWER_LOST, "status $status")
     }
 
@@ -151,6 +171,12 @@
         private const val DETAIL_CHARACTERS = 200
         private val CLIENT_ERRORS = 400..499
 
+        /** Timers of a router that keeps up are never so late. */
+        private const val LATE_MILLISECONDS = 50L
+
+        /** Time in which the sockets are read at least once. */
+        private const val LATE_READ_MILLISECONDS = 50L
+
         /** A failed connect proves that nothing was sent; a timeout or a closed connection does not. */
         fun reasonOf(exception: Throwable): CallFailureReason = when (exception) {
             is ConnectException, is NoRouteToHostException -> CallFailureReason.NOT_CONNECTED
@@ -160,9 +186,9 @@
     }
 }
 
-private class TextResponse(
+private class StoreResponse(
     val status: Int,
-    val text: String,
+    val body: Buffer,
 )
 
 /** One HTTP exchange with the store, which any thread may abandon at any time. */
@@ -177,14 +203,14 @@
     private var isAborted = false
 
     /** Composes the futures instead of awaiting each: a body that arrives before its handler is set is lost. */
-    fun send(client: HttpClient, options: RequestOptions, body: String?): Future<TextResponse> =
+    fun send(client: HttpClient, options: RequestOptions, body: String?): Future<StoreResponse> =
         client.request(options).compose { opened ->
             request = opened
             if (isAborted) opened.reset()
             if (body != null) opened.putHeader("Content-Type", "application/json")
             val sent = if (body == null) opened.send() else opened.send(body)
             sent
-                .compose { response -> readBody(response).map { TextResponse(response.statusCode(), it.toString()) } }
+                .compose { response -> readBody(response).map { StoreResponse(response.statusCode(), it) } }
                 .onSuccess { isComplete = true }
         }
 
--- a/src/main/kotlin/azuredale/platform/StoreClient.kt
+++ b/src/main/kotlin/azuredale/platform/StoreClient.kt
@@ -47,7 +47,7 @@
             HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS).setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
             PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS).setMaxWaitQueueSize(MAXIMUM_WAITING_CALLS),
         )
-    private val calls = StoreCalls(http, address, rateLimiter, clock)
+    private val calls = StoreCalls(http, address, rateLimiter, clock, LargeValueDecoder(vertx))
 
     override suspend fun read(key: String, deadline: Timestamp): ReadResult =
         when (val response = calls.send(HttpMethod.GET, PlatformPath.KEY, mapOf("key" to key), null, deadline)) {
--- a/src/main/kotlin/azuredale/platform/StoreMessages.kt
+++ b/src/main/kotlin/azuredale/platform/StoreMessages.kt
@@ -16,9 +16,16 @@
     @SerialName("removed") val isRemoved: Boolean = false,
     @SerialName("store-revision") val storeRevision: Long = 0,
 ) {
-    fun toValue(): StoredValue = StoredValue(Base64.getDecoder().decode(value), KeyVersion(revision))
+    /** The stored value, which is decoded only when it is used if it is large. */
+    fun toValue(): StoredValue = if (value.length < LargeValueDecoder.LARGE_SIZE) {
+        StoredValue(decode(), KeyVersion(revision))
+    } else {
+        StoredValue(KeyVersion(revision), value.length, ::decode)
+    }
 
     fun toItem(): StoredItem = StoredItem(key, toValue())
+
+    private fun decode() = Base64.getDecoder().decode(value)
 }
 
 @Serializable
--- a/src/main/kotlin/azuredale/store/KeyValueService.kt
+++ b/src/main/kotlin/azuredale/store/KeyValueService.kt
@@ -22,11 +22,22 @@
     override fun toString(): String = value.toString()
 }
 
-/** A value and the version with which it was stored. */
+/**
+ * A value and the version with which it was stored.
+ *
+ * @property size bytes of the value, or somewhat more.
+ * @param decode decodes the value when [bytes] is first asked for, so that a version that is known costs nothing more.
+ */
 public class StoredValue(
-    public val bytes: ByteArray,
     public val version: KeyVersion,
-)
+    public val size: Int,
+    decode: () -> ByteArray,
+) {
+    /** The value; throws [IllegalArgumentException] if it is malformed. */
+    public val bytes: ByteArray by lazy(decode)
+
+    public constructor(bytes: ByteArray, version: KeyVersion) : this(version, bytes.size, { bytes })
+}
 
 /**
  * Client interface of the platform's key-value service, limited to the operations that routers use.
