--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import azuredale.explain.ExplainEndpoint
 import azuredale.explain.RoutingExplainer
 import azuredale.freshness.ClockJumpDetector
+import azuredale.freshness.FirstReadDelay
 import azuredale.freshness.StoreReader
 import azuredale.freshness.StoreView
 import azuredale.identity.FailureDomain
@@ -32,6 +33,7 @@
 import azuredale.quarantine.QuarantineLogEvent
 import azuredale.quarantine.QuarantineStore
 import azuredale.quarantine.ServerEnd
+import azuredale.sharing.StableHash
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
@@ -72,6 +74,7 @@
     private val random: Random = Random.Default,
 ) {
     private val log = EventLog("azuredale.gateway")
+    private val firstReads = FirstReadDelay(clock(), StableHash.of(settings.router.name))
     private val clockJumps = ClockJumpDetector(clock, wallClock)
     private val incarnation = Incarnation(clock().microseconds)
 
@@ -144,6 +147,7 @@
                     send = dependencies.sendDatagram,
                     onPeerChanged = ::peerChanged,
                     onOutdated = { isCatalogOld, isDirectoryOld -> poller.markOutdated(isCatalogOld, isDirectoryOld) },
+                    onDirectoryLearned = { directory, provenAt -> poller.directoryLearned(directory, provenAt) },
                     onRefused = { from, bytes ->
                         log.write(GatewayLogEvent.PEER_MESSAGE_REFUSED, "from" to from, "bytes" to bytes.size)
                     },
@@ -158,6 +162,8 @@
             storeReader = dependencies.storeReader,
             clock = clock,
             rank = exchange::rank,
+            changeDelayMilliseconds = exchange::changeDelayMilliseconds,
+            isHeld = ::isHeld,
             log = log,
             onChange = ::storeChanged,
             onProof = { exchange.proofRenewed(clock()) },
@@ -169,6 +175,7 @@
             clock = clock,
             log = log,
             onFound = { exchange.routerDiscovered(it.router, it.address, clock()) },
+            onListed = { firstReads.recordListed(clock()) },
         )
     private val keeper =
         QuarantineKeeper(
@@ -259,7 +266,7 @@
         poller.logFreshnessChange(now)
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
         if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
-        keeper.tick(now)
+        if (!isHeld(now)) keeper.tick(now)
         exchange.tick(now)
         loadLog.tick(
             lagMilliseconds = lag,
@@ -366,6 +373,8 @@
     /** Gives up the requests that are still in progress at the end of a graceful stop; each of them gets an answer. */
     fun endRequests() = handlers.toList().forEach { it.routerStopped() }
 
+    private fun isHeld(now: Timestamp): Boolean = firstReads.isHeld(now, exchange.isMesh)
+
     private fun isCatalogFresh(now: Timestamp): Boolean {
         checkClocks()
         return view.isCatalogFresh(now)
@@ -424,6 +433,7 @@
         metrics.gauge("request.body.bytes") { requestBodies.heldBytes.toDouble() }
         metrics.gauge("request.bodies.refused") { requestBodies.refusals.toDouble() }
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
+        metrics.gauge("directories.learned") { exchange.directoriesLearned.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
         metrics.gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
     }
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -127,6 +127,7 @@
  * @property liveness when the sender last heard from the routers that it knows, if it is a relay: [PackedLiveness].
  * @property quarantine the quarantine table as known to the sender, null if it knows none.
  * @property evacuations the evacuated failure domains as known to the sender, null if it knows of no table.
+ * @property directoryNews the latest changes of the directory; null in fleets without relays.
  */
 @Serializable
 @Suppress("LongParameterList")
@@ -145,6 +146,7 @@
     @CborLabel(12) val limits: List<LimitEntry> = emptyList(),
     @CborLabel(13) val evacuations: EvacuationEntry? = null,
     @ByteString @CborLabel(14) val liveness: ByteArray? = null,
+    @CborLabel(20) val directoryNews: DirectoryNews? = null,
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -30,6 +30,7 @@
     private val topology: RelayTopology,
     private val quarantine: QuarantineExchange,
     private val evacuations: EvacuationExchange,
+    private val directory: DirectoryExchange,
     private val isReady: () -> Boolean,
     private val isOverloaded: () -> Boolean,
     private val spareQuarters: () -> Int,
@@ -59,6 +60,7 @@
 
     /** Begins a round of reports and returns this router's own state as contained in them. */
     fun begin(now: Timestamp): ReportedState {
+        directory.begin(now)
         roundDomainReads = domainReads.take()
         roundFleetReads = fleetReads.take()
         // Usage changes slowly, so it is sent less often than server loads.
@@ -97,6 +99,7 @@
         quarantine = quarantine.table { age(it, now) },
         evacuations = evacuations.table { age(it, now) },
         liveness = liveness(scope, now),
+        directoryNews = if (topology.isMesh) null else directory.news(scope, now),
     )
 
     private fun liveness(scope: ReportScope, now: Timestamp): ByteArray? {
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -43,6 +43,7 @@
         val failures = CoroutineExceptionHandler { _, failure -> FatalErrors.handle(failure) }
         val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob() + failures)
         val rateLimiter = CallRateLimiter(CALLS_PER_SECOND, CALL_BURST, clock)
+        val decoder = LargeValueDecoder(vertx)
         val store = StoreClient(vertx, settings.storeAddress, rateLimiter, clock)
         val daemon =
             GatewayDaemon(
@@ -52,7 +53,13 @@
                 wallClock = { Timestamp.ofMilliseconds(System.currentTimeMillis()) },
                 adapter =
                     PlatformAdapter(
-                        storeReader = PlatformStoreReader(store, settings.bounds.evacuationBoundMilliseconds != null),
+                        storeReader =
+                            PlatformStoreReader(store, settings.bounds.evacuationBoundMilliseconds != null) {
+                                size,
+                                decode,
+                                ->
+                                decoder.decode(size, decode)
+                            },
                         registry = RouterRegistry(store),
                         quarantineStore = QuarantineRegistry(store),
                         failureHeaders = ErrorResponseFormat,
--- a/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
@@ -21,10 +21,12 @@
  *
  * @param readsEvacuations whether operators evacuate failure domains. The catalog and the evacuations are then read by
  *   one call, so that they cost no more than the catalog alone.
+ * @param decodeCatalog runs the decoder of a catalog, whose stored value has the given number of bytes.
  */
 internal class PlatformStoreReader(
     private val service: KeyValueService,
     private val readsEvacuations: Boolean = false,
+    private val decodeCatalog: suspend (Int, () -> CatalogRead) -> CatalogRead = { _, decode -> decode() },
 ) : StoreReader {
     override suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead =
         if (readsEvacuations) readOperatorKeys(known, deadline) else OperatorRead(readCatalogKey(known, deadline))
@@ -57,9 +59,9 @@
 
     private fun isDomainName(name: String) = name.isNotEmpty() && name.length <= MAXIMUM_NAME_CHARACTERS
 
-    private fun catalogRead(stored: StoredValue, known: Revision): CatalogRead {
+    private suspend fun catalogRead(stored: StoredValue, known: Revision): CatalogRead {
         val revision = Revision(stored.version.value)
-        return if (revision <= known) CatalogRead.Unchanged(revision) else decode(stored.bytes, revision)
+        return if (revision <= known) CatalogRead.Unchanged(revision) else decode(stored, revision)
     }
 
     override suspend fun readDirectory(deadline: Timestamp): DirectoryRead =
@@ -69,7 +71,7 @@
                 val decoded =
                     list.items.associate {
                         val id = it.key.removePrefix(StoreKey.SERVERS)
-                        id to ServerRegistration.decode(ServerId(id), it.value.bytes)
+                        id to registration(ServerId(id), it.value)
                     }
                 val entries = decoded.values.filterIsInstance<ServerRegistration.Entry>().map { it.entry }
                 DirectoryRead.Found(
@@ -79,8 +81,20 @@
             }
         }
 
-    private fun decode(bytes: ByteArray, revision: Revision): CatalogRead = try {
-        CatalogRead.Newer(platformJson.decodeFromString<CatalogMessage>(bytes.decodeToString()).toCatalog(revision))
+    private fun registration(id: ServerId, stored: StoredValue) = try {
+        ServerRegistration.decode(id, stored.bytes)
+    } catch (exception: IllegalArgumentException) {
+        ServerRegistration.Malformed(exception.message.orEmpty())
+    }
+
+    /** Also builds the catalog's tables where [decodeCatalog] runs. */
+    private suspend fun decode(stored: StoredValue, revision: Revision): CatalogRead =
+        decodeCatalog(stored.size) { catalog(stored, revision) }
+
+    private fun catalog(stored: StoredValue, revision: Revision): CatalogRead = try {
+        CatalogRead.Newer(
+            platformJson.decodeFromString<CatalogMessage>(stored.bytes.decodeToString()).toCatalog(revision),
+        )
     } catch (exception: IllegalArgumentException) {
         CatalogRead.Malformed(revision, exception.message.orEmpty())
     }
--- a/src/test/kotlin/azuredale/freshness/EvacuationsSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/EvacuationsSpec.kt
@@ -87,7 +87,7 @@
                     answer?.let { DirectoryRead.Found(ServerDirectory.EMPTY, emptyMap()) }
                         ?: DirectoryRead.Failed(failure)
             }
-        private val poller = StorePoller(view, reader, { now }, { 0 }, EventLog("test"), {}, {})
+        private val poller = StorePoller(view, reader, { now }, { 0 }, { 0 }, { false }, EventLog("test"), {}, {})
 
         private fun read(milliseconds: Long) = runBlocking {
             now = after(milliseconds)
