Keep requests away from failure domains that operators evacuate

Change: with the setting bounds.evacuate-ms, the catalog is read together with all keys of operators by one call. The evacuated domains are an immutable table with its own proof of freshness; it travels whole in each report between routers, so no further calls to the store arise. ServerEligibility names the reason EVACUATED for first attempts, retries and resumed streams, and SendGuard asks again before a request is written. A router without a table sends nothing; one with an old proof refuses as STALE_DIRECTORY while the store answers; while it does not, what is known stays in force. Without the setting nothing is read and nothing changes.

The tests of the exchange run with a setting of their own; SimulatedExchange takes the bounds.

Rejected: a call of its own for the evacuations (twice the calls of catalog readers); a watch (its silence proves nothing).

--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -4,6 +4,7 @@
 import azuredale.directory.BackendState
 import azuredale.directory.ServerDirectory
 import azuredale.directory.process
+import azuredale.identity.FailureDomain
 import azuredale.identity.PartId
 import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
@@ -13,6 +14,9 @@
     /** The server process is no longer registered, or it is registered as leaving. */
     NOT_REGISTERED,
 
+    /** Operators have evacuated the failure domain of the server. */
+    EVACUATED,
+
     /** An earlier attempt of the request was sent to the server, or failed to reach it. */
     ALREADY_TRIED,
 
@@ -39,14 +43,18 @@
  * Decides which servers may get a request. Every reason not to choose a server is checked here and nowhere else.
  *
  * A server whose circuit is open is still used when the circuits of all servers that want the request are open.
+ *
+ * @param isEvacuated whether operators have evacuated a failure domain.
  */
 internal class ServerEligibility(
     private val directory: () -> ServerDirectory,
     private val statistics: ServerStatistics,
+    private val isEvacuated: (FailureDomain) -> Boolean = { false },
 ) {
     /** Whether the process that [server] registers may get a request that was selected for it before [now]. */
-    fun mayUse(server: BackendEntry, now: Timestamp): Boolean =
-        isRegistered(server) && statistics.announcements.allowsRequest(server, now)
+    fun mayUse(server: BackendEntry, now: Timestamp): Boolean = isRegistered(server) &&
+        !isEvacuated(server.failureDomain) &&
+        statistics.announcements.allowsRequest(server, now)
 
     /** Why [server] may not get [request] at [now], or null if it may; has no effect. */
     fun ineligibility(server: BackendEntry, request: SelectionRequest, now: Timestamp): Ineligibility? = when {
@@ -74,6 +82,7 @@
 
     /** Why a registered [server] and [request] rule each other out for good, or until a known time. */
     private fun refusalOf(server: BackendEntry, request: SelectionRequest, now: Timestamp): Ineligibility? = when {
+        isEvacuated(server.failureDomain) -> Ineligibility.EVACUATED
         server.id in request.excluded -> Ineligibility.ALREADY_TRIED
         !statistics.announcements.allowsRequest(server, now) -> Ineligibility.UNWILLING
         else -> null
@@ -94,7 +103,10 @@
                 .filter { refusalOf(it, request, now) == Ineligibility.UNWILLING }
                 .minOfOrNull { statistics.announcements.availableAt(it, now) } ?: Timestamp.DISTANT_FUTURE
         if (until < Timestamp.DISTANT_FUTURE) return ServerSelection.OnHold(until)
-        return ServerSelection.Unavailable("no server of ${request.pool} accepts requests")
+        val evacuated = ready.count { isEvacuated(it.failureDomain) }
+        return ServerSelection.Unavailable(
+            "none of ${ready.size} servers of ${request.pool} accepts requests; $evacuated are evacuated",
+        )
     }
 
     /** The same server on all routers that agree on [available]. */
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -2,6 +2,7 @@
 
 import azuredale.directory.BackendEntry
 import azuredale.directory.ServerDirectory
+import azuredale.identity.FailureDomain
 import azuredale.identity.PoolId
 import azuredale.time.Timestamp
 
@@ -34,13 +35,18 @@
     data class Unavailable(val detail: String) : ServerSelection
 }
 
-/** Selects the backend server for a request among those that [ServerEligibility] leaves. */
+/**
+ * Selects the backend server for a request among those that [ServerEligibility] leaves.
+ *
+ * @param isEvacuated whether operators have evacuated a failure domain.
+ */
 internal class ServerSelector(
     directory: () -> ServerDirectory,
     private val statistics: ServerStatistics,
+    isEvacuated: (FailureDomain) -> Boolean = { false },
 ) {
     /** Which servers may get a request. */
-    val eligibility = ServerEligibility(directory, statistics)
+    val eligibility = ServerEligibility(directory, statistics, isEvacuated)
 
     /** Which model engine gets a prompt. */
     val engines = EnginePlacement(statistics)
--- a/src/main/kotlin/azuredale/freshness/StoreReader.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreReader.kt
@@ -27,6 +27,18 @@
     public data class Failed(val failure: CallFailure) : CatalogRead
 }
 
+/**
+ * Result of reading what operators write for the routers.
+ *
+ * @property evacuations null if the store gave no usable response, or if operators evacuate no failure domains.
+ * @property malformed keys of evacuations that name no failure domain.
+ */
+public data class OperatorRead(
+    val catalog: CatalogRead,
+    val evacuations: EvacuationTable? = null,
+    val malformed: List<String> = emptyList(),
+)
+
 /** Result of reading the backend server registrations from the store. */
 public sealed interface DirectoryRead {
     /** The valid registrations; [malformed] maps the id of each invalid one to a description for the log. */
@@ -41,8 +53,8 @@
 
 /** Linearizable reads of the catalog and the server directory. The adapter defines keys and encodings. */
 public interface StoreReader {
-    /** Reads the catalog; a value with revision [known] is not decoded again. */
-    public suspend fun readCatalog(known: Revision, deadline: Timestamp): CatalogRead
+    /** Reads the catalog and evacuations; a catalog with revision [known] is not decoded again. */
+    public suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead
 
     /** Reads all backend server registrations. */
     public suspend fun readDirectory(deadline: Timestamp): DirectoryRead
--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -3,6 +3,7 @@
 import azuredale.catalog.Catalog
 import azuredale.directory.ServerDirectory
 import azuredale.gateway.FleetBounds
+import azuredale.identity.FailureDomain
 import azuredale.identity.Revision
 import azuredale.time.Timestamp
 
@@ -21,8 +22,16 @@
  * Local copy of the store's tables: the catalog and the server directory, each with its latest proof of freshness.
  *
  * A late response never replaces the catalog by an older revision.
+ *
+ * @param onEvacuationChange called with the evacuated failure domains before and after each change.
  */
-internal class StoreView(private val bounds: FleetBounds) {
+internal class StoreView(
+    private val bounds: FleetBounds,
+    onEvacuationChange: (before: Set<FailureDomain>, after: Set<FailureDomain>) -> Unit = { _, _ -> },
+) {
+    /** The failure domains that operators have evacuated. */
+    val evacuations = Evacuations(bounds.evacuationBoundMilliseconds, onEvacuationChange)
+
     /** The catalog in force, null until the first one has been read. */
     var catalog: Catalog? = null
         private set
@@ -116,6 +125,7 @@
     fun invalidateProofs() {
         catalogProof = catalogProof.copy(at = Timestamp.DISTANT_PAST)
         directoryProof = directoryProof.copy(at = Timestamp.DISTANT_PAST)
+        evacuations.invalidateProof()
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import azuredale.freshness.ClockJumpDetector
 import azuredale.freshness.StoreReader
 import azuredale.freshness.StoreView
+import azuredale.identity.FailureDomain
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
@@ -71,7 +72,7 @@
     private val incarnation = Incarnation(clock().microseconds)
 
     /** Local copy of the store's tables. */
-    val view = StoreView(settings.bounds)
+    val view = StoreView(settings.bounds, ::evacuationsChanged)
 
     /** Runtime state of the backend servers. */
     val statistics =
@@ -175,7 +176,7 @@
     private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
-    private val selector = ServerSelector({ view.directory }, statistics)
+    private val selector = ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated)
     private val context =
         GatewayContext(
             settings = settings,
@@ -311,7 +312,11 @@
     }
 
     /** Whether this router accepts requests. */
-    fun isReady(): Boolean = !isStopping && view.catalog != null && quarantine.isKnown && isCatalogFresh(clock())
+    fun isReady(): Boolean = !isStopping &&
+        view.catalog != null &&
+        quarantine.isKnown &&
+        view.evacuations.isKnown &&
+        isCatalogFresh(clock())
 
     private fun isOverloaded(): Boolean = overload.isOverloaded(clock())
 
@@ -358,6 +363,12 @@
         if (isCatalogNew) exchange.report(clock())
     }
 
+    private fun evacuationsChanged(before: Set<FailureDomain>, after: Set<FailureDomain>) {
+        (after - before).forEach { log.write(GatewayLogEvent.DOMAIN_EVACUATED, "domain" to it) }
+        (before - after).forEach { log.write(GatewayLogEvent.EVACUATION_ENDED, "domain" to it) }
+        exchange.reportSoon(clock())
+    }
+
     private fun peerChanged(peer: Peer) {
         val event = if (peer.isAlive) GatewayLogEvent.PEER_FOUND else GatewayLogEvent.PEER_LOST
         log.write(event, "router" to peer.router, "address" to peer.address, "incarnation" to peer.incarnation)
@@ -381,6 +392,12 @@
                 .count { view.directory.isReady(it.id) }
                 .toDouble()
         }
+        metrics.gauge("domains.evacuated") {
+            view.evacuations.table
+                ?.domains
+                ?.size
+                ?.toDouble() ?: 0.0
+        }
         metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -39,5 +39,8 @@
     SERVER_LEAVING(2241, Level.INFO, "backend server says that it leaves"),
     SERVER_ON_HOLD(2242, Level.INFO, "backend server wants no requests for a while"),
     UNEXPECTED_BYTES(2243, Level.INFO, "backend server sent bytes that belong to no request; connection closed"),
+    DOMAIN_EVACUATED(2244, Level.WARN, "failure domain evacuated; its servers get no more requests"),
+    EVACUATION_ENDED(2245, Level.INFO, "failure domain no longer evacuated"),
+    EVACUATION_MALFORMED(2246, Level.WARN, "evacuation without a valid failure domain ignored"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -13,6 +13,8 @@
  * @property drainBoundMilliseconds maximum time for which a server may get new requests after the store confirmed that
  *   it leaves.
  * @property contactMilliseconds time after the end of a disruption from which on a router counts as connected again.
+ * @property evacuationBoundMilliseconds maximum time for which a server of an evacuated failure domain may get new
+ *   requests after the store confirmed the evacuation; null if operators evacuate no failure domains.
  * @property retryRatio allowed retries as a fraction of the requests of a pool.
  * @property retryHeadroom retries allowed in addition to that fraction.
  * @property retryWindowMilliseconds sliding window over which requests and retries are counted.
@@ -23,6 +25,7 @@
     val revocationBoundMilliseconds: Long = 5_000,
     val drainBoundMilliseconds: Long = 2_000,
     val contactMilliseconds: Long = 3_000,
+    val evacuationBoundMilliseconds: Long? = null,
     val retryRatio: Double = 0.2,
     val retryHeadroom: Double = 50.0,
     val retryWindowMilliseconds: Long = 10_000,
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -4,6 +4,7 @@
 import azuredale.directory.ServerDirectory
 import azuredale.freshness.CatalogRead
 import azuredale.freshness.DirectoryRead
+import azuredale.freshness.EvacuationTable
 import azuredale.freshness.StoreHealth
 import azuredale.freshness.StoreReadSchedule
 import azuredale.freshness.StoreReader
@@ -33,6 +34,7 @@
     private var isStoreLost = false
     private var wasCatalogFresh = false
     private var malformedRevision = Revision.NONE
+    private var malformedEvacuations: List<String> = emptyList()
     private var knownMalformed: Map<String, String> = emptyMap()
 
     /** Records that another router has newer data. */
@@ -48,13 +50,16 @@
     }
 
     /**
-     * Why the directory may not be used, or null if it is fresh or nobody can read a newer one.
+     * Why this router does not know which servers may be used; null if it does, or nobody can know more.
      *
      * A router whose directory is old although the store answers is behind, and other routers serve its callers better.
      */
     fun directoryFault(now: Timestamp): String? {
-        if (view.isDirectoryFresh(now) || health.isUnavailable) return null
-        return "directory confirmed ${directoryAgeMilliseconds(now)} ms ago"
+        if (!view.evacuations.isKnown) return "evacuated failure domains not known yet"
+        if (health.isUnavailable) return null
+        if (!view.isDirectoryFresh(now)) return "directory confirmed ${directoryAgeMilliseconds(now)} ms ago"
+        if (!view.evacuations.isFresh(now)) return "evacuated failure domains not confirmed in time"
+        return null
     }
 
     /** Milliseconds since the directory was known to be the newest; null if it never was, or its time is unknown. */
@@ -84,13 +89,14 @@
         isCatalogStale = false
         val sentAt = clock()
         health.recordSent(sentAt)
-        val read =
+        val operators =
             storeReader.readCatalog(
                 maxOf(view.revision, malformedRevision),
                 sentAt.plusMilliseconds(StoreReadSchedule.CALL_TIMEOUT_MILLISECONDS),
             )
         val now = clock()
-        when (read) {
+        operators.evacuations?.let { adoptEvacuations(it, operators.malformed, sentAt) }
+        when (val read = operators.catalog) {
             is CatalogRead.Failed -> {
                 catalogSchedule.recordFailure(now)
                 storeFailed(read.failure, sentAt)
@@ -160,6 +166,14 @@
         isStoreLost = false
     }
 
+    private fun adoptEvacuations(read: EvacuationTable, malformed: List<String>, sentAt: Timestamp) {
+        view.evacuations.adopt(read, sentAt)
+        if (malformed != malformedEvacuations && malformed.isNotEmpty()) {
+            log.write(GatewayLogEvent.EVACUATION_MALFORMED, "names" to malformed.take(LOGGED_NAMES))
+        }
+        malformedEvacuations = malformed
+    }
+
     private fun logMalformed(now: Map<String, String>) {
         now.filter { knownMalformed[it.key] != it.value }.forEach { (id, detail) ->
             log.write(GatewayLogEvent.ENTRY_MALFORMED, "server" to id, "detail" to detail)
@@ -186,6 +200,8 @@
     private fun describe(entry: BackendEntry?) = entry?.let { "${it.state} ${it.pool} ${it.address}" } ?: "gone"
 
     private companion object {
+        const val LOGGED_NAMES = 3
+
         /** Failures after which the store has answered, or has closed the connection, whatever this router's delay. */
         val REJECTIONS =
             setOf(CallFailureReason.REFUSED, CallFailureReason.BUDGET_EXHAUSTED, CallFailureReason.ANSWER_LOST)
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -50,6 +50,7 @@
     private val table = PeerTable(settings.router)
     private val topology = RelayTopology(settings, table, isReady)
     private val quarantineExchange = QuarantineExchange(quarantine)
+    private val evacuationExchange = EvacuationExchange(view.evacuations)
     private val writer =
         ReportWriter(
             settings,
@@ -60,6 +61,7 @@
             table,
             topology,
             quarantineExchange,
+            evacuationExchange,
             isReady,
             isOverloaded,
         )
@@ -223,6 +225,7 @@
         if (isCatalogOld || isDirectoryOld) callbacks.onOutdated(isCatalogOld, isDirectoryOld)
         val createdAfter = createdAfter(datagram, now)
         quarantineExchange.apply(report, createdAfter, now)
+        evacuationExchange.apply(report, createdAfter)
         if (createdAfter == null) return
         if (report.catalog.age >= 0) {
             view.confirmCatalog(Revision(report.catalog.version), createdAfter.plusMicroseconds(-report.catalog.age))
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -117,6 +117,7 @@
  * @property crashes server crashes that the sender recently learned more of.
  * @property limits limits of servers that changed recently.
  * @property quarantine the quarantine table as known to the sender, null if it knows none.
+ * @property evacuations the evacuated failure domains as known to the sender, null if it knows of no table.
  */
 @Serializable
 internal class PeerReport(
@@ -132,6 +133,7 @@
     @CborLabel(10) val crashes: List<CrashEntry> = emptyList(),
     @CborLabel(11) val quarantine: QuarantineEntry? = null,
     @CborLabel(12) val limits: List<LimitEntry> = emptyList(),
+    @CborLabel(13) val evacuations: EvacuationEntry? = null,
 )
 
 /**
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -29,6 +29,7 @@
     private val table: PeerTable,
     private val topology: RelayTopology,
     private val quarantine: QuarantineExchange,
+    private val evacuations: EvacuationExchange,
     private val isReady: () -> Boolean,
     private val isOverloaded: () -> Boolean,
 ) {
@@ -80,6 +81,7 @@
         limits = limitEntries(now),
         crashes = quarantine.crashes(now),
         quarantine = quarantine.table { age(it, now) },
+        evacuations = evacuations.table { age(it, now) },
     )
 
     private fun ownState() = RouterState(
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -48,7 +48,7 @@
                 wallClock = { Timestamp.ofMilliseconds(System.currentTimeMillis()) },
                 adapter =
                     PlatformAdapter(
-                        storeReader = PlatformStoreReader(store),
+                        storeReader = PlatformStoreReader(store, settings.bounds.evacuationBoundMilliseconds != null),
                         registry = RouterRegistry(store),
                         quarantineStore = QuarantineRegistry(store),
                         failureHeaders = ErrorResponseFormat,
--- a/src/main/kotlin/azuredale/platform/PlatformNames.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformNames.kt
@@ -52,6 +52,12 @@
 /** Keys in the platform's store. */
 internal object StoreKey {
     const val CATALOG = "op/config"
+
+    /** Common prefix of all keys that operators write. */
+    const val OPERATORS = "op/"
+
+    /** One key for each evacuated failure domain, whose name follows. */
+    const val EVACUATIONS = "op/evacuate/"
     const val SERVERS = "servers/"
     const val ROUTERS = "azuredale/routers/"
     const val QUARANTINE = "azuredale/quarantine/"
--- a/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
@@ -3,26 +3,65 @@
 import azuredale.directory.ServerDirectory
 import azuredale.freshness.CatalogRead
 import azuredale.freshness.DirectoryRead
+import azuredale.freshness.EvacuationTable
+import azuredale.freshness.OperatorRead
 import azuredale.freshness.StoreReader
+import azuredale.identity.FailureDomain
 import azuredale.identity.Revision
 import azuredale.identity.ServerId
 import azuredale.store.KeyValueService
 import azuredale.store.ListResult
 import azuredale.store.ReadResult
+import azuredale.store.StoredItem
+import azuredale.store.StoredValue
 import azuredale.time.Timestamp
 
-/** Reads and decodes the operators' catalog and the backend servers' registrations in the store. */
-internal class PlatformStoreReader(private val service: KeyValueService) : StoreReader {
-    override suspend fun readCatalog(known: Revision, deadline: Timestamp): CatalogRead =
+/**
+ * Reads and decodes the operators' catalog and the backend servers' registrations in the store.
+ *
+ * @param readsEvacuations whether operators evacuate failure domains. The catalog and the evacuations are then read by
+ *   one call, so that they cost no more than the catalog alone.
+ */
+internal class PlatformStoreReader(
+    private val service: KeyValueService,
+    private val readsEvacuations: Boolean = false,
+) : StoreReader {
+    override suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead =
+        if (readsEvacuations) readOperatorKeys(known, deadline) else OperatorRead(readCatalogKey(known, deadline))
+
+    private suspend fun readCatalogKey(known: Revision, deadline: Timestamp): CatalogRead =
         when (val read = service.read(StoreKey.CATALOG, deadline)) {
             is ReadResult.Failed -> CatalogRead.Failed(read.failure)
             is ReadResult.Missing -> CatalogRead.Missing
-            is ReadResult.Found -> {
-                val revision = Revision(read.stored.version.value)
-                if (revision <= known) CatalogRead.Unchanged(revision) else decode(read.stored.bytes, revision)
+            is ReadResult.Found -> catalogRead(read.stored, known)
+        }
+
+    private suspend fun readOperatorKeys(known: Revision, deadline: Timestamp): OperatorRead =
+        when (val list = service.list(StoreKey.OPERATORS, deadline)) {
+            is ListResult.Failed -> OperatorRead(CatalogRead.Failed(list.failure))
+            is ListResult.Found -> {
+                val catalog = list.items.firstOrNull { it.key == StoreKey.CATALOG }?.value
+                val (valid, malformed) = evacuatedDomains(list.items).partition(::isDomainName)
+                OperatorRead(
+                    catalog = catalog?.let { catalogRead(it, known) } ?: CatalogRead.Missing,
+                    evacuations =
+                        EvacuationTable(list.revision, valid.take(MAXIMUM_DOMAINS).mapTo(HashSet(), ::FailureDomain)),
+                    malformed = malformed + valid.drop(MAXIMUM_DOMAINS),
+                )
             }
         }
 
+    private fun evacuatedDomains(items: List<StoredItem>): List<String> = items
+        .filter { it.key.startsWith(StoreKey.EVACUATIONS) }
+        .map { it.key.removePrefix(StoreKey.EVACUATIONS) }
+
+    private fun isDomainName(name: String) = name.isNotEmpty() && name.length <= MAXIMUM_NAME_CHARACTERS
+
+    private fun catalogRead(stored: StoredValue, known: Revision): CatalogRead {
+        val revision = Revision(stored.version.value)
+        return if (revision <= known) CatalogRead.Unchanged(revision) else decode(stored.bytes, revision)
+    }
+
     override suspend fun readDirectory(deadline: Timestamp): DirectoryRead =
         when (val list = service.list(StoreKey.SERVERS, deadline)) {
             is ListResult.Failed -> DirectoryRead.Failed(list.failure)
@@ -45,4 +84,10 @@
     } catch (exception: IllegalArgumentException) {
         CatalogRead.Malformed(revision, exception.message.orEmpty())
     }
+
+    private companion object {
+        /** Far more failure domains than a fleet has; the table travels in every report between routers. */
+        const val MAXIMUM_DOMAINS = 64
+        const val MAXIMUM_NAME_CHARACTERS = 64
+    }
 }
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -52,6 +52,7 @@
             gracePeriodMilliseconds = fields.milliseconds("bounds.grace-s", default.gracePeriodMilliseconds),
             revocationBoundMilliseconds = fields.count("bounds.revoke-ms", default.revocationBoundMilliseconds),
             contactMilliseconds = fields.count("bounds.contact-ms", default.contactMilliseconds),
+            evacuationBoundMilliseconds = fields.optionalCount("bounds.evacuate-ms"),
             drainBoundMilliseconds = fields.count("bounds.drain-ms", default.drainBoundMilliseconds),
             retryRatio = fields.number("bounds.retry-budget-ratio", default.retryRatio),
             retryHeadroom = fields.number("bounds.retry-headroom", default.retryHeadroom),
@@ -88,6 +89,9 @@
 
         fun count(name: String, default: Long): Long = number(name, default.toDouble()).toLong()
 
+        /** A bound that the platform may leave out. */
+        fun optionalCount(name: String): Long? = count(name, 0).takeIf { it > 0 }
+
         /** A limit of descriptors; 0 says that the platform names none. */
         fun descriptors(name: String): Int {
             val count = count(name, 0).coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -158,11 +158,17 @@
         )
     }
 
-    /** Registers server [index] at [address] with [state]; [generation] distinguishes its processes. */
-    public fun register(index: Int, address: NetworkAddress, state: String = "ready", generation: Int = 1) {
+    /** Registers server [index] at [address] in [domain] with [state]; [generation] distinguishes its processes. */
+    public fun register(
+        index: Int,
+        address: NetworkAddress,
+        state: String = "ready",
+        generation: Int = 1,
+        domain: String = "domain",
+    ) {
         platform.put(
             StoreKey.SERVERS + "server-$index",
-            """{"service":"pool-a","address":"$address","zone":"domain","version":"1","slots":8,""" +
+            """{"service":"pool-a","address":"$address","zone":"$domain","version":"1","slots":8,""" +
                 """"state":"$state","cold-left-ms":0,"sequence":1,"born":$generation}""",
         )
     }
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -26,8 +26,12 @@
 internal class SimulatedExchange(
     routers: Int,
     domains: Int,
-    private val weight: (Int) -> Double = { 0.27 + it % 5 * 0.3 },
+    private val bounds: FleetBounds,
+    private val weight: (Int) -> Double = ::unevenWeight,
 ) {
+    constructor(routers: Int, domains: Int, weight: (Int) -> Double = ::unevenWeight) :
+        this(routers, domains, FleetBounds(), weight)
+
     class Node(
         val router: RouterId,
         val address: NetworkAddress,
@@ -90,7 +94,7 @@
 
     private fun create(index: Int, domains: Int): Node {
         val address = NetworkAddress("10.0.${index / 200}.${index % 200 + 1}", 7_000)
-        val view = StoreView(FleetBounds())
+        val view = StoreView(bounds) { _, _ -> nodes[index].exchange.reportSoon(now) }
         view.adoptDirectory(ServerDirectory(1, servers.associateBy { it.id }), now, outageUntil = null)
         val node = Node(RouterId("router-$index"), address, statistics(index), view, TeamUsage(), { now })
         node.settings =
@@ -104,7 +108,7 @@
                 peerAddress = address,
                 storeAddress = address,
                 weight = weight(index),
-                bounds = FleetBounds(),
+                bounds = bounds,
             )
         node.exchange =
             PeerExchange(
@@ -162,6 +166,8 @@
         node.statistics.loads.load(servers[index].id, servers[index].idHash, now)
 
     private companion object {
+        fun unevenWeight(index: Int) = 0.27 + index % 5 * 0.3
+
         const val SERVERS = 37
         const val DELAY_MILLISECONDS = 2L
         const val TICK_MILLISECONDS = 20
--- a/src/test/kotlin/azuredale/selftest/RawServers.kt
+++ b/src/test/kotlin/azuredale/selftest/RawServers.kt
@@ -33,9 +33,9 @@
         servers.forEach { it.targets.clear() }
     }
 
-    /** Registers server [index] with [state]; another [generation] is another process under the same id. */
-    fun register(index: Int, state: String = "ready", generation: Int = 2) =
-        fixture.register(index, checkNotNull(addresses[index]), state, generation)
+    /** Registers server [index] in [domain] with [state]; another [generation] is another process under the same id. */
+    fun register(index: Int, state: String = "ready", generation: Int = 2, domain: String = "domain") =
+        fixture.register(index, checkNotNull(addresses[index]), state, generation, domain)
 
     /** Answers [request] with "ok" and the header lines [more]. */
     fun answer(request: RawRequest, more: String = ""): String =
