Bound the requests of all routers to a server that has just started

Cause: a server that had just started was chosen like a warm one, by all routers at once, since it is idle; what its pool declares for such servers (cold-per-s, warmup-s) was not read.

Change: with these values of the pool and the setting bounds.cold-over, a server whose registration says that it is cold gets at most cold-per-s x cold-over + cold-slack requests in any one second from all routers together. No messages pass between routers. ServerEligibility names the reason COLD; when all servers are cold and used up, requests are refused at once. The digest of the directory holds only whether a server is cold. The learned speed is dropped when a server turns warm. Without the values nothing is observed.

Rejected: ServerLimits with a second rate: each router may send one request at any moment, which adds up over the fleet, and reports of what others sent come too late to prevent it.

--- a/src/main/kotlin/azuredale/catalog/BackendPool.kt
+++ b/src/main/kotlin/azuredale/catalog/BackendPool.kt
@@ -22,12 +22,16 @@
  * @property healthPath path of the health check.
  * @property maximumConnections total connections that one server accepts from all callers.
  * @property engine null for plain services.
+ * @property coldRequestsPerSecond requests a second that one server tolerates after its start, null if not declared.
+ * @property warmUpMilliseconds the longest time for which a server stays slow after its start.
  */
 public data class BackendPool(
     val id: PoolId,
     val healthPath: String,
     val maximumConnections: Int,
     val engine: EngineProfile? = null,
+    val coldRequestsPerSecond: Double? = null,
+    val warmUpMilliseconds: Long = 0,
 )
 
 /**
--- a/src/main/kotlin/azuredale/directory/BackendEntry.kt
+++ b/src/main/kotlin/azuredale/directory/BackendEntry.kt
@@ -14,6 +14,7 @@
  * @property id identifies the registration; a restarted server may reuse it with another [startedAtMilliseconds].
  * @property startedAtMilliseconds start time of the server process in Unix milliseconds, null if not reported.
  * @property slots requests that the server processes concurrently.
+ * @property isCold whether the server says that it is still slow after its start; false where this is not observed.
  */
 public data class BackendEntry(
     val id: ServerId,
@@ -23,6 +24,7 @@
     val slots: Int,
     val state: BackendState,
     val startedAtMilliseconds: Long? = null,
+    val isCold: Boolean = false,
 ) {
     /** Identifies the server in messages between routers: a hash of [id], the same on every router. */
     val idHash: Int get() = id.name.hashCode()
--- a/src/main/kotlin/azuredale/directory/ServerDirectory.kt
+++ b/src/main/kotlin/azuredale/directory/ServerDirectory.kt
@@ -40,4 +40,7 @@
 }
 
 /** Must be equal on every router and in every release; hash codes of enum constants are not. */
-private fun BackendEntry.digest(): Int = "${id.name}|$pool|$address|$startedAtMilliseconds|${state.name}".hashCode()
+private fun BackendEntry.digest(): Int {
+    val coldness = if (isCold) "|cold" else ""
+    return "${id.name}|$pool|$address|$startedAtMilliseconds|${state.name}$coldness".hashCode()
+}
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -26,6 +26,9 @@
     /** Recent requests failed at the server. */
     CIRCUIT_OPEN,
 
+    /** The server has just started, and gets no more requests now than it tolerates. */
+    COLD,
+
     /** The rate of requests that the server takes from all routers together is used up. */
     LIMIT_USED_UP,
 }
@@ -62,6 +65,7 @@
         else ->
             refusalOf(server, request, now) ?: when {
                 !statistics.circuitBreaker(server.id).allowsRequest(now) -> Ineligibility.CIRCUIT_OPEN
+                !toleratesRequest(server, now) -> Ineligibility.COLD
                 !hasLimitLeft(server, request, now) -> Ineligibility.LIMIT_USED_UP
                 else -> null
             }
@@ -74,7 +78,7 @@
         if (willing.isEmpty()) return Eligibility.None(unwilling(request, ready, now))
         val closed = willing.filter { statistics.circuitBreaker(it.id).allowsRequest(now) }
         val available = closed.ifEmpty { willing }
-        val permitted = available.filter { hasLimitLeft(it, request, now) }
+        val permitted = available.filter { toleratesRequest(it, now) && hasLimitLeft(it, request, now) }
         statistics.limitPressure.record(request.pool, permitted.isEmpty(), now)
         if (permitted.isEmpty()) return Eligibility.None(ServerSelection.LimitsUsedUp)
         return Eligibility.Servers(request.confinedTo?.let { confined(permitted, it) } ?: permitted)
@@ -93,6 +97,9 @@
         return current.state == BackendState.READY && current.process == server.process
     }
 
+    private fun toleratesRequest(server: BackendEntry, now: Timestamp) =
+        statistics.coldServers?.allowsRequest(server, now) != false
+
     private fun hasLimitLeft(server: BackendEntry, request: SelectionRequest, now: Timestamp) =
         statistics.limits.allowsRequest(server, directory().ready(request.pool), now)
 
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -12,6 +12,7 @@
     routers: () -> Int = { 1 },
     random: () -> Double = Random.Default::nextDouble,
     onLimitChange: (ServerId, requestsPerSecond: Double?) -> Unit = { _, _ -> },
+    coldServers: ((onWarm: (ServerId) -> Unit) -> ColdServers)? = null,
     private val cacheTokens: (ServerId) -> Long,
 ) {
     private val prefillSpeeds = HashMap<ServerId, PrefillSpeedEstimator>()
@@ -26,6 +27,9 @@
     /** Limits on the request rate that servers name. */
     val limits = ServerLimits(loads, routers, random, onLimitChange)
 
+    /** Servers that have just started, null if requests to them are not bounded. */
+    val coldServers: ColdServers? = coldServers?.invoke { prefillSpeeds.remove(it) }
+
     /** What servers say of themselves in their answers. */
     val announcements = ServerAnnouncements()
 
@@ -89,12 +93,13 @@
     }
 
     /** Drops servers that are no longer registered, and state that a restarted server has lost. */
-    fun updateDirectory(directory: ServerDirectory) {
+    fun updateDirectory(directory: ServerDirectory, now: Timestamp) {
         val present = directory.entries.keys
         prefillSpeeds.keys.retainAll(present)
         circuitBreakers.keys.retainAll(present)
         cache.retainServers(present)
         limits.updateDirectory(directory)
+        coldServers?.updateDirectory(directory, now)
         directory.entries.values.forEach { entry ->
             if (entry.id in startTimes && startTimes[entry.id] != entry.startedAtMilliseconds) {
                 cache.clear(entry.id)
--- a/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
@@ -28,6 +28,7 @@
         statistics.loads.add(server.id, load)
         statistics.circuitBreaker(server.id).recordSent(startedAt)
         statistics.limits.recordSent(server, startedAt)
+        statistics.coldServers?.recordSent(server, startedAt)
     }
 
     /** Records the request rate that the server takes according to its response, null if it named no limit. */
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -6,6 +6,9 @@
 import azuredale.admission.RetryTime
 import azuredale.admission.TeamUsage
 import azuredale.directory.BackendEntry
+import azuredale.engine.ColdLimit
+import azuredale.engine.ColdServerFleet
+import azuredale.engine.ColdServers
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
 import azuredale.freshness.ClockJumpDetector
@@ -15,6 +18,7 @@
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
+import azuredale.identity.ServerId
 import azuredale.intake.Intake
 import azuredale.intake.OverloadDetector
 import azuredale.logging.BoundedAppender
@@ -83,6 +87,7 @@
                 log.write(GatewayLogEvent.SERVER_LIMITED, "server" to server, "requestsPerSecond" to requestsPerSecond)
                 exchange.reportSoon(clock())
             },
+            coldServers = settings.bounds.coldFactor?.let { ::coldServers },
             cacheTokens = { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS },
         )
 
@@ -358,7 +363,7 @@
     }
 
     private fun storeChanged(isCatalogNew: Boolean) {
-        statistics.updateDirectory(view.directory)
+        statistics.updateDirectory(view.directory, clock())
         dependencies.onChange()
         if (isCatalogNew) exchange.report(clock())
     }
@@ -374,6 +379,13 @@
         log.write(event, "router" to peer.router, "address" to peer.address, "incarnation" to peer.incarnation)
     }
 
+    private fun coldServers(onWarm: (ServerId) -> Unit) = ColdServers(
+        fleet = ColdServerFleet(settings.router) { exchange.peers.routers },
+        usableFrom = clock().plusMilliseconds(ColdServers.START_MILLISECONDS),
+        limitOf = { id -> view.catalog?.pool(id)?.let { ColdLimit.of(it, settings.bounds) } },
+        onWarm = onWarm,
+    )
+
     private fun cacheTokens(pool: PoolId): Long = view.catalog
         ?.pool(pool)
         ?.engine
@@ -398,6 +410,7 @@
                 ?.size
                 ?.toDouble() ?: 0.0
         }
+        metrics.gauge("servers.cold") { statistics.coldServers?.count(clock())?.toDouble() ?: 0.0 }
         metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -15,6 +15,9 @@
  * @property contactMilliseconds time after the end of a disruption from which on a router counts as connected again.
  * @property evacuationBoundMilliseconds maximum time for which a server of an evacuated failure domain may get new
  *   requests after the store confirmed the evacuation; null if operators evacuate no failure domains.
+ * @property coldFactor how many times the requests that a pool declares for servers that have just started such a server
+ *   may get in one second; null if they are not bounded.
+ * @property coldAllowance requests in one second in addition to that.
  * @property retryRatio allowed retries as a fraction of the requests of a pool.
  * @property retryHeadroom retries allowed in addition to that fraction.
  * @property retryWindowMilliseconds sliding window over which requests and retries are counted.
@@ -26,6 +29,8 @@
     val drainBoundMilliseconds: Long = 2_000,
     val contactMilliseconds: Long = 3_000,
     val evacuationBoundMilliseconds: Long? = null,
+    val coldFactor: Double? = null,
+    val coldAllowance: Double = 0.0,
     val retryRatio: Double = 0.2,
     val retryHeadroom: Double = 50.0,
     val retryWindowMilliseconds: Long = 10_000,
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -197,7 +197,9 @@
         }
     }
 
-    private fun describe(entry: BackendEntry?) = entry?.let { "${it.state} ${it.pool} ${it.address}" } ?: "gone"
+    private fun describe(entry: BackendEntry?) = entry?.let {
+        "${it.state} ${it.pool} ${it.address}" + if (it.isCold) " cold" else ""
+    } ?: "gone"
 
     private companion object {
         const val LOGGED_NAMES = 3
--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -14,6 +14,9 @@
     /** All known routers, including those that are currently silent. */
     val all: Collection<Peer> get() = peers.values
 
+    /** Names of all known routers, including those that have been silent for a while. */
+    val routers: Set<RouterId> get() = peers.keys
+
     /** Routers that sent a report recently. */
     val alive: List<Peer> get() = peers.values.filter { it.isAlive }
 
--- a/src/main/kotlin/azuredale/platform/CatalogMessage.kt
+++ b/src/main/kotlin/azuredale/platform/CatalogMessage.kt
@@ -96,8 +96,21 @@
     @SerialName("health-path") private val healthPath: String = "/health",
     @SerialName("max-connections") private val maximumConnections: Int = Int.MAX_VALUE,
     private val engine: EngineMessage? = null,
+    @SerialName("cold-per-s") private val coldRequestsPerSecond: Double? = null,
+    @SerialName("warmup-s") private val warmUpSeconds: Double = 0.0,
 ) {
-    fun toPool(): BackendPool = BackendPool(PoolId(name), healthPath, maximumConnections, engine?.toProfile())
+    fun toPool(): BackendPool = BackendPool(
+        id = PoolId(name),
+        healthPath = healthPath,
+        maximumConnections = maximumConnections,
+        engine = engine?.toProfile(),
+        coldRequestsPerSecond = coldRequestsPerSecond?.takeIf { it > 0 && warmUpSeconds > 0 },
+        warmUpMilliseconds = (warmUpSeconds * MILLISECONDS_PER_SECOND).toLong(),
+    )
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000
+    }
 }
 
 @Serializable
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -48,7 +48,12 @@
                 wallClock = { Timestamp.ofMilliseconds(System.currentTimeMillis()) },
                 adapter =
                     PlatformAdapter(
-                        storeReader = PlatformStoreReader(store, settings.bounds.evacuationBoundMilliseconds != null),
+                        storeReader =
+                            PlatformStoreReader(
+                                service = store,
+                                readsEvacuations = settings.bounds.evacuationBoundMilliseconds != null,
+                                observesColdServers = settings.bounds.coldFactor != null,
+                            ),
                         registry = RouterRegistry(store),
                         quarantineStore = QuarantineRegistry(store),
                         failureHeaders = ErrorResponseFormat,
--- a/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
@@ -21,10 +21,12 @@
  *
  * @param readsEvacuations whether operators evacuate failure domains. The catalog and the evacuations are then read by
  *   one call, so that they cost no more than the catalog alone.
+ * @param observesColdServers whether requests to servers that have just started are bounded.
  */
 internal class PlatformStoreReader(
     private val service: KeyValueService,
     private val readsEvacuations: Boolean = false,
+    private val observesColdServers: Boolean = false,
 ) : StoreReader {
     override suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead =
         if (readsEvacuations) readOperatorKeys(known, deadline) else OperatorRead(readCatalogKey(known, deadline))
@@ -71,7 +73,7 @@
                         val id = it.key.removePrefix(StoreKey.SERVERS)
                         id to ServerRegistration.decode(ServerId(id), it.value.bytes)
                     }
-                val entries = decoded.values.filterIsInstance<ServerRegistration.Entry>().map { it.entry }
+                val entries = decoded.values.filterIsInstance<ServerRegistration.Entry>().map(::observed)
                 DirectoryRead.Found(
                     ServerDirectory(list.revision, entries.associateBy { it.id }),
                     decoded.filterValues { it is ServerRegistration.Malformed }.mapValues { it.value.toString() },
@@ -79,6 +81,9 @@
             }
         }
 
+    private fun observed(registration: ServerRegistration.Entry) =
+        if (observesColdServers) registration.entry else registration.entry.copy(isCold = false)
+
     private fun decode(bytes: ByteArray, revision: Revision): CatalogRead = try {
         CatalogRead.Newer(platformJson.decodeFromString<CatalogMessage>(bytes.decodeToString()).toCatalog(revision))
     } catch (exception: IllegalArgumentException) {
--- a/src/main/kotlin/azuredale/platform/ServerRegistration.kt
+++ b/src/main/kotlin/azuredale/platform/ServerRegistration.kt
@@ -44,8 +44,9 @@
         val slots = fields.long("slots")?.takeIf { it in 0..MAXIMUM_SLOTS }
         val pool = fields.string("service")
         val domain = fields.string("zone")
+        val coldMilliseconds = fields.number("cold-left-ms")
         val hasRemainingFields =
-            fields.string("version") != null && fields.hasNumber("cold-left-ms") && fields.hasNumber("sequence")
+            fields.string("version") != null && coldMilliseconds != null && fields.number("sequence") != null
         // Start time of the server process in Unix milliseconds.
         val startedAt = fields.long("born")
         val isComplete = address != null && slots != null && pool != null && domain != null && hasRemainingFields
@@ -54,7 +55,10 @@
         ) {
             return Malformed("missing or invalid fields: $fields".take(DETAIL_CHARACTERS))
         }
-        return Entry(BackendEntry(id, PoolId(pool), address, FailureDomain(domain), slots.toInt(), state, startedAt))
+        val isCold = coldMilliseconds > 0
+        return Entry(
+            BackendEntry(id, PoolId(pool), address, FailureDomain(domain), slots.toInt(), state, startedAt, isCold),
+        )
     }
 
     sealed interface Result
@@ -66,8 +70,8 @@
     private fun JsonObject.string(name: String): String? =
         (this[name] as? JsonPrimitive)?.takeIf { it.isString }?.content
 
-    private fun JsonObject.hasNumber(name: String): Boolean =
-        (this[name] as? JsonPrimitive)?.takeIf { !it.isString }?.doubleOrNull != null
+    private fun JsonObject.number(name: String): Double? =
+        (this[name] as? JsonPrimitive)?.takeIf { !it.isString }?.doubleOrNull
 
     private fun JsonObject.long(name: String): Long? =
         (this[name] as? JsonPrimitive)?.takeIf { !it.isString }?.longOrNull
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -53,6 +53,8 @@
             revocationBoundMilliseconds = fields.count("bounds.revoke-ms", default.revocationBoundMilliseconds),
             contactMilliseconds = fields.count("bounds.contact-ms", default.contactMilliseconds),
             evacuationBoundMilliseconds = fields.optionalCount("bounds.evacuate-ms"),
+            coldFactor = fields.number("bounds.cold-over", 0.0).takeIf { it > 0 },
+            coldAllowance = fields.number("bounds.cold-slack", default.coldAllowance),
             drainBoundMilliseconds = fields.count("bounds.drain-ms", default.drainBoundMilliseconds),
             retryRatio = fields.number("bounds.retry-budget-ratio", default.retryRatio),
             retryHeadroom = fields.number("bounds.retry-headroom", default.retryHeadroom),
--- a/src/test/kotlin/azuredale/platform/PlatformStoreReaderSpec.kt
+++ b/src/test/kotlin/azuredale/platform/PlatformStoreReaderSpec.kt
@@ -1,8 +1,10 @@
 package azuredale.platform
 
 import azuredale.freshness.CatalogRead
+import azuredale.freshness.DirectoryRead
 import azuredale.freshness.OperatorRead
 import azuredale.identity.FailureDomain
+import azuredale.identity.PoolId
 import azuredale.identity.Revision
 import azuredale.standin.PlatformFaults
 import org.junit.jupiter.api.Nested
@@ -17,6 +19,46 @@
     private suspend fun PlatformFixture.read(readsEvacuations: Boolean = true): OperatorRead =
         PlatformStoreReader(client, readsEvacuations).readCatalog(Revision.NONE, deadline(1_000))
 
+    @Nested
+    inner class ColdServers {
+        private suspend fun PlatformFixture.coldServers(isObserved: Boolean): Pair<List<Boolean>, Int> {
+            val reader = PlatformStoreReader(client, observesColdServers = isObserved)
+            val directory = assertIs<DirectoryRead.Found>(reader.readDirectory(deadline(1_000))).directory
+            return directory.entries.values.map { it.isCold } to directory.digest
+        }
+
+        private fun PlatformFixture.register(coldMilliseconds: Int) = standIn.put(
+            StoreKey.SERVERS + "s",
+            """{"service":"p","address":"10.0.0.1:80","zone":"a","version":"1","slots":8,"state":"ready",""" +
+                """"cold-left-ms":$coldMilliseconds,"sequence":1}""",
+        )
+
+        @Test
+        fun `are observed if asked for, and look the same while their remaining time counts down`() =
+            PlatformFixture.run {
+                // Guards against reads of the store by every router at each heartbeat of a cold server.
+                register(2_900)
+                val first = coldServers(isObserved = true)
+                assertEquals(listOf(true), first.first)
+                register(1_700)
+                assertEquals(first, coldServers(isObserved = true))
+                assertEquals(listOf(false), coldServers(isObserved = false).first)
+                register(0)
+                assertEquals(listOf(false), coldServers(isObserved = true).first)
+            }
+
+        @Test
+        fun `have the limits that their pool declares`() = PlatformFixture.run {
+            standIn.put(
+                StoreKey.CATALOG,
+                """{"services":[{"name":"a","cold-per-s":10,"warmup-s":2.5},{"name":"b","cold-per-s":0,"warmup-s":3}]}""",
+            )
+            val catalog = assertIs<CatalogRead.Newer>(read().catalog).catalog
+            assertEquals(listOf(10.0, null), catalog.pools.map { it.coldRequestsPerSecond })
+            assertEquals(2_500, catalog.pool(PoolId("a"))?.warmUpMilliseconds)
+        }
+    }
+
     @Nested
     inner class Evacuations {
         @Test
--- a/src/test/kotlin/azuredale/platform/SettingsFileSpec.kt
+++ b/src/test/kotlin/azuredale/platform/SettingsFileSpec.kt
@@ -1,5 +1,6 @@
 package azuredale.platform
 
+import azuredale.gateway.FleetBounds
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -21,6 +22,25 @@
         platform.address=10.0.0.9:8781
         """.trimIndent()
 
+    @Nested
+    inner class OptionalBounds {
+        private fun bounds(lines: String) =
+            assertIs<SettingsResult.Valid>(SettingsFile.parse("$text\n$lines")).settings.bounds
+
+        @Test
+        fun `that are missing or 0 switch nothing on`() {
+            // Guards against deployments that change because a later version knows more settings.
+            assertEquals(FleetBounds(), bounds("bounds.evacuate-ms=0\nbounds.cold-over=0"))
+        }
+
+        @Test
+        fun `are read`() {
+            val bounds = bounds("bounds.evacuate-ms=5000\nbounds.cold-over=1.5\nbounds.cold-slack=5")
+            assertEquals(5_000, bounds.evacuationBoundMilliseconds)
+            assertEquals(1.5 to 5.0, bounds.coldFactor to bounds.coldAllowance)
+        }
+    }
+
     @Nested
     inner class Descriptors {
         @ParameterizedTest
