--- a/src/main/kotlin/azuredale/peers/DirectoryExchange.kt
+++ b/src/main/kotlin/azuredale/peers/DirectoryExchange.kt
@@ -28,6 +28,7 @@
     @CborLabel(5) val slots: Int,
     @CborLabel(6) val isDraining: Boolean = false,
     @CborLabel(7) val startedAtMilliseconds: Long? = null,
+    @CborLabel(8) val isCold: Boolean = false,
 ) {
     fun toEntry(id: ServerId): BackendEntry = BackendEntry(
         id = id,
@@ -37,6 +38,7 @@
         slots = slots,
         state = if (isDraining) BackendState.DRAINING else BackendState.READY,
         startedAtMilliseconds = startedAtMilliseconds,
+        isCold = isCold,
     )
 
     companion object {
@@ -48,6 +50,7 @@
             slots = entry.slots,
             isDraining = entry.state == BackendState.DRAINING,
             startedAtMilliseconds = entry.startedAtMilliseconds,
+            isCold = entry.isCold,
         )
     }
 }
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -54,12 +54,12 @@
                 adapter =
                     PlatformAdapter(
                         storeReader =
-                            PlatformStoreReader(store, settings.bounds.evacuationBoundMilliseconds != null) {
-                                size,
-                                decode,
-                                ->
-                                decoder.decode(size, decode)
-                            },
+                            PlatformStoreReader(
+                                service = store,
+                                readsEvacuations = settings.bounds.evacuationBoundMilliseconds != null,
+                                observesColdServers = settings.bounds.coldFactor != null,
+                                decodeCatalog = { size, decode -> decoder.decode(size, decode) },
+                            ),
                         registry = RouterRegistry(store),
                         quarantineStore = QuarantineRegistry(store),
                         failureHeaders = ErrorResponseFormat,
--- a/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
@@ -21,11 +21,13 @@
  *
  * @param readsEvacuations whether operators evacuate failure domains. The catalog and the evacuations are then read by
  *   one call, so that they cost no more than the catalog alone.
+ * @param observesColdServers whether requests to servers that have just started are bounded.
  * @param decodeCatalog runs the decoder of a catalog, whose stored value has the given number of bytes.
  */
 internal class PlatformStoreReader(
     private val service: KeyValueService,
     private val readsEvacuations: Boolean = false,
+    private val observesColdServers: Boolean = false,
     private val decodeCatalog: suspend (Int, () -> CatalogRead) -> CatalogRead = { _, decode -> decode() },
 ) : StoreReader {
     override suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead =
@@ -73,7 +75,7 @@
                         val id = it.key.removePrefix(StoreKey.SERVERS)
                         id to registration(ServerId(id), it.value)
                     }
-                val entries = decoded.values.filterIsInstance<ServerRegistration.Entry>().map { it.entry }
+                val entries = decoded.values.filterIsInstance<ServerRegistration.Entry>().map(::observed)
                 DirectoryRead.Found(
                     ServerDirectory(list.revision, entries.associateBy { it.id }),
                     decoded.filterValues { it is ServerRegistration.Malformed }.mapValues { it.value.toString() },
@@ -81,6 +83,9 @@
             }
         }
 
+    private fun observed(registration: ServerRegistration.Entry) =
+        if (observesColdServers) registration.entry else registration.entry.copy(isCold = false)
+
     private fun registration(id: ServerId, stored: StoredValue) = try {
         ServerRegistration.decode(id, stored.bytes)
     } catch (exception: IllegalArgumentException) {
