Send prompts only to servers that have room in their memory

Cause: 64 long prompts of 9,190 tokens need 2.6 times the memory of a server that declares 225,109 tokens. A server whose memory runs out preempts the newest request in the middle of its stream, or ends.

Change: engine.EngineMemory counts what requests of this router take at each server process: parts that they share once, their own tokens, and what is set aside for output (the longest of the last 499 complete streams of the route, so that one in 500 outgrows it; before there are as many, the declared maximum). The sums travel in committedTokens. engine.ServerRoom leaves only servers with room (Ineligibility.NO_ROOM), where requests in all slots could exceed the declared memory. What other routers send unseen is bounded from the rate of requests that ask for room, the age of the reports and the number of servers with room. A request larger than every server is refused with 413; others get the time at which room is probably free. A refused large request has one server kept for it.

--- a/src/main/kotlin/azuredale/admission/PromptAdmission.kt
+++ b/src/main/kotlin/azuredale/admission/PromptAdmission.kt
@@ -15,6 +15,11 @@
     /** Lower bound on the milliseconds that a caller of [route] with [remaining] left spent on earlier attempts. */
     fun elapsedBefore(route: String, remaining: Long?): Long = retries.elapsed(route, remaining)
 
+    /** Records that a request of [team] with [prompt] was refused for another reason than its share. */
+    fun recordRefused(prompt: PromptShape, team: TeamId?, now: Timestamp) {
+        if (team != null) usage.recordRequested(team, prompt.cost, now)
+    }
+
     /** Returns null if a request with [prompt] is admitted, otherwise the failure to return to the caller. */
     fun decide(
         prompt: PromptShape,
--- a/src/main/kotlin/azuredale/engine/LoadTracker.kt
+++ b/src/main/kotlin/azuredale/engine/LoadTracker.kt
@@ -13,6 +13,7 @@
     private class ReportedLoads(
         val loads: Map<Int, ServerLoad>,
         val validUntil: Timestamp,
+        val asOf: Timestamp,
     )
 
     private val local = HashMap<ServerId, ServerLoad>()
@@ -45,10 +46,10 @@
         if (updated == ServerLoad.NONE) local.remove(server) else local[server] = updated
     }
 
-    /** Replaces the loads reported by [router], which expire at [validUntil]. */
-    fun updatePeer(router: RouterId, loads: Map<Int, ServerLoad>, validUntil: Timestamp) {
+    /** Replaces the loads reported by [router], which hold as of [asOf] and expire at [validUntil]. */
+    fun updatePeer(router: RouterId, loads: Map<Int, ServerLoad>, validUntil: Timestamp, asOf: Timestamp) {
         removePeer(router)
-        peers[router] = ReportedLoads(loads, validUntil)
+        peers[router] = ReportedLoads(loads, validUntil, asOf)
         nextExpiryAt = minOf(nextExpiryAt, validUntil)
         loads.forEach { (server, load) -> totals.merge(server, load, ServerLoad::plus) }
     }
@@ -79,6 +80,13 @@
         return sums
     }
 
+    /** Seconds since which the oldest of the reported loads may have changed; without any, since the distant past. */
+    fun reportAgeSeconds(now: Timestamp): Double {
+        removeExpired(now)
+        val oldest = peers.values.minOfOrNull { it.asOf } ?: Timestamp.DISTANT_PAST
+        return now.secondsSince(oldest).coerceAtLeast(0.0)
+    }
+
     private fun removeExpired(now: Timestamp) {
         if (now < nextExpiryAt) return
         peers.filterValues { it.validUntil <= now }.keys.forEach(::removePeer)
--- a/src/main/kotlin/azuredale/engine/SelectionRequest.kt
+++ b/src/main/kotlin/azuredale/engine/SelectionRequest.kt
@@ -16,6 +16,7 @@
  * @property deadline when the caller stops waiting.
  * @property excluded servers that were already tried.
  * @property confinedTo a part of the prompt that may crash servers; all requests with it go to one server.
+ * @property route name of the request's route, empty if unknown.
  */
 internal data class SelectionRequest(
     val pool: PoolId,
@@ -26,4 +27,5 @@
     val deadline: Timestamp,
     val excluded: Set<ServerId> = emptySet(),
     val confinedTo: PartId? = null,
+    val route: String = "",
 )
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -24,6 +24,9 @@
 
     /** The rate of requests that the server takes from all routers together is used up. */
     LIMIT_USED_UP,
+
+    /** Requests in progress take the server's memory, or the request is larger than it. */
+    NO_ROOM,
 }
 
 /** The servers that may get a request. */
@@ -55,6 +58,7 @@
             refusalOf(server, request, now) ?: when {
                 !statistics.circuitBreaker(server.id).allowsRequest(now) -> Ineligibility.CIRCUIT_OPEN
                 !hasLimitLeft(server, request, now) -> Ineligibility.LIMIT_USED_UP
+                !statistics.room.hasRoom(server, request, directory().ready(request.pool), now) -> Ineligibility.NO_ROOM
                 else -> null
             }
     }
@@ -69,7 +73,12 @@
         val permitted = available.filter { hasLimitLeft(it, request, now) }
         statistics.limitPressure.record(request.pool, permitted.isEmpty(), now)
         if (permitted.isEmpty()) return Eligibility.None(ServerSelection.LimitsUsedUp)
-        return Eligibility.Servers(request.confinedTo?.let { confined(permitted, it) } ?: permitted)
+        return when (val room = statistics.room.decide(permitted, request, ready, now)) {
+            is RoomDecision.Servers ->
+                Eligibility.Servers(request.confinedTo?.let { confined(room.servers, it) } ?: room.servers)
+            is RoomDecision.TooLarge -> Eligibility.None(ServerSelection.TooLarge)
+            is RoomDecision.Taken -> Eligibility.None(ServerSelection.NoRoom(room.missingTokens, room.freeAt))
+        }
     }
 
     /** Why a registered [server] and [request] rule each other out for good, or until a known time. */
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -27,6 +27,20 @@
     /** All servers of the pool that could take the request have named limits, which are used up. */
     data object LimitsUsedUp : ServerSelection
 
+    /** The prompt is larger than the memory of every server of the pool. */
+    data object TooLarge : ServerSelection
+
+    /**
+     * No server of the pool has room in its memory for the request.
+     *
+     * @property missingTokens what the server with most room lacks.
+     * @property freeAt when so much will probably be free; null if unknown.
+     */
+    data class NoRoom(
+        val missingTokens: Long,
+        val freeAt: Timestamp?,
+    ) : ServerSelection
+
     /** All servers of the pool that could take the request want none before [until]. */
     data class OnHold(val until: Timestamp) : ServerSelection
 
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -26,6 +26,9 @@
     /** Memory of the servers that requests in progress take. */
     val memory = EngineMemory(loads, cacheTokens)
 
+    /** Which servers have room in it. */
+    val room = ServerRoom(memory, loads, routers)
+
     /** Limits on the request rate that servers name. */
     val limits = ServerLimits(loads, routers, random, onLimitChange)
 
@@ -98,6 +101,7 @@
         circuitBreakers.keys.retainAll(present)
         cache.retainServers(present)
         limits.updateDirectory(directory)
+        memory.updateDirectory(directory)
         directory.entries.values.forEach { entry ->
             if (entry.id in startTimes && startTimes[entry.id] != entry.startedAtMilliseconds) {
                 cache.clear(entry.id)
--- a/src/main/kotlin/azuredale/gateway/AttemptReader.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptReader.kt
@@ -178,7 +178,7 @@
     private fun forwardEvents(events: List<StreamEvent>): AttemptResult? {
         val now = clock()
         hasEvent = true
-        recorder.recordEvent(now, context.admission.intake.unreadMicroseconds(now))
+        recorder.recordEvent(now, context.admission.intake.unreadMicroseconds(now), events.count { it.hasContent })
         // Bytes without an event are no progress.
         if (!stalls.hasBegun || events.any { it.hasContent && !isRepeated(it) }) stalls.recordProgress(now)
         progress.recordEvents(now)
--- a/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
@@ -10,6 +10,7 @@
     private val statistics: ServerStatistics,
     private val selection: ServerSelection.Selected,
     private val startedAt: Timestamp,
+    private val memory: AttemptMemory? = null,
     private val onAnswered: (Timestamp) -> Unit,
     private val onExcluded: (ServerSelection.Selected) -> Unit,
 ) {
@@ -43,10 +44,12 @@
     /**
      * Records an event of the stream.
      *
+     * @param count number of events that were read together.
      * @param unreadMicroseconds longest time that the event may have waited to be read by this router, which is no time
      *   of the server.
      */
-    fun recordEvent(now: Timestamp, unreadMicroseconds: Long = 0) {
+    fun recordEvent(now: Timestamp, unreadMicroseconds: Long = 0, count: Int = 1) {
+        memory?.recordEvents(count)
         if (hasEvent) {
             if (now >= firstEventAt.plusMilliseconds(ANSWER_MILLISECONDS)) recordAnswer(now)
             return
@@ -72,6 +75,7 @@
      */
     fun recordSuccess(now: Timestamp, isDelimited: Boolean) {
         statistics.circuitBreaker(server.id).recordSuccess()
+        memory?.recordComplete()
         if (isDelimited) recordAnswer(now)
         if (!hasEvent) return
         val duration = now.microsecondsSince(firstEventAt).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
@@ -93,8 +97,11 @@
         if (statistics.circuitBreaker(server.id).recordFailure(now)) onExcluded(selection)
     }
 
-    /** Removes the attempt's load from the server. */
-    fun release() = updateLoad(ServerLoad.NONE)
+    /** Removes the attempt's load from the server, which drops a request when its connection closes. */
+    fun release(now: Timestamp) {
+        updateLoad(ServerLoad.NONE)
+        memory?.release(now)
+    }
 
     private fun recordAnswer(now: Timestamp) {
         if (isAnswered) return
--- a/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
@@ -73,7 +73,7 @@
     private suspend fun runAttempt(selection: ServerSelection.Selected): AttemptResult {
         val number = ++progress.attempts
         progress.selection = selection
-        val recorder = context.recorders.create(selection, head.prompt, clock())
+        val recorder = context.recorders.create(selection, head.prompt, route.name, clock())
         val backendAttempt =
             context.backends.send(
                 server = selection.server,
@@ -91,7 +91,7 @@
                 throw failure
             } finally {
                 reader.release()
-                recorder.release()
+                recorder.release(clock())
             }
         exchange.log.attemptFailed(end, selection.server)
         return end
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -113,6 +113,7 @@
                 },
             ),
         )
+    private val memoryLog = MemoryLog(statistics.memory, log)
     private val serverEnds =
         ServerEndDetector(clock, dependencies.timer, dependencies.probe) { server, prompts ->
             log.write(
@@ -122,6 +123,7 @@
                 "unanswered" to prompts.size,
             )
             metrics.recordServerEnd()
+            memoryLog.recordServerEnd(server, clock())
             quarantine.recordCrash(ServerEnd.of(server), prompts, clock())
         }
     private val exchange: PeerExchange =
@@ -194,11 +196,18 @@
                             directoryFault = poller::directoryFault,
                         ),
                     gracefulStop = gracefulStop,
+                    memoryLog = memoryLog,
                     random = random::nextDouble,
                 ),
             recorders =
                 AttemptRecorders(
                     statistics,
+                    tokensPerEvent = {
+                        view.catalog
+                            ?.pool(it)
+                            ?.engine
+                            ?.tokensPerEvent ?: 1
+                    },
                     onAnswered = quarantine::recordAnswer,
                     onSent = { server, parts -> exchange.promptSent(server.idHash, parts, clock()) },
                     onExcluded = { log.write(GatewayLogEvent.SERVER_EXCLUDED, "server" to it.server.id) },
@@ -383,6 +392,7 @@
         }
         metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
+        memoryLog.expose(metrics, { view.directory }, clock)
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
         metrics.gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -5,6 +5,7 @@
 import azuredale.engine.ServerSelection
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
+import azuredale.identity.PoolId
 import azuredale.intake.Intake
 import azuredale.logging.EventLog
 import azuredale.time.Clock
@@ -19,11 +20,17 @@
 /** Creates an [AttemptRecorder] for each attempt and records the prompt parts sent with it. */
 internal class AttemptRecorders(
     private val statistics: ServerStatistics,
+    private val tokensPerEvent: (PoolId) -> Int,
     private val onSent: (BackendEntry, List<PromptPart>) -> Unit,
     private val onAnswered: (PromptShape, Timestamp) -> Unit,
     private val onExcluded: (ServerSelection.Selected) -> Unit,
 ) {
-    fun create(selection: ServerSelection.Selected, prompt: PromptShape?, now: Timestamp): AttemptRecorder {
+    fun create(
+        selection: ServerSelection.Selected,
+        prompt: PromptShape?,
+        route: String,
+        now: Timestamp,
+    ): AttemptRecorder {
         val shared = prompt?.sharedParts.orEmpty()
         if (shared.isNotEmpty()) {
             statistics.cache.record(selection.server.id, shared)
@@ -33,10 +40,16 @@
             statistics = statistics,
             selection = selection,
             startedAt = now,
+            memory = prompt?.let { memory(selection.server, it, route, now) },
             onAnswered = { at -> if (prompt != null) onAnswered(prompt, at) },
             onExcluded = onExcluded,
         )
     }
+
+    private fun memory(server: BackendEntry, prompt: PromptShape, route: String, now: Timestamp): AttemptMemory? {
+        val claim = statistics.memory.claim(server, prompt, route, now) ?: return null
+        return AttemptMemory(statistics.memory, claim, server, route, tokensPerEvent(server.pool))
+    }
 }
 
 /** Limits that the requests of one router share. */
@@ -52,6 +65,7 @@
     val quarantine: PromptQuarantine,
     val sendGuard: SendGuard,
     val gracefulStop: GracefulStop,
+    val memoryLog: MemoryLog,
     /** Returns a random number from 0 to 1, which spreads the returns of callers. */
     val random: () -> Double,
 )
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -39,5 +39,7 @@
     SERVER_LEAVING(2241, Level.INFO, "backend server says that it leaves"),
     SERVER_ON_HOLD(2242, Level.INFO, "backend server wants no requests for a while"),
     UNEXPECTED_BYTES(2243, Level.INFO, "backend server sent bytes that belong to no request; connection closed"),
+    SERVER_OUT_OF_MEMORY(2250, Level.WARN, "backend server ended while requests needed more memory than it has"),
+    ROOM_LACKING(2251, Level.INFO, "requests refused because no server has room in its memory"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -2,6 +2,7 @@
 
 import azuredale.admission.AdmissionRequest
 import azuredale.admission.LatencyPrediction
+import azuredale.admission.RetryTime
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
 import azuredale.identity.ServerId
@@ -45,6 +46,9 @@
             is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
             is ServerSelection.OnHold -> Outcome.Refused(onHold(selection.until, now))
             is ServerSelection.LimitsUsedUp -> Outcome.Refused(limitsUsedUp(now))
+            is ServerSelection.TooLarge ->
+                Outcome.Refused(Failure(ErrorKind.REQUEST_TOO_LARGE, "larger than a server's memory"))
+            is ServerSelection.NoRoom -> Outcome.Refused(noRoom(selection, now))
             is ServerSelection.Selected -> {
                 val refusal = if (isFirst) checkLoad(selection, now) else null
                 refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
@@ -61,6 +65,7 @@
         deadline = deadline,
         excluded = excluded,
         confinedTo = promptGate.confinedTo(now),
+        route = authorized.route.name,
     )
 
     private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? {
@@ -77,6 +82,28 @@
         return admit(LatencyPrediction(remaining), now) ?: unavailable("the limits of all servers are used up", now)
     }
 
+    /** The refusal counts as a request of the team; its caller may return when room has probably been freed. */
+    private fun noRoom(selection: ServerSelection.NoRoom, now: Timestamp): Failure {
+        context.admission.memoryLog.recordRefusal(authorized.pool, selection, now)
+        prompt?.let { context.admission.prompts.recordRefused(it, authorized.team, now) }
+        val retryAt = returnTime(selection.freeAt, now)
+        return Failure(
+            ErrorKind.PREDICTED_LATE,
+            "no server has room, ${selection.missingTokens} tokens missing",
+            retryAt,
+        )
+    }
+
+    /** Within the time that callers wait at most, spread over as long again as room takes to become free. */
+    private fun returnTime(freeAt: Timestamp?, now: Timestamp): Timestamp {
+        val random = context.admission.random()
+        val remaining = deadline.microsecondsSince(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
+        val latest = RetryTime.at(remaining, random = 1.0, now)
+        if (freeAt == null) return RetryTime.at(remaining, random, now)
+        val spread = freeAt.plusMicroseconds((freeAt.microsecondsSince(now) * random).toLong())
+        return minOf(maxOf(spread, now.plusMilliseconds(RetryTime.MINIMUM_WAIT_MILLISECONDS.toLong())), latest)
+    }
+
     private fun admit(prediction: LatencyPrediction, now: Timestamp): Failure? = prompt?.let {
         val request = AdmissionRequest(authorized.team, authorized.route.targetMilliseconds, onTimeUntil, deadline)
         context.admission.prompts.decide(it, request, prediction, now)
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -173,11 +173,17 @@
                     waitingTokens = entry.waitingTokens.coerceAtLeast(0),
                     running = entry.running.coerceAtLeast(0),
                     recentRequests = entry.recentRequests.coerceAtLeast(0),
-                    committedTokens = entry.committedTokens.coerceAtLeast(0),
+                    committedTokens = entry.committedTokens.coerceIn(0, MAXIMUM_COMMITTED_TOKENS),
                 )
             loads[entry.server] = included?.loads?.get(entry.server)?.let { load - it } ?: load
         }
-        statistics.loads.updatePeer(peer.router, loads, now.plusMilliseconds(peerTimeoutMilliseconds()))
+        statistics.loads.updatePeer(
+            router = peer.router,
+            loads = loads,
+            validUntil = now.plusMilliseconds(peerTimeoutMilliseconds()),
+            // Each relay adds loads that were reported to it half a period ago on average.
+            asOf = now.plusMilliseconds(-scope.ordinal * period() / 2),
+        )
         if (report.usage.isEmpty()) return
         val teams = HashMap<Int, TokenUsage>()
         report.usage.forEach { entry ->
@@ -319,6 +325,9 @@
         /** Interval between reports to a peer that does not answer. */
         const val SILENT_PEER_RETRY_MILLISECONDS = 500L
 
+        /** Larger than the memory of a server, and small enough for a sum over the reports of all routers. */
+        const val MAXIMUM_COMMITTED_TOKENS = 10_000_000
+
         /** Reports within the time in which a relay answers. */
         const val REMEMBERED_STATES = 16
     }
