--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -31,6 +31,9 @@
 
     /** The rate of requests that the server takes from all routers together is used up. */
     LIMIT_USED_UP,
+
+    /** Requests in progress take the server's memory, or the request is larger than it. */
+    NO_ROOM,
 }
 
 /** The servers that may get a request. */
@@ -42,6 +45,10 @@
     class None(val selection: ServerSelection) : Eligibility
 }
 
+/** Decides which of the candidates, which are among the servers of the pool, have room for a request. */
+private typealias RoomFunction =
+    (List<BackendEntry>, SelectionRequest, List<BackendEntry>, Timestamp) -> RoomDecision
+
 /**
  * Decides which servers may get a request. Every reason not to choose a server is checked here and nowhere else.
  *
@@ -67,20 +74,24 @@
                 !statistics.circuitBreaker(server.id).allowsRequest(now) -> Ineligibility.CIRCUIT_OPEN
                 !toleratesRequest(server, now) -> Ineligibility.COLD
                 !hasLimitLeft(server, request, now) -> Ineligibility.LIMIT_USED_UP
+                !statistics.room.hasRoom(server, request, directory().ready(request.pool), now) -> Ineligibility.NO_ROOM
                 else -> null
             }
     }
 
     /** The servers that may get [request]; records how often limits leave none. */
     fun assess(request: SelectionRequest, now: Timestamp): Eligibility {
-        val eligible = candidates(request, now)
+        val eligible = candidates(request, statistics.room::decide, now)
         val isUsedUp = eligible is Eligibility.None && eligible.selection is ServerSelection.LimitsUsedUp
         if (isUsedUp || eligible is Eligibility.Servers) statistics.limitPressure.record(request.pool, isUsedUp, now)
         return eligible
     }
 
     /** The servers that may get [request]; has no effect. */
-    fun candidates(request: SelectionRequest, now: Timestamp): Eligibility {
+    fun candidates(request: SelectionRequest, now: Timestamp): Eligibility =
+        candidates(request, statistics.room::preview, now)
+
+    private fun candidates(request: SelectionRequest, decideRoom: RoomFunction, now: Timestamp): Eligibility {
         val ready = directory().ready(request.pool)
         val willing = ready.filter { refusalOf(it, request, now) == null }
         if (willing.isEmpty()) return Eligibility.None(unwilling(request, ready, now))
@@ -88,7 +99,12 @@
         val available = closed.ifEmpty { willing }
         val permitted = available.filter { toleratesRequest(it, now) && hasLimitLeft(it, request, now) }
         if (permitted.isEmpty()) return Eligibility.None(ServerSelection.LimitsUsedUp)
-        return Eligibility.Servers(request.confinedTo?.let { confined(permitted, it) } ?: permitted)
+        return when (val room = decideRoom(permitted, request, ready, now)) {
+            is RoomDecision.Servers ->
+                Eligibility.Servers(request.confinedTo?.let { confined(room.servers, it) } ?: room.servers)
+            is RoomDecision.TooLarge -> Eligibility.None(ServerSelection.TooLarge)
+            is RoomDecision.Taken -> Eligibility.None(ServerSelection.NoRoom(room.missingTokens, room.freeAt))
+        }
     }
 
     /** Why a registered [server] and [request] rule each other out for good, or until a known time. */
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -37,6 +37,9 @@
     /** Memory of the servers that requests in progress take. */
     val memory = EngineMemory(loads, cacheTokens)
 
+    /** Which servers have room in it. */
+    val room = ServerRoom(memory, loads, routers)
+
     /** Limits on the request rate that servers name. */
     val limits = ServerLimits(loads, routers, random, onLimitChange)
 
@@ -149,6 +152,7 @@
         cache.retainServers(present)
         limits.updateDirectory(directory)
         coldServers?.updateDirectory(directory, now)
+        memory.updateDirectory(directory)
         directory.entries.values.forEach { entry ->
             if (entry.id in startTimes && startTimes[entry.id] != entry.startedAtMilliseconds) {
                 cache.clear(entry.id)
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -95,6 +95,7 @@
                 exchange.reportSoon(clock())
             },
             reportDelayMilliseconds = { exchange.reportDelayMilliseconds() },
+            freeTokens = ::freeTokens,
             coldServers = settings.bounds.coldFactor?.let { ::coldServers },
             cacheTokens = { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS },
         )
@@ -127,6 +128,7 @@
                 },
             ),
         )
+    private val memoryLog = MemoryLog(statistics.memory, log)
     private val serverEnds =
         ServerEndDetector(clock, dependencies.timer, dependencies.probe) { server, prompts ->
             log.write(
@@ -137,6 +139,7 @@
             )
             metrics.recordServerEnd()
             statistics.cache.clear(server.id)
+            memoryLog.recordServerEnd(server, clock())
             quarantine.recordCrash(ServerEnd.of(server), prompts, clock())
         }
     private val exchange: PeerExchange =
@@ -224,11 +227,18 @@
                             directoryFault = poller::directoryFault,
                         ),
                     gracefulStop = gracefulStop,
+                    memoryLog = memoryLog,
                     random = random::nextDouble,
                 ),
             recorders =
                 AttemptRecorders(
                     statistics,
+                    tokensPerEvent = {
+                        view.catalog
+                            ?.pool(it)
+                            ?.engine
+                            ?.tokensPerEvent ?: 1
+                    },
                     onAnswered = quarantine::recordAnswer,
                     onSent = { server, parts -> exchange.promptSent(server.idHash, parts, clock()) },
                     onExcluded = { log.write(GatewayLogEvent.SERVER_EXCLUDED, "server" to it.server.id) },
@@ -415,6 +425,9 @@
         onWarm = onWarm,
     )
 
+    private fun freeTokens(server: ServerId): Long? =
+        view.directory.entries[server]?.let { statistics.memory.freeTokens(it, clock()) }
+
     private fun cacheTokens(pool: PoolId): Long = view.catalog
         ?.pool(pool)
         ?.engine
@@ -445,6 +458,7 @@
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
         metrics.gauge("request.body.bytes") { requestBodies.heldBytes.toDouble() }
         metrics.gauge("request.bodies.refused") { requestBodies.refusals.toDouble() }
+        memoryLog.expose(metrics, { view.directory }, clock)
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
         metrics.gauge("directories.learned") { exchange.directoriesLearned.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -2,6 +2,7 @@
 
 import azuredale.admission.AdmissionRequest
 import azuredale.admission.LatencyPrediction
+import azuredale.admission.RetryTime
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
 import azuredale.identity.ServerId
@@ -43,6 +44,7 @@
         directoryFailure(now)?.let { return it }
         promptGate.refusal(now)?.let { return Outcome.Refused(it) }
         val selection = context.selector.select(selectionRequest(now), now)
+        if (selection is ServerSelection.NoRoom) recordNoRoom(selection, now)
         return decide(selection, isFirst, context.admission.prompts::decide, now)
     }
 
@@ -64,6 +66,7 @@
         deadline = deadline,
         excluded = excluded,
         confinedTo = promptGate.confinedTo(now),
+        route = authorized.route.name,
     )
 
     private fun directoryFailure(now: Timestamp) = context.admission.sendGuard
@@ -79,6 +82,9 @@
         is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
         is ServerSelection.OnHold -> Outcome.Refused(onHold(selection.until, now))
         is ServerSelection.LimitsUsedUp -> Outcome.Refused(limitsUsedUp(admit, now))
+        is ServerSelection.TooLarge ->
+            Outcome.Refused(Failure(ErrorKind.REQUEST_TOO_LARGE, "larger than a server's memory"))
+        is ServerSelection.NoRoom -> Outcome.Refused(noRoom(selection, now))
         is ServerSelection.Selected -> {
             val refusal = if (isFirst) checkLoad(selection, admit, now) else null
             refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
@@ -100,6 +106,32 @@
             ?: unavailable("the limits of all servers are used up", now)
     }
 
+    /** The refusal for lack of room counts as a request of the team. */
+    private fun recordNoRoom(selection: ServerSelection.NoRoom, now: Timestamp) {
+        context.admission.memoryLog.recordRefusal(authorized.pool, selection, now)
+        prompt?.let { context.admission.prompts.recordRefused(it, authorized.team, now) }
+    }
+
+    /** The caller may return when room has probably been freed. */
+    private fun noRoom(selection: ServerSelection.NoRoom, now: Timestamp): Failure {
+        val retryAt = returnTime(selection.freeAt, now)
+        return Failure(
+            ErrorKind.PREDICTED_LATE,
+            "no server has room, ${selection.missingTokens} tokens missing",
+            retryAt,
+        )
+    }
+
+    /** Within the time that callers wait at most, spread over as long again as room takes to become free. */
+    private fun returnTime(freeAt: Timestamp?, now: Timestamp): Timestamp {
+        val random = context.admission.random()
+        val remaining = deadline.microsecondsSince(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
+        val latest = RetryTime.at(remaining, random = 1.0, now)
+        if (freeAt == null) return RetryTime.at(remaining, random, now)
+        val spread = freeAt.plusMicroseconds((freeAt.microsecondsSince(now) * random).toLong())
+        return minOf(maxOf(spread, now.plusMilliseconds(RetryTime.MINIMUM_WAIT_MILLISECONDS.toLong())), latest)
+    }
+
     private fun admitted(prediction: LatencyPrediction, admit: PromptDecision, now: Timestamp): Failure? = prompt?.let {
         val request = AdmissionRequest(authorized.team, authorized.route.targetMilliseconds, onTimeUntil, deadline)
         admit(it, request, prediction, now)
