Keep a late router from taking its own delay for the servers'

A router that was late by 50 ms or more within the last half second learns no speeds. Estimates are dropped when hardly any prompt that was to be placed within a second led to a first event, as they already were when none did.

--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -18,8 +18,15 @@
     private val latencies = HashMap<PoolId, PoolLatencyEstimator>()
     private val circuitBreakers = HashMap<ServerId, CircuitBreaker>()
     private val lastFirstEventAt = HashMap<PoolId, Timestamp>()
+    private val estimateUses = HashMap<PoolId, EstimateUse>()
     private var startTimes: Map<ServerId, Long?> = emptyMap()
 
+    /** Prompts to be placed since a time, and the first events meanwhile. */
+    private class EstimateUse(val since: Timestamp) {
+        var prompts = 0
+        var firstEvents = 0
+    }
+
     /** Outstanding work of the servers. */
     val loads = LoadTracker()
 
@@ -47,7 +54,7 @@
 
     /** Records a first event [milliseconds] after the request was sent, with [tokens] to prefill before it. */
     fun recordFirstEvent(server: BackendEntry, tokens: Double, milliseconds: Double, now: Timestamp) {
-        lastFirstEventAt[server.pool] = now
+        recordUnmeasuredFirstEvent(server.pool, now)
         val speed = prefillSpeed(server.id)
         val latency = latency(server.pool)
         val fixed = latency.fixedMilliseconds
@@ -55,20 +62,37 @@
         speed.record(tokens, milliseconds - fixed)
     }
 
+    /** Records a first event from a server of [pool] whose time says nothing of the server. */
+    fun recordUnmeasuredFirstEvent(pool: PoolId, now: Timestamp) {
+        lastFirstEventAt[pool] = now
+        estimateUses[pool]?.let { it.firstEvents++ }
+    }
+
     /**
-     * Resets the latency estimate of [pool] and the speed estimates when the pool has had no first event for a while.
+     * Resets the latency estimate of [pool] and the speed estimates when the pool has had no first event for a while,
+     * or hardly any for the prompts that were to be placed; called for each prompt.
      *
-     * A router that stalls sees events late. The resulting estimates can make it refuse every request, and without new
-     * first events they would never be corrected.
+     * A router that stalls sees events late. The resulting estimates can make it refuse nearly every request, and
+     * without new first events they would never be corrected.
      */
     fun resetStaleEstimates(pool: PoolId, now: Timestamp) {
         val last = lastFirstEventAt[pool] ?: return
-        if (now < last.plusMilliseconds(ESTIMATE_LIFETIME_MILLISECONDS)) return
+        val areUnused = areUnused(pool, now)
+        if (now < last.plusMilliseconds(ESTIMATE_LIFETIME_MILLISECONDS) && !areUnused) return
         lastFirstEventAt.remove(pool)
         latencies.remove(pool)
         prefillSpeeds.clear()
     }
 
+    /** Counts a prompt; returns whether hardly any prompt of the last second led to a first event. */
+    private fun areUnused(pool: PoolId, now: Timestamp): Boolean {
+        val use = estimateUses.getOrPut(pool) { EstimateUse(now) }
+        use.prompts++
+        if (now < use.since.plusMilliseconds(ESTIMATE_LIFETIME_MILLISECONDS)) return false
+        estimateUses[pool] = EstimateUse(now)
+        return use.prompts >= MINIMUM_PROMPTS && use.firstEvents * UNUSED_PROMPTS <= use.prompts
+    }
+
     /** Predicts the milliseconds to the first event of a request with [uncachedTokens] to prefill at [server]. */
     fun predictMilliseconds(server: BackendEntry, uncachedTokens: Int, load: ServerLoad): Double {
         val latency = latency(server.pool)
@@ -108,6 +132,12 @@
         /** A router sees tens of first events per second, so a gap of this length only follows a stall. */
         const val ESTIMATE_LIFETIME_MILLISECONDS = 1_000L
 
+        /** Prompts within that time that tell refusals from a pool that is hardly used. */
+        const val MINIMUM_PROMPTS = 20
+
+        /** Prompts for each first event beyond which estimates are not corrected by what they admit. */
+        const val UNUSED_PROMPTS = 10
+
         /** Fraction of a server's memory for shared prompt parts; running requests and unshared parts use the rest. */
         const val CACHE_FRACTION = 0.6
 
--- a/src/main/kotlin/azuredale/gateway/AttemptReader.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptReader.kt
@@ -178,7 +178,8 @@
     private fun forwardEvents(events: List<StreamEvent>): AttemptResult? {
         val now = clock()
         hasEvent = true
-        recorder.recordEvent(now, context.admission.intake.unreadMicroseconds(now))
+        val intake = context.admission.intake
+        recorder.recordEvent(now, intake.unreadMicroseconds(now), intake.isLate(now))
         // Bytes without an event are no progress.
         if (!stalls.hasBegun || events.any { it.hasContent && !isRepeated(it) }) stalls.recordProgress(now)
         progress.recordEvents(now)
--- a/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
@@ -45,8 +45,9 @@
      *
      * @param unreadMicroseconds longest time that the event may have waited to be read by this router, which is no time
      *   of the server.
+     * @param isRouterLate whether this router is late, so that the time of the event says little of the server.
      */
-    fun recordEvent(now: Timestamp, unreadMicroseconds: Long = 0) {
+    fun recordEvent(now: Timestamp, unreadMicroseconds: Long = 0, isRouterLate: Boolean = false) {
         if (hasEvent) {
             if (now >= firstEventAt.plusMilliseconds(ANSWER_MILLISECONDS)) recordAnswer(now)
             return
@@ -56,6 +57,7 @@
         statistics.circuitBreaker(server.id).recordSuccess()
         val elapsed = (now.microsecondsSince(sentAt) - unreadMicroseconds).coerceAtLeast(0)
         firstEventAt = now
+        if (isRouterLate) return statistics.recordUnmeasuredFirstEvent(server.pool, now)
         statistics.recordFirstEvent(
             server = server,
             tokens = tokensAhead + selection.uncachedTokens,
--- a/src/main/kotlin/azuredale/intake/Intake.kt
+++ b/src/main/kotlin/azuredale/intake/Intake.kt
@@ -44,19 +44,29 @@
     private var isScheduled = false
     private var expectedTickAt = Timestamp.DISTANT_FUTURE
     private var lastLagMicroseconds = 0L
+    private var lateUntil = Timestamp.DISTANT_PAST
 
     /** Number of requests that wait for their turn. */
     val waiting: Int get() = queue.size + arrivals.size + earlierArrivals.size
 
     /** Records periodic work that runs after each reading of the sockets; the next one is due at [nextAt]. */
     fun recordTick(nextAt: Timestamp) {
-        lastLagMicroseconds = lagMicroseconds(clock())
+        val now = clock()
+        lastLagMicroseconds = lagMicroseconds(now)
+        if (lastLagMicroseconds >= LATE_MICROSECONDS) lateUntil = now.plusMilliseconds(LATE_HOLD_MILLISECONDS)
         expectedTickAt = nextAt
     }
 
     /** How much later than due the periodic work is at [now], in microseconds. */
     fun lagMicroseconds(now: Timestamp): Long = now.microsecondsSince(expectedTickAt).coerceAtLeast(0)
 
+    /**
+     * Whether this router is or recently was late at [now], so that the times it measures say little of the servers.
+     *
+     * Besides its own delay, it has read the loads that others report late, and so expected shorter queues.
+     */
+    fun isLate(now: Timestamp): Boolean = now < lateUntil || lagMicroseconds(now) >= LATE_MICROSECONDS
+
     /**
      * Longest time that a request that is read at [now] may have waited unread, in microseconds.
      *
@@ -134,6 +144,12 @@
         /** Time for which requests are started before the sockets are read again. */
         const val SLICE_MILLISECONDS = 20L
 
+        /** A large part of the time that an idle server takes to answer. */
+        const val LATE_MICROSECONDS = 50 * Timestamp.MICROSECONDS_PER_MILLISECOND
+
+        /** Longer than a server takes for a request that was sent while the router was late. */
+        const val LATE_HOLD_MILLISECONDS = 500L
+
         /** Half of the shortest latency targets; a router that keeps up starts requests within a few milliseconds. */
         const val MAXIMUM_DELAY_MILLISECONDS = 100L
     }
--- a/src/test/kotlin/azuredale/engine/StalledRouterSpec.kt
+++ b/src/test/kotlin/azuredale/engine/StalledRouterSpec.kt
@@ -2,6 +2,7 @@
 
 import azuredale.directory.BackendEntry
 import azuredale.directory.BackendState
+import azuredale.gateway.AttemptRecorder
 import azuredale.identity.FailureDomain
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
@@ -39,4 +40,44 @@
         statistics.resetStaleEstimates(pool, start.plusMilliseconds(1_100))
         assertEquals(fresh, predict())
     }
+
+    @Test
+    fun `resets estimates that let hardly any prompt through`() {
+        // Guards against a router that refuses the callers of a team, who keep to it, for seconds after a stall,
+        // because the few prompts that it admits correct its estimates too slowly.
+        val fresh = predict()
+        repeat(60) { statistics.recordFirstEvent(server, tokens = 500.0, milliseconds = 1_200.0, now = start) }
+        repeat(210) { index ->
+            val now = start.plusMilliseconds(index * 5L)
+            if (index % 30 == 0) statistics.recordFirstEvent(server, tokens = 500.0, milliseconds = 60.0, now = now)
+            statistics.resetStaleEstimates(pool, now)
+        }
+        assertTrue(predict() < fresh * 2, "${predict()} ms")
+    }
+
+    @Test
+    fun `keeps the estimates of a pool in use`() {
+        // Guards against estimates of slow servers that are lost once a second.
+        repeat(60) { statistics.recordFirstEvent(server, tokens = 500.0, milliseconds = 1_200.0, now = start) }
+        val learned = predict()
+        repeat(210) { index ->
+            val now = start.plusMilliseconds(index * 5L)
+            if (index % 4 == 0) statistics.recordUnmeasuredFirstEvent(pool, now)
+            statistics.resetStaleEstimates(pool, now)
+        }
+        assertEquals(learned, predict())
+    }
+
+    @Test
+    fun `learns nothing from an event that a late router reads`() {
+        // Guards against a controller that measures itself: a late router that regards all servers as slow.
+        val fresh = predict()
+        repeat(60) {
+            val selection = ServerSelection.Selected(server, uncachedTokens = 500, predictedMilliseconds = 50.0)
+            val recorder = AttemptRecorder(statistics, selection, start, onAnswered = {}, onExcluded = {})
+            recorder.recordEvent(start.plusMilliseconds(1_200), isRouterLate = true)
+            recorder.release()
+        }
+        assertEquals(fresh, predict())
+    }
 }
