Refuse a flooding team's requests from their heads while others wait

A router that is behind read a request with its body, let it wait and compared all servers before it refused it by its team's share. While requests wait, such a request is now refused from its head if the team's credit is used up and its latest prompt, at most 50 ms ago, was predicted above an idle pool's time. Share, credit and usage are as before.

--- a/src/main/kotlin/azuredale/admission/LoadShedder.kt
+++ b/src/main/kotlin/azuredale/admission/LoadShedder.kt
@@ -56,8 +56,7 @@
         val ratio = team?.let { shareRatio(it, request.tokens, now) } ?: 1.0
         val slack = request.onTimeUntil.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
         val isRetry = slack < request.targetMilliseconds
-        val idle = request.targetMilliseconds * MINIMUM_FRACTION
-        if (prediction.milliseconds <= idle && prediction.meanMilliseconds <= idle) return null
+        if (isIdle(request, prediction)) return null
         val limit = limitMilliseconds(request, ratio, slack, isRetry, now)
         val isThinnedOut = team != null && !gate.mayAdmit(team, request.tokens, now)
         if (!isThinnedOut && prediction.milliseconds <= limit) {
@@ -73,6 +72,15 @@
         )
     }
 
+    /** Whether [decide] would refuse [request] because its team asks for more than its share. */
+    fun isThinnedOut(request: AdmissionRequest, prediction: LatencyPrediction, now: Timestamp): Boolean =
+        request.team != null && !isIdle(request, prediction) && gate.isExhausted(request.team, now)
+
+    private fun isIdle(request: AdmissionRequest, prediction: LatencyPrediction): Boolean {
+        val idle = request.targetMilliseconds * MINIMUM_FRACTION
+        return prediction.milliseconds <= idle && prediction.meanMilliseconds <= idle
+    }
+
     private fun detail(
         team: TeamId?,
         prediction: LatencyPrediction,
--- a/src/main/kotlin/azuredale/admission/ShareGate.kt
+++ b/src/main/kotlin/azuredale/admission/ShareGate.kt
@@ -34,6 +34,12 @@
         return credit > 0
     }
 
+    /** Whether [mayAdmit] would refuse the next request of [team], whatever its size. */
+    fun isExhausted(team: TeamId, now: Timestamp): Boolean {
+        val credit = credits[team] ?: return false
+        return credit <= 0 && fraction(team, now) < 1.0
+    }
+
     /** Subtracts a request of [team] that was admitted. */
     fun recordAdmitted(team: TeamId, tokens: Int) {
         credits.computeIfPresent(team) { _, credit -> credit - tokens }
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -1,5 +1,6 @@
 package azuredale.gateway
 
+import azuredale.admission.AdmissionRequest
 import azuredale.admission.RetryTime
 import azuredale.intake.IntakeDecision
 import azuredale.intake.WaitingRequest
@@ -51,6 +52,7 @@
         progress.onTimeUntil = usualArrival.plusMilliseconds(route.targetMilliseconds - elapsed)
         val limit = minOf(head.remainingMilliseconds ?: Long.MAX_VALUE, route.timeoutMilliseconds)
         progress.deadline = progress.arrivedAt.plusMilliseconds(limit)
+        refuseEarly(authorized)?.let { return response.refuse(it) }
         when (val body = caller.readBody(authorized.bodyLimitBytes)) {
             is BodyResult.TooLarge -> response.refuse(Failure(ErrorKind.REQUEST_TOO_LARGE))
             is BodyResult.Incomplete -> log.ended("caller disconnected before its body was complete")
@@ -58,6 +60,15 @@
         }
     }
 
+    /** Returns the failure for a request that its team's share has no room for, while other requests wait. */
+    private fun refuseEarly(authorized: AuthorizedRequest): Failure? {
+        val prompt = head.prompt ?: return null
+        if (context.admission.intake.waiting == 0) return null
+        val target = authorized.route.targetMilliseconds
+        val request = AdmissionRequest(authorized.team, target, progress.onTimeUntil, progress.deadline)
+        return context.admission.prompts.refuseEarly(prompt, request, clock())
+    }
+
     private suspend fun serve(authorized: AuthorizedRequest, body: Buffer) {
         val now = clock()
         if (!context.admission.gracefulStop.canFinish(authorized.route.name, progress.deadline, now)) {
