--- a/src/main/kotlin/azuredale/admission/ShareGate.kt
+++ b/src/main/kotlin/azuredale/admission/ShareGate.kt
@@ -34,10 +34,10 @@
         return credit > 0
     }
 
-    /** What [mayAdmit] would return, for a team without a credit as if it had none left over; has no effect. */
-    fun wouldAdmit(team: TeamId, now: Timestamp): Boolean {
-        val fraction = fraction(team, now)
-        return fraction >= 1.0 || (credits[team] ?: fraction) > 0
+    /** Whether [mayAdmit] would refuse the next request of [team], whatever its size. */
+    fun isExhausted(team: TeamId, now: Timestamp): Boolean {
+        val credit = credits[team] ?: return false
+        return credit <= 0 && fraction(team, now) < 1.0
     }
 
     /** Subtracts a request of [team] that was admitted. */
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -1,5 +1,6 @@
 package azuredale.gateway
 
+import azuredale.admission.AdmissionRequest
 import azuredale.admission.RetryTime
 import azuredale.intake.IntakeDecision
 import azuredale.intake.WaitingRequest
@@ -55,6 +56,7 @@
         if ((caller.declaredBytes ?: 0) > authorized.bodyLimitBytes) {
             return response.refuse(Failure(ErrorKind.REQUEST_TOO_LARGE))
         }
+        refuseEarly(authorized)?.let { return response.refuse(it) }
         val room = context.budgets.requestBodies.tryReserve(caller.declaredBytes) ?: awaitRoom()
         if (room == null) return response.refuse(overloaded("no memory for the request body"))
         try {
@@ -78,6 +80,15 @@
         }
     }
 
+    /** Returns the failure for a request that its team's share has no room for, while other requests wait. */
+    private fun refuseEarly(authorized: AuthorizedRequest): Failure? {
+        val prompt = head.prompt ?: return null
+        if (context.admission.intake.waiting == 0) return null
+        val target = authorized.route.targetMilliseconds
+        val request = AdmissionRequest(authorized.team, target, progress.onTimeUntil, progress.deadline)
+        return context.admission.prompts.refuseEarly(prompt, request, clock())
+    }
+
     /** Whether the request can still end in time; otherwise it is refused. */
     private fun canServe(authorized: AuthorizedRequest): Boolean {
         val now = clock()
