Choose a server that answers on time before a late one with the prefix

Cause: a queue at the holder could still outweigh other servers that would answer in time. The charge for reading parts that no server keeps grew with the load of each server as the router saw it, so routers sent a new session to different servers: PrefixPlacementSpec, "of all reports, or a restart, leave routers with the same server", failed once the earlier cap on that charge was gone.

Change: the cheapest server gets the prompt unless it is predicted late and another one on time; if all are late, sessions stay where they are kept. Parts that no server keeps are charged alike everywhere. Reports about servers that leave add nothing to the model.

Rejected: a cap of the charge at the time left until the target. It made all servers on time cost the same for a new session, or halved the differences between their waits.

--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -55,7 +55,8 @@
         statistics.resetStaleEstimates(request.pool, now)
         val outline = outline(prompt, candidates, now)
         val placements = candidates.map { placement(request, outline, it, now) }
-        val best = placements.minByOrNull { it.cost.total } ?: return null
+        val untilLate = request.onTimeUntil.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
+        val best = best(placements, untilLate) ?: return null
         statistics.prefixes.recordChoice(outline, best, placements)
         // What a server has not cached says nothing about its queue, so all are compared with the same prompt.
         val total =
@@ -76,21 +77,26 @@
         val load = statistics.loads.load(server.id, server.idHash, now)
         val selection =
             ServerSelection.Selected(server, uncached, statistics.predictMilliseconds(server, uncached, load), load)
-        return Placement(selection, cost(request, outline, selection, now))
+        return Placement(selection, cost(request, outline, selection))
+    }
+
+    /** Waiting at a server that keeps the parts never makes a prompt late that another server would answer on time. */
+    private fun best(placements: List<Placement>, untilLate: Double): Placement? {
+        val cheapest = placements.minByOrNull { it.cost.total } ?: return null
+        if (cheapest.cost.predictedMilliseconds <= untilLate) return cheapest
+        return placements.filter { it.cost.predictedMilliseconds <= untilLate }.minByOrNull { it.cost.total }
+            ?: cheapest
     }
 
     private fun cost(
         request: SelectionRequest,
         outline: PromptOutline,
         selection: ServerSelection.Selected,
-        now: Timestamp,
     ): PlacementCost {
         val server = selection.server
-        val untilLate = request.onTimeUntil.microsecondsSince(now).toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND
         return PlacementCost(
             predictedMilliseconds = selection.predictedMilliseconds,
-            repeatedMilliseconds =
-                withinTarget(repeatedMilliseconds(outline, selection), selection.predictedMilliseconds, untilLate),
+            repeatedMilliseconds = repeatedMilliseconds(outline, selection),
             evictionMilliseconds = evictionMilliseconds(outline, selection),
             crowdingMilliseconds = selection.load.running * RUNNING_MILLISECONDS,
             distanceMilliseconds = if (server.failureDomain == request.origin) 0.0 else REMOTE_PENALTY_MILLISECONDS,
@@ -111,14 +117,11 @@
                 readMilliseconds = outline.ownTokens * millisecondsPerToken,
                 slots = server.slots,
             )
-        val cost = repeatedTokens * millisecondsPerToken * behind
-        return (cost - outline.valueOfAnotherHolder(millisecondsPerToken)).coerceAtLeast(0.0)
+        val repeated = (repeatedTokens - outline.unheldTokens).coerceAtLeast(0) * millisecondsPerToken * behind
+        val first = outline.unheldTokens * millisecondsPerToken * PrefixWeighing.LEAST_BEHIND
+        return first + (repeated - outline.valueOfAnotherHolder(millisecondsPerToken)).coerceAtLeast(0.0)
     }
 
-    /** Waiting at a server that keeps the parts never makes a prompt late that another server would answer on time. */
-    private fun withinTarget(repeated: Double, predicted: Double, untilLate: Double) =
-        if (predicted < untilLate) minOf(repeated, untilLate - predicted) else repeated
-
     private fun affinityMilliseconds(outline: PromptOutline, server: BackendEntry): Double {
         val order = StableHash.fraction(outline.session, server.id.name) * AFFINITY_MILLISECONDS
         if (outline.home == null || outline.home == server.id) return order
--- a/src/main/kotlin/azuredale/engine/PromptOutline.kt
+++ b/src/main/kotlin/azuredale/engine/PromptOutline.kt
@@ -37,7 +37,12 @@
     /** Servers that keep the deepest shared part. */
     val holders: Int = statistics.cache.holders(session)
     private val ratePerSecond = statistics.demand.ratePerSecond(session, now)
-    private val unheldTokens = shared.takeLastWhile { statistics.cache.holders(it.id) == 0 }.sumOf { it.tokens }
+
+    /** Tokens of the shared parts that no server keeps; some server has to read them. */
+    val unheldTokens: Int = shared.takeLastWhile { statistics.cache.holders(it.id) == 0 }.sumOf { it.tokens }
+
+    /** Tokens that another router is expected to have read elsewhere before it has the report, for all they delay. */
+    private val scatteredTokens = if (unheldTokens == 0) 0.0 else scatteredTokens()
 
     /** The server that all routers prefer for parts that no server keeps; null if all parts are kept somewhere. */
     val home: ServerId? =
@@ -54,15 +59,17 @@
      * What it costs to read the parts that no server keeps elsewhere than at [home], in milliseconds: another router,
      * which has no report of it yet, may send them there and have them read twice.
      */
-    fun scatterMilliseconds(millisecondsPerToken: Double): Double {
-        val requests = maxOf(ratePerSecond, USUAL_RATE) * statistics.reportDelaySeconds()
-        return unheldTokens * millisecondsPerToken * PrefixWeighing.LEAST_BEHIND * (1 - exp(-requests))
-    }
+    fun scatterMilliseconds(millisecondsPerToken: Double): Double = scatteredTokens * millisecondsPerToken
 
     /** Part of the prefill of [id] that its loss at a server costs: if it is asked for again, and kept nowhere else. */
     fun lossOf(id: String): Double =
         statistics.demand.probabilityOfReuse(id, now) / statistics.cache.holders(id).coerceAtLeast(1)
 
+    private fun scatteredTokens(): Double {
+        val requests = maxOf(ratePerSecond, USUAL_RATE) * statistics.reportDelaySeconds()
+        return unheldTokens * PrefixWeighing.LEAST_BEHIND * (1 - exp(-requests))
+    }
+
     private companion object {
         /** Requests per second with the parts of a session that begins: its callers send the next one soon. */
         const val USUAL_RATE = 1.0
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -67,10 +67,11 @@
     /** Failure state of [server]. */
     fun circuitBreaker(server: ServerId): CircuitBreaker = circuitBreakers.getOrPut(server) { CircuitBreaker() }
 
-    /** Records that another router reports that [server] reads [part]. */
-    fun recordReportedRead(server: ServerId, part: PromptPart, now: Timestamp) {
+    /** Records that another router reports that [server] reads [part]; a server that leaves keeps nothing of use. */
+    fun recordReportedRead(server: BackendEntry, part: PromptPart, now: Timestamp) {
         demand.record(part.id, now)
-        cache.record(server, listOf(part))
+        val leaves = announcements.availableAt(server, now) == Timestamp.DISTANT_FUTURE
+        if (server.state == BackendState.READY && !leaves) cache.record(server.id, listOf(part))
     }
 
     /** Records that a request with the shared [parts] is sent to [server]. */
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -12,7 +12,6 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
-import azuredale.identity.ServerId
 import azuredale.quarantine.Quarantine
 import azuredale.time.Timestamp
 
@@ -201,7 +200,7 @@
 
     private fun applyReads(report: PeerReport, scope: ReportScope, now: Timestamp) {
         report.reads.forEach { read ->
-            val server: ServerId = view.directory.byIdHash[read.server]?.id ?: return@forEach
+            val server = view.directory.byIdHash[read.server] ?: return@forEach
             statistics.recordReportedRead(server, PromptPart(read.part, read.tokens), now)
             when (scope) {
                 ReportScope.ROUTER -> if (topology.isRelay) writer.addDomainRead(read, now)
