--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -13,7 +13,6 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
-import azuredale.identity.ServerId
 import azuredale.intake.SpareCapacity
 import azuredale.quarantine.Quarantine
 import azuredale.time.Timestamp
@@ -236,7 +235,7 @@
 
     private fun applyReads(report: PeerReport, scope: ReportScope, now: Timestamp) {
         report.reads.forEach { read ->
-            val server: ServerId = view.directory.byIdHash[read.server]?.id ?: return@forEach
+            val server = view.directory.byIdHash[read.server] ?: return@forEach
             statistics.recordReportedRead(server, PromptPart(read.part, read.tokens), now)
             when (scope) {
                 ReportScope.ROUTER -> if (topology.isRelay) writer.addDomainRead(read, now)
@@ -376,6 +375,7 @@
         /** Ranks up to this one wait one after the other, the last of them for one and a half periods of reports. */
         const val LAST_CHANGE_RANK = 4
         const val CHANGE_DELAY_MILLISECONDS = 75L
+
         /** Larger than the memory of a server, and small enough for a sum over the reports of all routers. */
         const val MAXIMUM_COMMITTED_TOKENS = 10_000_000
 
