--- a/src/main/kotlin/azuredale/engine/ColdServers.kt
+++ b/src/main/kotlin/azuredale/engine/ColdServers.kt
@@ -43,8 +43,8 @@
  *
  * The tolerated number is divided into permits, each of which allows one request per [SPACING_MILLISECONDS]. Every
  * router computes from the names of all known routers which permits are its own, so that no messages are needed and a
- * burst of many routers cannot add up. Silent routers keep their permits while they are known. A router that has just started
- * uses none until it knows the others and they know it.
+ * burst of many routers cannot add up. Silent routers keep their permits while they are known. A router that has just
+ * started uses none until it knows the others and they know it.
  *
  * A server is cold while its registration says so, but not for longer than it takes to warm up: during an outage of the
  * store no registration tells that it is warm.
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -15,8 +15,8 @@
  * @property contactMilliseconds time after the end of a disruption from which on a router counts as connected again.
  * @property evacuationBoundMilliseconds maximum time for which a server of an evacuated failure domain may get new
  *   requests after the store confirmed the evacuation; null if operators evacuate no failure domains.
- * @property coldFactor how many times the requests that a pool declares for servers that have just started such a server
- *   may get in one second; null if they are not bounded.
+ * @property coldFactor requests that a server may get in one second after its start, as a multiple of what its pool
+ *   declares; null if they are not bounded.
  * @property coldAllowance requests in one second in addition to that.
  * @property retryRatio allowed retries as a fraction of the requests of a pool.
  * @property retryHeadroom retries allowed in addition to that fraction.
