--- a/src/test/kotlin/azuredale/engine/EngineMemorySpec.kt
+++ b/src/test/kotlin/azuredale/engine/EngineMemorySpec.kt
@@ -366,7 +366,7 @@
             val successor = router.server(0, startedAt = 2)
             router.directory = ServerDirectory(2, mapOf(successor.id to successor))
             router.hear(emptyMap())
-            router.statistics.updateDirectory(router.directory)
+            router.statistics.updateDirectory(router.directory, router.now)
             assertEquals(0, router.committed())
             val next = checkNotNull(router.send(long()))
             running.forEach(router::end)
--- a/src/test/kotlin/azuredale/engine/PrefixPlacementSpec.kt
+++ b/src/test/kotlin/azuredale/engine/PrefixPlacementSpec.kt
@@ -189,7 +189,7 @@
             val before = sessions.associateWith(router::choose)
             val gone = before.getValue("session-1")
             directory = ServerDirectory(2, (servers - gone).associateBy { it.id })
-            router.statistics.updateDirectory(directory)
+            router.statistics.updateDirectory(directory, now)
             val after = sessions.associateWith(router::choose)
             assertEquals(before.filterValues { it != gone }, after.filterKeys { before[it] != gone })
         }
--- a/src/test/kotlin/azuredale/engine/StalledRouterSpec.kt
+++ b/src/test/kotlin/azuredale/engine/StalledRouterSpec.kt
@@ -76,7 +76,7 @@
             val selection = ServerSelection.Selected(server, uncachedTokens = 500, predictedMilliseconds = 50.0)
             val recorder = AttemptRecorder(statistics, selection, start, onAnswered = {}, onExcluded = {})
             recorder.recordEvent(start.plusMilliseconds(1_200), isRouterLate = true)
-            recorder.release()
+            recorder.release(start.plusMilliseconds(1_200))
         }
         assertEquals(fresh, predict())
     }
