Send requests of confined routes and teams only to servers in their regions

Cause: allowed-regions of routes and teams was not read, so their requests went to servers in any region.

Change: RequestAuthorizer computes the homes of a request from its route and its team; where both name some, both bind, and a region in which no failure domain lies confines nothing. ServerEligibility names the reason OUTSIDE_HOMES for first attempts, retries and resumed streams; a request that waited while its homes changed is refused as not run. The settings zones.DOMAIN give the region of a failure domain. Without allowed-regions nothing is compared.

Address answers do not prefer routers in the homes yet: they name routers for a host, whose routes may have different homes.

Rejected: falling back on other regions while the homes are full.

--- a/src/main/kotlin/azuredale/catalog/BackendPool.kt
+++ b/src/main/kotlin/azuredale/catalog/BackendPool.kt
@@ -1,6 +1,7 @@
 package azuredale.catalog
 
 import azuredale.identity.PoolId
+import azuredale.identity.Region
 import azuredale.identity.TeamId
 
 /**
@@ -53,9 +54,11 @@
  * A team and the API keys that identify its callers.
  *
  * @property priority urgency of the team's requests, null if not declared; it overrides that of the route.
+ * @property homes regions whose servers may get the team's requests; empty if all may.
  */
 public data class CatalogTeam(
     val id: TeamId,
     val keys: Set<String>,
     val priority: Int? = null,
+    val homes: Set<Region> = emptySet(),
 )
--- a/src/main/kotlin/azuredale/catalog/Route.kt
+++ b/src/main/kotlin/azuredale/catalog/Route.kt
@@ -1,6 +1,7 @@
 package azuredale.catalog
 
 import azuredale.identity.PoolId
+import azuredale.identity.Region
 
 /** How often a request may be executed. */
 public enum class RouteKind {
@@ -35,6 +36,7 @@
  * @property allowsAnonymous whether requests without an API key are allowed.
  * @property hasPromptAffinity whether requests identify prompt parts that a server may have cached.
  * @property isResumable whether an interrupted stream may continue at another server.
+ * @property homes regions whose servers may get requests; empty if all may.
  */
 public data class Route(
     val name: String,
@@ -50,6 +52,7 @@
     val allowsAnonymous: Boolean = false,
     val hasPromptAffinity: Boolean = false,
     val isResumable: Boolean = false,
+    val homes: Set<Region> = emptySet(),
 ) {
     /** Whether a request may be sent to another server after it may already have been executed. */
     val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || isResumable
--- a/src/main/kotlin/azuredale/engine/SelectionRequest.kt
+++ b/src/main/kotlin/azuredale/engine/SelectionRequest.kt
@@ -4,6 +4,7 @@
 import azuredale.identity.FailureDomain
 import azuredale.identity.PartId
 import azuredale.identity.PoolId
+import azuredale.identity.Region
 import azuredale.identity.ServerId
 import azuredale.identity.TeamId
 import azuredale.time.Timestamp
@@ -15,6 +16,7 @@
  * @property onTimeUntil when the latency target for the response, or the first event of a stream, expires.
  * @property deadline when the caller stops waiting.
  * @property excluded servers that were already tried.
+ * @property homes the regions whose servers may get the request, null if all may.
  * @property confinedTo a part of the prompt that may crash servers; all requests with it go to one server.
  */
 internal data class SelectionRequest(
@@ -26,4 +28,5 @@
     val deadline: Timestamp,
     val excluded: Set<ServerId> = emptySet(),
     val confinedTo: PartId? = null,
+    val homes: Set<Region>? = null,
 )
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -6,6 +6,7 @@
 import azuredale.directory.process
 import azuredale.identity.FailureDomain
 import azuredale.identity.PartId
+import azuredale.identity.Region
 import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
 
@@ -17,6 +18,9 @@
     /** Operators have evacuated the failure domain of the server. */
     EVACUATED,
 
+    /** The route or the team of the request is confined to other regions. */
+    OUTSIDE_HOMES,
+
     /** An earlier attempt of the request was sent to the server, or failed to reach it. */
     ALREADY_TRIED,
 
@@ -48,11 +52,13 @@
  * A server whose circuit is open is still used when the circuits of all servers that want the request are open.
  *
  * @param isEvacuated whether operators have evacuated a failure domain.
+ * @param regionOf the region of a failure domain, null if it is unknown; its servers get no confined requests.
  */
 internal class ServerEligibility(
     private val directory: () -> ServerDirectory,
     private val statistics: ServerStatistics,
     private val isEvacuated: (FailureDomain) -> Boolean = { false },
+    private val regionOf: (FailureDomain) -> Region? = { null },
 ) {
     /** Whether the process that [server] registers may get a request that was selected for it before [now]. */
     fun mayUse(server: BackendEntry, now: Timestamp): Boolean = isRegistered(server) &&
@@ -87,6 +93,7 @@
     /** Why a registered [server] and [request] rule each other out for good, or until a known time. */
     private fun refusalOf(server: BackendEntry, request: SelectionRequest, now: Timestamp): Ineligibility? = when {
         isEvacuated(server.failureDomain) -> Ineligibility.EVACUATED
+        request.homes?.contains(regionOf(server.failureDomain)) == false -> Ineligibility.OUTSIDE_HOMES
         server.id in request.excluded -> Ineligibility.ALREADY_TRIED
         !statistics.announcements.allowsRequest(server, now) -> Ineligibility.UNWILLING
         else -> null
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -4,6 +4,7 @@
 import azuredale.directory.ServerDirectory
 import azuredale.identity.FailureDomain
 import azuredale.identity.PoolId
+import azuredale.identity.Region
 import azuredale.time.Timestamp
 
 /** Result of selecting a server for one request. */
@@ -39,14 +40,16 @@
  * Selects the backend server for a request among those that [ServerEligibility] leaves.
  *
  * @param isEvacuated whether operators have evacuated a failure domain.
+ * @param regionOf the region of a failure domain, null if it is unknown.
  */
 internal class ServerSelector(
     directory: () -> ServerDirectory,
     private val statistics: ServerStatistics,
     isEvacuated: (FailureDomain) -> Boolean = { false },
+    regionOf: (FailureDomain) -> Region? = { null },
 ) {
     /** Which servers may get a request. */
-    val eligibility = ServerEligibility(directory, statistics, isEvacuated)
+    val eligibility = ServerEligibility(directory, statistics, isEvacuated, regionOf)
 
     /** Which model engine gets a prompt. */
     val engines = EnginePlacement(statistics)
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -5,6 +5,7 @@
 import azuredale.admission.PromptAdmission
 import azuredale.admission.RetryTime
 import azuredale.admission.TeamUsage
+import azuredale.catalog.HomeRegions
 import azuredale.directory.BackendEntry
 import azuredale.engine.ColdLimit
 import azuredale.engine.ColdServerFleet
@@ -180,8 +181,15 @@
         )
     private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
-    private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
-    private val selector = ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated)
+    private val authorizer =
+        RequestAuthorizer(
+            catalog = { view.catalog },
+            isFresh = ::isCatalogFresh,
+            isClosed = gracefulStop::isClosed,
+            homes = HomeRegions(settings.regions.values.toSet()),
+        )
+    private val selector =
+        ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated, settings.regions::get)
     private val context =
         GatewayContext(
             settings = settings,
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -40,6 +40,7 @@
 /**
  * Settings of one router on the platform.
  *
+ * @property regions regions of the failure domains.
  * @property callerAddress HTTP address for caller requests.
  * @property readinessAddress HTTP address for the platform's readiness check and for metrics.
  * @property directoryAddress HTTP address for callers that ask which routers to use.
@@ -58,6 +59,7 @@
     val storeAddress: NetworkAddress,
     val weight: Double,
     val maximumDescriptors: Int = DEFAULT_DESCRIPTORS,
+    val regions: Map<FailureDomain, Region> = emptyMap(),
     val bounds: FleetBounds,
 ) {
     /**
--- a/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
@@ -1,8 +1,10 @@
 package azuredale.gateway
 
 import azuredale.catalog.Catalog
+import azuredale.catalog.HomeRegions
 import azuredale.catalog.Route
 import azuredale.identity.PoolId
+import azuredale.identity.Region
 import azuredale.identity.Revision
 import azuredale.identity.TeamId
 import azuredale.outcome.ErrorKind
@@ -12,7 +14,11 @@
 import azuredale.sharing.StableHash
 import azuredale.time.Timestamp
 
-/** A request that passed the checks against the catalog of [revision]. */
+/**
+ * A request that passed the checks against the catalog of [revision].
+ *
+ * @property homes the regions whose servers may get it, null if all may.
+ */
 internal class AuthorizedRequest(
     val revision: Revision,
     val route: Route,
@@ -20,6 +26,7 @@
     val team: TeamId?,
     val priority: Int,
     val bodyLimitBytes: Int,
+    val homes: Set<Region>? = null,
 )
 
 /** Checks requests against the catalog, which must be fresh for requests that need a key. */
@@ -27,6 +34,7 @@
     private val catalog: () -> Catalog?,
     private val isFresh: (Timestamp) -> Boolean,
     private val isClosed: (Timestamp) -> Boolean,
+    private val homes: HomeRegions = HomeRegions(emptySet()),
 ) {
     /** Returns the route, pool and team of [head], or the failure to return to the caller. */
     fun authorize(head: RequestHead, now: Timestamp): Outcome<AuthorizedRequest> {
@@ -43,7 +51,8 @@
             is Outcome.Success ->
                 changed(now).takeIf {
                     again.value.pool != request.pool ||
-                        again.value.team != request.team
+                        again.value.team != request.team ||
+                        again.value.homes != request.homes
                 }
         }
     }
@@ -73,6 +82,7 @@
                 team = team?.id,
                 priority = team?.priority ?: route.priority,
                 bodyLimitBytes = current.limits.maximumBodyBytes,
+                homes = homes.of(route, team),
             ),
         )
     }
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -61,6 +61,7 @@
         deadline = deadline,
         excluded = excluded,
         confinedTo = promptGate.confinedTo(now),
+        homes = authorized.homes,
     )
 
     private fun checkLoad(selection: ServerSelection.Selected, now: Timestamp): Failure? {
--- a/src/main/kotlin/azuredale/platform/CatalogMessage.kt
+++ b/src/main/kotlin/azuredale/platform/CatalogMessage.kt
@@ -9,6 +9,7 @@
 import azuredale.catalog.RouteKind
 import azuredale.catalog.WeightedPool
 import azuredale.identity.PoolId
+import azuredale.identity.Region
 import azuredale.identity.Revision
 import azuredale.identity.TeamId
 import kotlinx.serialization.SerialName
@@ -52,6 +53,7 @@
     // Despite its name, the flag binds no sessions to a server; it says that requests carry the parts of their prompt.
     @SerialName("sticky-sessions") private val isAffine: Boolean = false,
     @SerialName("stream-resume") private val isResumable: Boolean = false,
+    @SerialName("allowed-regions") private val homes: List<String> = emptyList(),
 ) {
     fun toRoute(): Route = Route(
         name = name,
@@ -67,6 +69,7 @@
         allowsAnonymous = isOpen,
         hasPromptAffinity = isAffine,
         isResumable = isResumable,
+        homes = homes.mapTo(LinkedHashSet(), ::Region),
     )
 }
 
@@ -148,6 +151,8 @@
     private val name: String,
     @SerialName("api-keys") private val keys: List<String> = emptyList(),
     private val priority: Int? = null,
+    @SerialName("allowed-regions") private val homes: List<String> = emptyList(),
 ) {
-    fun toTeam(): CatalogTeam = CatalogTeam(TeamId(name), keys.toSet(), priority)
+    fun toTeam(): CatalogTeam =
+        CatalogTeam(TeamId(name), keys.toSet(), priority, homes.mapTo(LinkedHashSet(), ::Region))
 }
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -34,6 +34,11 @@
                 router = RouterId(fields.text("node")),
                 region = Region(fields.text("region")),
                 failureDomain = FailureDomain(fields.text("zone")),
+                regions =
+                    fields
+                        .withPrefix("zones.")
+                        .entries
+                        .associate { (domain, region) -> FailureDomain(domain) to Region(region) },
                 callerAddress = fields.address("listen.front"),
                 readinessAddress = fields.address("listen.ready"),
                 directoryAddress = fields.address("listen.directory"),
@@ -75,6 +80,11 @@
         fun text(name: String): String =
             values[name]?.takeIf { it.isNotEmpty() } ?: "".also { faults += "$name is missing" }
 
+        /** The values of all fields whose names begin with [prefix], by the rest of their names. */
+        fun withPrefix(prefix: String): Map<String, String> = values
+            .filter { (name, value) -> name.startsWith(prefix) && value.isNotEmpty() }
+            .mapKeys { it.key.removePrefix(prefix) }
+
         fun address(name: String): NetworkAddress {
             val text = text(name)
             val address = NetworkAddress.parse(text)
--- a/src/test/kotlin/azuredale/platform/PlatformStoreReaderSpec.kt
+++ b/src/test/kotlin/azuredale/platform/PlatformStoreReaderSpec.kt
@@ -5,6 +5,7 @@
 import azuredale.freshness.OperatorRead
 import azuredale.identity.FailureDomain
 import azuredale.identity.PoolId
+import azuredale.identity.Region
 import azuredale.identity.Revision
 import azuredale.standin.PlatformFaults
 import org.junit.jupiter.api.Nested
@@ -59,6 +60,22 @@
         }
     }
 
+    @Nested
+    inner class Homes {
+        @Test
+        fun `are read for routes and teams`() = PlatformFixture.run {
+            standIn.put(
+                StoreKey.CATALOG,
+                """{"routes":[{"name":"r","host":"h","path-prefix":"/","kind":"streaming","service":"p",""" +
+                    """"timeout-ms":1000,"target-latency-ms":500,"allowed-regions":["sul"]}],""" +
+                    """"tenants":[{"name":"t","api-keys":["k"],"allowed-regions":["norte"]},{"name":"u"}]}""",
+            )
+            val catalog = assertIs<CatalogRead.Newer>(read().catalog).catalog
+            assertEquals(setOf(Region("sul")), catalog.routes.single().homes)
+            assertEquals(listOf(setOf(Region("norte")), emptySet()), catalog.teams.map { it.homes })
+        }
+    }
+
     @Nested
     inner class Evacuations {
         @Test
--- a/src/test/kotlin/azuredale/platform/SettingsFileSpec.kt
+++ b/src/test/kotlin/azuredale/platform/SettingsFileSpec.kt
@@ -1,6 +1,8 @@
 package azuredale.platform
 
 import azuredale.gateway.FleetBounds
+import azuredale.identity.FailureDomain
+import azuredale.identity.Region
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -33,6 +35,14 @@
             assertEquals(FleetBounds(), bounds("bounds.evacuate-ms=0\nbounds.cold-over=0"))
         }
 
+        @Test
+        fun `name the regions of failure domains`() {
+            val result =
+                assertIs<SettingsResult.Valid>(SettingsFile.parse("$text\nzones.sul-a=sul\nzones.norte-a=norte"))
+            val expected = mapOf(FailureDomain("sul-a") to Region("sul"), FailureDomain("norte-a") to Region("norte"))
+            assertEquals(expected, result.settings.regions)
+        }
+
         @Test
         fun `are read`() {
             val bounds = bounds("bounds.evacuate-ms=5000\nbounds.cold-over=1.5\nbounds.cold-slack=5")
