--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -5,6 +5,7 @@
 import azuredale.admission.PromptAdmission
 import azuredale.admission.RetryTime
 import azuredale.admission.TeamUsage
+import azuredale.catalog.HomeRegions
 import azuredale.directory.BackendEntry
 import azuredale.engine.ColdLimit
 import azuredale.engine.ColdServerFleet
@@ -205,10 +206,17 @@
             spareQuarters = { capacity.spareQuarters },
         )
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
-    private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
+    private val authorizer =
+        RequestAuthorizer(
+            catalog = { view.catalog },
+            isFresh = ::isCatalogFresh,
+            isClosed = gracefulStop::isClosed,
+            homes = HomeRegions(settings.regions.values.toSet()),
+        )
     private val requestBodies =
         RequestBodyBudget(RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()), dependencies.timer)
-    private val selector = ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated)
+    private val selector =
+        ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated, settings.regions::get)
     private val context =
         GatewayContext(
             settings = settings,
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -67,6 +67,7 @@
         excluded = excluded,
         confinedTo = promptGate.confinedTo(now),
         route = authorized.route.name,
+        homes = authorized.homes,
     )
 
     private fun directoryFailure(now: Timestamp) = context.admission.sendGuard
