Count a shared prompt part once for the fleet, and thin out teams above their share while room lacks

Cause: the first form of the room rule counted a shared part once for each router that had it running at a server. No request was put back, so memory did not bind.

Change: committedTokens holds only what requests have for themselves. engine.RecentParts counts the shared parts that routers report to have sent within two to four seconds, once each. The margin for other routers counts own tokens. Selections that fail for room raise LimitPressure, so that teams above their share are refused in advance.

--- a/src/main/kotlin/azuredale/engine/EngineMemory.kt
+++ b/src/main/kotlin/azuredale/engine/EngineMemory.kt
@@ -10,8 +10,8 @@
 /**
  * How much of the model engines' memory the requests in progress take.
  *
- * Among the requests of this router, a prompt part that several of them share at a server counts once. Across routers
- * the sums are added, so a part counts once for each router that has it running at the server.
+ * What requests have for themselves is added up over all routers. A prompt part that several of them share at a server
+ * counts once, from when a router sent it until its last request ended, or two to four seconds for those of others.
  *
  * @param declaredTokens memory of a server for running requests and cached prompt parts, in tokens; 0 if not declared.
  */
@@ -38,8 +38,16 @@
     fun capacityTokens(server: ServerId): Long? = declaredTokens(server).takeIf { it > 0 }
 
     /** Tokens that the requests in progress at [server] take or may still take, of all routers together. */
-    fun committedTokens(server: BackendEntry, now: Timestamp): Long =
-        loads.load(server.id, server.idHash, now).committedTokens.toLong()
+    fun committedTokens(server: BackendEntry, now: Timestamp): Long {
+        val shared = processes[server.id]?.memory?.sharedTokens(now) ?: 0
+        return loads.load(server.id, server.idHash, now).committedTokens + shared
+    }
+
+    /** Records that some router sent a prompt part with [tokens] to [server]. */
+    fun recordReported(server: BackendEntry, part: String, tokens: Int, now: Timestamp) {
+        if (capacityTokens(server.id) == null) return
+        (processes[server.id] ?: start(server)).memory.recordReported(part, tokens, now)
+    }
 
     /** Tokens at [server] that no request in progress takes, null without a declared memory; cached parts yield. */
     fun freeTokens(server: BackendEntry, now: Timestamp): Long? =
--- a/src/main/kotlin/azuredale/engine/LimitPressure.kt
+++ b/src/main/kotlin/azuredale/engine/LimitPressure.kt
@@ -5,7 +5,7 @@
 import kotlin.math.exp
 
 /**
- * How often servers' limits recently left no server of a pool for a request of this router.
+ * How often servers' limits or their memory recently left no server of a pool for a request of this router.
  *
  * While that happens, requests of teams above their fair share are refused earlier, so that the others find a server.
  */
@@ -16,7 +16,7 @@
 
     private val averages = HashMap<PoolId, Average>()
 
-    /** Records whether a selection in [pool] failed because the limits were used up. */
+    /** Records whether a selection in [pool] failed because the limits or the memory were used up. */
     fun record(pool: PoolId, isUsedUp: Boolean, now: Timestamp) {
         if (!isUsedUp && pool !in averages) return
         val average = averages.getOrPut(pool) { Average(now) }
--- a/src/main/kotlin/azuredale/engine/PoolDemand.kt
+++ b/src/main/kotlin/azuredale/engine/PoolDemand.kt
@@ -13,9 +13,11 @@
     private var count = 0
     private var mean = 0.0
     private var meanSquare = 0.0
+    private var ownMean = 0.0
+    private var ownMeanSquare = 0.0
 
-    /** Records that a request that takes [tokens] asks for room, whether it gets some or not. */
-    fun recordAsked(tokens: Long, now: Timestamp) {
+    /** Records that a request asks for room; it takes [tokens], [ownTokens] of them for itself. */
+    fun recordAsked(tokens: Long, ownTokens: Long, now: Timestamp) {
         asked.add(1.0, now)
         largest.add(tokens, now)
         val size = tokens.toDouble()
@@ -23,6 +25,8 @@
         val weight = 1.0 / count
         mean += (size - mean) * weight
         meanSquare += (size * size - meanSquare) * weight
+        ownMean += (ownTokens - ownMean) * weight
+        ownMeanSquare += (ownTokens.toDouble() * ownTokens - ownMeanSquare) * weight
     }
 
     /** Records that a request that takes [tokens] found room, which ends the wait of one as large. */
@@ -60,7 +64,7 @@
     /** Tokens that the requests of a time in which [requests] are expected to arrive rarely exceed. */
     fun tokensOfArrivals(requests: Double, now: Timestamp): Long {
         if (requests <= RARE) return 0
-        val bound = requests * mean + RARE_DEVIATIONS * sqrt(requests * meanSquare)
+        val bound = requests * ownMean + RARE_DEVIATIONS * sqrt(requests * ownMeanSquare)
         return maxOf(bound.toLong(), largestTokens(now))
     }
 
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -63,7 +63,7 @@
             }
     }
 
-    /** The servers that may get [request]; records how often limits leave none. */
+    /** The servers that may get [request]; records how often limits or memory leave none. */
     fun assess(request: SelectionRequest, now: Timestamp): Eligibility {
         val ready = directory().ready(request.pool)
         val willing = ready.filter { refusalOf(it, request, now) == null }
@@ -71,9 +71,13 @@
         val closed = willing.filter { statistics.circuitBreaker(it.id).allowsRequest(now) }
         val available = closed.ifEmpty { willing }
         val permitted = available.filter { hasLimitLeft(it, request, now) }
-        statistics.limitPressure.record(request.pool, permitted.isEmpty(), now)
-        if (permitted.isEmpty()) return Eligibility.None(ServerSelection.LimitsUsedUp)
-        return when (val room = statistics.room.decide(permitted, request, ready, now)) {
+        if (permitted.isEmpty()) {
+            statistics.limitPressure.record(request.pool, isUsedUp = true, now)
+            return Eligibility.None(ServerSelection.LimitsUsedUp)
+        }
+        val room = statistics.room.decide(permitted, request, ready, now)
+        statistics.limitPressure.record(request.pool, isUsedUp = room is RoomDecision.Taken, now)
+        return when (room) {
             is RoomDecision.Servers ->
                 Eligibility.Servers(request.confinedTo?.let { confined(room.servers, it) } ?: room.servers)
             is RoomDecision.TooLarge -> Eligibility.None(ServerSelection.TooLarge)
--- a/src/main/kotlin/azuredale/engine/ServerLoad.kt
+++ b/src/main/kotlin/azuredale/engine/ServerLoad.kt
@@ -6,7 +6,7 @@
  * @property waitingTokens uncached prompt tokens of requests without a first event.
  * @property running requests in progress.
  * @property recentRequests requests sent within the window of [ServerLimits]; counted only under a limit of the server.
- * @property committedTokens memory that requests in progress take or may still take.
+ * @property committedTokens memory that requests in progress take or may still take, without shared prompt parts.
  */
 public data class ServerLoad(
     val waitingTokens: Int = 0,
--- a/src/main/kotlin/azuredale/engine/ServerMemory.kt
+++ b/src/main/kotlin/azuredale/engine/ServerMemory.kt
@@ -2,9 +2,10 @@
 
 import azuredale.gateway.PromptPart
 import azuredale.gateway.PromptShape
+import azuredale.time.Timestamp
 
 /**
- * Memory of one server process that requests of this router take; a prompt part that several of them share counts once.
+ * Memory of one server process that requests take; a prompt part that several of them share counts once.
  *
  * @param onChange called with each change of [committedTokens].
  */
@@ -16,28 +17,41 @@
     private val parts = HashMap<String, SharedPart>()
     private var hasEnded = false
 
-    /** Tokens that the requests in progress take or may still take. */
+    private val reported = RecentParts()
+
+    /** Tokens that this router's requests in progress take or may still take, without parts that others may share. */
     var committedTokens = 0
         private set
 
+    private var localShared = 0L
+
+    /** Records that some router sent [part], which has [tokens], to the server. */
+    fun recordReported(part: String, tokens: Int, now: Timestamp) = reported.record(part, tokens, now)
+
+    /** Tokens of parts that requests in progress may share: those of this router, and those sent recently by any. */
+    fun sharedTokens(now: Timestamp): Long {
+        var tokens = localShared + reported.tokens(now)
+        parts.forEach { (id, part) -> if (reported.contains(id)) tokens -= part.tokens }
+        return tokens
+    }
+
     /** Tokens of [prompt] that requests in progress share with it; has no effect. */
     fun heldTokens(prompt: PromptShape): Int {
         var tokens = 0
-        prompt.forEachSharedPart { if (it.id in parts) tokens += it.tokens }
+        prompt.forEachSharedPart { if (it.id in parts || reported.contains(it.id)) tokens += it.tokens }
         return tokens
     }
 
     /** Adds a request with [prompt], for whose output [outputTokens] are set aside. */
     fun claim(prompt: PromptShape, outputTokens: Int): MemoryClaim {
         var shared = 0
-        var added = 0
         prompt.forEachSharedPart { part ->
             shared += part.tokens
             val held = parts.getOrPut(part.id) { SharedPart(part.tokens) }
-            if (held.holders++ == 0) added += held.tokens
+            if (held.holders++ == 0) localShared += held.tokens
         }
         val own = prompt.promptTokens.coerceAtLeast(0) - shared
-        change(added + own + outputTokens)
+        change(own + outputTokens)
         return MemoryClaim(this, prompt, own, outputTokens)
     }
 
@@ -52,14 +66,13 @@
 
     /** Removes a request with [prompt] that takes [ownTokens] besides its shared parts. */
     fun release(prompt: PromptShape, ownTokens: Int) {
-        var freed = ownTokens
         prompt.forEachSharedPart { part ->
             val held = parts[part.id] ?: return@forEachSharedPart
             if (--held.holders > 0) return@forEachSharedPart
             parts.remove(part.id)
-            freed += held.tokens
+            localShared -= held.tokens
         }
-        change(-freed)
+        change(-ownTokens)
     }
 
     private fun change(tokens: Int) {
--- a/src/main/kotlin/azuredale/engine/ServerRoom.kt
+++ b/src/main/kotlin/azuredale/engine/ServerRoom.kt
@@ -60,7 +60,7 @@
     ): RoomDecision {
         val needs = needs(request, candidates) ?: return RoomDecision.Servers(candidates)
         if (needs.isTooLarge) return RoomDecision.TooLarge
-        memory.demand(request.pool).recordAsked(needs.wholeTokens, now)
+        memory.demand(request.pool).recordAsked(needs.wholeTokens, needs.ownTokens, now)
         if (!isBound(needs, ready)) return RoomDecision.Servers(candidates)
         val room = requiredRoom(needs, ready, now)
         val unreported = unreportedTokens(needs, room, candidates, now)
@@ -81,7 +81,16 @@
         /** Tokens of the request at a server that holds none of its parts. */
         val wholeTokens: Long,
         val isTooLarge: Boolean,
-    )
+    ) {
+        /** Those without the parts that other requests may share. */
+        val ownTokens =
+            wholeTokens - (
+                request.prompt
+                    ?.parts
+                    ?.dropLast(1)
+                    ?.sumOf { it.tokens.toLong() } ?: 0
+            )
+    }
 
     /**
      * Tokens that must be free for a request of any size.
@@ -128,8 +137,8 @@
     ): Long {
         val request = needs.request
         val prompt = request.prompt ?: return 0
-        val own = memory.additionalTokens(server.id, prompt, request.route, needs.capacityTokens)
         val free = needs.capacityTokens - memory.committedTokens(server, now)
+        val own = memory.additionalTokens(server.id, prompt, request.route, needs.capacityTokens)
         // The caller of a broken stream waits in the middle of it, so nothing is reserved for others.
         if (isRepeated(request)) return minOf(own, needs.capacityTokens) - free
         val isReserved = server.id == room.reservedServer && needs.wholeTokens < room.reservedTokens
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -60,7 +60,7 @@
     val engines = EnginePlacement(statistics)
     private val services = ServicePlacement(statistics)
 
-    /** How often the limits of servers recently left none for a request to [pool], between 0 and 1. */
+    /** How often the limits or the memory of servers recently left none for a request to [pool], between 0 and 1. */
     fun limitPressure(pool: PoolId, now: Timestamp): Double = statistics.limitPressure.current(pool, now)
 
     /** Whether the process that [server] registers is still registered and accepts requests at [now]. */
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -35,7 +35,7 @@
     /** What servers say of themselves in their answers. */
     val announcements = ServerAnnouncements()
 
-    /** How often these limits left no server for a request. */
+    /** How often these limits, or the servers' memory, left no server for a request. */
     val limitPressure = LimitPressure()
 
     /** Estimated contents of the servers' prompt caches. */
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -12,7 +12,6 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
-import azuredale.identity.ServerId
 import azuredale.quarantine.Quarantine
 import azuredale.time.Timestamp
 
@@ -205,8 +204,9 @@
 
     private fun applyReads(report: PeerReport, scope: ReportScope, now: Timestamp) {
         report.reads.forEach { read ->
-            val server: ServerId = view.directory.byIdHash[read.server]?.id ?: return@forEach
-            statistics.cache.record(server, listOf(PromptPart(read.part, read.tokens)))
+            val server = view.directory.byIdHash[read.server] ?: return@forEach
+            statistics.cache.record(server.id, listOf(PromptPart(read.part, read.tokens)))
+            statistics.memory.recordReported(server, read.part, read.tokens, now)
             when (scope) {
                 ReportScope.ROUTER -> if (topology.isRelay) writer.addDomainRead(read, now)
                 ReportScope.FAILURE_DOMAIN -> writer.addFleetRead(read, now)
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -13,7 +13,7 @@
  * @property waitingTokens prompt tokens waiting that are not cached at the server.
  * @property running number of requests running at the server.
  * @property recentRequests requests sent to the server within the last seconds, if it names a limit.
- * @property committedTokens memory of the server that the router's requests in progress take or may still take.
+ * @property committedTokens memory that the router's requests in progress take or may still take, without shared parts.
  */
 @Serializable
 internal class LoadEntry(
