--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -85,10 +85,11 @@
             }
     }
 
-    /** The servers that may get [request]; records how often limits leave none. */
+    /** The servers that may get [request]; records how often limits or memory leave none. */
     fun assess(request: SelectionRequest, now: Timestamp): Eligibility {
         val eligible = candidates(request, statistics.room::decide, now)
-        val isUsedUp = eligible is Eligibility.None && eligible.selection is ServerSelection.LimitsUsedUp
+        val selection = (eligible as? Eligibility.None)?.selection
+        val isUsedUp = selection is ServerSelection.LimitsUsedUp || selection is ServerSelection.NoRoom
         if (isUsedUp || eligible is Eligibility.Servers) statistics.limitPressure.record(request.pool, isUsedUp, now)
         return eligible
     }
--- a/src/main/kotlin/azuredale/engine/ServerRoom.kt
+++ b/src/main/kotlin/azuredale/engine/ServerRoom.kt
@@ -61,7 +61,7 @@
         val needs = needs(request, candidates) ?: return RoomDecision.Servers(candidates)
         if (needs.isTooLarge) return RoomDecision.TooLarge
         val demand = memory.demand(request.pool)
-        demand.recordAsked(needs.wholeTokens, now)
+        demand.recordAsked(needs.wholeTokens, needs.ownTokens, now)
         val decision = judge(needs, candidates, ready, now)
         when {
             decision is RoomDecision.Taken -> demand.recordRefused(needs.wholeTokens, now)
@@ -103,7 +103,16 @@
         /** Tokens of the request at a server that holds none of its parts. */
         val wholeTokens: Long,
         val isTooLarge: Boolean,
-    )
+    ) {
+        /** Those without the parts that other requests may share. */
+        val ownTokens =
+            wholeTokens - (
+                request.prompt
+                    ?.parts
+                    ?.dropLast(1)
+                    ?.sumOf { it.tokens.toLong() } ?: 0
+            )
+    }
 
     /**
      * Tokens that must be free for a request of any size.
@@ -150,8 +159,8 @@
     ): Long {
         val request = needs.request
         val prompt = request.prompt ?: return 0
-        val own = memory.additionalTokens(server.id, prompt, request.route, needs.capacityTokens)
         val free = needs.capacityTokens - memory.committedTokens(server, now)
+        val own = memory.additionalTokens(server.id, prompt, request.route, needs.capacityTokens)
         // The caller of a broken stream waits in the middle of it, so nothing is reserved for others.
         if (isRepeated(request)) return minOf(own, needs.capacityTokens) - free
         val isReserved = server.id == room.reservedServer && needs.wholeTokens < room.reservedTokens
