--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -236,7 +236,7 @@
     private fun applyReads(report: PeerReport, scope: ReportScope, now: Timestamp) {
         report.reads.forEach { read ->
             val server = view.directory.byIdHash[read.server] ?: return@forEach
-            statistics.recordReportedRead(server.id, PromptPart(read.part, read.tokens), now)
+            statistics.recordReportedRead(server, PromptPart(read.part, read.tokens), now)
             statistics.memory.recordReported(server, read.part, read.tokens, now)
             when (scope) {
                 ReportScope.ROUTER -> if (topology.isRelay) writer.addDomainRead(read, now)
