--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -2,6 +2,8 @@
 
 import azuredale.directory.BackendEntry
 import azuredale.directory.ServerDirectory
+import azuredale.gateway.PromptShape
+import azuredale.identity.FailureDomain
 import azuredale.identity.PoolId
 import azuredale.time.Timestamp
 
@@ -34,13 +36,18 @@
     data class Unavailable(val detail: String) : ServerSelection
 }
 
-/** Selects the backend server for a request among those that [ServerEligibility] leaves. */
+/**
+ * Selects the backend server for a request among those that [ServerEligibility] leaves.
+ *
+ * @param isEvacuated whether operators have evacuated a failure domain.
+ */
 internal class ServerSelector(
     directory: () -> ServerDirectory,
     private val statistics: ServerStatistics,
+    isEvacuated: (FailureDomain) -> Boolean = { false },
 ) {
     /** Which servers may get a request. */
-    val eligibility = ServerEligibility(directory, statistics)
+    val eligibility = ServerEligibility(directory, statistics, isEvacuated)
 
     /** Which model engine gets a prompt. */
     val engines = EnginePlacement(statistics)
@@ -52,17 +59,34 @@
     /** Whether the process that [server] registers is still registered and accepts requests at [now]. */
     fun mayUse(server: BackendEntry, now: Timestamp): Boolean = eligibility.mayUse(server, now)
 
+    /** Outstanding work at [server], of all routers together. */
+    fun load(server: BackendEntry, now: Timestamp): ServerLoad = statistics.loads.load(server.id, server.idHash, now)
+
     /** Selects a server for [request]. */
     fun select(request: SelectionRequest, now: Timestamp): ServerSelection {
+        statistics.resetStaleEstimates(request.pool, now)
+        return select(request, eligibility.assess(request, now), engines::select, now)
+    }
+
+    /** What [select] would return; has no effect. */
+    fun preview(request: SelectionRequest, now: Timestamp): ServerSelection =
+        select(request, eligibility.candidates(request, now), engines::preview, now)
+
+    private fun select(
+        request: SelectionRequest,
+        eligible: Eligibility,
+        place: (SelectionRequest, PromptShape, List<BackendEntry>, Timestamp) -> ServerSelection.Selected?,
+        now: Timestamp,
+    ): ServerSelection {
         val candidates =
-            when (val eligible = eligibility.assess(request, now)) {
+            when (eligible) {
                 is Eligibility.None -> return eligible.selection
                 is Eligibility.Servers -> eligible.servers
             }
         val best =
             when (val prompt = request.prompt) {
                 null -> services.select(request, candidates, now)
-                else -> engines.select(request, prompt, candidates, now)
+                else -> place(request, prompt, candidates, now)
             }
         return best ?: ServerSelection.Unavailable("no server of ${request.pool} may be used")
     }
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -8,15 +8,18 @@
 import azuredale.directory.BackendEntry
 import azuredale.engine.ServerSelector
 import azuredale.engine.ServerStatistics
+import azuredale.explain.ExplainEndpoint
+import azuredale.explain.RoutingExplainer
 import azuredale.freshness.ClockJumpDetector
 import azuredale.freshness.FirstReadDelay
 import azuredale.freshness.StoreReader
 import azuredale.freshness.StoreView
+import azuredale.identity.FailureDomain
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.intake.Intake
-import azuredale.intake.OverloadDetector
+import azuredale.intake.RouterWork
 import azuredale.logging.BoundedAppender
 import azuredale.logging.EventLog
 import azuredale.outcome.ErrorKind
@@ -53,6 +56,8 @@
     val probe: (BackendEntry, (isRefused: Boolean) -> Unit) -> Unit,
     /** Called when the server directory or the catalog changes. */
     val onChange: () -> Unit,
+    /** Number of connections that callers have open. */
+    val openCallerConnections: () -> Int = { 0 },
 )
 
 /**
@@ -74,7 +79,7 @@
     private val incarnation = Incarnation(clock().microseconds)
 
     /** Local copy of the store's tables. */
-    val view = StoreView(settings.bounds)
+    val view = StoreView(settings.bounds, ::evacuationsChanged)
 
     /** Runtime state of the backend servers. */
     val statistics =
@@ -85,6 +90,7 @@
                 log.write(GatewayLogEvent.SERVER_LIMITED, "server" to server, "requestsPerSecond" to requestsPerSecond)
                 exchange.reportSoon(clock())
             },
+            reportDelayMilliseconds = { exchange.reportDelayMilliseconds() },
             cacheTokens = { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS },
         )
 
@@ -125,6 +131,7 @@
                 "unanswered" to prompts.size,
             )
             metrics.recordServerEnd()
+            statistics.cache.clear(server.id)
             quarantine.recordCrash(ServerEnd.of(server), prompts, clock())
         }
     private val exchange: PeerExchange =
@@ -146,7 +153,8 @@
                     },
                 ),
             isReady = { isReady() },
-            isOverloaded = { isOverloaded() },
+            isOverloaded = { capacity.isOverloaded(clock()) },
+            spareQuarters = { capacity.spareQuarters },
         )
     private val poller: StorePoller =
         StorePoller(
@@ -179,10 +187,20 @@
             isDivided = { exchange.peers.all.any { !it.isAlive } },
             log = log,
         )
-    private val routerAddresses = RouterAddresses(settings, exchange.peers, ::isReady, ::isOverloaded)
+    private val capacity = RouterCapacity(settings.weight, log) { exchange.reportSoon(clock()) }
+    private val routerAddresses =
+        RouterAddresses(
+            settings = settings,
+            peers = exchange.peers,
+            isReady = ::isReady,
+            isOverloaded = { capacity.isOverloaded(clock()) },
+            spareQuarters = { capacity.spareQuarters },
+        )
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val authorizer = RequestAuthorizer({ view.catalog }, ::isCatalogFresh, gracefulStop::isClosed)
-    private val selector = ServerSelector({ view.directory }, statistics)
+    private val requestBodies =
+        RequestBodyBudget(RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()), dependencies.timer)
+    private val selector = ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated)
     private val context =
         GatewayContext(
             settings = settings,
@@ -214,6 +232,7 @@
                 RequestBudgets(
                     retries = FleetRetryBudget(settings.bounds) { exchange.peers.recentFleetSize() },
                     responseBuffers = ResponseBufferBudget(),
+                    requestBodies = requestBodies,
                 ),
             backends = dependencies.backends,
             failureHeaders = dependencies.failureHeaders,
@@ -223,12 +242,15 @@
             timer = dependencies.timer,
         )
 
+    /** Answers of this router to operators who ask where a request would go. */
+    val explanations = ExplainEndpoint(RoutingExplainer(context, view), clock) { intake.waiting > 0 }
     private val loadLog = RouterLoadLog(log)
-    private val overload = OverloadDetector()
+    private val prefixLog = PrefixLog(statistics.prefixes, log)
 
     /** Starts registering this router and reading the store. */
     fun start() {
         exposeMetrics()
+        prefixLog.expose(metrics)
         log.write(GatewayLogEvent.GATEWAY_STARTED, "router" to settings.router, "incarnation" to incarnation)
         scope.launch(start = CoroutineStart.UNDISPATCHED) { registrar.run() }
         tick()
@@ -238,7 +260,7 @@
     fun tick() {
         val now = clock()
         val lag = intake.lagMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
-        recordLag(lag, now)
+        capacity.record(work(lag), now)
         checkClocks()
         poller.tick(lag, now)
         poller.logFreshnessChange(now)
@@ -249,10 +271,12 @@
         loadLog.tick(
             lagMilliseconds = lag,
             running = running,
+            spareQuarters = capacity.spareQuarters,
             knownRouters = exchange.peers.all.size + 1,
             directoryAge = poller.directoryAgeMilliseconds(now),
             now = now,
         )
+        prefixLog.tick(now)
         intake.recordTick(nextAt = clock().plusMilliseconds(TICK_MILLISECONDS))
     }
 
@@ -265,6 +289,7 @@
     /** Handles the head of any response of [server]. */
     fun serverAnswered(server: BackendEntry, head: ResponseHead) {
         if (head.isLeaving && statistics.announcements.recordLeaving(server)) {
+            statistics.cache.clear(server.id)
             log.write(GatewayLogEvent.SERVER_LEAVING, "server" to server.id, "address" to server.address)
         }
         val hold = head.retryAfterMilliseconds ?: return
@@ -283,7 +308,7 @@
         val request = preview()
         if (!intake.isBehind(request.key.orEmpty())) return null
         val now = clock()
-        overload.recordDelay(now)
+        capacity.recordDelay(now)
         metrics.recordEnd(ErrorKind.OVERLOADED, now, null, now)
         val retryAt = RetryTime.at(request.remainingMilliseconds ?: 0, random.nextDouble(), now)
         val failure = Failure(ErrorKind.OVERLOADED, "requests with this key wait too long", retryAt)
@@ -318,22 +343,22 @@
     }
 
     /** Whether this router accepts requests. */
-    fun isReady(): Boolean = !isStopping && view.catalog != null && quarantine.isKnown && isCatalogFresh(clock())
-
-    private fun isOverloaded(): Boolean = overload.isOverloaded(clock())
-
-    private fun recordLag(lagMilliseconds: Long, now: Timestamp) {
-        val before = overload.isOverloaded(now)
-        overload.recordLag(lagMilliseconds, now)
-        if (!before && overload.isOverloaded(now)) {
-            log.write(GatewayLogEvent.ROUTER_OVERLOADED, "lag" to lagMilliseconds, "running" to running)
-            exchange.reportSoon(now)
-        }
-    }
-
-    /** Addresses of routers for callers, and the seconds for which they may be cached. */
-    fun addresses(): Pair<List<NetworkAddress>, Double> =
-        routerAddresses.addresses().also { loadLog.recordAddressAnswer(it.first.size) }
+    fun isReady(): Boolean = !isStopping &&
+        view.catalog != null &&
+        quarantine.isKnown &&
+        view.evacuations.isKnown &&
+        isCatalogFresh(clock())
+
+    private fun work(lagMilliseconds: Long) = RouterWork(
+        lagMilliseconds = lagMilliseconds,
+        waiting = intake.waiting,
+        running = running,
+        connections = dependencies.openCallerConnections().toDouble() / settings.maximumCallerConnections,
+    )
+
+    /** Addresses of routers for [caller], and the seconds for which they may be cached. */
+    fun addresses(caller: AddressCaller): Pair<List<NetworkAddress>, Double> =
+        routerAddresses.addresses(caller).also { loadLog.recordAddressAnswer(caller, it.first.size) }
 
     /** Begins a graceful stop and notifies the other routers at once. */
     fun stop() {
@@ -367,6 +392,12 @@
         if (isCatalogNew) exchange.report(clock())
     }
 
+    private fun evacuationsChanged(before: Set<FailureDomain>, after: Set<FailureDomain>) {
+        (after - before).forEach { log.write(GatewayLogEvent.DOMAIN_EVACUATED, "domain" to it) }
+        (before - after).forEach { log.write(GatewayLogEvent.EVACUATION_ENDED, "domain" to it) }
+        exchange.reportSoon(clock())
+    }
+
     private fun peerChanged(peer: Peer) {
         val event = if (peer.isAlive) GatewayLogEvent.PEER_FOUND else GatewayLogEvent.PEER_LOST
         log.write(event, "router" to peer.router, "address" to peer.address, "incarnation" to peer.incarnation)
@@ -380,6 +411,7 @@
     private fun exposeMetrics() {
         metrics.gauge("ready") { if (isReady()) 1.0 else 0.0 }
         metrics.gauge("requests.waiting") { intake.waiting.toDouble() }
+        metrics.gauge("capacity.spare.quarters") { capacity.spareQuarters.toDouble() }
         metrics.gauge("requests.running") { running.toDouble() }
         metrics.gauge("routers.alive") { exchange.peers.alive.size + 1.0 }
         metrics.gauge("catalog.revision") { view.revision.value.toDouble() }
@@ -390,8 +422,16 @@
                 .count { view.directory.isReady(it.id) }
                 .toDouble()
         }
+        metrics.gauge("domains.evacuated") {
+            view.evacuations.table
+                ?.domains
+                ?.size
+                ?.toDouble() ?: 0.0
+        }
         metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
+        metrics.gauge("request.body.bytes") { requestBodies.heldBytes.toDouble() }
+        metrics.gauge("request.bodies.refused") { requestBodies.refusals.toDouble() }
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
         metrics.gauge("directories.learned") { exchange.directoriesLearned.toDouble() }
         metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
@@ -14,6 +14,7 @@
     private var refusals = 0
     private var addressAnswers = 0
     private var fewestAddresses = Int.MAX_VALUE
+    private val addressCallers = HashSet<String>()
     private var longestLag = 0L
 
     /** Records that a caller's request was read. */
@@ -24,9 +25,10 @@
     /** Records that a request was refused before it was decoded; returns whether a line about it is to be written. */
     fun recordRefusal(): Boolean = ++refusals <= LOGGED_REFUSALS
 
-    /** Records that a caller was told to use [count] routers. */
-    fun recordAddressAnswer(count: Int) {
+    /** Records that [caller] was told to use [count] routers. */
+    fun recordAddressAnswer(caller: AddressCaller, count: Int) {
         addressAnswers++
+        addressCallers += caller.host
         fewestAddresses = minOf(fewestAddresses, count)
     }
 
@@ -35,10 +37,18 @@
      *
      * @param lagMilliseconds how much later than planned the work runs.
      * @param running requests in progress.
+     * @param spareQuarters quarters of the router's capacity that are spare.
      * @param knownRouters routers, including this one, that the router knows of.
      * @param directoryAge milliseconds since the directory was known to be the newest, null if it never was.
      */
-    fun tick(lagMilliseconds: Long, running: Int, knownRouters: Int, directoryAge: Long?, now: Timestamp) {
+    fun tick(
+        lagMilliseconds: Long,
+        running: Int,
+        spareQuarters: Int,
+        knownRouters: Int,
+        directoryAge: Long?,
+        now: Timestamp,
+    ) {
         longestLag = maxOf(longestLag, lagMilliseconds)
         if (now < nextAt) return
         nextAt = now.plusMilliseconds(PERIOD_MILLISECONDS)
@@ -49,7 +59,9 @@
                 "refusedUnread" to refusals,
                 "running" to running,
                 "lag" to longestLag,
+                "spareQuarters" to spareQuarters,
                 "addressAnswers" to addressAnswers,
+                "addressCallers" to addressCallers.size,
                 "fewestAddresses" to fewestAddresses.takeIf { addressAnswers > 0 },
                 "knownRouters" to knownRouters,
                 "directoryAge" to directoryAge,
@@ -58,6 +70,7 @@
         requests = 0
         refusals = 0
         addressAnswers = 0
+        addressCallers.clear()
         fewestAddresses = Int.MAX_VALUE
         longestLag = 0
     }
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -14,6 +14,7 @@
 import azuredale.identity.Revision
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.intake.SpareCapacity
 import azuredale.quarantine.Quarantine
 import azuredale.time.Timestamp
 
@@ -48,12 +49,14 @@
     private val callbacks: PeerCallbacks,
     isReady: () -> Boolean,
     isOverloaded: () -> Boolean = { false },
+    spareQuarters: () -> Int = { SpareCapacity.ALL },
 ) {
     private val codec = PeerCodec()
     private val table = PeerTable(settings.router)
     private val topology = RelayTopology(settings, table, isReady)
     private val quarantineExchange = QuarantineExchange(quarantine)
     private val directoryExchange = DirectoryExchange(view, ::directoryLearned)
+    private val evacuationExchange = EvacuationExchange(view.evacuations)
     private val writer =
         ReportWriter(
             settings,
@@ -65,8 +68,10 @@
             topology,
             quarantineExchange,
             directoryExchange,
+            evacuationExchange,
             isReady,
             isOverloaded,
+            spareQuarters,
         )
     private val reportedStates = LinkedHashMap<Long, ReportedState>()
     private var nextReportAt = Timestamp.DISTANT_PAST
@@ -75,6 +80,9 @@
     /** The other routers. */
     val peers: PeerTable get() = table
 
+    /** How long other routers take on the mean to learn what this one sent; a relayed report waits for three rounds. */
+    fun reportDelayMilliseconds(): Long = period() * (if (topology.isMesh) 1 else RELAYED_ROUNDS) / 2
+
     /** Number of datagrams sent, for metrics. */
     var datagramsSent: Long = 0
         private set
@@ -155,11 +163,15 @@
         val (datagram, report) = codec.decode(bytes) ?: return callbacks.onRefused(from, bytes)
         val scope = ReportScope.entries.getOrNull(report.scope) ?: return callbacks.onRefused(from, bytes)
         report.routers.forEach { routerDiscovered(RouterId(it.router), NetworkAddress(it.host, it.peerPort), now) }
-        val peer = table.reportReceived(report, datagram.sentAt, from, now, aliveUntil(report, now)) ?: return
+        // A datagram may have waited unread, so ages count from the earliest time at which it was created.
+        val createdAt = createdAfter(datagram, now) ?: now
+        val peer =
+            table.reportReceived(report, datagram.sentAt, from, now, createdAt, aliveUntil(report, now)) ?: return
         report.relayed.forEach { row ->
-            val heardAt = now.plusMilliseconds(-row.age.coerceIn(0, MAXIMUM_AGE_MILLISECONDS))
+            val heardAt = createdAt.plusMilliseconds(-row.age.coerceIn(0, MAXIMUM_AGE_MILLISECONDS))
             table.relayedReceived(row, heardAt, now, heardAt.plusMilliseconds(RELAYED_TIMEOUT_MILLISECONDS))
         }
+        report.liveness?.let { table.relayedLiveness(it, createdAt, RELAYED_TIMEOUT_MILLISECONDS, now) }
         if (isLoadSource(peer, scope)) applySums(peer, scope, datagram, report, now)
         applyReads(report, scope, now)
         applyLimits(report, now)
@@ -192,6 +204,7 @@
                     waitingTokens = entry.waitingTokens.coerceAtLeast(0),
                     running = entry.running.coerceAtLeast(0),
                     recentRequests = entry.recentRequests.coerceAtLeast(0),
+                    committedTokens = entry.committedTokens.coerceAtLeast(0),
                 )
             loads[entry.server] = included?.loads?.get(entry.server)?.let { load - it } ?: load
         }
@@ -218,7 +231,7 @@
     private fun applyReads(report: PeerReport, scope: ReportScope, now: Timestamp) {
         report.reads.forEach { read ->
             val server: ServerId = view.directory.byIdHash[read.server]?.id ?: return@forEach
-            statistics.cache.record(server, listOf(PromptPart(read.part, read.tokens)))
+            statistics.recordReportedRead(server, PromptPart(read.part, read.tokens), now)
             when (scope) {
                 ReportScope.ROUTER -> if (topology.isRelay) writer.addDomainRead(read, now)
                 ReportScope.FAILURE_DOMAIN -> writer.addFleetRead(read, now)
@@ -246,6 +259,7 @@
                 directoryExchange.isLater(report)
         if (isCatalogOld || isDirectoryOld) callbacks.onOutdated(isCatalogOld, isDirectoryOld)
         quarantineExchange.apply(report, createdAfter, now)
+        evacuationExchange.apply(report, createdAfter)
         if (createdAfter == null) return
         if (report.catalog.age >= 0) {
             view.confirmCatalog(Revision(report.catalog.version), createdAfter.plusMicroseconds(-report.catalog.age))
@@ -331,6 +345,9 @@
         /** A router of a failure domain sends and receives five datagrams per second. */
         const val RELAYED_PERIOD_MILLISECONDS = 200L
 
+        /** From a router to its relay, to the other relays, and to their routers. */
+        const val RELAYED_ROUNDS = 3L
+
         /** Combines news that arrive shortly after each other, such as the proofs of two reads. */
         const val NEWS_DELAY_MILLISECONDS = 10L
 
@@ -338,8 +355,11 @@
         const val MINIMUM_PEER_TIMEOUT_MILLISECONDS = 600L
         const val PEER_TIMEOUT_PERIODS = 5L
 
-        /** Two rotations of a relay through a fleet of 95 routers. */
-        const val RELAYED_TIMEOUT_MILLISECONDS = 6_000L
+        /**
+         * Time since a router was last heard from, by whichever way, for which it counts as alive: several periods in
+         * which relays pass liveness on, and a second less than the time for which answers may name a lost router.
+         */
+        const val RELAYED_TIMEOUT_MILLISECONDS = 5_000L
 
         /** Longest age that a relayed state can have; routers that are silent for longer are forgotten. */
         const val MAXIMUM_AGE_MILLISECONDS = 60_000L
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -1,5 +1,6 @@
 package azuredale.platform
 
+import azuredale.gateway.FatalErrors
 import azuredale.gateway.GatewayDaemon
 import azuredale.gateway.GatewaySettings
 import azuredale.gateway.PlatformAdapter
@@ -9,6 +10,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
@@ -25,6 +27,7 @@
             Vertx.vertx(
                 VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1),
             )
+        vertx.exceptionHandler(FatalErrors::handle)
         vertx.runOnContext {
             val daemon = start(vertx)
             stopOnSignal(vertx, daemon)
@@ -37,7 +40,8 @@
     /** Starts the router on the current event loop of [vertx]; returns before its sockets are open. */
     internal fun start(vertx: Vertx): GatewayDaemon {
         val clock = systemClock()
-        val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+        val failures = CoroutineExceptionHandler { _, failure -> FatalErrors.handle(failure) }
+        val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob() + failures)
         val rateLimiter = CallRateLimiter(CALLS_PER_SECOND, CALL_BURST, clock)
         val decoder = LargeValueDecoder(vertx)
         val store = StoreClient(vertx, settings.storeAddress, rateLimiter, clock)
@@ -49,7 +53,13 @@
                 wallClock = { Timestamp.ofMilliseconds(System.currentTimeMillis()) },
                 adapter =
                     PlatformAdapter(
-                        storeReader = PlatformStoreReader(store) { size, decode -> decoder.decode(size, decode) },
+                        storeReader =
+                            PlatformStoreReader(
+                                store,
+                                settings.bounds.evacuationBoundMilliseconds != null,
+                            ) { size, decode ->
+                                decoder.decode(size, decode)
+                            },
                         registry = RouterRegistry(store),
                         quarantineStore = QuarantineRegistry(store),
                         failureHeaders = ErrorResponseFormat,
@@ -63,8 +73,9 @@
         val callbacks =
             EndpointCallbacks(
                 isReady = daemon.gateway::isReady,
-                addresses = { daemon.gateway.addresses() },
+                addresses = daemon.gateway::addresses,
                 metrics = daemon.gateway.metrics::scrape,
+                explain = daemon.gateway.explanations::answer,
             )
         CoroutineScope(vertx.dispatcher()).launch {
             PlatformEndpoints(vertx, callbacks).start(setOf(settings.readinessAddress, settings.directoryAddress))
--- a/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
@@ -1,7 +1,11 @@
 package azuredale.platform
 
+import azuredale.explain.ExplainEndpoint
+import azuredale.gateway.AddressCaller
+import azuredale.identity.FailureDomain
 import azuredale.identity.NetworkAddress
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
@@ -22,10 +26,12 @@
 internal class EndpointCallbacks(
     /** Whether this router accepts requests. */
     val isReady: () -> Boolean,
-    /** Addresses of routers for a caller in the given failure domain, and their lifetime in seconds. */
-    val addresses: (String?) -> Pair<List<NetworkAddress>, Double>,
+    /** Addresses of routers for a caller, and their lifetime in seconds. */
+    val addresses: (AddressCaller) -> Pair<List<NetworkAddress>, Double>,
     /** Metrics in the Prometheus text format. */
     val metrics: () -> String,
+    /** Status and text of the answer to an operator's question about a request. */
+    val explain: (String) -> Pair<Int, String>,
 )
 
 /** HTTP endpoints for the platform and for callers: readiness, router addresses and metrics. */
@@ -56,6 +62,7 @@
     private fun answer(request: HttpServerRequest) {
         val response = request.response()
         when {
+            request.method() == HttpMethod.POST && request.path() == ExplainEndpoint.PATH -> explain(request)
             request.method() != HttpMethod.GET -> response.setStatusCode(METHOD_NOT_ALLOWED).end()
             request.path() == PlatformPath.READY ->
                 response
@@ -69,8 +76,17 @@
         }
     }
 
+    private fun explain(request: HttpServerRequest) {
+        val body = Buffer.buffer()
+        request.handler { if (body.length() <= ExplainEndpoint.MAXIMUM_BYTES) body.appendBuffer(it) }
+        request.endHandler {
+            val (status, text) = callbacks.explain(body.toString())
+            request.response().setStatusCode(status).end(text)
+        }
+    }
+
     private fun addresses(request: HttpServerRequest) {
-        val (addresses, seconds) = callbacks.addresses(request.getParam("zone"))
+        val (addresses, seconds) = callbacks.addresses(caller(request))
         if (addresses.isEmpty()) {
             request.response().setStatusCode(UNAVAILABLE).end()
             return
@@ -79,6 +95,12 @@
         request.response().putHeader("Content-Type", "application/json").end(body)
     }
 
+    private fun caller(request: HttpServerRequest) = AddressCaller(
+        host = request.remoteAddress()?.hostAddress().orEmpty(),
+        name = request.getParam("name").orEmpty(),
+        failureDomain = FailureDomain(request.getParam("zone").orEmpty()),
+    )
+
     private companion object {
         const val OK = 200
         const val NOT_FOUND = 404
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -1,5 +1,6 @@
 package azuredale.selftest
 
+import azuredale.gateway.AddressCaller
 import azuredale.gateway.FleetBounds
 import azuredale.gateway.GatewayDaemon
 import azuredale.gateway.GatewaySettings
@@ -67,6 +68,9 @@
     /** Address to which callers connect. */
     public val callerAddress: NetworkAddress = address(ports[0])
 
+    /** Address at which the router answers the platform and operators. */
+    public val readinessAddress: NetworkAddress = address(ports[1])
+
     /** Address at which the router receives reports of other routers. */
     public val peerAddress: NetworkAddress = address(ports[3])
 
@@ -98,7 +102,7 @@
         repeat(START_ATTEMPTS) {
             if (daemon
                     ?.gateway
-                    ?.addresses()
+                    ?.addresses(AddressCaller.UNKNOWN)
                     ?.first
                     ?.size == 2
             ) {
@@ -158,11 +162,17 @@
         )
     }
 
-    /** Registers server [index] at [address] with [state]; [generation] distinguishes its processes. */
-    public fun register(index: Int, address: NetworkAddress, state: String = "ready", generation: Int = 1) {
+    /** Registers server [index] at [address] in [domain] with [state]; [generation] distinguishes its processes. */
+    public fun register(
+        index: Int,
+        address: NetworkAddress,
+        state: String = "ready",
+        generation: Int = 1,
+        domain: String = "domain",
+    ) {
         platform.put(
             StoreKey.SERVERS + "server-$index",
-            """{"service":"pool-a","address":"$address","zone":"domain","version":"1","slots":8,""" +
+            """{"service":"pool-a","address":"$address","zone":"$domain","version":"1","slots":8,""" +
                 """"state":"$state","cold-left-ms":0,"sequence":1,"born":$generation}""",
         )
     }
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -16,6 +16,7 @@
 import azuredale.identity.Region
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.intake.SpareCapacity
 import azuredale.quarantine.Quarantine
 import azuredale.quarantine.QuarantineCallbacks
 import azuredale.time.Clock
@@ -26,12 +27,16 @@
 internal class SimulatedExchange private constructor(
     routers: Int,
     domains: Int,
-    private val weight: (Int) -> Double,
+    private val bounds: FleetBounds,
     private val isRunning: Boolean,
+    private val weight: (Int) -> Double,
 ) {
+    constructor(routers: Int, domains: Int, bounds: FleetBounds, weight: (Int) -> Double = ::unevenWeight) :
+        this(routers, domains, bounds, isRunning = true, weight)
+
     /** A fleet whose routers know each other and the servers. */
-    constructor(routers: Int, domains: Int, weight: (Int) -> Double = ::mixedWeight) :
-        this(routers, domains, weight, isRunning = true)
+    constructor(routers: Int, domains: Int, weight: (Int) -> Double = ::unevenWeight) :
+        this(routers, domains, FleetBounds(), weight)
 
     class Node(
         val router: RouterId,
@@ -49,6 +54,7 @@
         /** Called when another router reports a newer catalog or a different server directory. */
         var onOutdated: (Boolean, Boolean) -> Unit = { _, _ -> }
         var onDirectoryLearned: (ServerDirectory, Timestamp) -> Unit = { _, _ -> }
+        var spareQuarters = SpareCapacity.ALL
         var sent = 0
         var bytes = 0L
     }
@@ -61,9 +67,16 @@
     )
 
     private val network = ArrayDeque<Datagram>()
+    private val waiting = ArrayDeque<Pair<Timestamp, Datagram>>()
     private val byAddress = HashMap<NetworkAddress, Node>()
     val cut = HashSet<Node>()
 
+    /** Milliseconds for which datagrams to a router wait until it reads them. */
+    val delayed = HashMap<Node, Long>()
+
+    /** Whether the network loses the next datagram. */
+    var isLost: () -> Boolean = { false }
+
     /** Whether sent datagrams are kept in [recorded] and malformed ones are accepted silently. */
     var recordsDatagrams = false
     val recorded = ArrayList<ByteArray>()
@@ -99,7 +112,7 @@
 
     private fun create(index: Int, domains: Int): Node {
         val address = NetworkAddress("10.0.${index / 200}.${index % 200 + 1}", 7_000)
-        val view = StoreView(FleetBounds())
+        val view = StoreView(bounds) { _, _ -> nodes[index].exchange.reportSoon(now) }
         val known = ServerDirectory(1, servers.associateBy { it.id })
         if (isRunning) view.adoptDirectory(known, now, outageUntil = null)
         val node = Node(RouterId("router-$index"), address, statistics(index), view, TeamUsage(), { now })
@@ -114,7 +127,7 @@
                 peerAddress = address,
                 storeAddress = address,
                 weight = weight(index),
-                bounds = FleetBounds(),
+                bounds = bounds,
             )
         node.exchange =
             PeerExchange(
@@ -140,6 +153,7 @@
                     ),
                 isReady = { true },
                 isOverloaded = { node.isOverloaded },
+                spareQuarters = { node.spareQuarters },
             )
         byAddress[address] = node
         return node
@@ -150,6 +164,7 @@
         val end = now.plusMilliseconds(milliseconds)
         while (now < end) {
             while (network.isNotEmpty() && network.first().deliverAt <= now) deliver(network.removeFirst())
+            while (waiting.isNotEmpty() && waiting.first().first <= now) read(waiting.removeFirst().second)
             // Routers tick at different moments.
             nodes.forEachIndexed { index, node ->
                 if ((step + index) % TICK_MILLISECONDS == 0 && node !in cut) {
@@ -165,18 +180,24 @@
     private fun deliver(datagram: Datagram) {
         val target = byAddress.getValue(datagram.to)
         val source = byAddress.getValue(datagram.from)
-        if (target !in cut && source !in cut) target.exchange.received(datagram.from, datagram.bytes, now)
+        if (target in cut || source in cut || isLost()) return
+        val readAt = datagram.deliverAt.plusMilliseconds(delayed[target] ?: 0)
+        if (now < readAt) waiting += readAt to datagram else read(datagram)
     }
 
+    private fun read(datagram: Datagram) =
+        byAddress.getValue(datagram.to).exchange.received(datagram.from, datagram.bytes, now)
+
     /** Load of server [index] as seen by [node]. */
     fun loadSeenBy(node: Node, index: Int): ServerLoad =
         node.statistics.loads.load(servers[index].id, servers[index].idHash, now)
 
     companion object {
         /** A fleet whose routers know nothing yet. */
-        fun starting(routers: Int, domains: Int) = SimulatedExchange(routers, domains, ::mixedWeight, isRunning = false)
+        fun starting(routers: Int, domains: Int) =
+            SimulatedExchange(routers, domains, FleetBounds(), isRunning = false, ::unevenWeight)
 
-        private fun mixedWeight(index: Int) = 0.27 + index % 5 * 0.3
+        private fun unevenWeight(index: Int) = 0.27 + index % 5 * 0.3
 
         private const val SERVERS = 37
         private const val DELAY_MILLISECONDS = 2L
--- a/src/test/kotlin/azuredale/peers/SimulatedStore.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedStore.kt
@@ -7,6 +7,7 @@
 import azuredale.freshness.CatalogRead
 import azuredale.freshness.DirectoryRead
 import azuredale.freshness.FirstReadDelay
+import azuredale.freshness.OperatorRead
 import azuredale.freshness.StoreReader
 import azuredale.gateway.StorePoller
 import azuredale.identity.PartId
@@ -156,18 +157,20 @@
 
         private val silence = CallFailure(CallFailureReason.DEADLINE_PASSED, "silent")
 
-        override suspend fun readCatalog(known: Revision, deadline: Timestamp): CatalogRead {
+        override suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead {
             val isAnswered = call(Call.CATALOG)
             val found = Revision(catalogRevision)
-            return when {
-                !isAnswered -> CatalogRead.Failed(silence)
-                catalogRevision == 0L -> CatalogRead.Missing
-                found <= known -> CatalogRead.Unchanged(found)
-                else ->
-                    CatalogRead.Newer(
-                        Catalog(found, 1, emptyList(), emptyList(), emptyList(), CallerLimits()),
-                    )
-            }
+            val read =
+                when {
+                    !isAnswered -> CatalogRead.Failed(silence)
+                    catalogRevision == 0L -> CatalogRead.Missing
+                    found <= known -> CatalogRead.Unchanged(found)
+                    else ->
+                        CatalogRead.Newer(
+                            Catalog(found, 1, emptyList(), emptyList(), emptyList(), CallerLimits()),
+                        )
+                }
+            return OperatorRead(read)
         }
 
         override suspend fun readDirectory(deadline: Timestamp): DirectoryRead =
--- a/src/test/kotlin/azuredale/platform/LargeCatalogSpec.kt
+++ b/src/test/kotlin/azuredale/platform/LargeCatalogSpec.kt
@@ -32,7 +32,7 @@
             assertIs<WriteResult.Written>(written)
             val decoder = LargeValueDecoder(vertx)
             val reader =
-                PlatformStoreReader(client) { size, decode ->
+                PlatformStoreReader(client, readsEvacuations = true) { size, decode ->
                     decoder.decode(size) {
                         Thread.sleep(DECODE_MILLISECONDS)
                         decode()
@@ -47,10 +47,10 @@
                             turns++
                         }
                     }
-                val read = async { reader.readCatalog(Revision.NONE, deadline()) }.await()
+                val read = async { reader.readCatalog(Revision.NONE, deadline()).catalog }.await()
                 assertEquals(1_400, assertIs<CatalogRead.Newer>(read).catalog.routes.size)
                 assertTrue(turns > DECODE_MILLISECONDS / TICK_MILLISECONDS / 4, "$turns turns")
-                val again = reader.readCatalog(read.catalog.revision, deadline())
+                val again = reader.readCatalog(read.catalog.revision, deadline()).catalog
                 assertEquals(CatalogRead.Unchanged(read.catalog.revision), again)
                 ticks.cancel()
             }
