--- a/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
@@ -97,9 +97,8 @@
         decodeCatalog(stored.size) { catalog(stored, revision) }
 
     private fun catalog(stored: StoredValue, revision: Revision): CatalogRead = try {
-        CatalogRead.Newer(
-            platformJson.decodeFromString<CatalogMessage>(stored.bytes.decodeToString()).toCatalog(revision),
-        )
+        val message = platformJson.decodeFromString<CatalogMessage>(stored.bytes.decodeToString())
+        CatalogRead.Newer(message.toCatalog(revision))
     } catch (exception: IllegalArgumentException) {
         CatalogRead.Malformed(revision, exception.message.orEmpty())
     }
--- a/src/test/kotlin/azuredale/peers/SimulatedStore.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedStore.kt
@@ -162,15 +162,17 @@
         private suspend fun catalog(known: Revision): CatalogRead {
             val isAnswered = call(Call.CATALOG)
             val found = Revision(catalogRevision)
-            return when {
-                !isAnswered -> CatalogRead.Failed(silence)
-                catalogRevision == 0L -> CatalogRead.Missing
-                found <= known -> CatalogRead.Unchanged(found)
-                else ->
-                    CatalogRead.Newer(
-                        Catalog(found, 1, emptyList(), emptyList(), emptyList(), CallerLimits()),
-                    )
-            }
+            val read =
+                when {
+                    !isAnswered -> CatalogRead.Failed(silence)
+                    catalogRevision == 0L -> CatalogRead.Missing
+                    found <= known -> CatalogRead.Unchanged(found)
+                    else ->
+                        CatalogRead.Newer(
+                            Catalog(found, 1, emptyList(), emptyList(), emptyList(), CallerLimits()),
+                        )
+                }
+            return OperatorRead(read)
         }
 
         override suspend fun readDirectory(deadline: Timestamp): DirectoryRead =
--- a/src/test/kotlin/azuredale/platform/LargeCatalogSpec.kt
+++ b/src/test/kotlin/azuredale/platform/LargeCatalogSpec.kt
@@ -32,7 +32,7 @@
             assertIs<WriteResult.Written>(written)
             val decoder = LargeValueDecoder(vertx)
             val reader =
-                PlatformStoreReader(client) { size, decode ->
+                PlatformStoreReader(client, readsEvacuations = true) { size, decode ->
                     decoder.decode(size) {
                         Thread.sleep(DECODE_MILLISECONDS)
                         decode()
