--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -198,7 +198,7 @@
         fun starting(routers: Int, domains: Int) =
             SimulatedExchange(routers, domains, FleetBounds(), ::mixedWeight, isRunning = false)
 
-        private fun unevenWeight(index: Int) = 0.27 + index % 5 * 0.3
+        private fun mixedWeight(index: Int) = 0.27 + index % 5 * 0.3
 
         private const val SERVERS = 37
         private const val DELAY_MILLISECONDS = 2L
--- a/src/test/kotlin/azuredale/peers/SimulatedStore.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedStore.kt
@@ -157,9 +157,7 @@
 
         private val silence = CallFailure(CallFailureReason.DEADLINE_PASSED, "silent")
 
-        override suspend fun readCatalog(known: Revision, deadline: Timestamp) = OperatorRead(catalog(known))
-
-        private suspend fun catalog(known: Revision): CatalogRead {
+        override suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead {
             val isAnswered = call(Call.CATALOG)
             val found = Revision(catalogRevision)
             val read =
