--- a/src/test/kotlin/azuredale/explain/ExplainSpec.kt
+++ b/src/test/kotlin/azuredale/explain/ExplainSpec.kt
@@ -3,6 +3,11 @@
 import azuredale.command.CommandLine
 import azuredale.command.ExitCode
 import azuredale.command.Terminal
+import azuredale.engine.ServerLoad
+import azuredale.gateway.FleetBounds
+import azuredale.gateway.PromptPart
+import azuredale.identity.ServerId
+import azuredale.platform.StoreKey
 import azuredale.selftest.GatewayFixture
 import azuredale.standin.BackendBehaviour
 import io.vertx.core.Vertx
@@ -24,18 +29,19 @@
     private val output = StringBuilder()
     private val errors = StringBuilder()
 
-    private fun withGateway(test: suspend GatewayFixture.() -> Unit) = runBlocking {
-        val vertx = Vertx.vertx()
-        try {
-            withTimeout(60_000) {
-                val fixture = GatewayFixture(vertx)
-                fixture.start()
-                fixture.test()
+    private fun withGateway(bounds: FleetBounds = FleetBounds(), test: suspend GatewayFixture.() -> Unit) =
+        runBlocking {
+            val vertx = Vertx.vertx()
+            try {
+                withTimeout(60_000) {
+                    val fixture = GatewayFixture(vertx, bounds = bounds)
+                    fixture.start()
+                    fixture.test()
+                }
+            } finally {
+                vertx.close().coAwait()
             }
-        } finally {
-            vertx.close().coAwait()
         }
-    }
 
     /** Runs the command against the router and returns its exit code. */
     private suspend fun GatewayFixture.explain(vararg arguments: String): Int = withContext(Dispatchers.IO) {
@@ -113,6 +119,45 @@
         }
     }
 
+    /** The cases of docs/OPERATIONS.md. */
+    @Nested
+    inner class WorkedCases {
+        private val long =
+            arrayOf("--route", "stream", "--team", "team-a", "--tokens", "9200,80", "--parts", "s:2500,a:3800,x:2900")
+
+        private fun GatewayFixture.statistics() = checkNotNull(daemon).gateway.statistics
+
+        private fun GatewayFixture.addLoad(index: Int, load: ServerLoad) =
+            statistics().loads.add(ServerId("server-$index"), load)
+
+        @Test
+        fun `a request is refused because all servers are busy`() = withGateway {
+            repeat(2) { addLoad(it, ServerLoad(waitingTokens = 90_000, running = 8)) }
+            assertEquals(ExitCode.SUCCESS, explain(*long))
+            assertContains(output, "refused: PREDICTED_LATE, return in")
+        }
+
+        @Test
+        fun `a kept prefix is passed over because the wait costs more`() = withGateway {
+            val parts = listOf(PromptPart("s", 2_500), PromptPart("a", 3_800))
+            statistics().cache.record(ServerId("server-0"), parts)
+            assertEquals("server-0", explanation(*long).chosen)
+            addLoad(0, ServerLoad(waitingTokens = 60_000, running = 8))
+            assertEquals(ExitCode.SUCCESS, explain(*long))
+            assertContains(output, "admitted, to server server-1")
+        }
+
+        @Test
+        fun `an evacuated failure domain gets nothing`() =
+            withGateway(FleetBounds(evacuationBoundMilliseconds = 5_000)) {
+                platform.put(StoreKey.EVACUATIONS + "domain", "{}")
+                while (explanation(*long).verdict == RoutingVerdict.ADMITTED) delay(20)
+                assertEquals(ExitCode.SUCCESS, explain(*long))
+                assertContains(output, "refused: NO_ELIGIBLE_SERVER")
+                assertContains(output, "EVACUATED")
+            }
+    }
+
     private companion object {
         const val PARTS = "a:100,b:100,c:100"
     }
