Drop what is not yet written of a cancelled attempt, and reckon room only where memory is half committed

Change: a cancelled attempt closes its channel below the socket's handler. Room is reckoned only if a server has more than half of its memory committed or the request takes a quarter of one. Limits take the servers of the pool once per request. Gateway's refusal of unread requests and its gauges have files of their own.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -68,7 +68,7 @@
         // Reports the server's end of the connection as an event. Otherwise it looks the same as a failed write.
         channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         val pipeline = channel.pipeline()
-        pipeline.addFirst("byte-monitor", ByteMonitor())
+        pipeline.addFirst(BYTE_MONITOR, ByteMonitor())
         pipeline.addBefore(SOCKET_HANDLER, "encoder", HttpRequestEncoder())
         pipeline.addBefore(SOCKET_HANDLER, "decoder", responseDecoder)
         socket.messageHandler(::handleMessage)
@@ -123,8 +123,12 @@
             if (exchange !== this) return
             exchange = null
             mustClose = true
-            // The socket's own close waits until everything is written, also to a server that does not read.
-            socket.channelHandlerContext().channel().close()
+            // A close through the handler of the socket waits until everything is written, even if nobody reads it.
+            socket
+                .channelHandlerContext()
+                .pipeline()
+                .context(BYTE_MONITOR)
+                ?.close()
         }
 
         fun pause(isPaused: Boolean) {
@@ -286,6 +290,9 @@
     }
 
     private companion object {
+        /** Name of the handler next to the socket. */
+        const val BYTE_MONITOR = "byte-monitor"
+
         /** Name of the handler that Vert.x adds at the end of a connection's pipeline. */
         const val SOCKET_HANDLER = "handler"
 
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -79,9 +79,7 @@
             refusalOf(server, request, now) ?: when {
                 !statistics.circuitBreaker(server.id).allowsRequest(now) -> Ineligibility.CIRCUIT_OPEN
                 !toleratesRequest(server, now) -> Ineligibility.COLD
-                !hasLimitLeft(server, request, now) -> Ineligibility.LIMIT_USED_UP
-                !statistics.room.hasRoom(server, request, directory().ready(request.pool), now) -> Ineligibility.NO_ROOM
-                else -> null
+                else -> lack(server, request, directory().ready(request.pool), now)
             }
     }
 
@@ -104,7 +102,14 @@
         if (willing.isEmpty()) return Eligibility.None(unwilling(request, ready, now))
         val closed = willing.filter { statistics.circuitBreaker(it.id).allowsRequest(now) }
         val available = closed.ifEmpty { willing }
-        val permitted = available.filter { toleratesRequest(it, now) && hasLimitLeft(it, request, now) }
+        val permitted =
+            available.filter {
+                toleratesRequest(
+                    it,
+                    now,
+                ) &&
+                    statistics.limits.allowsRequest(it, ready, now)
+            }
         if (permitted.isEmpty()) return Eligibility.None(ServerSelection.LimitsUsedUp)
         return when (val room = decideRoom(permitted, request, ready, now)) {
             is RoomDecision.Servers ->
@@ -131,8 +136,17 @@
     private fun toleratesRequest(server: BackendEntry, now: Timestamp) =
         statistics.coldServers?.allowsRequest(server, now) != false
 
-    private fun hasLimitLeft(server: BackendEntry, request: SelectionRequest, now: Timestamp) =
-        statistics.limits.allowsRequest(server, directory().ready(request.pool), now)
+    /** What [server], one of the [ready] servers of the pool, has not enough of for [request]. */
+    private fun lack(
+        server: BackendEntry,
+        request: SelectionRequest,
+        ready: List<BackendEntry>,
+        now: Timestamp,
+    ): Ineligibility? = when {
+        !statistics.limits.allowsRequest(server, ready, now) -> Ineligibility.LIMIT_USED_UP
+        !statistics.room.hasRoom(server, request, ready, now) -> Ineligibility.NO_ROOM
+        else -> null
+    }
 
     /** The result if none of the [ready] servers wants the request. */
     private fun unwilling(request: SelectionRequest, ready: List<BackendEntry>, now: Timestamp): ServerSelection {
--- a/src/main/kotlin/azuredale/engine/ServerRoom.kt
+++ b/src/main/kotlin/azuredale/engine/ServerRoom.kt
@@ -87,7 +87,7 @@
         ready: List<BackendEntry>,
         now: Timestamp,
     ): RoomDecision {
-        if (!isBound(needs, ready)) return RoomDecision.Servers(candidates)
+        if (isCalm(needs, candidates, now) || !isBound(needs, ready)) return RoomDecision.Servers(candidates)
         val room = requiredRoom(needs, ready, now)
         val unreported = unreportedTokens(needs, room, candidates, now)
         val roomy = candidates.filter { missingTokens(it, needs, room, unreported, now) <= 0 }
@@ -133,6 +133,14 @@
         return Needs(request, capacity, whole, isTooLarge = prompt.promptTokens >= capacity)
     }
 
+    /**
+     * Whether every server obviously has room, so that nothing needs to be reckoned: the request takes less than a
+     * quarter of a server, and no server has more than half of its memory committed.
+     */
+    private fun isCalm(needs: Needs, servers: List<BackendEntry>, now: Timestamp): Boolean =
+        needs.wholeTokens * CALM_REQUEST_PARTS < needs.capacityTokens &&
+            servers.none { memory.committedTokens(it, now) * CALM_COMMITTED_PARTS > needs.capacityTokens }
+
     /** Whether requests in all slots of a server could exceed its memory. */
     private fun isBound(needs: Needs, ready: List<BackendEntry>): Boolean {
         val slots = ready.maxOfOrNull { it.slots } ?: return false
@@ -190,6 +198,12 @@
     }
 
     private companion object {
+        /** A request that needs less than one in this number of parts of a server is no reason to reckon. */
+        const val CALM_REQUEST_PARTS = 4
+
+        /** A server with less than one in this number of parts committed has room for what is not reported yet. */
+        const val CALM_COMMITTED_PARTS = 2
+
         /** A request that needs a larger part of a server has room reserved on one server only. */
         const val RESERVED_PARTS = 8
 
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -3,7 +3,6 @@
 import azuredale.admission.FairShares
 import azuredale.admission.LoadShedder
 import azuredale.admission.PromptAdmission
-import azuredale.admission.RetryTime
 import azuredale.admission.TeamUsage
 import azuredale.catalog.HomeRegions
 import azuredale.directory.BackendEntry
@@ -27,7 +26,6 @@
 import azuredale.intake.RouterWork
 import azuredale.logging.BoundedAppender
 import azuredale.logging.EventLog
-import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
 import azuredale.peers.Peer
 import azuredale.peers.PeerCallbacks
@@ -268,6 +266,7 @@
     /** Answers of this router to operators who ask where a request would go. */
     val explanations = ExplainEndpoint(RoutingExplainer(context, view), clock) { intake.waiting > 0 }
     private val loadLog = RouterLoadLog(log)
+    private val unreadRequests = UnreadRequests(intake, capacity, metrics, loadLog, log, clock, random::nextDouble)
     private val prefixLog = PrefixLog(statistics.prefixes, log)
 
     /** Starts registering this router and reading the store. */
@@ -326,27 +325,7 @@
      *
      * @param preview decodes what is needed of the request; called only while requests wait.
      */
-    fun refusal(preview: () -> RequestPreview): Failure? {
-        if (intake.waiting == 0) return null
-        val request = preview()
-        if (!intake.isBehind(request.key.orEmpty())) return null
-        val now = clock()
-        capacity.recordDelay(now)
-        metrics.recordEnd(ErrorKind.OVERLOADED, now, null, now)
-        val retryAt = RetryTime.at(request.remainingMilliseconds ?: 0, random.nextDouble(), now)
-        val failure = Failure(ErrorKind.OVERLOADED, "requests with this key wait too long", retryAt)
-        if (loadLog.recordRefusal()) {
-            log.write(
-                GatewayLogEvent.REQUEST_REFUSED,
-                "request" to request.id,
-                "kind" to failure.kind,
-                "execution" to failure.execution,
-                "detail" to failure.detail,
-                "left" to request.remainingMilliseconds,
-            )
-        }
-        return failure
-    }
+    fun refusal(preview: () -> RequestPreview): Failure? = unreadRequests.refusal(preview)
 
     /** Handles a request of a caller. */
     fun serve(caller: Caller) {
@@ -446,31 +425,13 @@
         metrics.gauge("requests.waiting") { intake.waiting.toDouble() }
         metrics.gauge("capacity.spare.quarters") { capacity.spareQuarters.toDouble() }
         metrics.gauge("requests.running") { running.toDouble() }
-        metrics.gauge("routers.alive") { exchange.peers.alive.size + 1.0 }
-        metrics.gauge("catalog.revision") { view.revision.value.toDouble() }
-        metrics.gauge(
-            "servers.ready",
-        ) {
-            view.directory.entries.values
-                .count { view.directory.isReady(it.id) }
-                .toDouble()
-        }
-        metrics.gauge("domains.evacuated") {
-            view.evacuations.table
-                ?.domains
-                ?.size
-                ?.toDouble() ?: 0.0
-        }
-        metrics.gauge("servers.cold") { statistics.coldServers?.count(clock())?.toDouble() ?: 0.0 }
         metrics.gauge("team.share.gap") { shares.current(clock()).gap }
         metrics.gauge("prompt.parts.quarantined") { quarantine.size.toDouble() }
-        metrics.gauge("request.body.bytes") { requestBodies.heldBytes.toDouble() }
-        metrics.gauge("request.bodies.refused") { requestBodies.refusals.toDouble() }
+        metrics.exposeServers(view, statistics, clock)
+        metrics.exposeExchange(exchange)
+        metrics.exposeBodies(requestBodies)
         memoryLog.expose(metrics, { view.directory }, clock)
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
-        metrics.gauge("directories.learned") { exchange.directoriesLearned.toDouble() }
-        metrics.gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
-        metrics.gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
     }
 
     companion object {
--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
@@ -0,0 +1,37 @@
+package azuredale.gateway
+
+import azuredale.engine.ServerStatistics
+import azuredale.freshness.StoreView
+import azuredale.peers.PeerExchange
+import azuredale.time.Clock
+
+/** Exposes what the router knows of the store's tables and of the backend servers. */
+internal fun GatewayMetrics.exposeServers(view: StoreView, statistics: ServerStatistics, clock: Clock) {
+    gauge("catalog.revision") { view.revision.value.toDouble() }
+    gauge("servers.ready") {
+        view.directory.entries.values
+            .count { view.directory.isReady(it.id) }
+            .toDouble()
+    }
+    gauge("servers.cold") { statistics.coldServers?.count(clock())?.toDouble() ?: 0.0 }
+    gauge("domains.evacuated") {
+        view.evacuations.table
+            ?.domains
+            ?.size
+            ?.toDouble() ?: 0.0
+    }
+}
+
+/** Exposes the exchange with the other routers. */
+internal fun GatewayMetrics.exposeExchange(exchange: PeerExchange) {
+    gauge("routers.alive") { exchange.peers.alive.size + 1.0 }
+    gauge("directories.learned") { exchange.directoriesLearned.toDouble() }
+    gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
+    gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
+}
+
+/** Exposes the budget of request bodies. */
+internal fun GatewayMetrics.exposeBodies(bodies: RequestBodyBudget) {
+    gauge("request.body.bytes") { bodies.heldBytes.toDouble() }
+    gauge("request.bodies.refused") { bodies.refusals.toDouble() }
+}
