Split what a router knows of the fleet from Gateway

FleetCoordination now holds the copies of the store's tables, the statistics of servers, the quarantine, the exchange with other routers and the reads of the store; Gateway holds the requests. Behaviour is unchanged.

--- /dev/null
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -0,0 +1,261 @@
+package azuredale.gateway
+
+import azuredale.admission.TeamUsage
+import azuredale.directory.BackendEntry
+import azuredale.engine.ColdLimit
+import azuredale.engine.ColdServerFleet
+import azuredale.engine.ColdServers
+import azuredale.engine.ServerStatistics
+import azuredale.freshness.ClockJumpDetector
+import azuredale.freshness.FirstReadDelay
+import azuredale.freshness.StoreView
+import azuredale.identity.FailureDomain
+import azuredale.identity.Incarnation
+import azuredale.identity.NetworkAddress
+import azuredale.identity.PoolId
+import azuredale.identity.ServerId
+import azuredale.logging.EventLog
+import azuredale.peers.Peer
+import azuredale.peers.PeerCallbacks
+import azuredale.peers.PeerExchange
+import azuredale.quarantine.Quarantine
+import azuredale.quarantine.QuarantineCallbacks
+import azuredale.quarantine.QuarantineKeeper
+import azuredale.quarantine.QuarantineLogEvent
+import azuredale.quarantine.ServerEnd
+import azuredale.sharing.StableHash
+import azuredale.time.Clock
+import azuredale.time.Timestamp
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+
+/**
+ * What one router knows of the fleet, the servers and the store, and the exchanges that keep it up to date.
+ *
+ * @param gracefulStop the planned stop of this router, after whose begin it is not ready any more.
+ */
+internal class FleetCoordination(
+    private val settings: GatewaySettings,
+    private val clock: Clock,
+    wallClock: Clock,
+    private val dependencies: GatewayDependencies,
+    private val scope: CoroutineScope,
+    private val metrics: GatewayMetrics,
+    private val gracefulStop: GracefulStop,
+    private val log: EventLog,
+    random: Random,
+) {
+    private val firstReads = FirstReadDelay(clock(), StableHash.of(settings.router.name))
+    private val clockJumps = ClockJumpDetector(clock, wallClock)
+
+    /** Identifies this process of the router among earlier ones. */
+    val incarnation = Incarnation(clock().microseconds)
+
+    /** Local copy of the store's tables. */
+    val view = StoreView(settings.bounds, ::evacuationsChanged)
+
+    /** Runtime state of the backend servers. */
+    val statistics =
+        ServerStatistics(
+            routers = { exchange.peers.recentFleetSize() },
+            random = random::nextDouble,
+            onLimitChange = { server, requestsPerSecond ->
+                log.write(GatewayLogEvent.SERVER_LIMITED, "server" to server, "requestsPerSecond" to requestsPerSecond)
+                exchange.reportSoon(clock())
+            },
+            reportDelayMilliseconds = { exchange.reportDelayMilliseconds() },
+            freeTokens = ::freeTokens,
+            coldServers = settings.bounds.coldFactor?.let { ::coldServers },
+            cacheTokens = { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS },
+        )
+
+    /** Recent token usage of the teams. */
+    val usage = TeamUsage()
+
+    /** Prompt parts that crash servers. */
+    val quarantine =
+        Quarantine(
+            QuarantineCallbacks(
+                onNews = { exchange.reportSoon(clock()) },
+                onChange = { part, isQuarantined, reason ->
+                    val event =
+                        if (isQuarantined) QuarantineLogEvent.PART_QUARANTINED else QuarantineLogEvent.PART_RELEASED
+                    log.write(event, "part" to part, "reason" to reason)
+                },
+            ),
+        )
+
+    /** What the servers' memory did to requests. */
+    val memoryLog = MemoryLog(statistics.memory, log)
+
+    /** Servers whose process may have ended. */
+    val serverEnds =
+        ServerEndDetector(clock, dependencies.timer, dependencies.probe) { server, prompts ->
+            log.write(
+                QuarantineLogEvent.SERVER_ENDED,
+                "server" to server.id,
+                "address" to server.address,
+                "unanswered" to prompts.size,
+            )
+            metrics.recordServerEnd()
+            statistics.cache.clear(server.id)
+            memoryLog.recordServerEnd(server, clock())
+            quarantine.recordCrash(ServerEnd.of(server), prompts, clock())
+        }
+
+    /** Reports to and from the other routers. */
+    val exchange: PeerExchange =
+        PeerExchange(
+            settings = settings,
+            incarnation = incarnation,
+            view = view,
+            statistics = statistics,
+            usage = usage,
+            quarantine = quarantine,
+            callbacks =
+                PeerCallbacks(
+                    send = dependencies.sendDatagram,
+                    onPeerChanged = ::peerChanged,
+                    onOutdated = { isCatalogOld, isDirectoryOld -> poller.markOutdated(isCatalogOld, isDirectoryOld) },
+                    onDirectoryLearned = { directory, provenAt -> poller.directoryLearned(directory, provenAt) },
+                    onRefused = { from, bytes ->
+                        log.write(GatewayLogEvent.PEER_MESSAGE_REFUSED, "from" to from, "bytes" to bytes.size)
+                    },
+                ),
+            isReady = { isReady() },
+            isOverloaded = { capacity.isOverloaded(clock()) },
+            spareQuarters = { capacity.spareQuarters },
+        )
+
+    /** Reads of the store. */
+    val poller: StorePoller =
+        StorePoller(
+            view = view,
+            storeReader = dependencies.storeReader,
+            clock = clock,
+            rank = exchange::rank,
+            changeDelayMilliseconds = exchange::changeDelayMilliseconds,
+            isHeld = ::isHeld,
+            log = log,
+            onChange = ::storeChanged,
+            onProof = { exchange.proofRenewed(clock()) },
+        )
+    private val registrar =
+        RouterRegistrar(
+            own = RegisteredRouter(settings.router, settings.peerAddress),
+            registry = dependencies.registry,
+            clock = clock,
+            log = log,
+            onFound = { exchange.routerDiscovered(it.router, it.address, clock()) },
+            onListed = { firstReads.recordListed(clock()) },
+        )
+
+    /** Quarantine in the store. */
+    val keeper =
+        QuarantineKeeper(
+            quarantine = quarantine,
+            store = dependencies.quarantineStore,
+            clock = clock,
+            scope = scope,
+            rank = exchange::rank,
+            isDivided = { exchange.peers.all.any { !it.isAlive } },
+            log = log,
+        )
+
+    /** What this router still bears. */
+    val capacity = RouterCapacity(settings.weight, log) { exchange.reportSoon(clock()) }
+
+    /** Starts registering this router. */
+    fun start() {
+        scope.launch(start = CoroutineStart.UNDISPATCHED) { registrar.run() }
+    }
+
+    /** Runs periodic work that is due; [lag] is how many milliseconds this router is late. */
+    fun tick(lag: Long, now: Timestamp) {
+        checkClocks()
+        poller.tick(lag, now)
+        poller.logFreshnessChange(now)
+        if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
+        if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
+        if (!isHeld(now)) keeper.tick(now)
+        exchange.tick(now)
+    }
+
+    /** Handles a datagram from another router. */
+    fun datagramReceived(from: NetworkAddress, bytes: ByteArray) {
+        checkClocks()
+        exchange.received(from, bytes, clock())
+    }
+
+    /** Handles the head of any response of [server]. */
+    fun serverAnswered(server: BackendEntry, head: ResponseHead) {
+        if (head.isLeaving && statistics.announcements.recordLeaving(server)) {
+            statistics.cache.clear(server.id)
+            log.write(GatewayLogEvent.SERVER_LEAVING, "server" to server.id, "address" to server.address)
+        }
+        val hold = head.retryAfterMilliseconds ?: return
+        if (statistics.announcements.recordHold(server, hold, clock())) {
+            log.write(GatewayLogEvent.SERVER_ON_HOLD, "server" to server.id, "milliseconds" to hold)
+        }
+    }
+
+    /** Whether this router accepts requests. */
+    fun isReady(): Boolean = !gracefulStop.isBegun &&
+        view.catalog != null &&
+        quarantine.isKnown &&
+        view.evacuations.isKnown &&
+        isCatalogFresh(clock())
+
+    /** Whether the catalog is proven to be recent enough for decisions. */
+    fun isCatalogFresh(now: Timestamp): Boolean {
+        checkClocks()
+        return view.isCatalogFresh(now)
+    }
+
+    private fun isHeld(now: Timestamp): Boolean = firstReads.isHeld(now, exchange.isMesh)
+
+    private fun checkClocks() {
+        if (!clockJumps.hasJumped()) return
+        log.write(GatewayLogEvent.CLOCK_JUMPED)
+        view.invalidateProofs()
+    }
+
+    private fun storeChanged(isCatalogNew: Boolean) {
+        statistics.updateDirectory(view.directory, clock())
+        dependencies.onChange()
+        if (isCatalogNew) exchange.report(clock())
+    }
+
+    private fun evacuationsChanged(before: Set<FailureDomain>, after: Set<FailureDomain>) {
+        (after - before).forEach { log.write(GatewayLogEvent.DOMAIN_EVACUATED, "domain" to it) }
+        (before - after).forEach { log.write(GatewayLogEvent.EVACUATION_ENDED, "domain" to it) }
+        exchange.reportSoon(clock())
+    }
+
+    private fun peerChanged(peer: Peer) {
+        val event = if (peer.isAlive) GatewayLogEvent.PEER_FOUND else GatewayLogEvent.PEER_LOST
+        log.write(event, "router" to peer.router, "address" to peer.address, "incarnation" to peer.incarnation)
+    }
+
+    private fun coldServers(onWarm: (ServerId) -> Unit) = ColdServers(
+        fleet = ColdServerFleet(settings.router) { exchange.peers.routers },
+        usableFrom = clock().plusMilliseconds(ColdServers.START_MILLISECONDS),
+        limitOf = { id -> view.catalog?.pool(id)?.let { ColdLimit.of(it, settings.bounds) } },
+        onWarm = onWarm,
+    )
+
+    private fun freeTokens(server: ServerId): Long? =
+        view.directory.entries[server]?.let { statistics.memory.freeTokens(it, clock()) }
+
+    private fun cacheTokens(pool: PoolId): Long = view.catalog
+        ?.pool(pool)
+        ?.engine
+        ?.cacheTokens ?: DEFAULT_CACHE_TOKENS
+
+    private companion object {
+        /** For pools without a declared cache size; plain services cache no prompts. */
+        const val DEFAULT_CACHE_TOKENS = 0L
+    }
+}
