Split the loads, the proofs and the periods of reports from PeerExchange

LoadExchange now adds up what others report of the servers' load, ProofExchange applies proofs of freshness and changes of the tables, ReportPeriods tells how often routers report and how long a report counts, and PeerCallbacks has a file of its own. Behaviour is unchanged.

GatewaySpec, ExplainSpec, RelayLossSpec, StoreCallBudgetSpec and the specs of the exchanges pass (mvn -o test -Dtest=...).

--- /dev/null
+++ b/src/main/kotlin/azuredale/peers/ProofExchange.kt
@@ -0,0 +1,60 @@
+package azuredale.peers
+
+import azuredale.freshness.StoreView
+import azuredale.identity.Incarnation
+import azuredale.identity.Revision
+import azuredale.time.Timestamp
+
+/**
+ * Applies what other routers report of the store's tables: proofs of freshness, changes, quarantine and evacuations.
+ *
+ * @param onOutdated called when another router reports a newer catalog or a different server directory.
+ */
+internal class ProofExchange(
+    private val incarnation: Incarnation,
+    private val view: StoreView,
+    private val quarantine: QuarantineExchange,
+    private val evacuations: EvacuationExchange,
+    private val directory: DirectoryExchange,
+    private val onOutdated: (isCatalogOld: Boolean, isDirectoryOld: Boolean) -> Unit,
+) {
+    /**
+     * Applies the proofs of freshness in [report].
+     *
+     * The echo shows that the report was created after this router sent the echoed datagram. The age of a proof is
+     * counted from that time, so that a delay of the datagram in transit never makes a proof appear too recent.
+     */
+    fun apply(datagram: PeerDatagram, report: PeerReport, now: Timestamp) {
+        val createdAfter = createdAfter(datagram, now)
+        if (createdAfter != null && report.directory.age >= 0) {
+            directory.apply(report, createdAfter.plusMicroseconds(-report.directory.age), now)
+        }
+        val isCatalogOld = report.catalog.version > view.revision.value
+        val isDirectoryOld =
+            report.directory.age in 0..ReportWriter.MAXIMUM_PROOF_AGE_MICROSECONDS &&
+                report.directory.version.toInt() != view.directoryDigest &&
+                now.plusMicroseconds(-report.directory.age) > view.directoryProof.at &&
+                directory.isLater(report)
+        if (isCatalogOld || isDirectoryOld) onOutdated(isCatalogOld, isDirectoryOld)
+        quarantine.apply(report, createdAfter, now)
+        evacuations.apply(report, createdAfter)
+        if (createdAfter == null) return
+        if (report.catalog.age >= 0) {
+            view.confirmCatalog(Revision(report.catalog.version), createdAfter.plusMicroseconds(-report.catalog.age))
+        }
+        if (report.directory.age >= 0) {
+            view.confirmDirectory(
+                report.directory.version.toInt(),
+                createdAfter.plusMicroseconds(-report.directory.age),
+            )
+        }
+    }
+
+    /** Time after which the report in [datagram] was created, by this router's clock; null if it echoes no report. */
+    fun createdAfter(datagram: PeerDatagram, now: Timestamp): Timestamp? {
+        if (datagram.echoedTime == 0L || datagram.echoIncarnation != incarnation.value) return null
+        return Timestamp(datagram.echoedTime)
+            .plusMicroseconds(datagram.echoDelay)
+            .takeIf { datagram.echoDelay >= 0 && it <= now }
+    }
+}
