--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -211,8 +211,11 @@
             isClosed = gracefulStop::isClosed,
             homes = HomeRegions(settings.regions.values.toSet()),
         )
-    private val requestBodies =
-        RequestBodyBudget(RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()), dependencies.timer)
+    private val memoryPlan = MemoryPlan(settings.memoryBytes, Runtime.getRuntime().maxMemory())
+
+    /** Connections that callers may have open. */
+    val maximumCallerConnections: Int = minOf(settings.maximumCallerConnections, memoryPlan.connections)
+    private val requestBodies = RequestBodyBudget(memoryPlan.bodyBytes, dependencies.timer)
     private val selector =
         ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated, settings.regions::get)
     private val context =
@@ -252,7 +255,7 @@
             budgets =
                 RequestBudgets(
                     retries = FleetRetryBudget(settings.bounds) { exchange.peers.recentFleetSize() },
-                    responseBuffers = ResponseBufferBudget(),
+                    responseBuffers = ResponseBufferBudget(memoryPlan.responseBytes),
                     requestBodies = requestBodies,
                 ),
             backends = dependencies.backends,
@@ -273,7 +276,15 @@
     fun start() {
         exposeMetrics()
         prefixLog.expose(metrics)
-        log.write(GatewayLogEvent.GATEWAY_STARTED, "router" to settings.router, "incarnation" to incarnation)
+        log.write(
+            GatewayLogEvent.GATEWAY_STARTED,
+            "router" to settings.router,
+            "incarnation" to incarnation,
+            "memory" to settings.memoryBytes,
+            "heap" to Runtime.getRuntime().maxMemory(),
+            "bodies" to memoryPlan.bodyBytes,
+            "connections" to maximumCallerConnections,
+        )
         scope.launch(start = CoroutineStart.UNDISPATCHED) { registrar.run() }
         tick()
     }
@@ -355,7 +366,7 @@
         lagMilliseconds = lagMilliseconds,
         waiting = intake.waiting,
         running = running,
-        connections = dependencies.openCallerConnections().toDouble() / settings.maximumCallerConnections,
+        connections = dependencies.openCallerConnections().toDouble() / maximumCallerConnections,
     )
 
     /** Addresses of routers for [caller], and the seconds for which they may be cached. */
@@ -430,6 +441,7 @@
         metrics.exposeServers(view, statistics, clock)
         metrics.exposeExchange(exchange)
         metrics.exposeBodies(requestBodies)
+        metrics.exposeMemory(memoryPlan, maximumCallerConnections)
         memoryLog.expose(metrics, { view.directory }, clock)
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
     }
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -91,7 +91,7 @@
                 host = settings.callerAddress.host,
                 port = settings.callerAddress.port,
                 maximumHeaderBytes = MAXIMUM_HEADER_BYTES,
-                maximumConnections = settings.maximumCallerConnections,
+                maximumConnections = gateway.maximumCallerConnections,
                 handlers =
                     CallerHandlers(
                         refuse = ::refusal,
--- a/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
@@ -30,6 +30,15 @@
     gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
 }
 
+/** Exposes what the router may use of its VM's memory, and what of its heap it uses. */
+internal fun GatewayMetrics.exposeMemory(plan: MemoryPlan, maximumConnections: Int) {
+    val runtime = Runtime.getRuntime()
+    gauge("heap.used.bytes") { (runtime.totalMemory() - runtime.freeMemory()).toDouble() }
+    gauge("heap.maximum.bytes") { runtime.maxMemory().toDouble() }
+    gauge("request.body.maximum.bytes") { plan.bodyBytes.toDouble() }
+    gauge("caller.connections.maximum") { maximumConnections.toDouble() }
+}
+
 /** Exposes the budget of request bodies. */
 internal fun GatewayMetrics.exposeBodies(bodies: RequestBodyBudget) {
     gauge("request.body.bytes") { bodies.heldBytes.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -46,6 +46,7 @@
  * @property directoryAddress HTTP address for callers that ask which routers to use.
  * @property peerAddress UDP address for messages between routers.
  * @property weight relative size of the VM.
+ * @property memoryBytes memory that the process may use; null if the platform names no limit.
  * @property maximumDescriptors file descriptors that the process may have open.
  */
 public data class GatewaySettings(
@@ -58,6 +59,7 @@
     val peerAddress: NetworkAddress,
     val storeAddress: NetworkAddress,
     val weight: Double,
+    val memoryBytes: Long? = null,
     val maximumDescriptors: Int = DEFAULT_DESCRIPTORS,
     val regions: Map<FailureDomain, Region> = emptyMap(),
     val bounds: FleetBounds,
--- a/src/main/kotlin/azuredale/gateway/RequestBodyBudget.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestBodyBudget.kt
@@ -117,23 +117,17 @@
         if (isSmall(bytes)) heldSmall += sign * bytes else heldLarge += sign * bytes
     }
 
-    companion object {
-        /** The budget of a process that may use [heapBytes]; the rest is for the program, connections and responses. */
-        fun ofHeap(heapBytes: Long): Long = heapBytes * HEAP_PERCENT / 100
-
-        /** Room for ten uploads of 4 MiB on the smallest VM, which has 280 MB. */
-        private const val HEAP_PERCENT = 40
-
+    private companion object {
         /** Small bodies have one in this number of parts of the budget. */
-        private const val SMALL_PARTS = 4
+        const val SMALL_PARTS = 4
 
         /** Most requests are shorter. */
-        private const val MAXIMUM_SMALL_BYTES = 16 * 1024L
+        const val MAXIMUM_SMALL_BYTES = 16 * 1024L
 
         /** Reserved first for a body without a declared length. */
-        private const val FIRST_PART_BYTES = 4 * 1024L
+        const val FIRST_PART_BYTES = 4 * 1024L
 
         /** Bounds the callers whose connections are not read; more of them are refused at once. */
-        private const val MAXIMUM_WAITING = 64
+        const val MAXIMUM_WAITING = 64
     }
 }
--- a/src/main/kotlin/azuredale/gateway/ResponseBufferBudget.kt
+++ b/src/main/kotlin/azuredale/gateway/ResponseBufferBudget.kt
@@ -7,8 +7,10 @@
  *
  * A faulty server may send bytes without end. When the total is used up, the server that holds most gives way: its
  * largest response fails, and the responses of other servers are not affected.
+ *
+ * @param totalBytes bytes of all responses together.
  */
-internal class ResponseBufferBudget {
+internal class ResponseBufferBudget(private val totalBytes: Int) {
     private val parts = LinkedHashSet<Part>()
     private var total = 0
 
@@ -32,7 +34,7 @@
             if (isEvicted) return false
             resize(count)
             if (bytes > MAXIMUM_RESPONSE_BYTES) return false
-            while (total > MAXIMUM_TOTAL_BYTES) {
+            while (total > totalBytes) {
                 val evicted = largest()
                 evicted.evict()
                 if (evicted === this) return false
@@ -65,8 +67,5 @@
     private companion object {
         /** Responses that are longer are streamed by their routes. */
         const val MAXIMUM_RESPONSE_BYTES = 2 * 1024 * 1024
-
-        /** A sixth of the heap of the smallest supported VM. */
-        const val MAXIMUM_TOTAL_BYTES = 16 * 1024 * 1024
     }
 }
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -45,6 +45,7 @@
                 peerAddress = NetworkAddress(fields.text("ip"), fields.firstPort("port-range")),
                 storeAddress = fields.address("platform.address"),
                 weight = fields.number("limits.cpu-share", 1.0) * fields.number("limits.cores", 1.0),
+                memoryBytes = fields.optionalCount("limits.memory-mb")?.let { it * BYTES_PER_MEGABYTE },
                 maximumDescriptors = fields.descriptors("limits.max-fds"),
                 bounds = bounds(fields),
             )
@@ -101,7 +102,7 @@
 
         fun count(name: String, default: Long): Long = number(name, default.toDouble()).toLong()
 
-        /** A bound that the platform may leave out. */
+        /** A number that the platform may leave out. */
         fun optionalCount(name: String): Long? = count(name, 0).takeIf { it > 0 }
 
         /** A limit of descriptors; 0 says that the platform names none. */
@@ -124,4 +125,5 @@
 
     private val UNSPECIFIED_ADDRESS = NetworkAddress("0.0.0.0", 0)
     private const val MILLISECONDS_PER_SECOND = 1_000.0
+    private const val BYTES_PER_MEGABYTE = 1_024L * 1_024L
 }
--- a/src/test/kotlin/azuredale/gateway/ResponseBufferBudgetSpec.kt
+++ b/src/test/kotlin/azuredale/gateway/ResponseBufferBudgetSpec.kt
@@ -8,7 +8,7 @@
 import kotlin.test.assertTrue
 
 class ResponseBufferBudgetSpec {
-    private val budget = ResponseBufferBudget()
+    private val budget = ResponseBufferBudget(16 * 1024 * 1024)
     private val evicted = ArrayList<String>()
 
     private fun part(server: String, name: String = server) = budget.Part(ServerId(server)) { evicted += name }
--- a/src/test/kotlin/azuredale/platform/SettingsFileSpec.kt
+++ b/src/test/kotlin/azuredale/platform/SettingsFileSpec.kt
@@ -51,6 +51,17 @@
         }
     }
 
+    @Nested
+    inner class Memory {
+        @ParameterizedTest
+        @CsvSource("'', ", "0, ", "88, 92274688")
+        fun `of the VM is read, and is not bounded without a limit`(limit: String, bytes: Long?) {
+            // Guards against a router that regards a missing limit as no memory at all.
+            val result = assertIs<SettingsResult.Valid>(SettingsFile.parse("$text\nlimits.memory-mb=$limit"))
+            assertEquals(bytes, result.settings.memoryBytes)
+        }
+    }
+
     @Nested
     inner class Descriptors {
         @ParameterizedTest
