--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -80,8 +80,11 @@
             isClosed = gracefulStop::isClosed,
             homes = homeRegions,
         )
-    private val requestBodies =
-        RequestBodyBudget(RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()), dependencies.timer)
+    private val memoryPlan = MemoryPlan(settings.memoryBytes, Runtime.getRuntime().maxMemory())
+
+    /** Connections that callers may have open. */
+    val maximumCallerConnections: Int = minOf(settings.maximumCallerConnections, memoryPlan.connections)
+    private val requestBodies = RequestBodyBudget(memoryPlan.bodyBytes, dependencies.timer)
     private val selector =
         ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated, settings.regions::get)
     private val context =
@@ -121,7 +124,7 @@
             budgets =
                 RequestBudgets(
                     retries = FleetRetryBudget(settings.bounds) { exchange.peers.recentFleetSize() },
-                    responseBuffers = ResponseBufferBudget(),
+                    responseBuffers = ResponseBufferBudget(memoryPlan.responseBytes),
                     requestBodies = requestBodies,
                 ),
             backends = dependencies.backends,
@@ -142,7 +145,15 @@
     fun start() {
         exposeMetrics()
         prefixLog.expose(metrics)
-        log.write(GatewayLogEvent.GATEWAY_STARTED, "router" to settings.router, "incarnation" to fleet.incarnation)
+        log.write(
+            GatewayLogEvent.GATEWAY_STARTED,
+            "router" to settings.router,
+            "incarnation" to fleet.incarnation,
+            "memory" to settings.memoryBytes,
+            "heap" to Runtime.getRuntime().maxMemory(),
+            "bodies" to memoryPlan.bodyBytes,
+            "connections" to maximumCallerConnections,
+        )
         fleet.start()
         tick()
     }
@@ -202,7 +213,7 @@
         lagMilliseconds = lagMilliseconds,
         waiting = intake.waiting,
         running = running,
-        connections = dependencies.openCallerConnections().toDouble() / settings.maximumCallerConnections,
+        connections = dependencies.openCallerConnections().toDouble() / maximumCallerConnections,
     )
 
     /** Addresses of routers for [caller], and the seconds for which they may be cached. */
@@ -232,6 +243,7 @@
         metrics.exposeServers(view, statistics, clock)
         metrics.exposeExchange(exchange)
         metrics.exposeBodies(requestBodies)
+        metrics.exposeMemory(memoryPlan, maximumCallerConnections)
         fleet.memoryLog.expose(metrics, { view.directory }, clock)
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
     }
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -128,7 +128,9 @@
 
     /** Sends reports immediately, for example on a planned stop or for a new catalog. */
     fun report(now: Timestamp) {
+        val wasRelay = topology.isRelay
         topology.update(now)
+        if (wasRelay && !topology.isRelay) table.reportsEnded(topology::isInOwnDomain)
         loadExchange.updateSource()
         nextReportAt = now.plusMilliseconds(periods.milliseconds())
         loadExchange.rememberState(now, writer.begin(now))
--- a/src/main/kotlin/azuredale/peers/ReportPeriods.kt
+++ b/src/main/kotlin/azuredale/peers/ReportPeriods.kt
@@ -45,11 +45,8 @@
         /** Longest age that a relayed state can have; routers that are silent for longer are forgotten. */
         const val MAXIMUM_AGE_MILLISECONDS = 60_000L
 
-        /**
-         * Time since a router was last heard from, by whichever way, for which it counts as alive: several periods in
-         * which relays pass liveness on, and a second less than the time for which answers may name a lost router.
-         */
-        const val RELAYED_TIMEOUT_MILLISECONDS = 5_000L
+        /** Several periods in which relays pass liveness on. */
+        const val RELAYED_TIMEOUT_MILLISECONDS = PeerTable.MAXIMUM_SILENCE_MILLISECONDS
 
         /** A server processes a prompt in 30 to 100 ms, so less frequent reports would miss most of that load. */
         private const val MINIMUM_PERIOD_MILLISECONDS = 40L
