Reckon memory once a server in the choice of an engine, and only where it counts

- ServerMemory keeps the sum of shared parts until a prompt or a report of this server changes it.
- ServerRoom asks first whether memory binds, which needs no state of the servers, and only once; explain and the choice now share one decision, so explain no longer names NO_ROOM where a request finds room.
- EnginePlacement looks a server's speed and free memory up once, and the latter only if the server keeps idle parts.
- ServerEligibility goes through the servers once, and does not ask limits and coldness where the deployment has none.
- ServerAnnouncements answers at once while no server has announced anything.

Specs of engine, ExplainSpec, GatewaySpec and AttemptRecorderSpec pass.

--- a/src/main/kotlin/azuredale/engine/EngineMemory.kt
+++ b/src/main/kotlin/azuredale/engine/EngineMemory.kt
@@ -40,7 +40,7 @@
     /** Tokens that the requests in progress at [server] take or may still take, of all routers together. */
     fun committedTokens(server: BackendEntry, now: Timestamp): Long {
         val shared = processes[server.id]?.memory?.sharedTokens(now) ?: 0
-        return loads.load(server.id, server.idHash, now).committedTokens + shared
+        return loads.committedTokens(server.id, server.idHash, now) + shared
     }
 
     /** Records that some router sent a prompt part with [tokens] to [server]. */
--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -134,21 +134,25 @@
         selection: ServerSelection.Selected,
     ): PlacementCost {
         val server = selection.server
+        val millisecondsPerToken = statistics.prefillSpeed(server.id).millisecondsPerToken
         return PlacementCost(
             predictedMilliseconds = selection.predictedMilliseconds,
-            repeatedMilliseconds = repeatedMilliseconds(outline, selection),
-            evictionMilliseconds = evictionMilliseconds(outline, selection),
+            repeatedMilliseconds = repeatedMilliseconds(outline, selection, millisecondsPerToken),
+            evictionMilliseconds = evictionMilliseconds(outline, selection, millisecondsPerToken),
             crowdingMilliseconds = selection.load.running * RUNNING_MILLISECONDS,
             distanceMilliseconds = if (server.failureDomain == request.origin) 0.0 else REMOTE_PENALTY_MILLISECONDS,
-            affinityMilliseconds = affinityMilliseconds(outline, server),
+            affinityMilliseconds = affinityMilliseconds(outline, server, millisecondsPerToken),
         )
     }
 
-    private fun repeatedMilliseconds(outline: PromptOutline, selection: ServerSelection.Selected): Double {
+    private fun repeatedMilliseconds(
+        outline: PromptOutline,
+        selection: ServerSelection.Selected,
+        millisecondsPerToken: Double,
+    ): Double {
         val server = selection.server
         val repeatedTokens = outline.repeatedTokens(selection.uncachedTokens)
         if (repeatedTokens == 0) return 0.0
-        val millisecondsPerToken = statistics.prefillSpeed(server.id).millisecondsPerToken
         val behind =
             PrefixWeighing.requestsBehind(
                 running = selection.load.running,
@@ -162,23 +166,33 @@
         return first + (repeated - outline.valueOfAnotherHolder(millisecondsPerToken)).coerceAtLeast(0.0)
     }
 
-    private fun affinityMilliseconds(outline: PromptOutline, server: BackendEntry): Double {
+    private fun affinityMilliseconds(
+        outline: PromptOutline,
+        server: BackendEntry,
+        millisecondsPerToken: Double,
+    ): Double {
         val order = StableHash.fraction(outline.session, server.id.name) * AFFINITY_MILLISECONDS
         if (outline.home == null || outline.home == server.id) return order
-        return order + outline.scatterMilliseconds(statistics.prefillSpeed(server.id).millisecondsPerToken)
+        return order + outline.scatterMilliseconds(millisecondsPerToken)
     }
 
-    private fun evictionMilliseconds(outline: PromptOutline, selection: ServerSelection.Selected): Double {
+    private fun evictionMilliseconds(
+        outline: PromptOutline,
+        selection: ServerSelection.Selected,
+        millisecondsPerToken: Double,
+    ): Double {
         val server = selection.server.id
-        val millisecondsPerToken = statistics.prefillSpeed(server).millisecondsPerToken
+        if (!statistics.cache.keepsIdleParts(server)) return 0.0
+        val free = statistics.knownFreeTokens(server)
         // Without knowledge of the running requests' memory, a part of it is set aside for all that is not shared.
         val tokens =
-            if (statistics.knowsFreeTokens(server)) {
-                selection.uncachedTokens + outline.answerTokens
-            } else {
+            if (free == null) {
                 outline.repeatedTokens(selection.uncachedTokens)
+            } else {
+                selection.uncachedTokens + outline.answerTokens
             }
-        return statistics.cache.evictionLoss(server, tokens, outline.shared) { id, lost ->
+        val capacity = free ?: statistics.reservedTokens(server)
+        return statistics.cache.evictionLoss(server, tokens, capacity, outline.shared) { id, lost ->
             lost * millisecondsPerToken * outline.lossOf(id)
         }
     }
--- a/src/main/kotlin/azuredale/engine/LoadTracker.kt
+++ b/src/main/kotlin/azuredale/engine/LoadTracker.kt
@@ -31,6 +31,13 @@
         return totals[idHash]?.let { own + it } ?: own
     }
 
+    /** Memory that requests in progress at [server] take, as in [load]. */
+    fun committedTokens(server: ServerId, idHash: Int, now: Timestamp): Long {
+        removeExpired(now)
+        val own = local[server]?.committedTokens ?: 0
+        return own.toLong() + (totals[idHash]?.committedTokens ?: 0)
+    }
+
     /** Work at the server with [idHash] that other routers reported. */
     fun reportedLoad(idHash: Int, now: Timestamp): ServerLoad {
         removeExpired(now)
--- a/src/main/kotlin/azuredale/engine/PromptCacheModel.kt
+++ b/src/main/kotlin/azuredale/engine/PromptCacheModel.kt
@@ -52,19 +52,24 @@
         return PartsInUse(kept, parts) { kept.evict(capacityTokens(server)) }
     }
 
+    /** Whether [server] keeps parts that no request uses, which may be pushed out of its memory. */
+    fun keepsIdleParts(server: ServerId): Boolean = (servers[server]?.idleTokens ?: 0) > 0
+
     /**
      * What it costs that [tokens] more at [server] push parts out of its memory, as the sum of [loss] of these parts.
      *
+     * @param capacityTokens tokens of parts without running requests that the server is expected to keep now.
      * @param exceptions parts that the tokens belong to, which are in use then.
      */
     fun evictionLoss(
         server: ServerId,
         tokens: Int,
+        capacityTokens: Long,
         exceptions: List<PromptPart>,
         loss: (id: String, tokens: Int) -> Double,
     ): Double {
         val kept = servers[server] ?: return 0.0
-        val excess = kept.idleTokens + tokens - capacityTokens(server)
+        val excess = kept.idleTokens + tokens - capacityTokens
         return if (excess <= 0) 0.0 else kept.sumOfEvicted(excess, exceptions, loss)
     }
 
--- a/src/main/kotlin/azuredale/engine/RecentParts.kt
+++ b/src/main/kotlin/azuredale/engine/RecentParts.kt
@@ -12,6 +12,9 @@
     private var previous = HashMap<String, Int>()
     private var sum = 0L
 
+    /** When parts will be forgotten, so that [tokens] and [contains] change. */
+    val changesAt: Timestamp get() = startedAt.plusMicroseconds(PERIOD_MICROSECONDS)
+
     /** Records that [part], which has [tokens], was sent. */
     fun record(part: String, tokens: Int, now: Timestamp) {
         advance(now)
--- a/src/main/kotlin/azuredale/engine/ServerAnnouncements.kt
+++ b/src/main/kotlin/azuredale/engine/ServerAnnouncements.kt
@@ -36,9 +36,10 @@
     fun allowsRequest(server: BackendEntry, now: Timestamp): Boolean = availableAt(server, now) <= now
 
     /** From when on [server] takes requests: [now] or later, [Timestamp.DISTANT_FUTURE] if it leaves. */
-    fun availableAt(server: BackendEntry, now: Timestamp): Timestamp = when (val process = server.process) {
-        in leaving -> Timestamp.DISTANT_FUTURE
-        else -> holds[process]?.takeIf { it > now } ?: now
+    fun availableAt(server: BackendEntry, now: Timestamp): Timestamp {
+        if (leaving.isEmpty() && holds.isEmpty()) return now
+        val process = server.process
+        return if (process in leaving) Timestamp.DISTANT_FUTURE else holds[process]?.takeIf { it > now } ?: now
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -98,18 +98,9 @@
 
     private fun candidates(request: SelectionRequest, decideRoom: RoomFunction, now: Timestamp): Eligibility {
         val ready = directory().ready(request.pool)
-        val willing = ready.filter { refusalOf(it, request, now) == null }
-        if (willing.isEmpty()) return Eligibility.None(unwilling(request, ready, now))
-        val closed = willing.filter { statistics.circuitBreaker(it.id).allowsRequest(now) }
-        val available = closed.ifEmpty { willing }
-        val permitted =
-            available.filter {
-                toleratesRequest(
-                    it,
-                    now,
-                ) &&
-                    statistics.limits.allowsRequest(it, ready, now)
-            }
+        val available = available(request, ready, now)
+        if (available.isEmpty()) return Eligibility.None(unwilling(request, ready, now))
+        val permitted = permitted(available, ready, now)
         if (permitted.isEmpty()) return Eligibility.None(ServerSelection.LimitsUsedUp)
         return when (val room = decideRoom(permitted, request, ready, now)) {
             is RoomDecision.Servers ->
@@ -119,6 +110,28 @@
         }
     }
 
+    /** Those of the [ready] servers that want [request], without those whose circuit is open if there are others. */
+    private fun available(request: SelectionRequest, ready: List<BackendEntry>, now: Timestamp): List<BackendEntry> {
+        val closed = ArrayList<BackendEntry>(ready.size)
+        var open: MutableList<BackendEntry>? = null
+        for (server in ready) {
+            when {
+                refusalOf(server, request, now) != null -> Unit
+                statistics.circuitBreaker(server.id).allowsRequest(now) -> closed += server
+                else -> (open ?: ArrayList<BackendEntry>().also { open = it }) += server
+            }
+        }
+        return closed.ifEmpty { open.orEmpty() }
+    }
+
+    /** Those of the [available] servers that tolerate a request now, and whose limits leave one. */
+    private fun permitted(available: List<BackendEntry>, ready: List<BackendEntry>, now: Timestamp) =
+        if (statistics.coldServers == null && statistics.limits.limitedServers.isEmpty()) {
+            available
+        } else {
+            available.filter { toleratesRequest(it, now) && statistics.limits.allowsRequest(it, ready, now) }
+        }
+
     /** Why a registered [server] and [request] rule each other out for good, or until a known time. */
     private fun refusalOf(server: BackendEntry, request: SelectionRequest, now: Timestamp): Ineligibility? = when {
         isEvacuated(server.failureDomain) -> Ineligibility.EVACUATED
@@ -144,10 +157,21 @@
         now: Timestamp,
     ): Ineligibility? = when {
         !statistics.limits.allowsRequest(server, ready, now) -> Ineligibility.LIMIT_USED_UP
-        !statistics.room.hasRoom(server, request, ready, now) -> Ineligibility.NO_ROOM
+        !hasRoom(server, request, ready, now) -> Ineligibility.NO_ROOM
         else -> null
     }
 
+    private fun hasRoom(
+        server: BackendEntry,
+        request: SelectionRequest,
+        ready: List<BackendEntry>,
+        now: Timestamp,
+    ): Boolean {
+        val candidates = permitted(available(request, ready, now), ready, now)
+        val room = statistics.room.preview(candidates, request, ready, now)
+        return room is RoomDecision.Servers && server in room.servers
+    }
+
     /** The result if none of the [ready] servers wants the request. */
     private fun unwilling(request: SelectionRequest, ready: List<BackendEntry>, now: Timestamp): ServerSelection {
         val until =
--- a/src/main/kotlin/azuredale/engine/ServerMemory.kt
+++ b/src/main/kotlin/azuredale/engine/ServerMemory.kt
@@ -24,14 +24,23 @@
         private set
 
     private var localShared = 0L
+    private var sharedTokens = 0L
+    private var sharedTokensValidUntil = Timestamp.DISTANT_PAST
 
     /** Records that some router sent [part], which has [tokens], to the server. */
-    fun recordReported(part: String, tokens: Int, now: Timestamp) = reported.record(part, tokens, now)
+    fun recordReported(part: String, tokens: Int, now: Timestamp) {
+        reported.record(part, tokens, now)
+        sharedTokensValidUntil = Timestamp.DISTANT_PAST
+    }
 
     /** Tokens of parts that requests in progress may share: those of this router, and those sent recently by any. */
     fun sharedTokens(now: Timestamp): Long {
+        // Asked for each server with every prompt, but changed only by prompts and reports that concern this server.
+        if (now < sharedTokensValidUntil) return sharedTokens
         var tokens = localShared + reported.tokens(now)
         parts.forEach { (id, part) -> if (reported.contains(id)) tokens -= part.tokens }
+        sharedTokens = tokens
+        sharedTokensValidUntil = reported.changesAt
         return tokens
     }
 
@@ -45,6 +54,7 @@
     /** Adds a request with [prompt], for whose output [outputTokens] are set aside. */
     fun claim(prompt: PromptShape, outputTokens: Int): MemoryClaim {
         var shared = 0
+        sharedTokensValidUntil = Timestamp.DISTANT_PAST
         prompt.forEachSharedPart { part ->
             shared += part.tokens
             val held = parts.getOrPut(part.id) { SharedPart(part.tokens) }
@@ -66,6 +76,7 @@
 
     /** Removes a request with [prompt] that takes [ownTokens] besides its shared parts. */
     fun release(prompt: PromptShape, ownTokens: Int) {
+        sharedTokensValidUntil = Timestamp.DISTANT_PAST
         prompt.forEachSharedPart { part ->
             val held = parts[part.id] ?: return@forEachSharedPart
             if (--held.holders > 0) return@forEachSharedPart
--- a/src/main/kotlin/azuredale/engine/ServerRoom.kt
+++ b/src/main/kotlin/azuredale/engine/ServerRoom.kt
@@ -42,15 +42,6 @@
     private val loads: LoadTracker,
     private val routers: () -> Int,
 ) {
-    /** Whether [server], one of the [ready] servers of its pool, has room for [request]; has no effect. */
-    fun hasRoom(server: BackendEntry, request: SelectionRequest, ready: List<BackendEntry>, now: Timestamp): Boolean {
-        val needs = needs(request, ready) ?: return true
-        if (needs.isTooLarge) return false
-        if (!isBound(needs, ready)) return true
-        val room = requiredRoom(needs, ready, now)
-        return missingTokens(server, needs, room, unreportedTokens(needs, room, ready, now), now) <= 0
-    }
-
     /** Those of [candidates], which are among the [ready] servers of the pool, that have room for [request]. */
     fun decide(
         candidates: List<BackendEntry>,
@@ -62,10 +53,12 @@
         if (needs.isTooLarge) return RoomDecision.TooLarge
         val demand = memory.demand(request.pool)
         demand.recordAsked(needs.wholeTokens, needs.ownTokens, now)
+        if (!isBound(needs, ready)) return RoomDecision.Servers(candidates)
         val decision = judge(needs, candidates, ready, now)
-        when {
-            decision is RoomDecision.Taken -> demand.recordRefused(needs.wholeTokens, now)
-            isBound(needs, ready) -> demand.recordFound(needs.wholeTokens)
+        if (decision is RoomDecision.Taken) {
+            demand.recordRefused(needs.wholeTokens, now)
+        } else {
+            demand.recordFound(needs.wholeTokens)
         }
         return decision
     }
@@ -78,16 +71,21 @@
         now: Timestamp,
     ): RoomDecision {
         val needs = needs(request, candidates) ?: return RoomDecision.Servers(candidates)
-        return if (needs.isTooLarge) RoomDecision.TooLarge else judge(needs, candidates, ready, now)
+        return when {
+            needs.isTooLarge -> RoomDecision.TooLarge
+            isBound(needs, ready) -> judge(needs, candidates, ready, now)
+            else -> RoomDecision.Servers(candidates)
+        }
     }
 
+    /** The decision where memory binds. */
     private fun judge(
         needs: Needs,
         candidates: List<BackendEntry>,
         ready: List<BackendEntry>,
         now: Timestamp,
     ): RoomDecision {
-        if (isCalm(needs, candidates, now) || !isBound(needs, ready)) return RoomDecision.Servers(candidates)
+        if (isCalm(needs, candidates, now)) return RoomDecision.Servers(candidates)
         val room = requiredRoom(needs, ready, now)
         val unreported = unreportedTokens(needs, room, candidates, now)
         val roomy = candidates.filter { missingTokens(it, needs, room, unreported, now) <= 0 }
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -60,10 +60,13 @@
     val limitPressure = LimitPressure()
 
     /** Estimated contents of the servers' prompt caches. */
-    val cache = PromptCacheModel { freeTokens(it) ?: (cacheTokens(it) * CACHE_FRACTION).toLong() }
+    val cache = PromptCacheModel { knownFreeTokens(it) ?: reservedTokens(it) }
 
-    /** Whether it is known how much of the memory of [server] running requests leave. */
-    fun knowsFreeTokens(server: ServerId): Boolean = freeTokens(server) != null
+    /** Tokens of the memory of [server] that running requests leave, null if unknown. */
+    fun knownFreeTokens(server: ServerId): Long? = freeTokens(server)
+
+    /** Tokens of the memory of [server] for idle prompt parts while it is unknown what running requests take. */
+    fun reservedTokens(server: ServerId): Long = (cacheTokens(server) * CACHE_FRACTION).toLong()
 
     /** How often prompt parts are asked for. */
     val demand = PartDemand()
--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -48,6 +48,9 @@
     random: Random,
 ) {
     private val firstReads = FirstReadDelay(clock(), StableHash.of(settings.router.name))
+
+    /** Declared memory of the registered servers. */
+    private var cacheTokens: Map<ServerId, Long> = emptyMap()
     private val clockJumps = ClockJumpDetector(clock, wallClock)
 
     /** Identifies this process of the router among earlier ones. */
@@ -68,7 +71,7 @@
             reportDelayMilliseconds = { exchange.reportDelayMilliseconds() },
             freeTokens = ::freeTokens,
             coldServers = settings.bounds.coldFactor?.let { ::coldServers },
-            cacheTokens = { id -> view.directory.entries[id]?.let { cacheTokens(it.pool) } ?: DEFAULT_CACHE_TOKENS },
+            cacheTokens = { cacheTokens[it] ?: DEFAULT_CACHE_TOKENS },
         )
 
     /** Recent token usage of the teams. */
@@ -223,6 +226,7 @@
     }
 
     private fun storeChanged(isCatalogNew: Boolean) {
+        cacheTokens = view.directory.entries.mapValues { declaredTokens(it.value.pool) }
         statistics.updateDirectory(view.directory, clock())
         dependencies.onChange()
         if (isCatalogNew) exchange.report(clock())
@@ -249,7 +253,7 @@
     private fun freeTokens(server: ServerId): Long? =
         view.directory.entries[server]?.let { statistics.memory.freeTokens(it, clock()) }
 
-    private fun cacheTokens(pool: PoolId): Long = view.catalog
+    private fun declaredTokens(pool: PoolId): Long = view.catalog
         ?.pool(pool)
         ?.engine
         ?.cacheTokens ?: DEFAULT_CACHE_TOKENS
