Add a setting that switches the weighing of kept prefixes off

Cause: the effect of the weighing on callers could not be shown, since it could not be switched off; and a part that another router's requests share counted twice against a server's memory, as committed and as kept, so the model let parts go too early.

EngineMemory.tokensForKeptParts leaves out what other routers share.

Specs: SettingsFileSpec, PrefixPlacementSpec, EngineMemorySpec (mvn test -Dtest=...).

--- a/src/main/kotlin/azuredale/engine/EngineMemory.kt
+++ b/src/main/kotlin/azuredale/engine/EngineMemory.kt
@@ -53,6 +53,17 @@
     fun freeTokens(server: BackendEntry, now: Timestamp): Long? =
         capacityTokens(server.id)?.let { (it - committedTokens(server, now)).coerceAtLeast(0) }
 
+    /**
+     * Tokens at [server] for kept parts that no request of this router uses, null without a declared memory. The parts
+     * that other routers sent recently are among them, so they do not count as taken.
+     */
+    fun tokensForKeptParts(server: BackendEntry, now: Timestamp): Long? {
+        val capacity = capacityTokens(server.id) ?: return null
+        val shared = processes[server.id]?.memory?.localSharedTokens ?: 0
+        val taken = loads.load(server.id, server.idHash, now).committedTokens + shared
+        return (capacity - taken).coerceAtLeast(0)
+    }
+
     /** The most that requests took at the process of [server] within the last seconds, in tokens. */
     fun peakTokens(server: BackendEntry, now: Timestamp): Long {
         val process = processes[server.id]?.takeIf { it.startedAtMilliseconds == server.startedAtMilliseconds }
--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -55,8 +55,14 @@
  *
  * Prefilling a prompt part that another server has cached takes time from the requests queued behind it, and pushes
  * other parts out of a full memory, so a server that has them is passed over only when another one costs less.
+ *
+ * @param weighsPrefixes whether demand, memory and the time until the target count; without it each repeated prefill is
+ *   charged for a fixed number of requests, and nothing else is charged for kept parts.
  */
-internal class EnginePlacement(private val statistics: ServerStatistics) {
+internal class EnginePlacement(
+    private val statistics: ServerStatistics,
+    private val weighsPrefixes: Boolean = true,
+) {
     /** The best of [candidates] for [prompt], null if there are none; records why kept parts were passed over. */
     fun select(
         request: SelectionRequest,
@@ -123,7 +129,7 @@
     /** Waiting at a server that keeps the parts never makes a prompt late that another server would answer on time. */
     private fun best(placements: List<Placement>, untilLate: Double): Placement? {
         val cheapest = placements.minByOrNull { it.cost.total } ?: return null
-        if (cheapest.cost.predictedMilliseconds <= untilLate) return cheapest
+        if (!weighsPrefixes || cheapest.cost.predictedMilliseconds <= untilLate) return cheapest
         return placements.filter { it.cost.predictedMilliseconds <= untilLate }.minByOrNull { it.cost.total }
             ?: cheapest
     }
@@ -149,6 +155,7 @@
         val repeatedTokens = outline.repeatedTokens(selection.uncachedTokens)
         if (repeatedTokens == 0) return 0.0
         val millisecondsPerToken = statistics.prefillSpeed(server.id).millisecondsPerToken
+        if (!weighsPrefixes) return repeatedTokens * millisecondsPerToken * PrefixWeighing.LEAST_BEHIND
         val behind =
             PrefixWeighing.requestsBehind(
                 running = selection.load.running,
@@ -164,11 +171,12 @@
 
     private fun affinityMilliseconds(outline: PromptOutline, server: BackendEntry): Double {
         val order = StableHash.fraction(outline.session, server.id.name) * AFFINITY_MILLISECONDS
-        if (outline.home == null || outline.home == server.id) return order
+        if (!weighsPrefixes || outline.home == null || outline.home == server.id) return order
         return order + outline.scatterMilliseconds(statistics.prefillSpeed(server.id).millisecondsPerToken)
     }
 
     private fun evictionMilliseconds(outline: PromptOutline, selection: ServerSelection.Selected): Double {
+        if (!weighsPrefixes) return 0.0
         val server = selection.server.id
         val millisecondsPerToken = statistics.prefillSpeed(server).millisecondsPerToken
         // Without knowledge of the running requests' memory, a part of it is set aside for all that is not shared.
--- a/src/main/kotlin/azuredale/engine/ServerMemory.kt
+++ b/src/main/kotlin/azuredale/engine/ServerMemory.kt
@@ -23,14 +23,16 @@
     var committedTokens = 0
         private set
 
-    private var localShared = 0L
+    /** Tokens of the parts that this router's requests in progress may share. */
+    var localSharedTokens = 0L
+        private set
 
     /** Records that some router sent [part], which has [tokens], to the server. */
     fun recordReported(part: String, tokens: Int, now: Timestamp) = reported.record(part, tokens, now)
 
     /** Tokens of parts that requests in progress may share: those of this router, and those sent recently by any. */
     fun sharedTokens(now: Timestamp): Long {
-        var tokens = localShared + reported.tokens(now)
+        var tokens = localSharedTokens + reported.tokens(now)
         parts.forEach { (id, part) -> if (reported.contains(id)) tokens -= part.tokens }
         return tokens
     }
@@ -48,7 +50,7 @@
         prompt.forEachSharedPart { part ->
             shared += part.tokens
             val held = parts.getOrPut(part.id) { SharedPart(part.tokens) }
-            if (held.holders++ == 0) localShared += held.tokens
+            if (held.holders++ == 0) localSharedTokens += held.tokens
         }
         val own = prompt.promptTokens.coerceAtLeast(0) - shared
         change(own + outputTokens)
@@ -70,7 +72,7 @@
             val held = parts[part.id] ?: return@forEachSharedPart
             if (--held.holders > 0) return@forEachSharedPart
             parts.remove(part.id)
-            localShared -= held.tokens
+            localSharedTokens -= held.tokens
         }
         change(-ownTokens)
     }
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -56,18 +56,20 @@
  *
  * @param isEvacuated whether operators have evacuated a failure domain.
  * @param regionOf the region of a failure domain, null if it is unknown.
+ * @param weighsPrefixes whether kept prompt parts are weighed against wait, memory and demand.
  */
 internal class ServerSelector(
     directory: () -> ServerDirectory,
     private val statistics: ServerStatistics,
     isEvacuated: (FailureDomain) -> Boolean = { false },
     regionOf: (FailureDomain) -> Region? = { null },
+    weighsPrefixes: Boolean = true,
 ) {
     /** Which servers may get a request. */
     val eligibility = ServerEligibility(directory, statistics, isEvacuated, regionOf)
 
     /** Which model engine gets a prompt. */
-    val engines = EnginePlacement(statistics)
+    val engines = EnginePlacement(statistics, weighsPrefixes)
     private val services = ServicePlacement(statistics)
 
     /** How often the limits or the memory of servers recently left none for a request to [pool], between 0 and 1. */
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -214,7 +214,13 @@
     private val requestBodies =
         RequestBodyBudget(RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()), dependencies.timer)
     private val selector =
-        ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated, settings.regions::get)
+        ServerSelector(
+            directory = { view.directory },
+            statistics = statistics,
+            isEvacuated = view.evacuations::isEvacuated,
+            regionOf = settings.regions::get,
+            weighsPrefixes = settings.weighsPrefixes,
+        )
     private val context =
         GatewayContext(
             settings = settings,
@@ -413,7 +419,7 @@
     )
 
     private fun freeTokens(server: ServerId): Long? =
-        view.directory.entries[server]?.let { statistics.memory.freeTokens(it, clock()) }
+        view.directory.entries[server]?.let { statistics.memory.tokensForKeptParts(it, clock()) }
 
     private fun cacheTokens(pool: PoolId): Long = view.catalog
         ?.pool(pool)
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -47,6 +47,7 @@
  * @property peerAddress UDP address for messages between routers.
  * @property weight relative size of the VM.
  * @property maximumDescriptors file descriptors that the process may have open.
+ * @property weighsPrefixes whether kept prompt prefixes are weighed against wait, memory and demand for each request.
  */
 public data class GatewaySettings(
     val router: RouterId,
@@ -61,6 +62,7 @@
     val maximumDescriptors: Int = DEFAULT_DESCRIPTORS,
     val regions: Map<FailureDomain, Region> = emptyMap(),
     val bounds: FleetBounds,
+    val weighsPrefixes: Boolean = true,
 ) {
     /**
      * Connections that callers may have open. Each request in progress needs a connection to a server as well, and the
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -26,9 +26,14 @@
     /** Name of the environment variable that holds the file's path. */
     public const val PATH_VARIABLE: String = "AZUREDALE_SETTINGS"
 
-    /** Parses [text]; ignores unknown keys, because later versions of the platform may add some. */
-    public fun parse(text: String): SettingsResult {
-        val fields = Fields(text)
+    /**
+     * Parses [text]; ignores unknown keys, because later versions of the platform may add some.
+     *
+     * @param overrides lines that replace those of [text] with the same key.
+     */
+    public fun parse(text: String, overrides: List<String> = emptyList()): SettingsResult {
+        val fields = Fields((listOf(text) + overrides).joinToString("\n"))
+        overrides.filter { '=' !in it }.forEach { fields.faults += "\"$it\" has no value, expected KEY=VALUE" }
         val settings =
             GatewaySettings(
                 router = RouterId(fields.text("node")),
@@ -47,6 +52,7 @@
                 weight = fields.number("limits.cpu-share", 1.0) * fields.number("limits.cores", 1.0),
                 maximumDescriptors = fields.descriptors("limits.max-fds"),
                 bounds = bounds(fields),
+                weighsPrefixes = fields.switch("prefixes.weigh", true),
             )
         return if (fields.faults.isEmpty()) SettingsResult.Valid(settings) else SettingsResult.Invalid(fields.faults)
     }
@@ -104,6 +110,13 @@
         /** A bound that the platform may leave out. */
         fun optionalCount(name: String): Long? = count(name, 0).takeIf { it > 0 }
 
+        fun switch(name: String, default: Boolean): Boolean = when (val text = values[name].orEmpty()) {
+            "" -> default
+            "on" -> true
+            "off" -> false
+            else -> default.also { faults += "$name is \"$text\", expected on or off" }
+        }
+
         /** A limit of descriptors; 0 says that the platform names none. */
         fun descriptors(name: String): Int {
             val count = count(name, 0).coerceAtMost(Int.MAX_VALUE.toLong()).toInt()
--- a/src/test/kotlin/azuredale/engine/EngineMemorySpec.kt
+++ b/src/test/kotlin/azuredale/engine/EngineMemorySpec.kt
@@ -1,6 +1,7 @@
 package azuredale.engine
 
 import azuredale.directory.ServerDirectory
+import azuredale.engine.MemoryPrompts.CAPACITY
 import azuredale.engine.MemoryPrompts.chat
 import azuredale.engine.MemoryPrompts.long
 import azuredale.engine.MemoryPrompts.prompt
@@ -55,6 +56,19 @@
             assertEquals(6_300L + 2_950, router.committed())
         }
 
+        @Test
+        fun `of another router leave its shared part among those that are kept, and take room only for their own`() {
+            // Guards against a part that counts as taken and as kept, so that others seem to yield too early.
+            val router = MemoryRouter(servers = 1, routers = 2)
+            val server = router.servers[0]
+            router.hear(mapOf(server.idHash to ServerLoad(committedTokens = 5 * 2_950)))
+            router.statistics.memory.recordReported(server, "part", 6_300, router.now)
+            val forKeptParts = { router.statistics.memory.tokensForKeptParts(server, router.now) }
+            assertEquals(CAPACITY - 5 * 2_950, forKeptParts())
+            router.send(prompt(9_200, shared = 6_300))
+            assertEquals(CAPACITY - 6 * 2_950 - 6_300, forKeptParts())
+        }
+
         @Test
         fun `are refused for good if they are larger than a server`() {
             val router = MemoryRouter(servers = 2)
--- a/src/test/kotlin/azuredale/engine/PrefixPlacementSpec.kt
+++ b/src/test/kotlin/azuredale/engine/PrefixPlacementSpec.kt
@@ -35,10 +35,13 @@
     )
 
     /** One router, which learns nothing from others unless a test records it. */
-    private inner class Router(free: (ServerId) -> Long? = { null }) {
+    private inner class Router(
+        weighsPrefixes: Boolean = true,
+        free: (ServerId) -> Long? = { null },
+    ) {
         val statistics =
             ServerStatistics(reportDelayMilliseconds = { 300 }, freeTokens = free) { 400_000 }
-        private val selector = ServerSelector({ directory }, statistics)
+        private val selector = ServerSelector({ directory }, statistics, weighsPrefixes = weighsPrefixes)
 
         fun request(prompt: PromptShape) = SelectionRequest(
             pool = pool,
@@ -160,6 +163,25 @@
         }
     }
 
+    @Nested
+    inner class SwitchedOff {
+        private val plain = Router(weighsPrefixes = false, free = { 1_000 })
+
+        @Test
+        fun `charges three repeated prefills, whatever the demand and the memory`() {
+            plain.keep(servers[0], *shared("session"))
+            repeat(200) { plain.statistics.demand.record("session", now) }
+            servers.drop(1).forEach { server ->
+                plain.load(server, waitingTokens = 10_000, running = 40)
+                val cost = plain.cost("session", server)
+                val once = 6_300 * PrefillSpeedEstimator.USUAL_MILLISECONDS_PER_TOKEN
+                assertEquals(3 * once, cost.repeatedMilliseconds, 0.01)
+                assertEquals(0.0, cost.evictionMilliseconds)
+                assertTrue(cost.affinityMilliseconds < 30)
+            }
+        }
+    }
+
     @Nested
     inner class Failures {
         @Test
--- a/src/test/kotlin/azuredale/platform/SettingsFileSpec.kt
+++ b/src/test/kotlin/azuredale/platform/SettingsFileSpec.kt
@@ -8,7 +8,9 @@
 import org.junit.jupiter.params.provider.CsvSource
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 
 class SettingsFileSpec {
     private val text =
@@ -51,6 +53,33 @@
         }
     }
 
+    @Nested
+    inner class Switches {
+        private fun parse(lines: String, vararg overrides: String) =
+            SettingsFile.parse("$text\n$lines", overrides.toList())
+
+        private fun weighsPrefixes(lines: String, vararg overrides: String) =
+            assertIs<SettingsResult.Valid>(parse(lines, *overrides)).settings.weighsPrefixes
+
+        @Test
+        fun `are on unless the file or the command line says off`() {
+            assertTrue(weighsPrefixes(""))
+            assertFalse(weighsPrefixes("prefixes.weigh=off"))
+            assertTrue(weighsPrefixes("prefixes.weigh=off", "prefixes.weigh=on"))
+        }
+
+        @Test
+        fun `with another value are a fault, and so is an override without a value`() {
+            val result = assertIs<SettingsResult.Invalid>(parse("prefixes.weigh=no", "prefixes"))
+            val faults =
+                listOf(
+                    "\"prefixes\" has no value, expected KEY=VALUE",
+                    "prefixes.weigh is \"no\", expected on or off",
+                )
+            assertEquals(faults, result.faults)
+        }
+    }
+
     @Nested
     inner class Descriptors {
         @ParameterizedTest
