Tell the age of loads and the free memory in explanations, and show five cases as printed

Cause: explanations named the age of configuration and servers, but not of the loads they rest on, nor the room at a server; the cases of a team above its share and of a kept prefix without room were missing, and the shown output was not checked.

ExplainSpec compares each case with the page, apart from numbers and the width of columns (stricter than before: whole lines instead of parts). The fixture's catalog takes further teams.

--- a/src/main/kotlin/azuredale/engine/LoadTracker.kt
+++ b/src/main/kotlin/azuredale/engine/LoadTracker.kt
@@ -81,10 +81,13 @@
     }
 
     /** Seconds since which the oldest of the reported loads may have changed; without any, since the distant past. */
-    fun reportAgeSeconds(now: Timestamp): Double {
+    fun reportAgeSeconds(now: Timestamp): Double =
+        now.secondsSince(oldestReport(now) ?: Timestamp.DISTANT_PAST).coerceAtLeast(0.0)
+
+    /** As of when the oldest of the reported loads holds, null if no other router has reported any. */
+    fun oldestReport(now: Timestamp): Timestamp? {
         removeExpired(now)
-        val oldest = peers.values.minOfOrNull { it.asOf } ?: Timestamp.DISTANT_PAST
-        return now.secondsSince(oldest).coerceAtLeast(0.0)
+        return peers.values.minOfOrNull { it.asOf }
     }
 
     private fun removeExpired(now: Timestamp) {
--- a/src/main/kotlin/azuredale/explain/ExplanationTable.kt
+++ b/src/main/kotlin/azuredale/explain/ExplanationTable.kt
@@ -13,14 +13,26 @@
             add("refused: ${explanation.kind}$retry${explanation.detail.ifEmpty { null }?.let { " ($it)" }.orEmpty()}")
         }
     }
-    add("configuration ${age(explanation.catalogAge)}, servers ${age(explanation.directoryAge)}")
+    val loads = explanation.loadAge?.let { "loads of other routers up to $it ms old" } ?: "no loads of other routers"
+    add("configuration ${age(explanation.catalogAge)}, servers ${age(explanation.directoryAge)}, $loads")
 }
 
 private fun age(milliseconds: Long?) = milliseconds?.let { "confirmed $it ms ago" } ?: "never confirmed"
 
 /** Header of the rows of [serverRow]. */
 internal val serverHeader: List<String> =
-    listOf("server", "failure domain", "may get it", "running", "waiting", "kept", "first event ms", "cost ms", "terms")
+    listOf(
+        "server",
+        "failure domain",
+        "may get it",
+        "running",
+        "waiting",
+        "free",
+        "kept",
+        "first event ms",
+        "cost ms",
+        "terms",
+    )
 
 /** One row of a table for [server]. */
 internal fun serverRow(server: ServerExplanation, isChosen: Boolean): List<String> = listOf(
@@ -29,6 +41,7 @@
     server.reason ?: "yes",
     server.running.toString(),
     server.waitingTokens.toString(),
+    server.freeTokens?.toString() ?: "-",
     server.keptTokens.toString(),
     server.predictedMilliseconds.roundToLong().toString(),
     server.cost.roundToLong().toString(),
--- a/src/main/kotlin/azuredale/explain/RoutingExplainer.kt
+++ b/src/main/kotlin/azuredale/explain/RoutingExplainer.kt
@@ -7,6 +7,7 @@
 import azuredale.engine.PromptOutline
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
+import azuredale.engine.ServerStatistics
 import azuredale.freshness.StoreView
 import azuredale.gateway.AuthorizedRequest
 import azuredale.gateway.GatewayContext
@@ -24,6 +25,7 @@
 internal class RoutingExplainer(
     private val context: GatewayContext,
     private val view: StoreView,
+    private val statistics: ServerStatistics,
 ) {
     /** Answers [question] at [now]. */
     fun explain(question: RoutingQuestion, now: Timestamp): RoutingExplanation {
@@ -77,6 +79,7 @@
         verdict = verdict,
         catalogAge = age(view.catalogProof.at, now),
         directoryAge = age(view.directoryProof.at, now),
+        loadAge = statistics.loads.oldestReport(now)?.let { age(it, now) },
     )
 
     private fun age(at: Timestamp, now: Timestamp): Long? =
@@ -105,6 +108,7 @@
                 server = server.id.name,
                 failureDomain = server.failureDomain.name,
                 state = server.state.name,
+                freeTokens = statistics.memory.freeTokens(server, now),
                 reason =
                     context.selector.eligibility
                         .ineligibility(server, request, now)
--- a/src/main/kotlin/azuredale/explain/RoutingExplanation.kt
+++ b/src/main/kotlin/azuredale/explain/RoutingExplanation.kt
@@ -16,6 +16,7 @@
  * One server of the pool as the router sees it.
  *
  * @property reason why the server may not get the request, null if it may.
+ * @property freeTokens tokens of its memory that no request in progress takes, null if its pool declares none.
  * @property keptTokens tokens of the prompt that the server probably keeps.
  * @property predictedMilliseconds predicted time to the first event; 0 for a request without a prompt.
  * @property costs terms of the cost in milliseconds; the eligible server with the lowest sum is chosen.
@@ -28,6 +29,7 @@
     val reason: String? = null,
     val running: Int = 0,
     val waitingTokens: Int = 0,
+    val freeTokens: Long? = null,
     val keptTokens: Int = 0,
     val predictedMilliseconds: Double = 0.0,
     val costs: Map<String, Double> = emptyMap(),
@@ -45,6 +47,8 @@
  * @property chosen the server that would get the request.
  * @property catalogAge milliseconds since the configuration was known to be the newest, null if it never was.
  * @property directoryAge milliseconds since the list of servers was known to be the newest, null if it never was.
+ * @property loadAge milliseconds since which the oldest load that another router reported may have changed, null if
+ *   there is none. Loads, memory and kept parts of the servers rest on these reports.
  */
 @Serializable
 public data class RoutingExplanation(
@@ -60,4 +64,5 @@
     val servers: List<ServerExplanation> = emptyList(),
     val catalogAge: Long? = null,
     val directoryAge: Long? = null,
+    val loadAge: Long? = null,
 )
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -100,7 +100,7 @@
         )
 
     /** Recent token usage of the teams. */
-    private val usage = TeamUsage()
+    val usage = TeamUsage()
     private val shares = FairShares(usage)
 
     /** Metrics of this router. */
@@ -270,7 +270,7 @@
         )
 
     /** Answers of this router to operators who ask where a request would go. */
-    val explanations = ExplainEndpoint(RoutingExplainer(context, view), clock) { intake.waiting > 0 }
+    val explanations = ExplainEndpoint(RoutingExplainer(context, view, statistics), clock) { intake.waiting > 0 }
     private val loadLog = RouterLoadLog(log)
     private val unreadRequests = UnreadRequests(intake, capacity, metrics, loadLog, log, clock, random::nextDouble)
     private val prefixLog = PrefixLog(statistics.prefixes, log)
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -144,13 +144,21 @@
         bounds = bounds,
     )
 
-    /** Writes the catalog with [keys] for the only team. */
-    public fun writeCatalog(version: Int, keys: List<String>, timeoutMilliseconds: Int = 2_000) {
+    /** Writes the catalog with [keys] for team-a, and [others] as further teams. */
+    public fun writeCatalog(
+        version: Int,
+        keys: List<String>,
+        timeoutMilliseconds: Int = 2_000,
+        others: List<String> = emptyList(),
+    ) {
+        fun team(name: String, keys: List<String>) =
+            """{"name":"$name","api-keys":[${keys.joinToString(",") { "\"$it\"" }}],"priority":1}"""
+
         fun route(name: String, kind: String, servers: Int, more: String) =
             """{"name":"$name","host":"$HOST","path-prefix":"/$name/","kind":"$kind",""" +
                 """"timeout-ms":$timeoutMilliseconds,"target-latency-ms":500,"priority":1,"service":"pool-a",""" +
                 """"max-attempts":$servers$more}"""
-        val quoted = keys.joinToString(",") { "\"$it\"" }
+        val teams = listOf(team("team-a", keys)) + others.map { team(it, listOf("key-of-$it")) }
         platform.put(
             StoreKey.CATALOG,
             """{"version":$version,"routes":[${route("plain", "idempotent", 2, "")},""" +
@@ -158,7 +166,7 @@
                 """${route("stream", "streaming", 2, ""","sticky-sessions":true,"stream-resume":true""")}],""" +
                 """"services":[{"name":"pool-a","max-connections":100,""" +
                 """"engine":{"slots":8,"kv-capacity-tokens":100000,"stride":1}}],""" +
-                """"tenants":[{"name":"team-a","api-keys":[$quoted],"priority":1}]}""",
+                """"tenants":[${teams.joinToString(",")}]}""",
         )
     }
 
--- a/src/test/kotlin/azuredale/explain/ExplainSpec.kt
+++ b/src/test/kotlin/azuredale/explain/ExplainSpec.kt
@@ -6,10 +6,13 @@
 import azuredale.engine.ServerLoad
 import azuredale.gateway.FleetBounds
 import azuredale.gateway.PromptPart
+import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.identity.TeamId
 import azuredale.platform.StoreKey
 import azuredale.selftest.GatewayFixture
 import azuredale.standin.BackendBehaviour
+import azuredale.time.systemClock
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.Dispatchers
@@ -19,6 +22,8 @@
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Nested
+import java.nio.file.Path
+import kotlin.io.path.readLines
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -127,23 +132,64 @@
 
         private fun GatewayFixture.statistics() = checkNotNull(daemon).gateway.statistics
 
+        private fun statisticsNow() = systemClock()()
+
         private fun GatewayFixture.addLoad(index: Int, load: ServerLoad) =
             statistics().loads.add(ServerId("server-$index"), load)
 
+        /** Asks for a table and checks that the guide shows it, apart from numbers and the width of columns. */
+        private suspend fun GatewayFixture.explainAsDocumented(vararg arguments: String) {
+            assertEquals(ExitCode.SUCCESS, explain(*arguments))
+            println(output)
+            val documented = Path.of("docs/OPERATIONS.md").readLines().map(::withoutNumbers)
+            val missing = output.lines().filter { withoutNumbers(it) !in documented }
+            assertEquals(emptyList(), missing, "lines that docs/OPERATIONS.md does not show")
+        }
+
+        private fun withoutNumbers(line: String) = line.trim().replace(Regex("\\d+"), "0").replace(Regex(" +"), " ")
+
         @Test
         fun `a request is refused because all servers are busy`() = withGateway {
             repeat(2) { addLoad(it, ServerLoad(waitingTokens = 90_000, running = 8)) }
-            assertEquals(ExitCode.SUCCESS, explain(*long))
+            explainAsDocumented(*long)
             assertContains(output, "refused: PREDICTED_LATE, return in")
         }
 
+        @Test
+        fun `a team above its share is refused, and another one is not`() = withGateway {
+            writeCatalog(version = 2, keys = listOf(GatewayFixture.KEY), others = listOf("team-b"))
+            val other = long.map { if (it == "team-a") "team-b" else it }.toTypedArray()
+            while (explanation(*other).verdict == RoutingVerdict.REFUSED) delay(20)
+            val now = statisticsNow()
+            val usage = checkNotNull(daemon).gateway.usage
+            usage.recordRequested(TeamId("team-a"), 400_000, now)
+            usage.recordGranted(TeamId("team-a"), 100_000, now)
+            usage.recordRequested(TeamId("team-b"), 50_000, now)
+            usage.recordGranted(TeamId("team-b"), 50_000, now)
+            repeat(2) { addLoad(it, ServerLoad(waitingTokens = 17_000, running = 4)) }
+            explainAsDocumented(*long)
+            assertContains(output, "refused: SHARE_EXCEEDED, return in")
+            assertEquals(RoutingVerdict.ADMITTED, explanation(*other).verdict)
+        }
+
+        @Test
+        fun `a kept prefix is passed over because its server has no room`() = withGateway {
+            val parts = listOf(PromptPart("s", 2_500), PromptPart("a", 3_800))
+            statistics().cache.record(ServerId("server-0"), parts)
+            repeat(10) { statistics().memory.demand(PoolId("pool-a")).recordAsked(15_000, 8_700, statisticsNow()) }
+            addLoad(0, ServerLoad(running = 6, committedTokens = 90_000))
+            explainAsDocumented(*long)
+            assertContains(output, "NO_ROOM")
+            assertContains(output, "admitted, to server server-1")
+        }
+
         @Test
         fun `a kept prefix is passed over because the wait costs more`() = withGateway {
             val parts = listOf(PromptPart("s", 2_500), PromptPart("a", 3_800))
             statistics().cache.record(ServerId("server-0"), parts)
             assertEquals("server-0", explanation(*long).chosen)
             addLoad(0, ServerLoad(waitingTokens = 60_000, running = 8))
-            assertEquals(ExitCode.SUCCESS, explain(*long))
+            explainAsDocumented(*long)
             assertContains(output, "admitted, to server server-1")
         }
 
@@ -152,7 +198,7 @@
             withGateway(FleetBounds(evacuationBoundMilliseconds = 5_000)) {
                 platform.put(StoreKey.EVACUATIONS + "domain", "{}")
                 while (explanation(*long).verdict == RoutingVerdict.ADMITTED) delay(20)
-                assertEquals(ExitCode.SUCCESS, explain(*long))
+                explainAsDocumented(*long)
                 assertContains(output, "refused: NO_ELIGIBLE_SERVER")
                 assertContains(output, "EVACUATED")
             }
