Let sessions with the same first part prefer the same servers, as many as its rate pays for

Cause: servers for a new session were ordered by a hash of the session, so each first part, which many sessions share, was read once at every server.

Change: the order is that of one of 2^n groups of the sessions with a first part; their number follows from its rate (PrefixWeighing.groups). A session that nobody keeps counts the value of one more holder of its first part.

--- a/src/main/kotlin/azuredale/engine/PromptOutline.kt
+++ b/src/main/kotlin/azuredale/engine/PromptOutline.kt
@@ -34,6 +34,10 @@
     /** The deepest shared part, which identifies a session; empty if the prompt shares nothing. */
     val session: String = shared.lastOrNull()?.id.orEmpty()
 
+    /** What orders the servers for this session: a group of sessions with the same first part, or the session alone. */
+    val orderKey: String =
+        shared.firstOrNull()?.takeIf { shared.size > 1 }?.let { group(it, candidates.size) } ?: session
+
     /** Servers that keep the deepest shared part. */
     val holders: Int = statistics.cache.holders(session)
     private val ratePerSecond = statistics.demand.ratePerSecond(session, now)
@@ -46,14 +50,22 @@
 
     /** The server that all routers prefer for parts that no server keeps; null if all parts are kept somewhere. */
     val home: ServerId? =
-        if (unheldTokens == 0) null else candidates.minByOrNull { StableHash.fraction(session, it.id.name) }?.id
+        if (unheldTokens == 0) null else candidates.minByOrNull { StableHash.fraction(orderKey, it.id.name) }?.id
 
     /** Tokens of shared parts that a server reads which has [uncachedTokens] of the prompt to read. */
     fun repeatedTokens(uncachedTokens: Int): Int = (uncachedTokens - ownTokens).coerceAtLeast(0)
 
-    /** What one more holder of the session saves, in milliseconds, at servers that read at [millisecondsPerToken]. */
-    fun valueOfAnotherHolder(millisecondsPerToken: Double): Double =
-        PrefixWeighing.valueOfAnotherHolder(ratePerSecond, ownTokens * millisecondsPerToken, holders)
+    /**
+     * What one more holder of the session, or of its first part, saves in milliseconds, at servers that read at
+     * [millisecondsPerToken].
+     */
+    fun valueOfAnotherHolder(millisecondsPerToken: Double): Double {
+        val ofSession = PrefixWeighing.valueOfAnotherHolder(ratePerSecond, ownTokens * millisecondsPerToken, holders)
+        val first = shared.firstOrNull()?.takeIf { holders == 0 && shared.size > 1 } ?: return ofSession
+        val readMilliseconds = (ownTokens + unheldTokens) * millisecondsPerToken
+        val rate = statistics.demand.ratePerSecond(first.id, now)
+        return PrefixWeighing.valueOfAnotherHolder(rate, readMilliseconds, statistics.cache.holders(first.id))
+    }
 
     /**
      * What it costs to read the parts that no server keeps elsewhere than at [home], in milliseconds: another router,
@@ -65,6 +77,14 @@
     fun lossOf(id: String): Double =
         statistics.demand.probabilityOfReuse(id, now) / statistics.cache.holders(id).coerceAtLeast(1)
 
+    /** The group of the session, which moves to another one only if that is new. */
+    private fun group(first: PromptPart, most: Int): String {
+        val groups = PrefixWeighing.groups(statistics.demand.ratePerSecond(first.id, now), first.tokens, most)
+        if (groups == 1) return first.id
+        val group = (0 until groups).minBy { StableHash.fraction(session, it.toString()) }
+        return "${first.id}/$group"
+    }
+
     private fun scatteredTokens(): Double {
         val requests = maxOf(ratePerSecond, USUAL_RATE) * statistics.reportDelaySeconds()
         return unheldTokens * PrefixWeighing.LEAST_BEHIND * (1 - exp(-requests))
