--- a/src/main/kotlin/azuredale/engine/ServerMemory.kt
+++ b/src/main/kotlin/azuredale/engine/ServerMemory.kt
@@ -23,7 +23,9 @@
     var committedTokens = 0
         private set
 
-    private var localShared = 0L
+    /** Tokens of the parts that this router's requests in progress may share. */
+    var localSharedTokens = 0L
+        private set
     private var sharedTokens = 0L
     private var sharedTokensValidUntil = Timestamp.DISTANT_PAST
 
@@ -37,7 +39,7 @@
     fun sharedTokens(now: Timestamp): Long {
         // Asked for each server with every prompt, but changed only by prompts and reports that concern this server.
         if (now < sharedTokensValidUntil) return sharedTokens
-        var tokens = localShared + reported.tokens(now)
+        var tokens = localSharedTokens + reported.tokens(now)
         parts.forEach { (id, part) -> if (reported.contains(id)) tokens -= part.tokens }
         sharedTokens = tokens
         sharedTokensValidUntil = reported.changesAt
@@ -58,7 +60,7 @@
         prompt.forEachSharedPart { part ->
             shared += part.tokens
             val held = parts.getOrPut(part.id) { SharedPart(part.tokens) }
-            if (held.holders++ == 0) localShared += held.tokens
+            if (held.holders++ == 0) localSharedTokens += held.tokens
         }
         val own = prompt.promptTokens.coerceAtLeast(0) - shared
         change(own + outputTokens)
@@ -81,7 +83,7 @@
             val held = parts[part.id] ?: return@forEachSharedPart
             if (--held.holders > 0) return@forEachSharedPart
             parts.remove(part.id)
-            localShared -= held.tokens
+            localSharedTokens -= held.tokens
         }
         change(-ownTokens)
     }
--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -251,7 +251,7 @@
     )
 
     private fun freeTokens(server: ServerId): Long? =
-        view.directory.entries[server]?.let { statistics.memory.freeTokens(it, clock()) }
+        view.directory.entries[server]?.let { statistics.memory.tokensForKeptParts(it, clock()) }
 
     private fun declaredTokens(pool: PoolId): Long = view.catalog
         ?.pool(pool)
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -61,7 +61,10 @@
     val statistics: ServerStatistics get() = fleet.statistics
     private val exchange = fleet.exchange
     private val capacity = fleet.capacity
-    private val shares = FairShares(fleet.usage)
+
+    /** Recent token usage of the teams. */
+    val usage = fleet.usage
+    private val shares = FairShares(usage)
     private val homeRegions = HomeRegions(settings.regions.values.toSet())
     private val routerAddresses =
         RouterAddresses(
@@ -86,7 +89,13 @@
     val maximumCallerConnections: Int = minOf(settings.maximumCallerConnections, memoryPlan.connections)
     private val requestBodies = RequestBodyBudget(memoryPlan.bodyBytes, dependencies.timer)
     private val selector =
-        ServerSelector({ view.directory }, statistics, view.evacuations::isEvacuated, settings.regions::get)
+        ServerSelector(
+            directory = { view.directory },
+            statistics = statistics,
+            isEvacuated = view.evacuations::isEvacuated,
+            regionOf = settings.regions::get,
+            weighsPrefixes = settings.weighsPrefixes,
+        )
     private val context =
         GatewayContext(
             settings = settings,
@@ -96,7 +105,7 @@
             admission =
                 RequestAdmission(
                     intake = intake,
-                    prompts = PromptAdmission(fleet.usage, LoadShedder(shares, random::nextDouble)),
+                    prompts = PromptAdmission(usage, LoadShedder(shares, random::nextDouble)),
                     quarantine = PromptQuarantine(fleet.quarantine, fleet.serverEnds, fleet.keeper::claimTrial),
                     sendGuard =
                         SendGuard(
@@ -136,7 +145,7 @@
         )
 
     /** Answers of this router to operators who ask where a request would go. */
-    val explanations = ExplainEndpoint(RoutingExplainer(context, view), clock) { intake.waiting > 0 }
+    val explanations = ExplainEndpoint(RoutingExplainer(context, view, statistics), clock) { intake.waiting > 0 }
     private val loadLog = RouterLoadLog(log)
     private val unreadRequests = UnreadRequests(intake, capacity, metrics, loadLog, log, clock, random::nextDouble)
     private val prefixLog = PrefixLog(statistics.prefixes, log)
