Reckon own loads once a round of reports, and look for forgotten routers once a second

ReportWriter added up this router's loads twice in each round, and copied them for reports that contain nothing else. PeerTable went through all routers 50 times a second to find one that has been silent for a minute.

RelayLossSpec, LargeFleetExchangeSpec, ServerLimitFleetSpec, StoreCallBudgetSpec pass.

--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -12,6 +12,7 @@
     private val peers = LinkedHashMap<RouterId, Peer>()
     private val byProcessKey = HashMap<Int, Peer>()
     private val fleetSizes = ArrayDeque<Pair<Timestamp, Int>>()
+    private var nextRemovalAt = Timestamp.DISTANT_PAST
 
     /** All known routers, including those that are currently silent. */
     val all: Collection<Peer> get() = peers.values
@@ -154,14 +155,19 @@
                 onChange(peer)
             }
         }
+        if (now >= nextRemovalAt) removeSilent(now)
+        val size = peers.values.count { it.isAlive } + 1
+        if (fleetSizes.lastOrNull()?.second != size) fleetSizes.addLast(now to size)
+        while (fleetSizes.size > 1 && fleetSizes[1].first.plusSeconds(RECENT_SECONDS) < now) fleetSizes.removeFirst()
+    }
+
+    private fun removeSilent(now: Timestamp) {
+        nextRemovalAt = now.plusSeconds(1)
         peers.values.removeIf { peer ->
             val isForgotten = now > maxOf(peer.aliveUntil, peer.firstSeenAt).plusSeconds(REMOVE_AFTER_SECONDS)
             if (isForgotten) byProcessKey.remove(peer.processKey, peer)
             isForgotten
         }
-        val size = peers.values.count { it.isAlive } + 1
-        if (fleetSizes.lastOrNull()?.second != size) fleetSizes.addLast(now to size)
-        while (fleetSizes.size > 1 && fleetSizes[1].first.plusSeconds(RECENT_SECONDS) < now) fleetSizes.removeFirst()
     }
 
     /** Largest number of routers, including this one, that may recently have been alive at the same time. */
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -46,6 +46,8 @@
     private var routerCursor = 0
     private val relayedCursors = IntArray(ReportScope.entries.size)
     private var lastUsage: Map<Int, TokenUsage> = emptyMap()
+    private var roundLoads: Map<Int, ServerLoad> = emptyMap()
+    private var roundAt = Timestamp.DISTANT_PAST
 
     /** Adds a prompt part read by a server through a router of this failure domain, for the next reports. */
     fun addDomainRead(read: ReadEntry, now: Timestamp) {
@@ -71,7 +73,9 @@
         }
         isLivenessDue = topology.isRelay && now >= lastLivenessAt.plusMilliseconds(livenessPeriod(now))
         if (isLivenessDue) lastLivenessAt = now
-        return ReportedState(ownLoads(now), lastUsage)
+        roundLoads = ownLoads(now)
+        roundAt = now
+        return ReportedState(roundLoads, lastUsage)
     }
 
     /** Many routers that change together, such as a lost failure domain, do not fit into the descriptions in full. */
@@ -150,8 +154,9 @@
         }
 
     private fun loads(scope: ReportScope, now: Timestamp): Map<Int, ServerLoad> {
-        val sums = HashMap(ownLoads(now))
-        if (scope == ReportScope.ROUTER) return sums
+        val own = if (now == roundAt) roundLoads else ownLoads(now)
+        if (scope == ReportScope.ROUTER) return own
+        val sums = HashMap(own)
         statistics.loads
             .reportedLoads(now) { isIncluded(scope, table.find(it)) }
             .forEach { (server, load) -> sums.merge(server, load, ServerLoad::plus) }
