Join times to return, the parser of prompt parts and the count of refused bodies

- RetryDelay is the one place for the return times of 200 ms and 20 ms, which six classes of gateway declared.
- PromptPart.parse reads ID:TOKENS for requests and for azuredale explain.
- RequestBodyBudget counts a refusal in one function, whether the first bytes or the rest of a body found no room.
- A prompt's shared parts are copied once, not at each of some ten uses.

Specs of engine and gateway, ExplainSpec, GatewaySpec and those of logs and decoders pass.

--- a/src/main/kotlin/azuredale/command/ExplainCommand.kt
+++ b/src/main/kotlin/azuredale/command/ExplainCommand.kt
@@ -7,6 +7,7 @@
 import azuredale.explain.explanationLines
 import azuredale.explain.serverHeader
 import azuredale.explain.serverRow
+import azuredale.gateway.PromptPart
 import azuredale.identity.NetworkAddress
 import azuredale.report.printTable
 import io.vertx.core.Vertx
@@ -140,13 +141,8 @@
         return numbers.first() to numbers.getOrElse(1) { 0 }
     }
 
-    private fun part(text: String): QuestionPart {
-        val tokens = text.substringAfter(':', "").trim().toIntOrNull()
-        return QuestionPart(
-            text.substringBefore(':').trim(),
-            tokens ?: throw usageError("--parts: \"$text\" is not of the form ID:TOKENS"),
-        )
-    }
+    private fun part(text: String): QuestionPart = PromptPart.parse(text)?.let { QuestionPart(it.id, it.tokens) }
+        ?: throw usageError("--parts: \"$text\" is not of the form ID:TOKENS")
 
     private fun address(text: String): NetworkAddress = NetworkAddress.parse(text.trim())
         ?: throw usageError("--router: \"$text\" is not of the form HOST:PORT")
--- a/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
@@ -45,7 +45,7 @@
                 is AttemptResult.Done -> return
                 is AttemptResult.NotRun -> {
                     servers.exclude(selection.server.id)
-                    notRun = Failure(end.kind, end.detail, clock().plusMilliseconds(RETRY_MILLISECONDS))
+                    notRun = Failure(end.kind, end.detail, RetryDelay.afterDisruption(clock()))
                     if (end.isFinal) return exchange.response.giveUp(notRun)
                     if (!end.wasSent && ++connectFailures <= MAXIMUM_CONNECT_FAILURES) continue
                     if (!end.wasSent || !mayRetry()) return exchange.response.giveUp(notRun)
@@ -116,8 +116,5 @@
     private companion object {
         /** Each unreachable server costs a connect time-out, so more attempts would use up the caller's time. */
         const val MAXIMUM_CONNECT_FAILURES = 3
-
-        /** Long enough for a router or server to recover from a brief disruption. */
-        const val RETRY_MILLISECONDS = 200L
     }
 }
--- a/src/main/kotlin/azuredale/gateway/FatalErrors.kt
+++ b/src/main/kotlin/azuredale/gateway/FatalErrors.kt
@@ -23,6 +23,6 @@
             // Shutdown hooks may need what the process has run out of.
             Runtime.getRuntime().halt(EXIT_STATUS)
         }
-        log.write(GatewayLogEvent.REQUEST_FAILED, cause = failure)
+        log.write(GatewayLogEvent.EXCEPTION_UNHANDLED, cause = failure)
     }
 }
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -41,6 +41,7 @@
     SERVER_LEAVING(2241, Level.INFO, "backend server says that it leaves"),
     SERVER_ON_HOLD(2242, Level.INFO, "backend server wants no requests for a while"),
     UNEXPECTED_BYTES(2243, Level.INFO, "backend server sent bytes that belong to no request; connection closed"),
+    EXCEPTION_UNHANDLED(2274, Level.ERROR, "unexpected exception that nothing has handled"),
     PROCESS_FAILED(2273, Level.ERROR, "error that the process cannot survive; it ends"),
     DOMAIN_EVACUATED(2244, Level.WARN, "failure domain evacuated; its servers get no more requests"),
     EVACUATION_ENDED(2245, Level.INFO, "failure domain no longer evacuated"),
--- a/src/main/kotlin/azuredale/gateway/PromptGate.kt
+++ b/src/main/kotlin/azuredale/gateway/PromptGate.kt
@@ -41,7 +41,7 @@
     fun preview(now: Timestamp): Failure? {
         if (prompt == null) return null
         if (!quarantine.parts.isKnown) {
-            return Failure(ErrorKind.NOT_READY, "quarantine not known", now.plusMilliseconds(RETRY_MILLISECONDS))
+            return Failure(ErrorKind.NOT_READY, "quarantine not known", RetryDelay.afterDisruption(now))
         }
         val decision = quarantine.parts.decide(prompt, now)
         if (decision !is QuarantineDecision.Quarantined || decision.part == trialOf) return null
@@ -69,9 +69,4 @@
         hasServerEnded.await()
         return quarantine.parts.mayRepeat(prompt, clock())
     }
-
-    private companion object {
-        /** Longer than a read of the store and an exchange with a peer, which provide the quarantine. */
-        const val RETRY_MILLISECONDS = 200L
-    }
 }
--- a/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
@@ -38,7 +38,7 @@
 ) {
     /** Returns the route, pool and team of [head], or the failure to return to the caller. */
     fun authorize(head: RequestHead, now: Timestamp): Outcome<AuthorizedRequest> {
-        if (isClosed(now)) return refused(ErrorKind.DRAINING, retryAt = now.plusMilliseconds(ELSEWHERE_MILLISECONDS))
+        if (isClosed(now)) return refused(ErrorKind.DRAINING, retryAt = RetryDelay.elsewhere(now))
         return authorizeByCatalog(head, now)
     }
 
@@ -60,16 +60,16 @@
     private fun changed(now: Timestamp) = Failure(
         ErrorKind.NOT_READY,
         "the route changed while the request waited",
-        now.plusMilliseconds(ELSEWHERE_MILLISECONDS),
+        RetryDelay.elsewhere(now),
     )
 
     private fun authorizeByCatalog(head: RequestHead, now: Timestamp): Outcome<AuthorizedRequest> {
         val current =
-            catalog() ?: return refused(ErrorKind.NOT_READY, retryAt = now.plusMilliseconds(RETRY_MILLISECONDS))
+            catalog() ?: return refused(ErrorKind.NOT_READY, retryAt = RetryDelay.afterDisruption(now))
         val route = current.route(head.host, head.path) ?: return refused(ErrorKind.UNKNOWN_ROUTE)
         // The key may have been revoked since the last proof of freshness, so it is not looked up.
         if (!route.allowsAnonymous && !isFresh(now)) {
-            return refused(ErrorKind.STALE_DOCUMENT, retryAt = now.plusMilliseconds(RETRY_MILLISECONDS))
+            return refused(ErrorKind.STALE_DOCUMENT, retryAt = RetryDelay.afterDisruption(now))
         }
         val team = head.key?.let { current.teamOf(it) }
         if (team == null && !route.allowsAnonymous) return refused(ErrorKind.UNKNOWN_KEY)
@@ -86,12 +86,4 @@
             ),
         )
     }
-
-    private companion object {
-        /** Longer than a read of the store and an exchange with a peer, which provide the catalog. */
-        const val RETRY_MILLISECONDS = 200L
-
-        /** Short, because another router can take the request at once. */
-        const val ELSEWHERE_MILLISECONDS = 20L
-    }
 }
--- a/src/main/kotlin/azuredale/gateway/RequestBodyBudget.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestBodyBudget.kt
@@ -44,7 +44,7 @@
             if (count <= bytes) return true
             val needed = maxOf(count, bytes * 2)
             if (!mayHold(needed, bytes)) {
-                refusals++
+                recordRefusal()
                 return false
             }
             add(bytes, -1)
@@ -76,10 +76,15 @@
         val needed = needed(bytes)
         val mayWait = !isSmall(needed) && needed <= largeBytes && waiting.size < MAXIMUM_WAITING
         if (mayWait && awaitRoom(needed, until)) return Reservation(needed)
-        refusals++
+        recordRefusal()
         return null
     }
 
+    /** Each request is refused at most once: it gets no room, or its body outgrows the room that it got. */
+    private fun recordRefusal() {
+        refusals++
+    }
+
     private fun needed(bytes: Long?) = maxOf(bytes ?: FIRST_PART_BYTES, 1)
 
     private suspend fun awaitRoom(bytes: Long, until: Timestamp): Boolean {
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -95,11 +95,11 @@
         val failure =
             when {
                 !context.admission.gracefulStop.canFinish(authorized.route.name, progress.deadline, now) -> {
-                    val retryAt = now.plusMilliseconds(ELSEWHERE_MILLISECONDS)
+                    val retryAt = RetryDelay.elsewhere(now)
                     Failure(ErrorKind.DRAINING, "cannot end in time", retryAt)
                 }
                 now >= progress.deadline -> {
-                    val retryAt = now.plusMilliseconds(RETRY_MILLISECONDS)
+                    val retryAt = RetryDelay.afterDisruption(now)
                     Failure(ErrorKind.DEADLINE_BEFORE_START, "read too late", retryAt)
                 }
                 else -> return true
@@ -154,11 +154,5 @@
 
         /** After this time callers regard a router that has not answered as failed. */
         const val MAXIMUM_WAIT_MICROSECONDS = Timestamp.MICROSECONDS_PER_MILLISECOND * 1_000L
-
-        /** Short, because another router can take the request at once. */
-        const val ELSEWHERE_MILLISECONDS = 20L
-
-        /** Long enough for a router or server to recover from a brief disruption. */
-        const val RETRY_MILLISECONDS = 200L
     }
 }
--- a/src/main/kotlin/azuredale/gateway/RequestHead.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHead.kt
@@ -9,6 +9,16 @@
 ) {
     /** The id as a typed value. */
     val partId: PartId get() = PartId(id)
+
+    public companion object {
+        /** Parses [text] of the form `ID:TOKENS`; returns null for any other text. */
+        public fun parse(text: String): PromptPart? {
+            val end = text.indexOf(':')
+            if (end < 0) return null
+            val tokens = text.substring(end + 1).trim().toIntOrNull() ?: return null
+            return PromptPart(text.substring(0, end).trim(), tokens)
+        }
+    }
 }
 
 /**
@@ -25,7 +35,7 @@
     val expectedOutputTokens: Int? = null,
 ) {
     /** All parts but the last, which belongs to this request alone. */
-    val sharedParts: List<PromptPart> get() = parts.dropLast(1)
+    val sharedParts: List<PromptPart> = parts.dropLast(1)
 
     /**
      * Cost in fair-share accounting: a prompt token counts once, an output token twice. Without a length hint, half of
--- a/src/main/kotlin/azuredale/gateway/SendGuard.kt
+++ b/src/main/kotlin/azuredale/gateway/SendGuard.kt
@@ -36,7 +36,7 @@
 ) {
     /** Returns the failure if this router does not know which servers accept requests, otherwise null. */
     fun directoryFailure(now: Timestamp): Failure? = directoryFault(now)?.let { detail ->
-        Failure(ErrorKind.STALE_DIRECTORY, detail, now.plusMilliseconds(RETRY_MILLISECONDS))
+        Failure(ErrorKind.STALE_DIRECTORY, detail, RetryDelay.afterDisruption(now))
     }
 
     /** Returns why the request of [caller] may not be written to [server] at [now], or null if it may. */
@@ -49,16 +49,11 @@
     ): SendDecision? {
         if (caller.isDisconnected) return SendDecision.CallerGone
         if (now >= deadline) {
-            val retryAt = now.plusMilliseconds(RETRY_MILLISECONDS)
+            val retryAt = RetryDelay.afterDisruption(now)
             return SendDecision.Refuse(Failure(ErrorKind.DEADLINE_BEFORE_START, "no connection in time", retryAt))
         }
         directoryFailure(now)?.let { return SendDecision.Refuse(it) }
         if (!mayUse(server, now)) return SendDecision.ChooseAnother("server ${server.id} takes no more requests")
         return authorizer.recheck(caller.head, request, now)?.let { SendDecision.Refuse(it) }
     }
-
-    private companion object {
-        /** Long enough for a router to recover from a brief disruption. */
-        const val RETRY_MILLISECONDS = 200L
-    }
 }
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -149,13 +149,10 @@
     }
 
     private fun unavailable(detail: String, now: Timestamp) =
-        Failure(ErrorKind.NO_ELIGIBLE_SERVER, detail, now.plusMilliseconds(RETRY_MILLISECONDS))
+        Failure(ErrorKind.NO_ELIGIBLE_SERVER, detail, RetryDelay.afterDisruption(now))
 
     private companion object {
         /** While limits leave no server for some requests, only teams above their fair share are refused in advance. */
         const val MAXIMUM_PRESSURE = 0.4
-
-        /** Long enough for a server to recover from a brief disruption. */
-        const val RETRY_MILLISECONDS = 200L
     }
 }
--- a/src/main/kotlin/azuredale/platform/CallerRequestDecoder.kt
+++ b/src/main/kotlin/azuredale/platform/CallerRequestDecoder.kt
@@ -64,11 +64,7 @@
     private fun prompt(parts: String?, counts: String?, hint: String?): PromptShape? {
         val prompt = counts?.substringBefore(',')?.trim()?.toIntOrNull() ?: return null
         val output = counts.substringAfter(',', "").trim().toIntOrNull() ?: 0
-        val decoded =
-            parts.orEmpty().split(',').mapNotNull { entry ->
-                val tokens = entry.substringAfter(':', "").trim().toIntOrNull() ?: return@mapNotNull null
-                PromptPart(entry.substringBefore(':').trim(), tokens)
-            }
+        val decoded = parts.orEmpty().split(',').mapNotNull(PromptPart::parse)
         return PromptShape(decoded, prompt, output, hint?.trim()?.toDoubleOrNull()?.toInt())
     }
 
