--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -13,7 +13,7 @@
  * Runtime state of the backend servers, as measured by this router and reported by others.
  *
  * @param reportDelayMilliseconds how long other routers take on the mean to learn what this one sent.
- * @param freeTokens tokens of a server's memory that running requests leave; null if unknown.
+ * @param freeTokens tokens that running requests leave for kept parts which none of this router uses; null if unknown.
  * @param cacheTokens tokens of a server's memory.
  */
 internal class ServerStatistics(
