--- a/src/main/kotlin/azuredale/engine/PromptOutline.kt
+++ b/src/main/kotlin/azuredale/engine/PromptOutline.kt
@@ -34,9 +34,12 @@
     /** The deepest shared part, which identifies a session; empty if the prompt shares nothing. */
     val session: String = shared.lastOrNull()?.id.orEmpty()
 
+    /** The part that many sessions begin with; null if the session is all that the prompt shares. */
+    private val first: PromptPart? = shared.firstOrNull()?.takeIf { shared.size > 1 }
+    private val firstRate = first?.let { statistics.demand.ratePerSecond(it.id, now) } ?: 0.0
+
     /** What orders the servers for this session: a group of sessions with the same first part, or the session alone. */
-    val orderKey: String =
-        shared.firstOrNull()?.takeIf { shared.size > 1 }?.let { group(it, candidates.size) } ?: session
+    val orderKey: String = first?.let { group(it, candidates.size) } ?: session
 
     /** Servers that keep the deepest shared part. */
     val holders: Int = statistics.cache.holders(session)
@@ -60,11 +63,11 @@
      * [millisecondsPerToken].
      */
     fun valueOfAnotherHolder(millisecondsPerToken: Double): Double {
-        val ofSession = PrefixWeighing.valueOfAnotherHolder(ratePerSecond, ownTokens * millisecondsPerToken, holders)
-        val first = shared.firstOrNull()?.takeIf { holders == 0 && shared.size > 1 } ?: return ofSession
+        if (holders > 0 || first == null) {
+            return PrefixWeighing.valueOfAnotherHolder(ratePerSecond, ownTokens * millisecondsPerToken, holders)
+        }
         val readMilliseconds = (ownTokens + unheldTokens) * millisecondsPerToken
-        val rate = statistics.demand.ratePerSecond(first.id, now)
-        return PrefixWeighing.valueOfAnotherHolder(rate, readMilliseconds, statistics.cache.holders(first.id))
+        return PrefixWeighing.valueOfAnotherHolder(firstRate, readMilliseconds, statistics.cache.holders(first.id))
     }
 
     /**
@@ -79,7 +82,7 @@
 
     /** The group of the session, which moves to another one only if that is new. */
     private fun group(first: PromptPart, most: Int): String {
-        val groups = PrefixWeighing.groups(statistics.demand.ratePerSecond(first.id, now), first.tokens, most)
+        val groups = PrefixWeighing.groups(firstRate, first.tokens, most)
         if (groups == 1) return first.id
         val group = (0 until groups).minBy { StableHash.fraction(session, it.toString()) }
         return "${first.id}/$group"
