--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -170,8 +170,7 @@
     }
 
     private fun affinityMilliseconds(outline: PromptOutline, server: BackendEntry): Double {
-        val key = if (weighsPrefixes) outline.orderKey else outline.session
-        val order = StableHash.fraction(key, server.id.name) * AFFINITY_MILLISECONDS
+        val order = StableHash.fraction(outline.session, server.id.name) * AFFINITY_MILLISECONDS
         if (!weighsPrefixes || outline.home == null || outline.home == server.id) return order
         return order + outline.scatterMilliseconds(statistics.prefillSpeed(server.id).millisecondsPerToken)
     }
--- a/src/main/kotlin/azuredale/engine/PrefixWeighing.kt
+++ b/src/main/kotlin/azuredale/engine/PrefixWeighing.kt
@@ -45,33 +45,10 @@
         return ratePerSecond * PartDemand.WINDOW_SECONDS * saved
     }
 
-    /**
-     * Groups of sessions with the same first part, each of which prefers another server: a power of two, so that
-     * routers which know slightly different rates have the same groups.
-     *
-     * One more holder of the part is worth it as long as it saves more than reading the part there delays. Sizes and
-     * speeds are the usual ones, for the same reason.
-     *
-     * @param ratePerSecond requests with the part.
-     * @param partTokens tokens of the part.
-     * @param most limit on the groups.
-     */
-    fun groups(ratePerSecond: Double, partTokens: Int, most: Int): Int {
-        val partMilliseconds = partTokens * PrefillSpeedEstimator.USUAL_MILLISECONDS_PER_TOKEN * LEAST_BEHIND
-        val readMilliseconds = USUAL_PROMPT_TOKENS * PrefillSpeedEstimator.USUAL_MILLISECONDS_PER_TOKEN
-        var groups = 1
-        while (groups < most && valueOfAnotherHolder(ratePerSecond, readMilliseconds, groups) > partMilliseconds) {
-            groups *= 2
-        }
-        return groups
-    }
-
-    /** Grows in a straight line above [MAXIMUM_UTILIZATION], so that more holders of an overloaded part still help. */
     private fun wait(ratePerSecond: Double, readMilliseconds: Double, holders: Int): Double {
-        val utilization = ratePerSecond * readMilliseconds / MILLISECONDS_PER_SECOND / holders
-        val stable = utilization.coerceAtMost(MAXIMUM_UTILIZATION)
-        val excess = (utilization - stable) / (2 * (1 - MAXIMUM_UTILIZATION) * (1 - MAXIMUM_UTILIZATION))
-        return readMilliseconds * (stable / (2 * (1 - stable)) + excess)
+        val utilization =
+            (ratePerSecond * readMilliseconds / MILLISECONDS_PER_SECOND / holders).coerceAtMost(MAXIMUM_UTILIZATION)
+        return readMilliseconds * utilization / (2 * (1 - utilization))
     }
 
     private const val MILLISECONDS_PER_SECOND = 1_000.0
@@ -79,9 +56,6 @@
     /** Keeps waits finite at a server that gets more than it can read. */
     private const val MAXIMUM_UTILIZATION = 0.9
 
-    /** Tokens of a typical prompt. */
-    private const val USUAL_PROMPT_TOKENS = 4_000
-
     /** Loads reported by others are old, so a server that seems idle may have this many requests on their way. */
     const val LEAST_BEHIND = 3.0
 }
--- a/src/main/kotlin/azuredale/engine/PromptOutline.kt
+++ b/src/main/kotlin/azuredale/engine/PromptOutline.kt
@@ -34,13 +34,6 @@
     /** The deepest shared part, which identifies a session; empty if the prompt shares nothing. */
     val session: String = shared.lastOrNull()?.id.orEmpty()
 
-    /** The part that many sessions begin with; null if the session is all that the prompt shares. */
-    private val first: PromptPart? = shared.firstOrNull()?.takeIf { shared.size > 1 }
-    private val firstRate = first?.let { statistics.demand.ratePerSecond(it.id, now) } ?: 0.0
-
-    /** What orders the servers for this session: a group of sessions with the same first part, or the session alone. */
-    val orderKey: String = first?.let { group(it, candidates.size) } ?: session
-
     /** Servers that keep the deepest shared part. */
     val holders: Int = statistics.cache.holders(session)
     private val ratePerSecond = statistics.demand.ratePerSecond(session, now)
@@ -53,22 +46,14 @@
 
     /** The server that all routers prefer for parts that no server keeps; null if all parts are kept somewhere. */
     val home: ServerId? =
-        if (unheldTokens == 0) null else candidates.minByOrNull { StableHash.fraction(orderKey, it.id.name) }?.id
+        if (unheldTokens == 0) null else candidates.minByOrNull { StableHash.fraction(session, it.id.name) }?.id
 
     /** Tokens of shared parts that a server reads which has [uncachedTokens] of the prompt to read. */
     fun repeatedTokens(uncachedTokens: Int): Int = (uncachedTokens - ownTokens).coerceAtLeast(0)
 
-    /**
-     * What one more holder of the session, or of its first part, saves in milliseconds, at servers that read at
-     * [millisecondsPerToken].
-     */
-    fun valueOfAnotherHolder(millisecondsPerToken: Double): Double {
-        if (holders > 0 || first == null) {
-            return PrefixWeighing.valueOfAnotherHolder(ratePerSecond, ownTokens * millisecondsPerToken, holders)
-        }
-        val readMilliseconds = (ownTokens + unheldTokens) * millisecondsPerToken
-        return PrefixWeighing.valueOfAnotherHolder(firstRate, readMilliseconds, statistics.cache.holders(first.id))
-    }
+    /** What one more holder of the session saves, in milliseconds, at servers that read at [millisecondsPerToken]. */
+    fun valueOfAnotherHolder(millisecondsPerToken: Double): Double =
+        PrefixWeighing.valueOfAnotherHolder(ratePerSecond, ownTokens * millisecondsPerToken, holders)
 
     /**
      * What it costs to read the parts that no server keeps elsewhere than at [home], in milliseconds: another router,
@@ -80,14 +65,6 @@
     fun lossOf(id: String): Double =
         statistics.demand.probabilityOfReuse(id, now) / statistics.cache.holders(id).coerceAtLeast(1)
 
-    /** The group of the session, which moves to another one only if that is new. */
-    private fun group(first: PromptPart, most: Int): String {
-        val groups = PrefixWeighing.groups(firstRate, first.tokens, most)
-        if (groups == 1) return first.id
-        val group = (0 until groups).minBy { StableHash.fraction(session, it.toString()) }
-        return "${first.id}/$group"
-    }
-
     private fun scatteredTokens(): Double {
         val requests = maxOf(ratePerSecond, USUAL_RATE) * statistics.reportDelaySeconds()
         return unheldTokens * PrefixWeighing.LEAST_BEHIND * (1 - exp(-requests))
