--- a/src/main/kotlin/azuredale/admission/FairShares.kt
+++ b/src/main/kotlin/azuredale/admission/FairShares.kt
@@ -12,17 +12,7 @@
  */
 internal class ShareSnapshot(val usage: Map<Int, TokenUsage>) {
     val capacity: Long = usage.values.sumOf { it.granted }
-    private val recentCapacity = usage.values.sumOf { it.recentBegun }
-
-    /** Whether clearly less begins than is requested; requests that have just been admitted are no sign of that. */
-    val isScarce: Boolean = usage.values.sumOf { it.requested } > capacity * SCARCE_RATIO
-    val fairShare: Double = share(capacity) { it.requested }
-
-    /** Like [fairShare], of what was requested and began within the last half second. */
-    val recentFairShare: Double = share(recentCapacity) { it.recentRequested }
-
-    private fun share(capacity: Long, demand: (TokenUsage) -> Long): Double =
-        if (isScarce) MaxMinFairShare.compute(usage.values.map(demand), capacity) else Double.POSITIVE_INFINITY
+    val fairShare: Double = MaxMinFairShare.compute(usage.values.map { it.requested }, capacity)
 
     /** Usage of [team]. */
     fun usageOf(team: TeamId): TokenUsage = usage[TeamUsage.teamHash(team)] ?: TokenUsage.NONE
@@ -40,11 +30,6 @@
                 (contending.max() - contending.min()) / fairShare
             }
         }
-
-    private companion object {
-        /** Above 1 by the variation of random arrivals, and by the retries of a few refused requests. */
-        const val SCARCE_RATIO = 1.2
-    }
 }
 
 /** Keeps the current [ShareSnapshot], which is computed anew only when the usage of the fleet has changed. */
--- a/src/main/kotlin/azuredale/admission/LoadShedder.kt
+++ b/src/main/kotlin/azuredale/admission/LoadShedder.kt
@@ -95,9 +95,6 @@
         )
     }
 
-    /** Records that a request of [team] was refused before [decide]. */
-    fun recordRefused(team: TeamId, tokens: Int, now: Timestamp) = gate.recordRefused(team, tokens, now)
-
     /** Whether [decide] would refuse [request] because its team asks for more than its share. */
     fun isThinnedOut(request: AdmissionRequest, prediction: LatencyPrediction, now: Timestamp): Boolean =
         request.team != null && !isIdle(request, prediction) && gate.isExhausted(request.team, now)
@@ -131,7 +128,7 @@
     /** Whether [team] asks for more than its fair share. */
     private fun isContending(team: TeamId?, now: Timestamp): Boolean {
         val current = shares.current(now)
-        return team != null && current.usageOf(team).recentRequested > current.recentFairShare
+        return team != null && current.usageOf(team).requested > current.fairShare
     }
 
     private fun limitMilliseconds(
@@ -188,8 +185,8 @@
         const val CONTENDING_FRACTION = 0.65
         const val WHOLE = 100
 
-        /** At more than 1.3 times its fair share a team reaches the smallest fraction. */
-        const val EXCESS_SLOPE = 1.0
+        /** At more than one and a half times its fair share a team reaches the smallest fraction. */
+        const val EXCESS_SLOPE = 0.5
 
         /** Raises the limit for retries, which are recognized by a target that is partly used up. */
         const val RETRY_LIMIT_FACTOR = 1.2
--- a/src/main/kotlin/azuredale/admission/PromptAdmission.kt
+++ b/src/main/kotlin/azuredale/admission/PromptAdmission.kt
@@ -23,9 +23,7 @@
 
     /** Records that a request of [team] with [prompt] was refused for another reason than its share. */
     fun recordRefused(prompt: PromptShape, team: TeamId?, now: Timestamp) {
-        if (team == null) return
-        usage.recordRequested(team, prompt.cost, now)
-        loadShedder.recordRefused(team, prompt.cost, now)
+        if (team != null) usage.recordRequested(team, prompt.cost, now)
     }
 
     /**
@@ -42,24 +40,15 @@
         return admit(prompt, request, latest.prediction, now)
     }
 
-    /** The charge for a request of [team] with [prompt], null if it is not accounted for. */
-    fun charge(prompt: PromptShape?, team: TeamId?): ShareCharge? =
-        if (prompt == null || team == null) null else ShareCharge(usage, team, prompt.cost)
-
-    /**
-     * Returns null if a request with [prompt] is admitted, otherwise the failure to return to the caller.
-     *
-     * @param charge what the request is charged if it is admitted; without it, it counts as begun.
-     */
+    /** Returns null if a request with [prompt] is admitted, otherwise the failure to return to the caller. */
     fun decide(
         prompt: PromptShape,
         request: AdmissionRequest,
         prediction: LatencyPrediction,
         now: Timestamp,
-        charge: ShareCharge? = null,
     ): Failure? {
         if (request.team != null) remember(request.team, prediction, now)
-        return admit(prompt, request, prediction, now, charge)
+        return admit(prompt, request, prediction, now)
     }
 
     private fun admit(
@@ -67,13 +56,12 @@
         request: AdmissionRequest,
         prediction: LatencyPrediction,
         now: Timestamp,
-        charge: ShareCharge? = null,
     ): Failure? {
         val team: TeamId? = request.team
         val tokens = prompt.cost
         if (team != null) usage.recordRequested(team, tokens, now)
         val refusal = loadShedder.decide(request.copy(tokens = tokens), prediction, now)
-        if (refusal == null && team != null) charge?.admitted() ?: usage.recordGranted(team, tokens, now)
+        if (refusal == null && team != null) usage.recordGranted(team, tokens, now)
         return refusal
     }
 
--- a/src/main/kotlin/azuredale/admission/ShareGate.kt
+++ b/src/main/kotlin/azuredale/admission/ShareGate.kt
@@ -7,10 +7,8 @@
  * Thins out the requests of teams that ask for more than their fair share, so that all of them get the same.
  *
  * Each router admits the same fraction of a team's requests: the fair share over what the team asked for at all
- * routers, both within the last half second, so that a team that floods in turn with others is neither late to be
- * thinned out nor thinned out for long after its flood. So it does not matter how much a team asks for, at how many
- * routers, how large its requests are, or how often they return. The fraction falls for teams that got more than their
- * share lately, and rises for the others.
+ * routers. So it does not matter how much a team asks for, at how many routers, how large its requests are, or how
+ * often they return. The fraction falls for teams that got more than their share lately, and rises for the others.
  *
  * A credit for each team makes the fraction exact for tokens as well as for requests: every request adds its part of a
  * request, and one that is admitted is subtracted.
@@ -36,11 +34,6 @@
         return credit > 0
     }
 
-    /** Adds the part of a request of [team] that was refused for another reason; its next one makes up for it. */
-    fun recordRefused(team: TeamId, tokens: Int, now: Timestamp) {
-        mayAdmit(team, tokens, now)
-    }
-
     /** Whether [mayAdmit] would refuse the next request of [team], whatever its size. */
     fun isExhausted(team: TeamId, now: Timestamp): Boolean {
         val credit = credits[team] ?: return false
@@ -57,10 +50,10 @@
         val current = shares.current(now)
         val usage = current.usageOf(team)
         // Without any granted request there is no share to compare with yet.
-        if (current.recentFairShare <= 0.0 || usage.recentRequested <= current.recentFairShare) return 1.0
-        val excess = if (current.fairShare.isInfinite()) 0.0 else usage.granted / current.fairShare - 1.0
-        val target = current.recentFairShare * (1.0 + HEADROOM - excess * CORRECTION)
-        return (target / usage.recentRequested).coerceIn(MINIMUM_FRACTION, 1.0)
+        if (current.fairShare <= 0.0 || usage.requested <= current.fairShare) return 1.0
+        val excess = usage.granted / current.fairShare - 1.0
+        val target = current.fairShare * (1.0 + HEADROOM - excess * CORRECTION)
+        return (target / usage.requested).coerceIn(MINIMUM_FRACTION, 1.0)
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/admission/TeamUsage.kt
+++ b/src/main/kotlin/azuredale/admission/TeamUsage.kt
@@ -4,32 +4,17 @@
 import azuredale.identity.TeamId
 import azuredale.time.Timestamp
 
-/**
- * Tokens that a team requested and was granted within the window.
- *
- * @property granted tokens of requests that began, and of those that were admitted and are still to begin.
- * @property recentRequested tokens requested within the last half second.
- * @property recentBegun tokens of requests that began within the last half second.
- */
+/** Tokens that a team requested and was granted within the window. */
 internal data class TokenUsage(
     val requested: Long = 0,
     val granted: Long = 0,
-    val recentRequested: Long = 0,
-    val recentBegun: Long = 0,
 ) {
-    operator fun plus(other: TokenUsage): TokenUsage = TokenUsage(
-        requested + other.requested,
-        granted + other.granted,
-        recentRequested + other.recentRequested,
-        recentBegun + other.recentBegun,
-    )
+    operator fun plus(other: TokenUsage): TokenUsage = TokenUsage(requested + other.requested, granted + other.granted)
 
     /** The difference, without negative parts. */
     operator fun minus(other: TokenUsage): TokenUsage = TokenUsage(
         (requested - other.requested).coerceAtLeast(0),
         (granted - other.granted).coerceAtLeast(0),
-        (recentRequested - other.recentRequested).coerceAtLeast(0),
-        (recentBegun - other.recentBegun).coerceAtLeast(0),
     )
 
     companion object {
@@ -54,9 +39,6 @@
     )
 
     private val buckets = ArrayDeque<Bucket>()
-
-    /** Tokens of admitted requests that no server has begun yet. */
-    private val owed = HashMap<Int, Long>()
     private val peers = HashMap<RouterId, ReportedUsage>()
     private var fleet: Map<Int, TokenUsage> = emptyMap()
     private var fleetUpdatedAt = Timestamp.DISTANT_PAST
@@ -65,36 +47,16 @@
     fun recordRequested(team: TeamId, tokens: Int, now: Timestamp) =
         add(team, TokenUsage(requested = tokens.toLong()), now)
 
-    /** Records that a request of [team] with [tokens] began. */
+    /** Records that [team] was granted [tokens]. */
     fun recordGranted(team: TeamId, tokens: Int, now: Timestamp) = add(team, TokenUsage(granted = tokens.toLong()), now)
 
-    /** Records that a request of [team] with [tokens] was admitted, and is to begin. */
-    fun recordOwed(team: TeamId, tokens: Int) {
-        owed.merge(teamHash(team), tokens.toLong(), Long::plus)
-    }
-
-    /** Records that a request of [team] with [tokens] began, or ended before that. */
-    fun recordSettled(team: TeamId, tokens: Int) {
-        owed.computeIfPresent(teamHash(team)) { _, before -> (before - tokens).takeIf { it > 0 } }
-    }
-
     /** Usage at this router, for reports to other routers. */
     fun localUsage(now: Timestamp): Map<Int, TokenUsage> {
         evictExpired(now)
         val sums = HashMap<Int, TokenUsage>()
         buckets.forEach { bucket ->
-            val isRecent = now.microsecondsSince(bucket.start) <= RECENT_MICROSECONDS
-            bucket.usage.forEach { (team, usage) ->
-                val recent =
-                    if (isRecent) {
-                        usage.copy(recentRequested = usage.requested, recentBegun = usage.granted)
-                    } else {
-                        usage
-                    }
-                sums.merge(team, recent, TokenUsage::plus)
-            }
+            bucket.usage.forEach { (team, usage) -> sums.merge(team, usage, TokenUsage::plus) }
         }
-        owed.forEach { (team, tokens) -> sums.merge(team, TokenUsage(granted = tokens), TokenUsage::plus) }
         return sums
     }
 
@@ -149,10 +111,7 @@
     companion object {
         /** Long enough to smooth over single requests, short enough to react when a team starts to flood. */
         const val WINDOW_MICROSECONDS = 4_000_000L
-
-        /** Short enough to follow a team that floods in turn with others, long enough for tens of requests. */
-        private const val RECENT_MICROSECONDS = 500_000L
-        private const val BUCKET_MICROSECONDS = 125_000L
+        private const val BUCKET_MICROSECONDS = 250_000L
 
         /** Sums over the fleet change little within this time. */
         private const val REFRESH_MICROSECONDS = 20_000L
--- a/src/main/kotlin/azuredale/gateway/AttemptReader.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptReader.kt
@@ -1,6 +1,5 @@
 package azuredale.gateway
 
-import azuredale.admission.ShareCharge
 import azuredale.catalog.RouteKind
 import azuredale.directory.BackendEntry
 import azuredale.outcome.ErrorKind
@@ -19,10 +18,7 @@
     val log: RequestLog,
     val promptGate: PromptGate,
     val signals: Channel<RequestSignal>,
-) {
-    /** What the request is charged to its team, null if it is no prompt of a team. */
-    val charge: ShareCharge? = context.admission.prompts.charge(caller.head.prompt, authorized.team)
-}
+)
 
 /** Processes the events of one attempt and forwards the response. */
 internal class AttemptReader(
@@ -155,7 +151,6 @@
     }
 
     private fun onData(bytes: Buffer): AttemptResult? {
-        if (response?.isSuccess == true) exchange.charge?.begun(clock())
         if (!isStream()) {
             body.appendBuffer(bytes)
             return if (buffered.update(body.length())) null else tooLong("response body")
--- a/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
@@ -29,19 +29,10 @@
             authorized = exchange.authorized,
             onTimeUntil = progress.onTimeUntil,
             deadline = progress.deadline,
-            charge = exchange.charge,
         )
 
     /** Runs attempts until the request has ended. */
     suspend fun run() {
-        try {
-            attempt()
-        } finally {
-            exchange.charge?.release()
-        }
-    }
-
-    private suspend fun attempt() {
         var notRun: Failure? = null
         var connectFailures = 0
         while (true) {
--- a/src/main/kotlin/azuredale/gateway/RequestHandler.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHandler.kt
@@ -109,7 +109,7 @@
     }
 
     private suspend fun serve(authorized: AuthorizedRequest, body: Buffer) {
-        if (!awaitTurn(authorized)) return
+        if (!awaitTurn()) return
         context.budgets.retries.recordRequest(authorized.pool, clock())
         caller.onDisconnect { signals.trySend(RequestSignal.CallerGone) }
         val timer = context.timer(progress.deadline) { signals.trySend(RequestSignal.DeadlinePassed) }
@@ -125,17 +125,13 @@
     }
 
     /** Waits for this request's turn; returns false if it was given up before it started. */
-    private suspend fun awaitTurn(authorized: AuthorizedRequest): Boolean {
+    private suspend fun awaitTurn(): Boolean {
         val request = WaitingRequest(head.key.orEmpty(), progress.arrivedAt, latestStart())
         caller.onDisconnect { context.admission.intake.callerGone(request) }
         when (context.admission.intake.awaitTurn(request)) {
             IntakeDecision.START -> return true
             IntakeDecision.CALLER_GONE -> log.ended("caller disconnected before the request started")
-            IntakeDecision.OVERLOADED -> {
-                // The team asked for it, although this router had no time for it.
-                head.prompt?.let { context.admission.prompts.recordRefused(it, authorized.team, clock()) }
-                response.refuse(overloaded("not started"))
-            }
+            IntakeDecision.OVERLOADED -> response.refuse(overloaded("not started"))
         }
         return false
     }
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -3,7 +3,6 @@
 import azuredale.admission.AdmissionRequest
 import azuredale.admission.LatencyPrediction
 import azuredale.admission.RetryTime
-import azuredale.admission.ShareCharge
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
 import azuredale.identity.ServerId
@@ -20,7 +19,6 @@
  *
  * @param onTimeUntil when the latency target of the request expires.
  * @param deadline when the caller stops waiting.
- * @param charge what the request is charged to its team if it is admitted.
  */
 internal class ServerChoice(
     private val context: GatewayContext,
@@ -29,7 +27,6 @@
     private val authorized: AuthorizedRequest,
     private val onTimeUntil: Timestamp,
     private val deadline: Timestamp,
-    private val charge: ShareCharge? = null,
 ) {
     private val excluded = HashSet<ServerId>()
 
@@ -44,27 +41,11 @@
      * @param isFirst whether the request has not been sent to any server.
      */
     suspend fun next(isFirst: Boolean, now: Timestamp): Outcome<ServerSelection.Selected> {
-        directoryFailure(now)?.let { return refusedBeforeDecision(it, isFirst, now) }
+        directoryFailure(now)?.let { return it }
         promptGate.refusal(now)?.let { return Outcome.Refused(it) }
         val selection = context.selector.select(selectionRequest(now), now)
         if (selection is ServerSelection.NoRoom) recordNoRoom(selection, now)
-        val admit: PromptDecision = { prompt, request, prediction, at ->
-            context.admission.prompts.decide(prompt, request, prediction, at, charge)
-        }
-        val decision = decide(selection, isFirst, admit, now)
-        if (decision is Outcome.Refused) charge?.release()
-        val hadNoServer = selection is ServerSelection.OnHold || selection is ServerSelection.Unavailable
-        return if (hadNoServer) refusedBeforeDecision(decision, isFirst, now) else decision
-    }
-
-    /** A request that was not sent before counts as one that its team asked for, whatever it is refused for. */
-    private fun refusedBeforeDecision(
-        refusal: Outcome<ServerSelection.Selected>,
-        isFirst: Boolean,
-        now: Timestamp,
-    ): Outcome<ServerSelection.Selected> {
-        if (isFirst && prompt != null) context.admission.prompts.recordRefused(prompt, authorized.team, now)
-        return refusal
+        return decide(selection, isFirst, context.admission.prompts::decide, now)
     }
 
     /** What [next] would return for a first attempt; has no effect. */
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -217,13 +217,7 @@
         if (report.usage.isEmpty()) return
         val teams = HashMap<Int, TokenUsage>()
         report.usage.forEach { entry ->
-            val sum =
-                TokenUsage(
-                    requested = entry.requested.coerceAtLeast(0),
-                    granted = entry.granted.coerceAtLeast(0),
-                    recentRequested = entry.recentRequested.coerceAtLeast(0),
-                    recentBegun = entry.recentBegun.coerceAtLeast(0),
-                )
+            val sum = TokenUsage(entry.requested.coerceAtLeast(0), entry.granted.coerceAtLeast(0))
             teams[entry.team] = included?.usage?.get(entry.team)?.let { sum - it } ?: sum
         }
         usage.updatePeer(peer.router, teams, now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS))
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -53,8 +53,6 @@
     @CborLabel(1) val team: Int,
     @CborLabel(2) val requested: Long,
     @CborLabel(3) val granted: Long,
-    @CborLabel(4) val recentRequested: Long = 0,
-    @CborLabel(5) val recentBegun: Long = 0,
 )
 
 /** Peer address of a router. */
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -1,6 +1,5 @@
 package azuredale.peers
 
-import azuredale.admission.FairShares
 import azuredale.admission.TeamUsage
 import azuredale.admission.TokenUsage
 import azuredale.engine.ServerLoad
@@ -46,7 +45,6 @@
     private var nextUsageAt = Timestamp.DISTANT_PAST
     private var routerCursor = 0
     private val relayedCursors = IntArray(ReportScope.entries.size)
-    private val shares = FairShares(usage)
     private var lastUsage: Map<Int, TokenUsage> = emptyMap()
 
     /** Adds a prompt part read by a server through a router of this failure domain, for the next reports. */
@@ -65,8 +63,8 @@
         directory.begin(now)
         roundDomainReads = domainReads.take()
         roundFleetReads = fleetReads.take()
-        // Usage changes slowly, so it is sent less often than server loads while there is room for all.
-        isUsageDue = now >= nextUsageAt || shares.current(now).isScarce
+        // Usage changes slowly, so it is sent less often than server loads.
+        isUsageDue = now >= nextUsageAt
         if (isUsageDue) {
             nextUsageAt = now.plusMilliseconds(usagePeriod())
             lastUsage = usage.localUsage(now)
@@ -165,7 +163,7 @@
         return sums.entries
             .sortedByDescending { it.value.requested }
             .take(MAXIMUM_TEAMS)
-            .map { (team, sum) -> UsageEntry(team, sum.requested, sum.granted, sum.recentRequested, sum.recentBegun) }
+            .map { (team, sum) -> UsageEntry(team, sum.requested, sum.granted) }
     }
 
     private fun isIncluded(scope: ReportScope, peer: Peer?) =
