Rule out unknown routes and keys only while the configuration is current

It now refuses unknown routes and keys as not run while its proof is older than bounds.config-apply-ms. Settings without that bound are served as before.

--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -217,6 +217,12 @@
         return view.isCatalogFresh(now)
     }
 
+    /** Whether the catalog shows every change that is due. */
+    fun isCatalogCurrent(now: Timestamp): Boolean {
+        checkClocks()
+        return view.isCatalogCurrent(now)
+    }
+
     private fun isHeld(now: Timestamp): Boolean = firstReads.isHeld(now, exchange.isMesh)
 
     private fun checkClocks() {
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -82,6 +82,7 @@
             isFresh = fleet::isCatalogFresh,
             isClosed = gracefulStop::isClosed,
             homes = homeRegions,
+            isCurrent = fleet::isCatalogCurrent,
         )
     private val memoryPlan = MemoryPlan(settings.memoryBytes, Runtime.getRuntime().maxMemory())
 
--- a/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
@@ -29,12 +29,18 @@
     val homes: Set<Region>? = null,
 )
 
-/** Checks requests against the catalog, which must be fresh for requests that need a key. */
+/**
+ * Checks requests against the catalog, which must be fresh for requests that need a key.
+ *
+ * @param isFresh whether the catalog shows every key that was revoked longer ago than callers accept.
+ * @param isCurrent whether the catalog shows every change that is due; an older one does not rule a request out for good.
+ */
 internal class RequestAuthorizer(
     private val catalog: () -> Catalog?,
     private val isFresh: (Timestamp) -> Boolean,
     private val isClosed: (Timestamp) -> Boolean,
     private val homes: HomeRegions = HomeRegions(emptySet()),
+    private val isCurrent: (Timestamp) -> Boolean = { true },
 ) {
     /** Returns the route, pool and team of [head], or the failure to return to the caller. */
     fun authorize(head: RequestHead, now: Timestamp): Outcome<AuthorizedRequest> {
@@ -66,13 +72,13 @@
     private fun authorizeByCatalog(head: RequestHead, now: Timestamp): Outcome<AuthorizedRequest> {
         val current =
             catalog() ?: return refused(ErrorKind.NOT_READY, retryAt = RetryDelay.afterDisruption(now))
-        val route = current.route(head.host, head.path) ?: return refused(ErrorKind.UNKNOWN_ROUTE)
+        val route = current.route(head.host, head.path) ?: return unknown(ErrorKind.UNKNOWN_ROUTE, now)
         // The key may have been revoked since the last proof of freshness, so it is not looked up.
         if (!route.allowsAnonymous && !isFresh(now)) {
             return refused(ErrorKind.STALE_DOCUMENT, retryAt = RetryDelay.afterDisruption(now))
         }
         val team = head.key?.let { current.teamOf(it) }
-        if (team == null && !route.allowsAnonymous) return refused(ErrorKind.UNKNOWN_KEY)
+        if (team == null && !route.allowsAnonymous) return unknown(ErrorKind.UNKNOWN_KEY, now)
         val pool = route.selectPool(StableHash.fraction(head.id))
         return Outcome.Success(
             AuthorizedRequest(
@@ -86,4 +92,11 @@
             ),
         )
     }
+
+    /** What an outdated catalog does not know may have been added since, so its caller is told to return. */
+    private fun unknown(kind: ErrorKind, now: Timestamp): Outcome.Refused = if (isCurrent(now)) {
+        refused(kind)
+    } else {
+        refused(ErrorKind.STALE_DOCUMENT, retryAt = RetryDelay.afterDisruption(now))
+    }
 }
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -65,6 +65,7 @@
             revocationBoundMilliseconds = fields.count("bounds.revoke-ms", default.revocationBoundMilliseconds),
             contactMilliseconds = fields.count("bounds.contact-ms", default.contactMilliseconds),
             evacuationBoundMilliseconds = fields.optionalCount("bounds.evacuate-ms"),
+            configurationBoundMilliseconds = fields.optionalCount("bounds.config-apply-ms"),
             coldFactor = fields.number("bounds.cold-over", 0.0).takeIf { it > 0 },
             coldAllowance = fields.number("bounds.cold-slack", default.coldAllowance),
             drainBoundMilliseconds = fields.count("bounds.drain-ms", default.drainBoundMilliseconds),
