--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -65,7 +65,7 @@
     fun isCatalogFresh(now: Timestamp): Boolean = now.microsecondsSince(catalogProof.at) <=
         (bounds.revocationBoundMilliseconds - REVOCATION_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
 
-    /** Whether the catalog is certain to reflect every change that is older than the bound on changes, if there is one. */
+    /** Whether the catalog is certain to reflect every change that is older than the bound on changes, if any. */
     fun isCatalogCurrent(now: Timestamp): Boolean {
         val bound = bounds.configurationBoundMilliseconds ?: return true
         return now.microsecondsSince(catalogProof.at) <= bound * Timestamp.MICROSECONDS_PER_MILLISECOND
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -15,8 +15,8 @@
  * @property contactMilliseconds time after the end of a disruption from which on a router counts as connected again.
  * @property evacuationBoundMilliseconds maximum time for which a server of an evacuated failure domain may get new
  *   requests after the store confirmed the evacuation; null if operators evacuate no failure domains.
- * @property configurationBoundMilliseconds maximum time for which a router may handle requests as an older configuration
- *   says after the store confirmed a newer one; null if there is no such bound.
+ * @property configurationBoundMilliseconds maximum time for which a router may handle requests as an older
+ *   configuration says after the store confirmed a newer one; null if there is no such bound.
  * @property coldFactor requests that a server may get in one second after its start, as a multiple of what its pool
  *   declares; null if they are not bounded.
  * @property coldAllowance requests in one second in addition to that.
--- a/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
@@ -33,7 +33,7 @@
  * Checks requests against the catalog, which must be fresh for requests that need a key.
  *
  * @param isFresh whether the catalog shows every key that was revoked longer ago than callers accept.
- * @param isCurrent whether the catalog shows every change that is due; an older one does not rule a request out for good.
+ * @param isCurrent whether the catalog shows every change that is due; an older one rules no request out for good.
  */
 internal class RequestAuthorizer(
     private val catalog: () -> Catalog?,
