Set the handlers of a spec's connections on the event loop

The test thread sets the handlers after it has asked for the connection; if it is paused in between, the server has closed the connection before and the handler for that is never called. With 100 ms of pause there the case fails in the same way; with the handlers set on the event loop it passes. Limit, bounds and assertions are unchanged.

--- a/src/test/kotlin/azuredale/edge/CallerServerSpec.kt
+++ b/src/test/kotlin/azuredale/edge/CallerServerSpec.kt
@@ -26,17 +26,19 @@
         /** Opens a connection and sends a request on it; completes with the first bytes received, empty if closed. */
         fun request(path: String): CompletableDeferred<String> {
             val received = CompletableDeferred<String>()
-            // The handlers are set on the event loop, before it can notice that the server closed the connection.
-            vertx
-                .createNetClient()
-                .connect(port, "127.0.0.1")
-                .onFailure { received.complete("") }
-                .onSuccess { socket ->
-                    socket.closeHandler { received.complete("") }
-                    socket.exceptionHandler { received.complete("") }
-                    socket.handler { received.complete(it.toString()) }
-                    socket.write("GET $path HTTP/1.1\r\nHost: a.example\r\n\r\n")
-                }
+            // On the event loop all handlers are set before it can notice that the server closed the connection.
+            vertx.runOnContext {
+                vertx
+                    .createNetClient()
+                    .connect(port, "127.0.0.1")
+                    .onFailure { received.complete("") }
+                    .onSuccess { socket ->
+                        socket.closeHandler { received.complete("") }
+                        socket.exceptionHandler { received.complete("") }
+                        socket.handler { received.complete(it.toString()) }
+                        socket.write("GET $path HTTP/1.1\r\nHost: a.example\r\n\r\n")
+                    }
+            }
             return received
         }
     }
