Wait in a spec until the sum over the fleet counts its requests

The spec records what two teams asked for and asks the router at once; the router keeps the sum over the fleet for 20 ms, and the question just before it had computed that sum without these requests.

Assertions and bounds are unchanged.

--- a/src/test/kotlin/azuredale/explain/ExplainSpec.kt
+++ b/src/test/kotlin/azuredale/explain/ExplainSpec.kt
@@ -1,5 +1,6 @@
 package azuredale.explain
 
+import azuredale.admission.TeamUsage
 import azuredale.command.CommandLine
 import azuredale.command.ExitCode
 import azuredale.command.Terminal
@@ -166,6 +167,8 @@
             usage.recordGranted(TeamId("team-a"), 100_000, now)
             usage.recordRequested(TeamId("team-b"), 50_000, now)
             usage.recordGranted(TeamId("team-b"), 50_000, now)
+            // The sum over the fleet is kept for some milliseconds, so it may be from before these requests.
+            while (usage.fleetUsage(statisticsNow())[TeamUsage.teamHash(TeamId("team-b"))] == null) delay(5)
             repeat(2) { addLoad(it, ServerLoad(waitingTokens = 17_000, running = 4)) }
             explainAsDocumented(*long)
             assertContains(output, "refused: SHARE_EXCEEDED, return in")
