Compare the age of a proof of freshness with its bound in one place

StoreView repeated the comparison for key revocations, changes of the configuration and registrations; FreshnessProof.holds does it for all three.

--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -16,7 +16,11 @@
 internal data class FreshnessProof(
     val version: Long,
     val at: Timestamp,
-)
+) {
+    /** Whether the version is certain to show every change that is older than [bound] milliseconds at [now]. */
+    fun holds(bound: Long, now: Timestamp): Boolean =
+        now.microsecondsSince(at) <= bound * Timestamp.MICROSECONDS_PER_MILLISECOND
+}
 
 /**
  * Local copy of the store's tables: the catalog and the server directory, each with its latest proof of freshness.
@@ -62,18 +66,16 @@
     val revision: Revision get() = catalog?.revision ?: Revision.NONE
 
     /** Whether the catalog is certain to reflect every key revocation that is older than the revocation bound. */
-    fun isCatalogFresh(now: Timestamp): Boolean = now.microsecondsSince(catalogProof.at) <=
-        (bounds.revocationBoundMilliseconds - REVOCATION_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
+    fun isCatalogFresh(now: Timestamp): Boolean =
+        catalogProof.holds(bounds.revocationBoundMilliseconds - REVOCATION_MARGIN_MILLISECONDS, now)
 
     /** Whether the catalog is certain to reflect every change that is older than the bound on changes, if any. */
-    fun isCatalogCurrent(now: Timestamp): Boolean {
-        val bound = bounds.configurationBoundMilliseconds ?: return true
-        return now.microsecondsSince(catalogProof.at) <= bound * Timestamp.MICROSECONDS_PER_MILLISECOND
-    }
+    fun isCatalogCurrent(now: Timestamp): Boolean =
+        bounds.configurationBoundMilliseconds?.let { catalogProof.holds(it, now) } ?: true
 
     /** Whether the directory is certain to show every server that left longer ago than the bound on new requests. */
-    fun isDirectoryFresh(now: Timestamp): Boolean = now.microsecondsSince(directoryProof.at) <=
-        (bounds.drainBoundMilliseconds - DRAIN_MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
+    fun isDirectoryFresh(now: Timestamp): Boolean =
+        directoryProof.holds(bounds.drainBoundMilliseconds - DRAIN_MARGIN_MILLISECONDS, now)
 
     /** Adopts a catalog from a read sent at [sentAt] if it is newer, and returns whether it was. */
     fun adoptCatalog(read: Catalog, sentAt: Timestamp): Boolean {
