Refuse requests of a key that is behind at the decoder

Cause: a crowded router spent a large part of its time on refusals. A request that is refused unread passed through the objects of a request and a response, and its headers were encoded each time. Refusals after reading wrote one log line each without a bound.

Change: RefusalHandler decides between the decoder and the HTTP connection, and writes a response of which only the time to return is not prepared (RefusalEncoder). Key first, the time left and the id only if they are needed. Requests that follow an unanswered one, HEAD and Expect are passed on as before.

CallerServerSpec hands its refusals over as bytes; its bounds are unchanged.

--- a/src/main/kotlin/azuredale/edge/CallerServer.kt
+++ b/src/main/kotlin/azuredale/edge/CallerServer.kt
@@ -7,6 +7,7 @@
 import azuredale.gateway.RequestHead
 import azuredale.time.Clock
 import azuredale.time.Timestamp
+import io.netty.handler.codec.http.HttpRequest
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
@@ -14,6 +15,7 @@
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
+import io.vertx.core.http.impl.HttpServerConnection
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CompletableDeferred
 
@@ -24,17 +26,10 @@
     public data class Malformed(val fault: MalformedHead) : DecodedHead
 }
 
-/** A complete response that refuses a request. */
-public class Refusal(
-    public val status: Int,
-    public val headers: List<Header>,
-    public val text: String,
-)
-
 /** Callbacks of [CallerServer]. */
 public class CallerHandlers(
     /** Returns the refusal of a request that the router has no time for, before it is decoded; null otherwise. */
-    public val refuse: (HttpServerRequest) -> Refusal?,
+    public val refuse: (HttpRequest) -> Refusal?,
     /** Decodes the head of a request. */
     public val decode: (HttpServerRequest) -> DecodedHead,
     /** Starts serving a request. Must not block. */
@@ -109,8 +104,22 @@
             connection.close()
             return
         }
-        connections[connection] = Connection(clock())
+        val opened = Connection(clock())
+        connections[connection] = opened
         connection.closeHandler { connections.remove(connection) }
+        refuseEarly(connection, opened)
+    }
+
+    private fun refuseEarly(connection: HttpConnection, opened: Connection) {
+        val handler =
+            RefusalHandler(
+                isIdle = { opened.requests == 0 },
+                refuse = handlers.refuse,
+                isClosing = handlers.isClosing,
+                onRefused = { opened.idleSince = clock() },
+            )
+        val context = (connection as HttpServerConnection).channelHandlerContext()
+        context.pipeline().addBefore(context.name(), "refusal", handler)
     }
 
     /** Closes several at a time, so that a flood of connections does not cause a search for each of them. */
@@ -138,12 +147,6 @@
     private fun handleRequest(request: HttpServerRequest) {
         val connection = connections[request.connection()]
         connection?.let { it.requests++ }
-        val refusal = handlers.refuse(request)
-        if (refusal != null) {
-            refuse(request, refusal)
-            requestEnded(connection)
-            return
-        }
         when (val decoded = handlers.decode(request)) {
             is DecodedHead.Valid ->
                 handlers.serve(
@@ -157,12 +160,6 @@
         }
     }
 
-    private fun refuse(request: HttpServerRequest, refusal: Refusal) {
-        val response = request.response()
-        response.begin(refusal.status, refusal.headers, handlers.isClosing())
-        response.end(refusal.text)
-    }
-
     private fun requestEnded(connection: Connection?) {
         if (connection == null) return
         connection.requests--
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -97,6 +97,7 @@
             regionOf = settings.regions::get,
             weighsPrefixes = settings.weighsPrefixes,
         )
+    private val loadLog = RouterLoadLog(log)
     private val context =
         GatewayContext(
             settings = settings,
@@ -139,7 +140,7 @@
                 ),
             backends = dependencies.backends,
             failureHeaders = dependencies.failureHeaders,
-            shareLog = ShareLog(shares, { view.catalog }, log),
+            loadLogs = LoadLogs(ShareLog(shares, { view.catalog }, log), loadLog),
             metrics = metrics,
             log = log,
             timer = dependencies.timer,
@@ -147,7 +148,6 @@
 
     /** Answers of this router to operators who ask where a request would go. */
     val explanations = ExplainEndpoint(RoutingExplainer(context, view, statistics), clock) { intake.waiting > 0 }
-    private val loadLog = RouterLoadLog(log)
     private val unreadRequests = UnreadRequests(intake, capacity, metrics, loadLog, log, clock, random::nextDouble)
     private val prefixLog = PrefixLog(statistics.prefixes, log)
     private val serviceLog = ServiceLog({ view.catalog }, { view.directory }, statistics, log)
@@ -198,9 +198,9 @@
     /**
      * Returns the failure for a request that could not start in time, before the rest of it is decoded; otherwise null.
      *
-     * @param preview decodes what is needed of the request; called only while requests wait.
+     * @param request decodes only what is read of it, which is nothing while no requests wait.
      */
-    fun refusal(preview: () -> RequestPreview): Failure? = unreadRequests.refusal(preview)
+    fun refusal(request: RequestPreview): Failure? = unreadRequests.refusal(request)
 
     /** Handles a request of a caller. */
     fun serve(caller: Caller) {
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -72,6 +72,12 @@
     val random: () -> Double,
 )
 
+/** Logs of what the requests of one router add up to. */
+internal class LoadLogs(
+    val shares: ShareLog,
+    val router: RouterLoadLog,
+)
+
 /** Dependencies shared by all requests of one router. */
 internal class GatewayContext(
     val settings: GatewaySettings,
@@ -83,7 +89,7 @@
     val budgets: RequestBudgets,
     val backends: BackendTransport,
     val failureHeaders: FailureHeaders,
-    val shareLog: ShareLog,
+    val loadLogs: LoadLogs,
     val metrics: GatewayMetrics,
     val log: EventLog,
     /** Schedules an action for a given time. */
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -10,11 +10,15 @@
 import azuredale.freshness.StoreReader
 import azuredale.identity.NetworkAddress
 import azuredale.logging.EventLog
+import azuredale.outcome.Failure
 import azuredale.peers.PeerCodec
 import azuredale.quarantine.QuarantineStore
 import azuredale.time.Clock
 import azuredale.time.Timestamp
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpRequest
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.datagram.DatagramSocket
@@ -33,7 +37,8 @@
     val failureHeaders: FailureHeaders,
     val responses: ResponseDecoder,
     val encode: (BackendRequest, BackendEntry) -> FullHttpRequest,
-    val preview: (HttpServerRequest) -> RequestPreview,
+    val encodeRefusal: (Failure, Timestamp, Boolean, ByteBufAllocator) -> ByteBuf,
+    val preview: (HttpRequest) -> RequestPreview,
     val decode: (HttpServerRequest) -> DecodedHead,
 )
 
@@ -124,9 +129,9 @@
         scope.cancel()
     }
 
-    private fun refusal(request: HttpServerRequest): Refusal? {
-        val failure = gateway.refusal { adapter.preview(request) } ?: return null
-        return Refusal(failure.kind.status, adapter.failureHeaders.headers(failure, clock()), failure.kind.text)
+    private fun refusal(request: HttpRequest): Refusal? {
+        val failure = gateway.refusal(adapter.preview(request)) ?: return null
+        return Refusal { allocator, isClosing -> adapter.encodeRefusal(failure, clock(), isClosing, allocator) }
     }
 
     private fun tick() {
--- a/src/main/kotlin/azuredale/gateway/RequestHead.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHead.kt
@@ -84,17 +84,17 @@
     val path: String get() = target.substringBefore('?')
 }
 
-/**
- * What decides, before the rest of a request is decoded, whether the router has time for it.
- *
- * @property key the caller's API key without the authentication scheme, null if not given.
- * @property remainingMilliseconds how long the caller will wait, null if not given.
- */
-public data class RequestPreview(
-    val id: String?,
-    val key: String?,
-    val remainingMilliseconds: Long?,
-)
+/** What decides, before a request is decoded, whether the router has time for it; each property decodes its header. */
+public interface RequestPreview {
+    /** Identifies one attempt of the caller. */
+    public val id: String?
+
+    /** The caller's API key without the authentication scheme, null if not given. */
+    public val key: String?
+
+    /** How long the caller will wait, null if not given. */
+    public val remainingMilliseconds: Long?
+}
 
 /** A request head that cannot be decoded. */
 public data class MalformedHead(val detail: String)
--- a/src/main/kotlin/azuredale/gateway/RequestLog.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestLog.kt
@@ -4,6 +4,7 @@
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
 import azuredale.time.Timestamp
+import java.util.EnumSet
 
 /** Log lines and metrics of one request. */
 internal class RequestLog(
@@ -40,6 +41,11 @@
     /** Records that the caller gets [failure] from this router. */
     fun refused(failure: Failure) {
         val now = context.clock()
+        context.metrics.recordEnd(failure.kind, progress.arrivedAt, progress.firstEventAt, now)
+        if (failure.kind in LOAD_REFUSALS) {
+            context.loadLogs.shares.recordRefusal(now)
+            if (!context.loadLogs.router.recordRefusal()) return
+        }
         context.log.write(
             GatewayLogEvent.REQUEST_REFUSED,
             "request" to head.id,
@@ -52,8 +58,6 @@
             "left" to head.remainingMilliseconds,
             "age" to progress.ageMilliseconds(now),
         )
-        if (failure.kind in LOAD_REFUSALS) context.shareLog.recordRefusal(now)
-        context.metrics.recordEnd(failure.kind, progress.arrivedAt, progress.firstEventAt, now)
     }
 
     /** Records how the request ended otherwise. */
@@ -91,6 +95,7 @@
         const val LOGGED_PARTS = 16
 
         /** Refusals of requests that a less loaded fleet would serve. */
-        val LOAD_REFUSALS = setOf(ErrorKind.SHARE_EXCEEDED, ErrorKind.PREDICTED_LATE, ErrorKind.OVERLOADED)
+        val LOAD_REFUSALS: Set<ErrorKind> =
+            EnumSet.of(ErrorKind.SHARE_EXCEEDED, ErrorKind.PREDICTED_LATE, ErrorKind.OVERLOADED)
     }
 }
--- a/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
@@ -12,6 +12,7 @@
     private var nextAt = Timestamp.DISTANT_PAST
     private var requests = 0
     private var refusals = 0
+    private var refusalsUnread = 0
     private var addressAnswers = 0
     private var fewestAddresses = Int.MAX_VALUE
     private val addressCallers = HashSet<String>()
@@ -22,9 +23,12 @@
         requests++
     }
 
-    /** Records that a request was refused before it was decoded; returns whether a line about it is to be written. */
+    /** Records that a request was refused for load; returns whether a line about it is to be written. */
     fun recordRefusal(): Boolean = ++refusals <= LOGGED_REFUSALS
 
+    /** Records that a request was refused before it was decoded; returns whether a line about it is to be written. */
+    fun recordRefusalUnread(): Boolean = ++refusalsUnread <= LOGGED_REFUSALS
+
     /** Records that [caller] was told to use [count] routers. */
     fun recordAddressAnswer(caller: AddressCaller, count: Int) {
         addressAnswers++
@@ -52,11 +56,12 @@
         longestLag = maxOf(longestLag, lagMilliseconds)
         if (now < nextAt) return
         nextAt = now.plusMilliseconds(PERIOD_MILLISECONDS)
-        if (requests > 0 || refusals > 0 || addressAnswers > 0) {
+        if (requests > 0 || refusalsUnread > 0 || addressAnswers > 0) {
             log.write(
                 GatewayLogEvent.ROUTER_LOAD,
                 "requests" to requests,
-                "refusedUnread" to refusals,
+                "refused" to refusals,
+                "refusedUnread" to refusalsUnread,
                 "running" to running,
                 "lag" to longestLag,
                 "spareQuarters" to spareQuarters,
@@ -69,6 +74,7 @@
         }
         requests = 0
         refusals = 0
+        refusalsUnread = 0
         addressAnswers = 0
         addressCallers.clear()
         fewestAddresses = Int.MAX_VALUE
@@ -78,7 +84,7 @@
     private companion object {
         const val PERIOD_MILLISECONDS = 1_000L
 
-        /** Lines about single refusals in each period; the rest is only counted. */
+        /** Lines about single refusals of either kind in each period; the rest is only counted. */
         const val LOGGED_REFUSALS = 20
     }
 }
--- a/src/main/kotlin/azuredale/gateway/UnreadRequests.kt
+++ b/src/main/kotlin/azuredale/gateway/UnreadRequests.kt
@@ -24,25 +24,25 @@
     /**
      * Returns the failure for a request that could not start in time, otherwise null.
      *
-     * @param preview decodes what is needed of the request; called only while requests wait.
+     * @param request decodes only what is read of it, which is nothing while no requests wait.
      */
-    fun refusal(preview: () -> RequestPreview): Failure? {
+    fun refusal(request: RequestPreview): Failure? {
         if (intake.waiting == 0) return null
-        val request = preview()
         if (!intake.isBehind(request.key.orEmpty())) return null
         val now = clock()
+        val remaining = request.remainingMilliseconds
         capacity.recordDelay(now)
         metrics.recordEnd(ErrorKind.OVERLOADED, now, null, now)
-        val retryAt = RetryTime.at(request.remainingMilliseconds ?: 0, random(), now)
+        val retryAt = RetryTime.at(remaining ?: 0, random(), now)
         val failure = Failure(ErrorKind.OVERLOADED, "requests with this key wait too long", retryAt)
-        if (loadLog.recordRefusal()) {
+        if (loadLog.recordRefusalUnread()) {
             log.write(
                 GatewayLogEvent.REQUEST_REFUSED,
                 "request" to request.id,
                 "kind" to failure.kind,
                 "execution" to failure.execution,
                 "detail" to failure.detail,
-                "left" to request.remainingMilliseconds,
+                "left" to remaining,
             )
         }
         return failure
--- a/src/main/kotlin/azuredale/platform/CallerRequestDecoder.kt
+++ b/src/main/kotlin/azuredale/platform/CallerRequestDecoder.kt
@@ -7,6 +7,8 @@
 import azuredale.gateway.PromptShape
 import azuredale.gateway.RequestHead
 import azuredale.gateway.RequestPreview
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
 import io.vertx.core.MultiMap
 import io.vertx.core.http.HttpServerRequest
 
@@ -25,8 +27,8 @@
                 method = request.method().name(),
                 target = request.uri(),
                 host = host,
-                remainingMilliseconds = remainingMilliseconds(headers),
-                key = key(headers),
+                remainingMilliseconds = remainingMilliseconds(headers.text(PlatformHeader.REMAINING_MILLISECONDS)),
+                key = key(headers.text(PlatformHeader.AUTHORIZATION)),
                 prompt =
                     prompt(
                         headers.text(PlatformHeader.PROMPT_PARTS),
@@ -40,18 +42,19 @@
     }
 
     /** Decodes only what tells whether the router has time for [request]. */
-    fun preview(request: HttpServerRequest): RequestPreview {
-        val headers = request.headers()
-        return RequestPreview(headers.text(PlatformHeader.REQUEST_ID), key(headers), remainingMilliseconds(headers))
+    fun preview(request: HttpRequest): RequestPreview = HeaderPreview(request.headers())
+
+    private class HeaderPreview(private val headers: HttpHeaders) : RequestPreview {
+        override val id: String? get() = headers.get(PlatformHeader.REQUEST_ID)
+        override val key: String? get() = key(headers.get(PlatformHeader.AUTHORIZATION))
+        override val remainingMilliseconds: Long?
+            get() = remainingMilliseconds(headers.get(PlatformHeader.REMAINING_MILLISECONDS))
     }
 
-    private fun key(headers: MultiMap): String? = headers
-        .text(PlatformHeader.AUTHORIZATION)
-        ?.takeIf { it.startsWith(PlatformHeader.KEY_SCHEME) }
-        ?.drop(PlatformHeader.KEY_SCHEME.length)
+    private fun key(authorization: String?): String? =
+        authorization?.takeIf { it.startsWith(PlatformHeader.KEY_SCHEME) }?.drop(PlatformHeader.KEY_SCHEME.length)
 
-    private fun remainingMilliseconds(headers: MultiMap): Long? =
-        headers.text(PlatformHeader.REMAINING_MILLISECONDS)?.toDoubleOrNull()?.toLong()
+    private fun remainingMilliseconds(text: String?): Long? = text?.toDoubleOrNull()?.toLong()
 
     private fun MultiMap.text(name: String): String? = get(name)
 
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -65,6 +65,7 @@
                         failureHeaders = ErrorResponseFormat,
                         responses = BackendCodec,
                         encode = BackendCodec::encode,
+                        encodeRefusal = RefusalEncoder()::encode,
                         preview = CallerRequestDecoder::preview,
                         decode = CallerRequestDecoder::decode,
                     ),
--- a/src/test/kotlin/azuredale/edge/CallerServerSpec.kt
+++ b/src/test/kotlin/azuredale/edge/CallerServerSpec.kt
@@ -2,6 +2,8 @@
 
 import azuredale.gateway.RequestHead
 import azuredale.time.systemClock
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerRequest
@@ -51,7 +53,7 @@
                 val port = ServerSocket(0).use { it.localPort }
                 val handlers =
                     CallerHandlers(
-                        refuse = { request -> Refusal(503, emptyList(), "no").takeIf { request.path() != "/held" } },
+                        refuse = { request -> Refusal(::encode).takeIf { request.uri() != "/held" } },
                         decode = { request -> hold(request) },
                         serve = {},
                         malformed = {},
@@ -66,6 +68,12 @@
         }
     }
 
+    private fun encode(allocator: ByteBufAllocator, isClosing: Boolean): ByteBuf {
+        val close = if (isClosing) "Connection: close\r\n" else ""
+        val response = "HTTP/1.1 503 Service Unavailable\r\n${close}Content-Length: 2\r\n\r\nno"
+        return allocator.buffer().writeBytes(response.encodeToByteArray())
+    }
+
     private fun hold(request: HttpServerRequest): DecodedHead {
         request.response().setChunked(true).write(Buffer.buffer("held"))
         return DecodedHead.Valid(
