End a process whose event loop has stopped

Change: a thread asks LoopWatchdog once a second whether the event loop has made progress. A question that is late says that the VM stood still or had no processor time, and the count begins again.

--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -43,6 +43,7 @@
     UNEXPECTED_BYTES(2243, Level.INFO, "backend server sent bytes that belong to no request; connection closed"),
     EXCEPTION_UNHANDLED(2274, Level.ERROR, "unexpected exception that nothing has handled"),
     PROCESS_FAILED(2273, Level.ERROR, "error that the process cannot survive; it ends"),
+    LOOP_STOPPED(2275, Level.ERROR, "event loop has stopped; the process ends"),
     DOMAIN_EVACUATED(2244, Level.WARN, "failure domain evacuated; its servers get no more requests"),
     EVACUATION_ENDED(2245, Level.INFO, "failure domain no longer evacuated"),
     EVACUATION_MALFORMED(2246, Level.WARN, "evacuation without a valid failure domain ignored"),
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -3,6 +3,7 @@
 import azuredale.gateway.FatalErrors
 import azuredale.gateway.GatewayDaemon
 import azuredale.gateway.GatewaySettings
+import azuredale.gateway.LoopWatchdog
 import azuredale.gateway.PlatformAdapter
 import azuredale.store.CallRateLimiter
 import azuredale.time.Timestamp
@@ -16,6 +17,8 @@
 import kotlinx.coroutines.launch
 import sun.misc.Signal
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
 
 /** Runs a router as one process: connects the platform adapter to a [GatewayDaemon]. */
 public class GatewayProcess(private val settings: GatewaySettings) {
@@ -31,6 +34,7 @@
         vertx.runOnContext {
             val daemon = start(vertx)
             stopOnSignal(vertx, daemon)
+            watch(vertx)
         }
         // Waiting on a latch loads no classes, so only the event loop loads classes during start-up.
         stopped.await()
@@ -85,6 +89,21 @@
         return daemon
     }
 
+    /** Ends the process if the current event loop stops while other threads run. */
+    private fun watch(vertx: Vertx) {
+        val eventLoop = Thread.currentThread()
+        val progress = AtomicLong()
+        vertx.setPeriodic(LoopWatchdog.PERIOD_MILLISECONDS) { progress.incrementAndGet() }
+        thread(isDaemon = true, name = "loop-watchdog") {
+            val clock = systemClock()
+            val watchdog = LoopWatchdog()
+            while (true) {
+                Thread.sleep(LoopWatchdog.PERIOD_MILLISECONDS)
+                if (watchdog.hasStopped(progress.get(), clock())) FatalErrors.loopStopped(eventLoop)
+            }
+        }
+    }
+
     private fun stopOnSignal(vertx: Vertx, daemon: GatewayDaemon) {
         val main = CoroutineScope(vertx.dispatcher())
         Signal.handle(Signal("TERM")) {
