--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -20,7 +20,8 @@
 /** Creates an [AttemptRecorder] for each attempt and records the prompt parts sent with it. */
 internal class AttemptRecorders(
     private val statistics: ServerStatistics,
-    private val tokensPerEvent: (PoolId) -> Int,
+    /** Tokens of one event of a pool's streams. */
+    val tokensPerEvent: (PoolId) -> Int,
     private val onSent: (BackendEntry, List<PromptPart>) -> Unit,
     private val onAnswered: (PromptShape, Timestamp) -> Unit,
     private val onExcluded: (ServerSelection.Selected) -> Unit,
@@ -72,6 +73,12 @@
     val random: () -> Double,
 )
 
+/** Logs of what the requests of one router add up to. */
+internal class LoadLogs(
+    val shares: ShareLog,
+    val router: RouterLoadLog,
+)
+
 /** Dependencies shared by all requests of one router. */
 internal class GatewayContext(
     val settings: GatewaySettings,
@@ -83,7 +90,7 @@
     val budgets: RequestBudgets,
     val backends: BackendTransport,
     val failureHeaders: FailureHeaders,
-    val shareLog: ShareLog,
+    val loadLogs: LoadLogs,
     val metrics: GatewayMetrics,
     val log: EventLog,
     /** Schedules an action for a given time. */
--- a/src/main/kotlin/azuredale/gateway/RequestHead.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHead.kt
@@ -37,14 +37,13 @@
     /** All parts but the last, which belongs to this request alone. */
     val sharedParts: List<PromptPart> = parts.dropLast(1)
 
-    /**
-     * Cost in fair-share accounting: a prompt token counts once, an output token twice. Without a length hint, half of
-     * the output limit is expected.
-     */
+    /** Tokens that the output is expected to have: the caller's estimate, otherwise half of the output limit. */
+    val likelyOutputTokens: Int get() = expectedOutputTokens ?: (maximumOutputTokens / 2)
+
+    /** Cost in fair-share accounting: a prompt token counts once, an output token twice. */
     val cost: Int
         get() {
-            val outputTokens = expectedOutputTokens ?: (maximumOutputTokens / 2)
-            return (promptTokens + 2L * outputTokens).coerceIn(0, MAXIMUM_COST).toInt()
+            return (promptTokens + 2L * likelyOutputTokens).coerceIn(0, MAXIMUM_COST).toInt()
         }
 
     private companion object {
@@ -84,17 +83,17 @@
     val path: String get() = target.substringBefore('?')
 }
 
-/**
- * What decides, before the rest of a request is decoded, whether the router has time for it.
- *
- * @property key the caller's API key without the authentication scheme, null if not given.
- * @property remainingMilliseconds how long the caller will wait, null if not given.
- */
-public data class RequestPreview(
-    val id: String?,
-    val key: String?,
-    val remainingMilliseconds: Long?,
-)
+/** What decides, before a request is decoded, whether the router has time for it; each property decodes its header. */
+public interface RequestPreview {
+    /** Identifies one attempt of the caller. */
+    public val id: String?
+
+    /** The caller's API key without the authentication scheme, null if not given. */
+    public val key: String?
+
+    /** How long the caller will wait, null if not given. */
+    public val remainingMilliseconds: Long?
+}
 
 /** A request head that cannot be decoded. */
 public data class MalformedHead(val detail: String)
