Judge kept parts apart from first events that are late for all

Change: FirstEventLateness has the lateness of streams with hardly any kept parts, of each server and of all, which is subtracted first.

The test of PrefixPlacementSpec passes its values in one object; its figures are unchanged.

--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -114,7 +114,22 @@
                     statistics.predictMilliseconds(selection.server, best.uncachedTokens, selection.load)
                 }
             }
-        return best.copy(meanMilliseconds = total / choice.placements.size)
+        return best.copy(meanMilliseconds = total / choice.placements.size, trade = trade(choice))
+    }
+
+    private fun trade(choice: Choice): PrefixTrade? {
+        if (choice.outline.sharedTokens == 0) return null
+        val chosen = choice.best.selection
+        val holder =
+            choice.placements
+                .map { it.selection }
+                .filter { it.uncachedTokens < chosen.uncachedTokens }
+                .minWithOrNull(compareBy({ it.uncachedTokens }, { it.predictedMilliseconds }))
+        return PrefixTrade(
+            holderMilliseconds = holder?.predictedMilliseconds,
+            chosenMilliseconds = chosen.predictedMilliseconds,
+            soonestMilliseconds = choice.placements.minOf { it.selection.predictedMilliseconds },
+        )
     }
 
     /** What the choice among [candidates] for [prompt] needs; has no effect. */
--- a/src/main/kotlin/azuredale/engine/PrefixOutcomes.kt
+++ b/src/main/kotlin/azuredale/engine/PrefixOutcomes.kt
@@ -1,5 +1,7 @@
 package azuredale.engine
 
+import azuredale.identity.ServerId
+import azuredale.time.Timestamp
 import kotlin.math.abs
 
 /** Why a server that keeps a prompt's shared parts did not get the prompt. */
@@ -14,9 +16,43 @@
     UNAVAILABLE,
 }
 
-/** How far the predictions on kept prompt parts hold, and why servers that keep them are passed over. */
+/**
+ * What the choice of a server for a prompt trades, as predicted times to the first event.
+ *
+ * @property holderMilliseconds at the server that keeps most of the prompt, if it was passed over; null if it was
+ *   chosen.
+ * @property chosenMilliseconds at the server that was chosen.
+ * @property soonestMilliseconds at the server that would answer soonest.
+ */
+internal data class PrefixTrade(
+    val holderMilliseconds: Double?,
+    val chosenMilliseconds: Double,
+    val soonestMilliseconds: Double,
+)
+
+/**
+ * The first event of a stream, as far as it shows what its server keeps.
+ *
+ * @property keptTokens tokens that the server was predicted to keep.
+ * @property keptMilliseconds time to read them.
+ * @property lateMilliseconds how much later than predicted the event came; negative if earlier.
+ * @property milliseconds time from the request to the event.
+ * @property trade what the choice of the server traded; null if the prompt shares no part.
+ */
+internal class PrefixFirstEvent(
+    val server: ServerId,
+    val keptTokens: Int,
+    val keptMilliseconds: Double,
+    val lateMilliseconds: Double,
+    val at: Timestamp,
+    val milliseconds: Double = 0.0,
+    val trade: PrefixTrade? = null,
+)
+
+/** How far the predictions on kept prompt parts hold, what they bring, and why servers with them are passed over. */
 internal class PrefixOutcomes {
     private val passedOver = LongArray(PassedOver.entries.size)
+    private val lateness = FirstEventLateness()
 
     /** Tokens of shared parts that servers were predicted to keep, of requests with a first event. */
     var predictedTokens = 0L
@@ -30,10 +66,26 @@
     var undecidedTokens = 0L
         private set
 
-    /** Moving average of the error of predicted first events, in milliseconds, of prompts without kept parts. */
+    /** Moving average of the error of predicted first events, in milliseconds, besides what delays all of them. */
     var errorMilliseconds = INITIAL_ERROR_MILLISECONDS
         private set
 
+    /** Prefill that callers did not wait for, because their server kept parts; without parts shown as not kept. */
+    var savedMilliseconds = 0.0
+        private set
+
+    /** How much longer callers were predicted to wait at servers that keep parts than at the soonest server. */
+    var waitedMilliseconds = 0.0
+        private set
+
+    /** How much sooner first events came than predicted at servers with the parts that were passed over. */
+    var soonerMilliseconds = 0.0
+        private set
+
+    /** How much later first events came than predicted at servers with the parts that were passed over. */
+    var laterMilliseconds = 0.0
+        private set
+
     /** Number of prompts for which a server with the shared parts was passed over for [reason]. */
     fun passedOver(reason: PassedOver): Long = passedOver[reason.ordinal]
 
@@ -51,24 +103,32 @@
         passedOver[reason.ordinal]++
     }
 
-    /**
-     * Records a first event.
-     *
-     * @param keptTokens tokens that the server was predicted to keep.
-     * @param keptMilliseconds time to read them.
-     * @param lateMilliseconds how much later than predicted the event came; negative if earlier.
-     */
-    fun recordFirstEvent(keptTokens: Int, keptMilliseconds: Double, lateMilliseconds: Double) {
-        if (keptTokens <= 0) {
-            errorMilliseconds += (abs(lateMilliseconds) - errorMilliseconds) * ERROR_SMOOTHING
-            return
+    /** Records the first event of a stream. */
+    fun recordFirstEvent(event: PrefixFirstEvent) {
+        val usual = lateness.milliseconds(event.server, event.at)
+        val late = event.lateMilliseconds - usual
+        if (event.keptMilliseconds <= errorMilliseconds * UNRELATED_ERRORS) {
+            lateness.record(event.server, event.lateMilliseconds, event.at)
+            errorMilliseconds += (abs(late) - errorMilliseconds) * ERROR_SMOOTHING
         }
-        predictedTokens += keptTokens
-        if (keptMilliseconds < SURE_ERRORS * errorMilliseconds) {
-            undecidedTokens += keptTokens
-        } else {
-            foundTokens += (keptTokens * (1 - (lateMilliseconds / keptMilliseconds).coerceIn(0.0, 1.0))).toLong()
+        val isSure = event.keptMilliseconds >= SURE_ERRORS * errorMilliseconds
+        val foundShare = if (isSure) 1 - (late / event.keptMilliseconds).coerceIn(0.0, 1.0) else 1.0
+        if (event.keptTokens > 0) {
+            predictedTokens += event.keptTokens
+            if (isSure) foundTokens += (event.keptTokens * foundShare).toLong() else undecidedTokens += event.keptTokens
+        }
+        event.trade?.let { recordTrade(it, event, usual, event.keptMilliseconds * foundShare) }
+    }
+
+    /** Compares with what the holder would have taken, which is as late as other first events are. */
+    private fun recordTrade(trade: PrefixTrade, event: PrefixFirstEvent, usual: Double, saved: Double) {
+        savedMilliseconds += saved
+        if (trade.holderMilliseconds == null) {
+            if (event.keptTokens > 0) waitedMilliseconds += trade.chosenMilliseconds - trade.soonestMilliseconds
+            return
         }
+        val sooner = trade.holderMilliseconds + usual - event.milliseconds
+        if (sooner > 0) soonerMilliseconds += sooner else laterMilliseconds -= sooner
     }
 
     private fun reason(holder: PlacementCost, chosen: PlacementCost): PassedOver {
@@ -87,5 +147,8 @@
 
         /** A difference of two mean errors is rarely chance. */
         const val SURE_ERRORS = 2.0
+
+        /** Prefill of kept parts, in mean errors, that hardly shows in the time of a first event. */
+        const val UNRELATED_ERRORS = 0.5
     }
 }
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -18,6 +18,7 @@
      * @property load work at the server when it was selected.
      * @property meanMilliseconds mean prediction of all servers that could have been selected, if each had cached as
      *   much of the prompt as [server].
+     * @property trade what the choice trades as far as kept parts count; null if the prompt shares none.
      */
     data class Selected(
         val server: BackendEntry,
@@ -25,6 +26,7 @@
         val predictedMilliseconds: Double,
         val load: ServerLoad = ServerLoad.NONE,
         val meanMilliseconds: Double = predictedMilliseconds,
+        val trade: PrefixTrade? = null,
     ) : ServerSelection
 
     /** All servers of the pool that could take the request have named limits, which are used up. */
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -110,6 +110,7 @@
      * Records a first event [milliseconds] after the request was sent, with [tokens] to prefill before it.
      *
      * @param keptTokens tokens of the prompt that the server was predicted to keep.
+     * @param trade what the choice of the server traded; null if the prompt shares no part.
      */
     fun recordFirstEvent(
         server: BackendEntry,
@@ -117,13 +118,23 @@
         milliseconds: Double,
         now: Timestamp,
         keptTokens: Int = 0,
+        trade: PrefixTrade? = null,
     ) {
         recordUnmeasuredFirstEvent(server.pool, now)
         val speed = prefillSpeed(server.id)
         val latency = latency(server.pool)
         val fixed = latency.fixedMilliseconds
-        val late = milliseconds - fixed - tokens * speed.millisecondsPerToken
-        prefixes.recordFirstEvent(keptTokens, keptTokens * speed.millisecondsPerToken, late)
+        prefixes.recordFirstEvent(
+            PrefixFirstEvent(
+                server = server.id,
+                keptTokens = keptTokens,
+                keptMilliseconds = keptTokens * speed.millisecondsPerToken,
+                lateMilliseconds = milliseconds - fixed - tokens * speed.millisecondsPerToken,
+                at = now,
+                milliseconds = milliseconds,
+                trade = trade,
+            ),
+        )
         latency.recordFixed(milliseconds - tokens * speed.millisecondsPerToken, tokens)
         speed.record(tokens, milliseconds - fixed)
     }
--- a/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptRecorder.kt
@@ -79,6 +79,7 @@
             milliseconds = elapsed.toDouble() / Timestamp.MICROSECONDS_PER_MILLISECOND,
             now = now,
             keptTokens = keptTokens,
+            trade = selection.trade,
         )
     }
 
--- a/src/test/kotlin/azuredale/engine/PrefixPlacementSpec.kt
+++ b/src/test/kotlin/azuredale/engine/PrefixPlacementSpec.kt
@@ -234,9 +234,10 @@
         @Test
         fun `count as found only what exceeds the usual error of predictions`() {
             val outcomes = PrefixOutcomes()
-            outcomes.recordFirstEvent(keptTokens = 6_000, keptMilliseconds = 60.0, lateMilliseconds = -5.0)
-            outcomes.recordFirstEvent(keptTokens = 6_000, keptMilliseconds = 60.0, lateMilliseconds = 80.0)
-            outcomes.recordFirstEvent(keptTokens = 500, keptMilliseconds = 5.0, lateMilliseconds = 0.0)
+            listOf(Triple(6_000, 60.0, -5.0), Triple(6_000, 60.0, 80.0), Triple(500, 5.0, 0.0))
+                .forEach { (tokens, kept, late) ->
+                    outcomes.recordFirstEvent(PrefixFirstEvent(servers[0].id, tokens, kept, late, now))
+                }
             assertEquals(
                 listOf(12_500L, 6_000L, 500L),
                 with(outcomes) { listOf(predictedTokens, foundTokens, undecidedTokens) },
