Value further holders of parts that overload theirs

Cause: waits are capped at a utilization of 0.9, so the value of a further holder was 0 where a part overloads several servers with and without it.

The further holder takes only as much as it has time for, so a part that overloads all servers stays with its holders.

--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -180,17 +180,27 @@
         val repeatedTokens = outline.repeatedTokens(selection.uncachedTokens)
         if (repeatedTokens == 0) return 0.0
         if (!weighsPrefixes) return repeatedTokens * millisecondsPerToken * PrefixWeighing.LEAST_BEHIND
+        val holdMilliseconds = statistics.latency(server.pool).holdMilliseconds
+        val readMilliseconds = outline.ownTokens * millisecondsPerToken
         val behind =
             PrefixWeighing.requestsBehind(
                 running = selection.load.running,
                 waitMilliseconds = selection.predictedMilliseconds,
-                holdMilliseconds = statistics.latency(server.pool).holdMilliseconds,
-                readMilliseconds = outline.ownTokens * millisecondsPerToken,
+                holdMilliseconds = holdMilliseconds,
+                readMilliseconds = readMilliseconds,
                 slots = server.slots,
             )
+        val spareTime =
+            PrefixWeighing.spareTime(
+                running = selection.load.running,
+                waitMilliseconds = selection.predictedMilliseconds,
+                holdMilliseconds = holdMilliseconds,
+                readMilliseconds = readMilliseconds,
+            )
         val repeated = (repeatedTokens - outline.unheldTokens).coerceAtLeast(0) * millisecondsPerToken * behind
         val first = outline.unheldTokens * millisecondsPerToken * PrefixWeighing.LEAST_BEHIND
-        return first + (repeated - outline.valueOfAnotherHolder(millisecondsPerToken)).coerceAtLeast(0.0)
+        val value = outline.valueOfAnotherHolder(millisecondsPerToken, spareTime)
+        return first + (repeated - value).coerceAtLeast(0.0)
     }
 
     private fun affinityMilliseconds(
