Judge kept parts by how often errors alone make events late

Cause: at busy servers, single predictions are wrong by more than the prefill of kept parts, with and without them. Counted stream by stream, such errors only ever lower what is found.

Change: PredictionErrors has the errors of the last 64 streams with hardly any kept parts. An event counts as one of missing parts as often as errors alone do not make it so late, and as one of kept parts as often as they do not make it so early. Streams are undecided where errors hide more than half.

--- a/src/main/kotlin/azuredale/engine/PrefixOutcomes.kt
+++ b/src/main/kotlin/azuredale/engine/PrefixOutcomes.kt
@@ -2,7 +2,6 @@
 
 import azuredale.identity.ServerId
 import azuredale.time.Timestamp
-import kotlin.math.abs
 
 /** Why a server that keeps a prompt's shared parts did not get the prompt. */
 internal enum class PassedOver {
@@ -53,22 +52,22 @@
 internal class PrefixOutcomes {
     private val passedOver = LongArray(PassedOver.entries.size)
     private val lateness = FirstEventLateness()
+    private val errors = PredictionErrors()
+    private var found = 0.0
 
     /** Tokens of shared parts that servers were predicted to keep, of requests with a first event. */
     var predictedTokens = 0L
         private set
 
-    /** Tokens of [predictedTokens] that the time to the first event shows as kept. */
-    var foundTokens = 0L
-        private set
+    /** Tokens of [predictedTokens] that the times to first events show as kept; falls when some show as not kept. */
+    val foundTokens: Long get() = found.toLong().coerceIn(0, predictedTokens - undecidedTokens)
 
-    /** Tokens of [predictedTokens] whose prefill is shorter than what predictions usually are wrong by. */
+    /** Tokens of [predictedTokens] that cannot be told, as predictions are usually wrong by more. */
     var undecidedTokens = 0L
         private set
 
-    /** Moving average of the error of predicted first events, in milliseconds, besides what delays all of them. */
-    var errorMilliseconds = INITIAL_ERROR_MILLISECONDS
-        private set
+    /** Mean error of predicted first events, in milliseconds, besides what delays all of them. */
+    val errorMilliseconds: Double get() = errors.meanMilliseconds
 
     /** Prefill that callers did not wait for, because their server kept parts; without parts shown as not kept. */
     var savedMilliseconds = 0.0
@@ -109,15 +108,12 @@
         val late = event.lateMilliseconds - usual
         if (event.keptMilliseconds <= errorMilliseconds * UNRELATED_ERRORS) {
             lateness.record(event.server, event.lateMilliseconds, event.at)
-            errorMilliseconds += (abs(late) - errorMilliseconds) * ERROR_SMOOTHING
-        }
-        val isSure = event.keptMilliseconds >= SURE_ERRORS * errorMilliseconds
-        val foundShare = if (isSure) 1 - (late / event.keptMilliseconds).coerceIn(0.0, 1.0) else 1.0
-        if (event.keptTokens > 0) {
-            predictedTokens += event.keptTokens
-            if (isSure) foundTokens += (event.keptTokens * foundShare).toLong() else undecidedTokens += event.keptTokens
+            errors.record(late)
         }
-        event.trade?.let { recordTrade(it, event, usual, event.keptMilliseconds * foundShare) }
+        val keptShare = errors.keptShare(event.keptMilliseconds, late)
+        predictedTokens += event.keptTokens
+        if (keptShare == null) undecidedTokens += event.keptTokens else found += event.keptTokens * keptShare
+        event.trade?.let { recordTrade(it, event, usual, event.keptMilliseconds * (keptShare ?: 1.0)) }
     }
 
     /** Compares with what the holder would have taken, which is as late as other first events are. */
@@ -141,13 +137,6 @@
     }
 
     private companion object {
-        /** Half of the usual time to the first event of an idle server. */
-        const val INITIAL_ERROR_MILLISECONDS = 15.0
-        const val ERROR_SMOOTHING = 0.05
-
-        /** A difference of two mean errors is rarely chance. */
-        const val SURE_ERRORS = 2.0
-
         /** Prefill of kept parts, in mean errors, that hardly shows in the time of a first event. */
         const val UNRELATED_ERRORS = 0.5
     }
--- a/src/test/kotlin/azuredale/engine/PrefixOutcomesSpec.kt
+++ b/src/test/kotlin/azuredale/engine/PrefixOutcomesSpec.kt
@@ -61,6 +61,30 @@
         }
     }
 
+    @Nested
+    inner class Errors {
+        private val errors = listOf(-80.0, 20.0, -10.0, 80.0, 10.0, -20.0, 5.0, 0.0)
+
+        private fun share(missingMilliseconds: Double): Double {
+            repeat(400) { round ->
+                record(0, round, 0, errors[round % errors.size])
+                record(0, round, 6_000, missingMilliseconds + errors[(round * 3 + 1) % errors.size])
+            }
+            return foundShare()
+        }
+
+        @Test
+        fun `of single predictions that exceed the prefill do not count kept parts as missing`() {
+            // Guards against a figure that falls with the spread of the waits at busy servers.
+            assertEquals(1.0, share(missingMilliseconds = 0.0), 0.1)
+        }
+
+        @Test
+        fun `of single predictions that exceed the prefill do not count missing parts as kept`() {
+            assertEquals(0.0, share(missingMilliseconds = 60.0), 0.1)
+        }
+    }
+
     @Nested
     inner class Gains {
         @Test
