Record the trade of a placement without lists

Each choice of a server built two lists and a comparator for the servers that keep more of the prompt, also while a router is crowded. One pass over the placements gives the same holder; mvn test -Dtest=PrefixOutcomesSpec,HotPrefixSpec,PrefixPlacementSpec passes as before. The price of a request was not measured.

--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -120,18 +120,29 @@
     private fun trade(choice: Choice): PrefixTrade? {
         if (choice.outline.sharedTokens == 0) return null
         val chosen = choice.best.selection
-        val holder =
-            choice.placements
-                .map { it.selection }
-                .filter { it.uncachedTokens < chosen.uncachedTokens }
-                .minWithOrNull(compareBy({ it.uncachedTokens }, { it.predictedMilliseconds }))
+        var holder: ServerSelection.Selected? = null
+        var soonest = chosen.predictedMilliseconds
+        for (placement in choice.placements) {
+            val selection = placement.selection
+            soonest = minOf(soonest, selection.predictedMilliseconds)
+            if (selection.uncachedTokens < chosen.uncachedTokens && keepsMore(selection, holder)) holder = selection
+        }
         return PrefixTrade(
             holderMilliseconds = holder?.predictedMilliseconds,
             chosenMilliseconds = chosen.predictedMilliseconds,
-            soonestMilliseconds = choice.placements.minOf { it.selection.predictedMilliseconds },
+            soonestMilliseconds = soonest,
         )
     }
 
+    /** Whether [selection] keeps more of the prompt than [other], or as much with a shorter wait. */
+    private fun keepsMore(selection: ServerSelection.Selected, other: ServerSelection.Selected?): Boolean =
+        other == null ||
+            selection.uncachedTokens < other.uncachedTokens ||
+            (
+                selection.uncachedTokens == other.uncachedTokens &&
+                    selection.predictedMilliseconds < other.predictedMilliseconds
+            )
+
     /** What the choice among [candidates] for [prompt] needs; has no effect. */
     fun outline(prompt: PromptShape, candidates: List<BackendEntry>, now: Timestamp): PromptOutline =
         PromptOutline(prompt, candidates, statistics, now)
