--- a/src/main/kotlin/azuredale/gateway/AttemptReader.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptReader.kt
@@ -59,6 +59,7 @@
                     is RequestSignal.CallerWritable -> resume()
                     is RequestSignal.ProgressDue -> checkProgress()
                     is RequestSignal.RouterStopped -> onRouterStopped()
+                    is RequestSignal.Room -> null
                     is RequestSignal.BufferEvicted ->
                         if (signal.attempt ==
                             number
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -97,6 +97,10 @@
             regionOf = settings.regions::get,
             weighsPrefixes = settings.weighsPrefixes,
         )
+    private val rooms =
+        RoomWaits(statistics.roomQueue, statistics.memory, metrics, log) {
+            listOf(view.directory, view.catalog?.revision, view.evacuations.table)
+        }
     private val context =
         GatewayContext(
             settings = settings,
@@ -116,6 +120,7 @@
                         ),
                     gracefulStop = gracefulStop,
                     memoryLog = fleet.memoryLog,
+                    rooms = rooms,
                     random = random::nextDouble,
                 ),
             recorders =
@@ -176,6 +181,7 @@
         val lag = intake.lagMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
         capacity.record(work(lag), now)
         fleet.tick(lag, now)
+        rooms.tick(now)
         loadLog.tick(
             lagMilliseconds = lag,
             running = running,
@@ -237,6 +243,7 @@
     fun stop() {
         if (!gracefulStop.begin(clock())) return
         log.write(GatewayLogEvent.GATEWAY_STOPPING, "running" to running)
+        rooms.stop()
         exchange.report(clock())
     }
 
@@ -258,6 +265,7 @@
         metrics.exposeBodies(requestBodies)
         metrics.exposeMemory(memoryPlan, maximumCallerConnections)
         fleet.memoryLog.expose(metrics, { view.directory }, clock)
+        rooms.expose()
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
     }
 
--- a/src/test/kotlin/azuredale/engine/MemoryRouter.kt
+++ b/src/test/kotlin/azuredale/engine/MemoryRouter.kt
@@ -12,6 +12,7 @@
 import azuredale.identity.PoolId
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.identity.TeamId
 import azuredale.time.Timestamp
 
 /** One router's view of servers with 64 slots and memory for 225,000 tokens each. */
@@ -19,11 +20,12 @@
     servers: Int,
     private val routers: Int = 1,
     capacity: Long = CAPACITY,
+    random: () -> Double = { 0.5 },
 ) {
     var now = Timestamp.ofMilliseconds(1_000_000)
     val servers = List(servers) { server(it) }
     var directory = ServerDirectory(1, this.servers.associateBy { it.id })
-    val statistics = ServerStatistics(routers = { routers }) { capacity }
+    val statistics = ServerStatistics(routers = { routers }, random = random) { capacity }
     private val selector = ServerSelector({ directory }, statistics)
     private val memory = statistics.memory
 
@@ -37,25 +39,33 @@
         startedAtMilliseconds = startedAt,
     )
 
-    fun select(prompt: PromptShape, excluded: Set<ServerId> = emptySet()) = selector.select(
+    fun select(
+        prompt: PromptShape,
+        excluded: Set<ServerId> = emptySet(),
+        team: TeamId? = null,
+        asksPerSecond: Double? = null,
+    ) = selector.select(
         SelectionRequest(
             pool = POOL,
-            team = null,
+            team = team,
             prompt = prompt,
             origin = FailureDomain("domain"),
             onTimeUntil = now.plusMilliseconds(600),
             deadline = now.plusMilliseconds(5_000),
             excluded = excluded,
             route = "route",
+            asksPerSecond = asksPerSecond,
         ),
         now,
     )
 
     /** Sends [prompt] if a server has room. */
-    fun send(prompt: PromptShape): RunningPrompt? {
-        val server = (select(prompt) as? ServerSelection.Selected)?.server ?: return null
-        return RunningPrompt(server, checkNotNull(memory.claim(server, prompt, "route", now)))
-    }
+    fun send(prompt: PromptShape): RunningPrompt? =
+        (select(prompt) as? ServerSelection.Selected)?.let { begin(it.server, prompt) }
+
+    /** Sends [prompt] to [server]. */
+    fun begin(server: BackendEntry, prompt: PromptShape) =
+        RunningPrompt(server, checkNotNull(memory.claim(server, prompt, "route", now)))
 
     fun end(running: RunningPrompt, isComplete: Boolean = true) =
         memory.release(running.server, running.claim, "route", isComplete, now)
@@ -66,12 +76,8 @@
     fun report() = statistics.loads.localLoads.entries
         .associate { (id, load) -> id.name.hashCode() to load }
 
-    fun hear(report: Map<Int, ServerLoad>, from: String = "other") = statistics.loads.updatePeer(
-        RouterId(from),
-        report,
-        validUntil = now.plusMilliseconds(1_000),
-        asOf = now,
-    )
+    fun hear(report: Map<Int, ServerLoad>, from: String = "other", asOf: Timestamp = now) =
+        statistics.loads.updatePeer(RouterId(from), report, validUntil = asOf.plusMilliseconds(1_000), asOf = asOf)
 }
 
 internal class RunningPrompt(
