--- a/src/main/kotlin/azuredale/engine/SelectionRequest.kt
+++ b/src/main/kotlin/azuredale/engine/SelectionRequest.kt
@@ -19,7 +19,6 @@
  * @property homes the regions whose servers may get the request, null if all may.
  * @property confinedTo a part of the prompt that may crash servers; all requests with it go to one server.
  * @property route name of the request's route, empty if unknown.
- * @property asksPerSecond how often the request asks again while it waits for room; null if it does not wait.
  */
 internal data class SelectionRequest(
     val pool: PoolId,
@@ -32,5 +31,4 @@
     val confinedTo: PartId? = null,
     val route: String = "",
     val homes: Set<Region>? = null,
-    val asksPerSecond: Double? = null,
 )
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -83,11 +83,10 @@
             }
     }
 
-    /** The servers that may get [request]; records how often limits or memory leave none for one that comes. */
+    /** The servers that may get [request]; records how often limits or memory leave none. */
     fun assess(request: SelectionRequest, now: Timestamp): Eligibility {
         val eligible = candidates(request, statistics.room::decide, now)
         val selection = (eligible as? Eligibility.None)?.selection
-        if (request.asksPerSecond != null) return eligible
         val isUsedUp = selection is ServerSelection.LimitsUsedUp || selection is ServerSelection.NoRoom
         if (isUsedUp || eligible is Eligibility.Servers) statistics.limitPressure.record(request.pool, isUsedUp, now)
         return eligible
@@ -107,10 +106,7 @@
             is RoomDecision.Servers ->
                 Eligibility.Servers(request.confinedTo?.let { confined(room.servers, it) } ?: room.servers)
             is RoomDecision.TooLarge -> Eligibility.None(ServerSelection.TooLarge)
-            is RoomDecision.Taken ->
-                Eligibility.None(
-                    ServerSelection.NoRoom(room.missingTokens, room.freeAt, room.need),
-                )
+            is RoomDecision.Taken -> Eligibility.None(ServerSelection.NoRoom(room.missingTokens, room.freeAt))
         }
     }
 
--- a/src/main/kotlin/azuredale/engine/ServerRoom.kt
+++ b/src/main/kotlin/azuredale/engine/ServerRoom.kt
@@ -17,14 +17,11 @@
      * Other requests take the room.
      *
      * @property missingTokens what the server with most room lacks.
-     * @property freeAt when so much will probably be free, after the requests that wait already; null if nothing is
-     *   known of how soon room is freed.
-     * @property need what the request needs, null if it may not wait for it.
+     * @property freeAt when so much will probably be free; null if nothing is known of how soon room is freed.
      */
     data class Taken(
         val missingTokens: Long,
         val freeAt: Timestamp?,
-        val need: RoomNeed?,
     ) : RoomDecision
 }
 
@@ -45,7 +42,6 @@
 internal class ServerRoom(
     private val memory: EngineMemory,
     private val loads: LoadTracker,
-    private val queue: RoomQueue,
     private val routers: () -> Int,
     private val random: () -> Double,
 ) {
@@ -63,7 +59,7 @@
         if (needs.isTooLarge) return RoomDecision.TooLarge
         val demand = memory.demand(request.pool)
         ages.add(ageMicroseconds(now), now)
-        if (request.asksPerSecond == null) demand.recordAsked(needs.wholeTokens, needs.ownTokens, now)
+        demand.recordAsked(needs.wholeTokens, needs.ownTokens, now)
         if (!isBound(needs, ready)) return RoomDecision.Servers(candidates)
         val decision = judge(needs, candidates, ready, random, now)
         if (decision is RoomDecision.Taken) {
@@ -97,12 +93,10 @@
         draw: () -> Double,
         now: Timestamp,
     ): RoomDecision {
-        val mustWait = needs.request.asksPerSecond == null && needs.need?.let { queue.isWaitedFor(it.lane) } == true
         val arrivals = arrivals(needs, now)
-        if (!mustWait && isCalm(needs, candidates, arrivals, now)) return RoomDecision.Servers(candidates)
+        if (isCalm(needs, candidates, arrivals, now)) return RoomDecision.Servers(candidates)
         val room = requiredRoom(needs, ready, now)
         val spare = candidates.map { spareTokens(it, needs, room, now) }
-        if (mustWait) return taken(maxOf(-spare.max(), 1), needs, ready.size, now)
         if (arrivals <= 0 || spare.all { it < 0 }) return decision(candidates, needs, ready, now) { spare[it] }
         val demand = memory.demand(needs.request.pool)
         val margin = demand.tokensOfArrivals(arrivals / candidates.size, now)
@@ -131,7 +125,7 @@
     }
 
     private fun taken(missing: Long, needs: Needs, servers: Int, now: Timestamp) =
-        RoomDecision.Taken(missing, freeAt(missing, needs, servers, now), needs.need)
+        RoomDecision.Taken(missing, freeAt(missing, needs, servers, now))
 
     /** Whether [server] is empty and the request so large that it would hardly ever find room for more than itself. */
     private fun isKept(server: BackendEntry, needs: Needs, now: Timestamp) =
@@ -156,11 +150,6 @@
 
         /** Whether one server of the pool is kept for requests of the size while they find no room. */
         val isLarge = wholeTokens > capacityTokens / RESERVED_PARTS
-
-        /** Null if the request may not wait: it was sent before, or only one server may get it. */
-        val need =
-            RoomNeed(RoomLane(request.pool, request.homes, isLarge), ownTokens)
-                .takeIf { request.excluded.isEmpty() && request.confinedTo == null }
     }
 
     /**
@@ -232,8 +221,7 @@
         val others = routers() - 1
         if (others <= 0 || isRepeated(needs.request)) return 0.0
         val seconds = maxOf(ageMicroseconds(now), ages.value(now)).toDouble() / Timestamp.MICROSECONDS_PER_SECOND
-        val asks = needs.request.asksPerSecond ?: memory.demand(needs.request.pool).askedPerSecond(now)
-        return asks * others * seconds
+        return memory.demand(needs.request.pool).askedPerSecond(now) * others * seconds
     }
 
     private fun ageMicroseconds(now: Timestamp): Long =
@@ -241,16 +229,11 @@
 
     private fun isRepeated(request: SelectionRequest) = request.excluded.isNotEmpty()
 
-    /**
-     * When the [servers] servers of the pool will have freed [missing] tokens each, as fast as they did recently, and
-     * what the requests that wait at this router need. Each router gets as much of the room as it frees.
-     */
+    /** When the [servers] servers of the pool will have freed [missing] tokens each, as fast as they did recently. */
     private fun freeAt(missing: Long, needs: Needs, servers: Int, now: Timestamp): Timestamp? {
-        val freed = memory.demand(needs.request.pool).freedPerSecond(now)
+        val freed = memory.demand(needs.request.pool).freedPerSecond(now) * routers() / servers.coerceAtLeast(1)
         if (freed <= 0) return null
-        val ahead = needs.need?.let { queue.tokensAhead(it, needs.request.team) } ?: 0
-        val seconds = missing * servers.coerceAtLeast(1) / (freed * routers()) + ahead / freed
-        return now.plusMicroseconds((seconds * Timestamp.MICROSECONDS_PER_SECOND).toLong())
+        return now.plusMicroseconds((missing / freed * Timestamp.MICROSECONDS_PER_SECOND).toLong())
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/engine/ServerSelector.kt
+++ b/src/main/kotlin/azuredale/engine/ServerSelector.kt
@@ -37,13 +37,11 @@
      * No server of the pool has room in its memory for the request.
      *
      * @property missingTokens what the server with most room lacks.
-     * @property freeAt when so much will probably be free, after the requests that wait already; null if unknown.
-     * @property need what the request needs, null if it may not wait for it.
+     * @property freeAt when so much will probably be free; null if unknown.
      */
     data class NoRoom(
         val missingTokens: Long,
         val freeAt: Timestamp?,
-        val need: RoomNeed? = null,
     ) : ServerSelection
 
     /** All servers of the pool that could take the request want none before [until]. */
@@ -79,10 +77,6 @@
     /** How often the limits or the memory of servers recently left none for a request to [pool], between 0 and 1. */
     fun limitPressure(pool: PoolId, now: Timestamp): Double = statistics.limitPressure.current(pool, now)
 
-    /** Milliseconds from the sending of a request to [pool] to its end, besides the reading of its prompt. */
-    fun usualMilliseconds(pool: PoolId): Double =
-        statistics.latency(pool).let { it.fixedMilliseconds + it.holdMilliseconds }
-
     /** Whether the process that [server] registers is still registered and accepts requests at [now]. */
     fun mayUse(server: BackendEntry, now: Timestamp): Boolean = eligibility.mayUse(server, now)
 
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -47,11 +47,8 @@
     /** Memory of the servers that requests in progress take. */
     val memory = EngineMemory(loads, cacheTokens)
 
-    /** Requests that wait for room in it. */
-    val roomQueue = RoomQueue()
-
     /** Which servers have room in it. */
-    val room = ServerRoom(memory, loads, roomQueue, routers, random)
+    val room = ServerRoom(memory, loads, routers, random)
 
     /** Limits on the request rate that servers name. */
     val limits = ServerLimits(loads, routers, random, onLimitChange)
--- a/src/main/kotlin/azuredale/explain/ExplanationTable.kt
+++ b/src/main/kotlin/azuredale/explain/ExplanationTable.kt
@@ -8,10 +8,6 @@
     add("router ${explanation.router}: $request")
     when (explanation.verdict) {
         RoutingVerdict.ADMITTED -> add("admitted, to server ${explanation.chosen}")
-        RoutingVerdict.WAITING ->
-            add(
-                "waits for room in a server's memory, probably ${explanation.waitMilliseconds} ms",
-            )
         RoutingVerdict.REFUSED -> {
             val retry = explanation.retryMilliseconds?.let { ", return in $it ms" }.orEmpty()
             add("refused: ${explanation.kind}$retry${explanation.detail.ifEmpty { null }?.let { " ($it)" }.orEmpty()}")
--- a/src/main/kotlin/azuredale/explain/RoutingExplainer.kt
+++ b/src/main/kotlin/azuredale/explain/RoutingExplainer.kt
@@ -11,7 +11,6 @@
 import azuredale.freshness.StoreView
 import azuredale.gateway.AuthorizedRequest
 import azuredale.gateway.GatewayContext
-import azuredale.gateway.NextStep
 import azuredale.gateway.PromptGate
 import azuredale.gateway.RequestHead
 import azuredale.gateway.ServerChoice
@@ -52,11 +51,8 @@
         val choice = ServerChoice(context, head.prompt, promptGate, authorized, onTimeUntil, deadline)
         val explanation =
             when (val next = choice.preview(now)) {
-                is NextStep.Refuse -> refused(question, next.failure, now)
-                is NextStep.Send -> admitted(next.selection, now)
-                is NextStep.Wait ->
-                    explanation(RoutingVerdict.WAITING, now)
-                        .copy(waitMilliseconds = next.roomAt.microsecondsSince(now) / MICROSECONDS)
+                is Outcome.Refused -> refused(question, next.failure, now)
+                is Outcome.Success -> admitted(next.value, now)
             }
         return explanation.copy(
             route = route.name,
--- a/src/main/kotlin/azuredale/explain/RoutingExplanation.kt
+++ b/src/main/kotlin/azuredale/explain/RoutingExplanation.kt
@@ -8,9 +8,6 @@
     /** It would send the request to the chosen server. */
     ADMITTED,
 
-    /** It would hold the request until a server has room for it. */
-    WAITING,
-
     /** It would refuse the request as not run. */
     REFUSED,
 }
@@ -47,7 +44,6 @@
  * @property kind the kind of the refusal, null if the request is admitted.
  * @property detail what the refusal says besides.
  * @property retryMilliseconds when its caller would be asked to return, null without a refusal or a time.
- * @property waitMilliseconds how long the request would probably wait for room, null unless it would.
  * @property chosen the server that would get the request.
  * @property catalogAge milliseconds since the configuration was known to be the newest, null if it never was.
  * @property directoryAge milliseconds since the list of servers was known to be the newest, null if it never was.
@@ -65,7 +61,6 @@
     val pool: String? = null,
     val team: String? = null,
     val chosen: String? = null,
-    val waitMilliseconds: Long? = null,
     val servers: List<ServerExplanation> = emptyList(),
     val catalogAge: Long? = null,
     val directoryAge: Long? = null,
--- a/src/main/kotlin/azuredale/gateway/AttemptReader.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptReader.kt
@@ -59,7 +59,6 @@
                     is RequestSignal.CallerWritable -> resume()
                     is RequestSignal.ProgressDue -> checkProgress()
                     is RequestSignal.RouterStopped -> onRouterStopped()
-                    is RequestSignal.Room -> null
                     is RequestSignal.BufferEvicted ->
                         if (signal.attempt ==
                             number
--- a/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
@@ -3,6 +3,7 @@
 import azuredale.directory.BackendEntry
 import azuredale.engine.ServerSelection
 import azuredale.outcome.Failure
+import azuredale.outcome.Outcome
 import io.vertx.core.buffer.Buffer
 
 /**
@@ -35,7 +36,11 @@
         var notRun: Failure? = null
         var connectFailures = 0
         while (true) {
-            val selection = choose(notRun) ?: return
+            val selection =
+                when (val next = servers.next(isFirst = progress.attempts == 0, clock())) {
+                    is Outcome.Refused -> return exchange.response.giveUp(notRun ?: next.failure)
+                    is Outcome.Success -> next.value
+                }
             when (val end = runAttempt(selection)) {
                 is AttemptResult.Done -> return
                 is AttemptResult.NotRun -> {
@@ -64,17 +69,6 @@
         }
     }
 
-    /** The server for the next attempt; null if the request has ended, with [notRun] if there was an attempt before. */
-    private suspend fun choose(notRun: Failure?): ServerSelection.Selected? =
-        when (val next = servers.next(isFirst = progress.attempts == 0, clock())) {
-            is NextStep.Refuse -> {
-                exchange.response.giveUp(notRun ?: next.failure)
-                null
-            }
-            is NextStep.Send -> next.selection
-            is NextStep.Wait -> RoomWait(exchange, servers, next).await()
-        }
-
     private suspend fun mayRepeat(end: AttemptResult.Failed, selection: ServerSelection.Selected): Boolean {
         val worth = if (progress.hasBegunStream) RetryWorth.BROKEN_STREAM else RetryWorth.UNANSWERED
         return exchange.promptGate.mayRepeat(end.hasServerEnded) && mayRetry(selection, worth)
@@ -94,7 +88,6 @@
         val number = ++progress.attempts
         progress.selection = selection
         val recorder = context.recorders.create(selection, head.prompt, route.name, clock())
-        val holding = context.admission.rooms.hold(selection.server, exchange.authorized.team, head.prompt, clock())
         val backendAttempt =
             context.backends.send(
                 server = selection.server,
@@ -113,7 +106,6 @@
             } finally {
                 reader.release()
                 recorder.release(clock())
-                holding?.release(clock())
             }
         exchange.log.attemptFailed(end, selection.server)
         return end
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -97,10 +97,6 @@
             regionOf = settings.regions::get,
             weighsPrefixes = settings.weighsPrefixes,
         )
-    private val rooms =
-        RoomWaits(statistics.roomQueue, statistics.memory, metrics, log) {
-            listOf(view.directory, view.catalog?.revision, view.evacuations.table)
-        }
     private val context =
         GatewayContext(
             settings = settings,
@@ -120,7 +116,6 @@
                         ),
                     gracefulStop = gracefulStop,
                     memoryLog = fleet.memoryLog,
-                    rooms = rooms,
                     random = random::nextDouble,
                 ),
             recorders =
@@ -181,7 +176,6 @@
         val lag = intake.lagMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
         capacity.record(work(lag), now)
         fleet.tick(lag, now)
-        rooms.tick(now)
         loadLog.tick(
             lagMilliseconds = lag,
             running = running,
@@ -243,7 +237,6 @@
     fun stop() {
         if (!gracefulStop.begin(clock())) return
         log.write(GatewayLogEvent.GATEWAY_STOPPING, "running" to running)
-        rooms.stop()
         exchange.report(clock())
     }
 
@@ -265,7 +258,6 @@
         metrics.exposeBodies(requestBodies)
         metrics.exposeMemory(memoryPlan, maximumCallerConnections)
         fleet.memoryLog.expose(metrics, { view.directory }, clock)
-        rooms.expose()
         metrics.gauge("log.lines.dropped") { BoundedAppender.droppedLines.toDouble() }
     }
 
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -68,7 +68,6 @@
     val sendGuard: SendGuard,
     val gracefulStop: GracefulStop,
     val memoryLog: MemoryLog,
-    val rooms: RoomWaits,
     /** Returns a random number from 0 to 1, which spreads the returns of callers. */
     val random: () -> Double,
 )
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -49,7 +49,6 @@
     PREFIXES_WEIGHED(2255, Level.INFO, "kept prompt parts weighed"),
     SERVICE_CROWDED(2256, Level.INFO, "all slots of plain servers are in use"),
     SERVER_OUT_OF_MEMORY(2250, Level.WARN, "backend server ended while requests needed more memory than it has"),
-    ROOM_AWAITED(2252, Level.INFO, "requests waited for room in a server's memory"),
     ROOM_LACKING(2251, Level.INFO, "requests refused because no server has room in its memory"),
     SETTINGS_RELOADED(2236, Level.INFO, "settings reloaded"),
 }
--- a/src/main/kotlin/azuredale/gateway/GatewayMetrics.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayMetrics.kt
@@ -14,8 +14,6 @@
     private val outcomes = HashMap<ErrorKind?, Counter>()
     private val firstEventLatency = histogram("azuredale.first.event.milliseconds")
     private val serverEnds = Counter.builder("azuredale.server.ends").register(registry)
-    private val roomWaits = HashMap<RoomWaitEnd, Counter>()
-    private val roomWaitDuration = histogram("azuredale.room.wait.milliseconds")
     private val requestDuration = histogram("azuredale.request.milliseconds")
 
     /** Counts a finished request; [kind] is null unless this router refused it. */
@@ -36,15 +34,6 @@
         serverEnds.increment()
     }
 
-    /** Counts a request that waited for room in a server's memory since [since]. */
-    internal fun recordRoomWait(end: RoomWaitEnd, since: Timestamp, now: Timestamp) {
-        roomWaits
-            .getOrPut(end) {
-                Counter.builder("azuredale.room.waits").tag("outcome", end.name.lowercase()).register(registry)
-            }.increment()
-        roomWaitDuration.record(milliseconds(since, now))
-    }
-
     /** Registers a gauge that reads [value] at each scrape. */
     public fun gauge(name: String, value: () -> Double) {
         Gauge.builder("azuredale.$name", value) { it() }.strongReference(true).register(registry)
--- a/src/main/kotlin/azuredale/gateway/RequestSignal.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestSignal.kt
@@ -1,7 +1,5 @@
 package azuredale.gateway
 
-import azuredale.engine.RoomNotice
-
 /** Input to the coroutine of a request. */
 internal sealed interface RequestSignal {
     class FromBackend(
@@ -17,9 +15,6 @@
 
     data object ProgressDue : RequestSignal
 
-    /** The request waits for room, and has to look again. */
-    class Room(val notice: RoomNotice) : RequestSignal
-
     data object RouterStopped : RequestSignal
 
     /** The response of an attempt has to give way to those of other servers. */
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -3,38 +3,14 @@
 import azuredale.admission.AdmissionRequest
 import azuredale.admission.LatencyPrediction
 import azuredale.admission.RetryTime
-import azuredale.engine.RoomNeed
-import azuredale.engine.RoomVerdict
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
 import azuredale.identity.ServerId
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
+import azuredale.outcome.Outcome
 import azuredale.time.Timestamp
 
-/** What happens to a request next. */
-internal sealed interface NextStep {
-    /** It is sent. */
-    class Send(val selection: ServerSelection.Selected) : NextStep
-
-    /** It ends with [failure]. */
-    class Refuse(val failure: Failure) : NextStep
-
-    /**
-     * It waits until a server has room for it.
-     *
-     * @property missingTokens what the server with most room lacks.
-     * @property roomAt when that is predicted.
-     * @property latestStart when it has to begin at the latest.
-     */
-    class Wait(
-        val need: RoomNeed,
-        val missingTokens: Long,
-        val roomAt: Timestamp,
-        val latestStart: Timestamp,
-    ) : NextStep
-}
-
 /** Returns null if a prompt is admitted, otherwise the failure to return to the caller. */
 private typealias PromptDecision = (PromptShape, AdmissionRequest, LatencyPrediction, Timestamp) -> Failure?
 
@@ -60,53 +36,22 @@
     }
 
     /**
-     * Returns the server for the next attempt, the failure to return to the caller, or that the request has to wait.
+     * Returns the server for the next attempt, or the failure to return to the caller.
      *
      * @param isFirst whether the request has not been sent to any server.
      */
-    suspend fun next(isFirst: Boolean, now: Timestamp): NextStep {
-        context.admission.sendGuard
-            .directoryFailure(now)
-            ?.let { return NextStep.Refuse(it) }
-        promptGate.refusal(now)?.let { return NextStep.Refuse(it) }
+    suspend fun next(isFirst: Boolean, now: Timestamp): Outcome<ServerSelection.Selected> {
+        directoryFailure(now)?.let { return it }
+        promptGate.refusal(now)?.let { return Outcome.Refused(it) }
         val selection = context.selector.select(selectionRequest(now), now)
-        val step = decide(selection, isFirst, context.admission.prompts::decide, now)
-        if (selection is ServerSelection.NoRoom && step is NextStep.Refuse) recordNoRoom(selection, now)
-        return step
-    }
-
-    /**
-     * Returns the server for a request that waits for room and has its turn, the failure to return to the caller, or
-     * null if it has to wait on.
-     *
-     * @param asksPerSecond how often the request asks.
-     */
-    fun ask(asksPerSecond: Double, now: Timestamp): NextStep? {
-        obstacle(now)?.let { return it }
-        val selection = context.selector.select(selectionRequest(now).copy(asksPerSecond = asksPerSecond), now)
-        if (selection is ServerSelection.NoRoom) return null
-        return decide(selection, isFirst = true, context.admission.prompts::decide, now)
-    }
-
-    /** Returns the failure of a request that waits for room if it need not wait any more, otherwise null. */
-    fun recheck(now: Timestamp): NextStep.Refuse? {
-        obstacle(now)?.let { return it }
-        val selection = context.selector.preview(selectionRequest(now).copy(asksPerSecond = 0.0), now)
-        if (selection is ServerSelection.NoRoom || selection is ServerSelection.Selected) return null
-        return decide(selection, isFirst = true, context.admission.prompts::preview, now) as? NextStep.Refuse
-    }
-
-    /** The refusal of a request that found no room before its latest start; counts as a request of the team. */
-    fun noRoomInTime(waitedMilliseconds: Long, now: Timestamp): Failure {
-        val selection = context.selector.preview(selectionRequest(now), now) as? ServerSelection.NoRoom
-        recordNoRoom(selection ?: ServerSelection.NoRoom(missingTokens = 0, freeAt = null), now)
-        val detail = "no server has had room for $waitedMilliseconds ms"
-        return Failure(ErrorKind.PREDICTED_LATE, detail, returnTime(selection?.freeAt, now))
+        if (selection is ServerSelection.NoRoom) recordNoRoom(selection, now)
+        return decide(selection, isFirst, context.admission.prompts::decide, now)
     }
 
     /** What [next] would return for a first attempt; has no effect. */
-    fun preview(now: Timestamp): NextStep {
-        obstacle(now)?.let { return it }
+    fun preview(now: Timestamp): Outcome<ServerSelection.Selected> {
+        directoryFailure(now)?.let { return it }
+        promptGate.preview(now)?.let { return Outcome.Refused(it) }
         val selection = context.selector.preview(selectionRequest(now), now)
         return decide(selection, isFirst = true, context.admission.prompts::preview, now)
     }
@@ -125,58 +70,28 @@
         homes = authorized.homes,
     )
 
-    /** Why the request may not be sent to any server now, without the claim of a trial. */
-    private fun obstacle(now: Timestamp): NextStep.Refuse? =
-        (context.admission.sendGuard.directoryFailure(now) ?: promptGate.preview(now))?.let { NextStep.Refuse(it) }
-
-    private fun decide(selection: ServerSelection, isFirst: Boolean, admit: PromptDecision, now: Timestamp): NextStep =
-        when (selection) {
-            is ServerSelection.Unavailable -> NextStep.Refuse(unavailable(selection.detail, now))
-            is ServerSelection.OnHold -> NextStep.Refuse(onHold(selection.until, now))
-            is ServerSelection.LimitsUsedUp -> NextStep.Refuse(limitsUsedUp(admit, now))
-            is ServerSelection.TooLarge ->
-                NextStep.Refuse(Failure(ErrorKind.REQUEST_TOO_LARGE, "larger than a server's memory"))
-            is ServerSelection.NoRoom ->
-                if (isFirst) {
-                    waitOrRefuse(
-                        selection,
-                        now,
-                    )
-                } else {
-                    NextStep.Refuse(noRoom(selection, now))
-                }
-            is ServerSelection.Selected -> {
-                val refusal = lateService(selection, now) ?: if (isFirst) checkLoad(selection, admit, now) else null
-                refusal?.let { NextStep.Refuse(it) } ?: NextStep.Send(selection)
-            }
-        }
-
-    private fun waitOrRefuse(selection: ServerSelection.NoRoom, now: Timestamp): NextStep {
-        val need = selection.need ?: return NextStep.Refuse(noRoom(selection, now))
-        if (context.admission.gracefulStop.isBegun) {
-            return NextStep.Refuse(Failure(ErrorKind.DRAINING, "no server has room", RetryDelay.elsewhere(now)))
-        }
-        val latestStart = latestStart(now)
-        return when (
-            context.admission.rooms.queue
-                .judge(authorized.team, selection.freeAt, latestStart)
-        ) {
-            RoomVerdict.WAITS -> NextStep.Wait(need, selection.missingTokens, selection.freeAt ?: now, latestStart)
-            RoomVerdict.TOO_LATE -> NextStep.Refuse(noRoom(selection, now))
-            RoomVerdict.QUEUE_FULL -> {
-                val retryAt = returnTime(selection.freeAt, now)
-                NextStep.Refuse(Failure(ErrorKind.QUEUE_FULL, "too many requests wait for room", retryAt))
-            }
+    private fun directoryFailure(now: Timestamp) = context.admission.sendGuard
+        .directoryFailure(now)
+        ?.let { Outcome.Refused(it) }
+
+    private fun decide(
+        selection: ServerSelection,
+        isFirst: Boolean,
+        admit: PromptDecision,
+        now: Timestamp,
+    ): Outcome<ServerSelection.Selected> = when (selection) {
+        is ServerSelection.Unavailable -> Outcome.Refused(unavailable(selection.detail, now))
+        is ServerSelection.OnHold -> Outcome.Refused(onHold(selection.until, now))
+        is ServerSelection.LimitsUsedUp -> Outcome.Refused(limitsUsedUp(admit, now))
+        is ServerSelection.TooLarge ->
+            Outcome.Refused(Failure(ErrorKind.REQUEST_TOO_LARGE, "larger than a server's memory"))
+        is ServerSelection.NoRoom -> Outcome.Refused(noRoom(selection, now))
+        is ServerSelection.Selected -> {
+            val refusal = lateService(selection, now) ?: if (isFirst) checkLoad(selection, admit, now) else null
+            refusal?.let { Outcome.Refused(it) } ?: Outcome.Success(selection)
         }
     }
 
-    /** When a request that waits from [now] on has to begin, to end in time and not to keep its caller too long. */
-    private fun latestStart(now: Timestamp): Timestamp {
-        val wait = minOf(deadline.microsecondsSince(now) / MAXIMUM_WAIT_PARTS, MAXIMUM_WAIT_MICROSECONDS)
-        val usual = context.selector.usualMilliseconds(authorized.pool).toLong()
-        return minOf(now.plusMicroseconds(wait), deadline.plusMilliseconds(-usual))
-    }
-
     /** The refusal of a request to a plain service that the best server would answer after its deadline. */
     private fun lateService(selection: ServerSelection.Selected, now: Timestamp): Failure? {
         if (prompt != null || context.selector.services.canAnswer(selection, deadline, now)) return null
@@ -251,11 +166,5 @@
     private companion object {
         /** While limits leave no server for some requests, only teams above their fair share are refused in advance. */
         const val MAXIMUM_PRESSURE = 0.4
-
-        /** Callers that are refused return after a third of their time at the latest; waiting takes no longer. */
-        const val MAXIMUM_WAIT_PARTS = 3L
-
-        /** Half of the time after which callers give up a stream that has not begun. */
-        const val MAXIMUM_WAIT_MICROSECONDS = Timestamp.MICROSECONDS_PER_SECOND
     }
 }
--- a/src/test/kotlin/azuredale/engine/MemoryRouter.kt
+++ b/src/test/kotlin/azuredale/engine/MemoryRouter.kt
@@ -12,7 +12,6 @@
 import azuredale.identity.PoolId
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
-import azuredale.identity.TeamId
 import azuredale.time.Timestamp
 
 /** One router's view of servers with 64 slots and memory for 225,000 tokens each. */
@@ -39,33 +38,25 @@
         startedAtMilliseconds = startedAt,
     )
 
-    fun select(
-        prompt: PromptShape,
-        excluded: Set<ServerId> = emptySet(),
-        team: TeamId? = null,
-        asksPerSecond: Double? = null,
-    ) = selector.select(
+    fun select(prompt: PromptShape, excluded: Set<ServerId> = emptySet()) = selector.select(
         SelectionRequest(
             pool = POOL,
-            team = team,
+            team = null,
             prompt = prompt,
             origin = FailureDomain("domain"),
             onTimeUntil = now.plusMilliseconds(600),
             deadline = now.plusMilliseconds(5_000),
             excluded = excluded,
             route = "route",
-            asksPerSecond = asksPerSecond,
         ),
         now,
     )
 
     /** Sends [prompt] if a server has room. */
-    fun send(prompt: PromptShape): RunningPrompt? =
-        (select(prompt) as? ServerSelection.Selected)?.let { begin(it.server, prompt) }
-
-    /** Sends [prompt] to [server]. */
-    fun begin(server: BackendEntry, prompt: PromptShape) =
-        RunningPrompt(server, checkNotNull(memory.claim(server, prompt, "route", now)))
+    fun send(prompt: PromptShape): RunningPrompt? {
+        val server = (select(prompt) as? ServerSelection.Selected)?.server ?: return null
+        return RunningPrompt(server, checkNotNull(memory.claim(server, prompt, "route", now)))
+    }
 
     fun end(running: RunningPrompt, isComplete: Boolean = true) =
         memory.release(running.server, running.claim, "route", isComplete, now)
--- a/src/test/kotlin/azuredale/explain/ExplainSpec.kt
+++ b/src/test/kotlin/azuredale/explain/ExplainSpec.kt
@@ -28,7 +28,6 @@
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
-import kotlin.test.assertTrue
 
 /** An operator asks a running router where a request would go. */
 class ExplainSpec {
@@ -84,21 +83,6 @@
             assertEquals("UNKNOWN_KEY", explanation("--route", "plain", "--team", "nobody").kind)
         }
 
-        @Test
-        fun `that would wait for room are explained with the wait, and take no place`() = withGateway {
-            // Guards against an operator who is told of a refusal, while callers wait and are served.
-            val statistics = checkNotNull(daemon).gateway.statistics
-            val demand = statistics.memory.demand(PoolId("pool-a"))
-            repeat(60) { demand.recordAsked(15_000, 8_700, systemClock()()) }
-            demand.recordFreed(400_000, systemClock()())
-            repeat(2) { statistics.loads.add(ServerId("server-$it"), ServerLoad(committedTokens = 99_000)) }
-            val explained = explanation(*prompt)
-            assertEquals(RoutingVerdict.WAITING, explained.verdict, "$explained")
-            assertTrue(assertNotNull(explained.waitMilliseconds) in 1..666, "$explained")
-            assertEquals(setOf<String?>("NO_ROOM"), explained.servers.map { it.reason }.toSet())
-            assertEquals(0, statistics.roomQueue.size)
-        }
-
         @Test
         fun `are kept from a leaving server with its reason`() = withGateway {
             register(0, readinessAddress, state = "draining")
