--- a/src/main/kotlin/azuredale/engine/PoolDemand.kt
+++ b/src/main/kotlin/azuredale/engine/PoolDemand.kt
@@ -68,15 +68,6 @@
         return maxOf(bound.toLong(), largestTokens(now))
     }
 
-    /** Most expected requests whose [tokensOfArrivals] fit [tokens]. */
-    fun arrivalsThatFit(tokens: Long, now: Timestamp): Double {
-        if (tokens < largestTokens(now) || ownMean <= 0) return RARE
-        // The positive root of ownMean * x + RARE_DEVIATIONS * sqrt(ownMeanSquare) * sqrt(x) = tokens, for sqrt(x).
-        val deviation = RARE_DEVIATIONS * sqrt(ownMeanSquare)
-        val root = (sqrt(deviation * deviation + 4 * ownMean * tokens) - deviation) / (2 * ownMean)
-        return maxOf(root * root, RARE)
-    }
-
     private companion object {
         /** A request in 500 may meet less room than was expected; see [OutputLengths]. */
         const val RARE = 0.002
--- a/src/main/kotlin/azuredale/engine/ServerRoom.kt
+++ b/src/main/kotlin/azuredale/engine/ServerRoom.kt
@@ -34,20 +34,14 @@
  * pool gets no smaller ones, unless it has room for both, until one as large finds room. It waits no longer than the
  * requests at that server run. Both hold at the routers that have seen the large request.
  *
- * What other routers send before it is reported is bounded by chance: of all requests that ask for room meanwhile, each
- * server is open to as many as rarely exceed its room, whichever servers they prefer. One number is drawn for each
- * request, and each server is open for a part of all numbers, next to the part of the server before. So a request finds
- * an open server whenever all of them together have room for all requests.
+ * What other routers send before it is reported comes on top. All of them choose among the servers that have room, so
+ * the fewer those are, the more each gets.
  */
 internal class ServerRoom(
     private val memory: EngineMemory,
     private val loads: LoadTracker,
     private val routers: () -> Int,
-    private val random: () -> Double,
 ) {
-    /** Ages of the oldest report, in microseconds. */
-    private val ages = RecentMaximum(AGE_MICROSECONDS)
-
     /** Those of [candidates], which are among the [ready] servers of the pool, that have room for [request]. */
     fun decide(
         candidates: List<BackendEntry>,
@@ -58,10 +52,9 @@
         val needs = needs(request, candidates) ?: return RoomDecision.Servers(candidates)
         if (needs.isTooLarge) return RoomDecision.TooLarge
         val demand = memory.demand(request.pool)
-        ages.add(ageMicroseconds(now), now)
         demand.recordAsked(needs.wholeTokens, needs.ownTokens, now)
         if (!isBound(needs, ready)) return RoomDecision.Servers(candidates)
-        val decision = judge(needs, candidates, ready, random, now)
+        val decision = judge(needs, candidates, ready, now)
         if (decision is RoomDecision.Taken) {
             demand.recordRefused(needs.wholeTokens, now)
         } else {
@@ -80,57 +73,27 @@
         val needs = needs(request, candidates) ?: return RoomDecision.Servers(candidates)
         return when {
             needs.isTooLarge -> RoomDecision.TooLarge
-            isBound(needs, ready) -> judge(needs, candidates, ready, { EVEN_CHANCE }, now)
+            isBound(needs, ready) -> judge(needs, candidates, ready, now)
             else -> RoomDecision.Servers(candidates)
         }
     }
 
-    /** The decision where memory binds; [draw] returns a random number from 0 to 1. */
+    /** The decision where memory binds. */
     private fun judge(
         needs: Needs,
         candidates: List<BackendEntry>,
         ready: List<BackendEntry>,
-        draw: () -> Double,
         now: Timestamp,
     ): RoomDecision {
-        val arrivals = arrivals(needs, now)
-        if (isCalm(needs, candidates, arrivals, now)) return RoomDecision.Servers(candidates)
+        if (isCalm(needs, candidates, now)) return RoomDecision.Servers(candidates)
         val room = requiredRoom(needs, ready, now)
-        val spare = candidates.map { spareTokens(it, needs, room, now) }
-        if (arrivals <= 0 || spare.all { it < 0 }) return decision(candidates, needs, ready, now) { spare[it] }
-        val demand = memory.demand(needs.request.pool)
-        val margin = demand.tokensOfArrivals(arrivals / candidates.size, now)
-        val drawn = draw()
-        var begin = 0.0
-        return decision(candidates, needs, ready, now) { index ->
-            val part = if (spare[index] < 0) 0.0 else minOf(demand.arrivalsThatFit(spare[index], now) / arrivals, 1.0)
-            val isOpen = part > 0 && ((drawn - begin).mod(1.0) < part || isKept(candidates[index], needs, now))
-            begin += part
-            if (isOpen) 0 else minOf(spare[index] - margin, -1)
-        }
-    }
-
-    /** The servers for which [spareTokens] is not negative, or what the best of the others lacks. */
-    private fun decision(
-        candidates: List<BackendEntry>,
-        needs: Needs,
-        ready: List<BackendEntry>,
-        now: Timestamp,
-        spareTokens: (Int) -> Long,
-    ): RoomDecision {
-        val spare = LongArray(candidates.size) { spareTokens(it) }
-        val roomy = candidates.filterIndexed { index, _ -> spare[index] >= 0 }
+        val unreported = unreportedTokens(needs, room, candidates, now)
+        val roomy = candidates.filter { missingTokens(it, needs, room, unreported, now) <= 0 }
         if (roomy.isNotEmpty()) return RoomDecision.Servers(roomy)
-        return taken(-spare.max(), needs, ready.size, now)
+        val missing = candidates.minOf { missingTokens(it, needs, room, unreported, now) }
+        return RoomDecision.Taken(missing, freeAt(missing, needs, ready.size, now))
     }
 
-    private fun taken(missing: Long, needs: Needs, servers: Int, now: Timestamp) =
-        RoomDecision.Taken(missing, freeAt(missing, needs, servers, now))
-
-    /** Whether [server] is empty and the request so large that it would hardly ever find room for more than itself. */
-    private fun isKept(server: BackendEntry, needs: Needs, now: Timestamp) =
-        needs.isLarge && memory.committedTokens(server, now) == 0L
-
     /** What [request] needs of the servers of its pool, all of which have the memory that the pool declares. */
     private class Needs(
         val request: SelectionRequest,
@@ -147,9 +110,6 @@
                     ?.dropLast(1)
                     ?.sumOf { it.tokens.toLong() } ?: 0
             )
-
-        /** Whether one server of the pool is kept for requests of the size while they find no room. */
-        val isLarge = wholeTokens > capacityTokens / RESERVED_PARTS
     }
 
     /**
@@ -173,13 +133,10 @@
 
     /**
      * Whether every server obviously has room, so that nothing needs to be reckoned: the request takes less than a
-     * quarter of a server, no server has more than half of its memory committed, and all [arrivals] together would take
-     * less than the other half of one.
+     * quarter of a server, and no server has more than half of its memory committed.
      */
-    private fun isCalm(needs: Needs, servers: List<BackendEntry>, arrivals: Double, now: Timestamp): Boolean =
+    private fun isCalm(needs: Needs, servers: List<BackendEntry>, now: Timestamp): Boolean =
         needs.wholeTokens * CALM_REQUEST_PARTS < needs.capacityTokens &&
-            memory.demand(needs.request.pool).tokensOfArrivals(arrivals, now) * CALM_COMMITTED_PARTS <
-            needs.capacityTokens &&
             servers.none { memory.committedTokens(it, now) * CALM_COMMITTED_PARTS > needs.capacityTokens }
 
     /** Whether requests in all slots of a server could exceed its memory. */
@@ -198,35 +155,37 @@
         return RequiredRoom(general, server, refused)
     }
 
-    /** Tokens that [server] has beyond those that the request requires; negative if it lacks some. */
-    private fun spareTokens(server: BackendEntry, needs: Needs, room: RequiredRoom, now: Timestamp): Long {
+    /** Tokens that [server] lacks; not positive if it has room. */
+    private fun missingTokens(
+        server: BackendEntry,
+        needs: Needs,
+        room: RequiredRoom,
+        unreported: Long,
+        now: Timestamp,
+    ): Long {
         val request = needs.request
         val prompt = request.prompt ?: return 0
         val free = needs.capacityTokens - memory.committedTokens(server, now)
         val own = memory.additionalTokens(server.id, prompt, request.route, needs.capacityTokens)
         // The caller of a broken stream waits in the middle of it, so nothing is reserved for others.
-        if (isRepeated(request)) return free - minOf(own, needs.capacityTokens)
+        if (isRepeated(request)) return minOf(own, needs.capacityTokens) - free
         val isReserved = server.id == room.reservedServer && needs.wholeTokens < room.reservedTokens
-        if (isReserved) return free - own - room.reservedTokens
-        return free - minOf(maxOf(own, room.tokens), needs.capacityTokens)
+        if (isReserved) return own + room.reservedTokens + unreported - free
+        // An empty server takes whatever fits.
+        return minOf(maxOf(own, room.tokens) + unreported, needs.capacityTokens) - free
     }
 
-    /**
-     * Requests that ask the other routers for room while the oldest report gets as old as one of the last second was.
-     *
-     * The chance of a request must not depend on the present age: what others sent while reports were newer, and their
-     * chance better, is still unknown here.
-     */
-    private fun arrivals(needs: Needs, now: Timestamp): Double {
+    /** Tokens that the other routers may have sent to one of [servers] since their last reports. */
+    private fun unreportedTokens(needs: Needs, room: RequiredRoom, servers: List<BackendEntry>, now: Timestamp): Long {
         val others = routers() - 1
-        if (others <= 0 || isRepeated(needs.request)) return 0.0
-        val seconds = maxOf(ageMicroseconds(now), ages.value(now)).toDouble() / Timestamp.MICROSECONDS_PER_SECOND
-        return memory.demand(needs.request.pool).askedPerSecond(now) * others * seconds
+        if (others <= 0 || isRepeated(needs.request)) return 0
+        val open = servers.count { missingTokens(it, needs, room, unreported = 0, now) <= 0 }
+        if (open == 0) return 0
+        val demand = memory.demand(needs.request.pool)
+        val seconds = loads.reportAgeSeconds(now).coerceAtMost(MAXIMUM_AGE_SECONDS)
+        return demand.tokensOfArrivals(demand.askedPerSecond(now) * others * seconds / open, now)
     }
 
-    private fun ageMicroseconds(now: Timestamp): Long =
-        (loads.reportAgeSeconds(now).coerceAtMost(MAXIMUM_AGE_SECONDS) * Timestamp.MICROSECONDS_PER_SECOND).toLong()
-
     private fun isRepeated(request: SelectionRequest) = request.excluded.isNotEmpty()
 
     /** When the [servers] servers of the pool will have freed [missing] tokens each, as fast as they did recently. */
@@ -237,9 +196,6 @@
     }
 
     private companion object {
-        /** A preview tells what is more probable. */
-        const val EVEN_CHANCE = 0.5
-
         /** A request that needs less than one in this number of parts of a server is no reason to reckon. */
         const val CALM_REQUEST_PARTS = 4
 
@@ -251,8 +207,5 @@
 
         /** Reports that are older have expired. */
         const val MAXIMUM_AGE_SECONDS = 1.0
-
-        /** Longer than the time between two reports. */
-        const val AGE_MICROSECONDS = Timestamp.MICROSECONDS_PER_SECOND / 2
     }
 }
--- a/src/main/kotlin/azuredale/engine/ServerStatistics.kt
+++ b/src/main/kotlin/azuredale/engine/ServerStatistics.kt
@@ -48,7 +48,7 @@
     val memory = EngineMemory(loads, cacheTokens)
 
     /** Which servers have room in it. */
-    val room = ServerRoom(memory, loads, routers, random)
+    val room = ServerRoom(memory, loads, routers)
 
     /** Limits on the request rate that servers name. */
     val limits = ServerLimits(loads, routers, random, onLimitChange)
