--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -75,6 +75,7 @@
             spareQuarters = { capacity.spareQuarters },
             homes = HomeRouters(homeRegions, { view.catalog }, settings.regions::get),
         )
+    private val relief = CrowdRelief(log, routerAddresses::hasRoomElsewhere)
     private val intake = Intake(clock) { at, action -> dependencies.timer(at, action) }
     private val authorizer =
         RequestAuthorizer(
@@ -175,6 +176,7 @@
         val now = clock()
         val lag = intake.lagMicroseconds(now) / Timestamp.MICROSECONDS_PER_MILLISECOND
         capacity.record(work(lag), now)
+        relief.update(isCrowded = capacity.spareQuarters == 0, now)
         fleet.tick(lag, now)
         loadLog.tick(
             lagMilliseconds = lag,
@@ -222,6 +224,9 @@
     /** Whether this router accepts requests. */
     fun isReady(): Boolean = fleet.isReady()
 
+    /** Whether the platform and callers should find this router ready; a crowded one may send its callers elsewhere. */
+    fun isOpen(): Boolean = isReady() && !relief.isWithheld
+
     private fun work(lagMilliseconds: Long) = RouterWork(
         lagMilliseconds = lagMilliseconds,
         waiting = intake.waiting,
@@ -248,6 +253,7 @@
 
     private fun exposeMetrics() {
         metrics.gauge("ready") { if (isReady()) 1.0 else 0.0 }
+        metrics.gauge("readiness.withheld") { if (relief.isWithheld) 1.0 else 0.0 }
         metrics.gauge("requests.waiting") { intake.waiting.toDouble() }
         metrics.gauge("capacity.spare.quarters") { capacity.spareQuarters.toDouble() }
         metrics.gauge("requests.running") { running.toDouble() }
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -38,6 +38,8 @@
     ROUTER_OVERLOADED(2240, Level.WARN, "router cannot keep up; callers are sent to others"),
     ROUTER_CROWDED(2260, Level.INFO, "router is crowded; callers are sent to others"),
     ROUTER_RELIEVED(2261, Level.INFO, "router is crowded no longer; callers come back in parts"),
+    READINESS_WITHHELD(2262, Level.INFO, "router is crowded and not ready; callers that keep to it go elsewhere"),
+    READINESS_RESTORED(2263, Level.INFO, "router is ready again"),
     SERVER_LEAVING(2241, Level.INFO, "backend server says that it leaves"),
     SERVER_ON_HOLD(2242, Level.INFO, "backend server wants no requests for a while"),
     UNEXPECTED_BYTES(2243, Level.INFO, "backend server sent bytes that belong to no request; connection closed"),
--- a/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterAddresses.kt
@@ -43,6 +43,17 @@
         return (if (isSelective(ready)) select(ready, caller) else all(ready)) to lifetime
     }
 
+    /**
+     * Whether the other routers have room for the callers of this one and of all that are crowded, in a fleet that
+     * gives its callers selections.
+     */
+    fun hasRoomElsewhere(): Boolean {
+        val ready = readyRouters()
+        if (!isSelective(ready)) return false
+        val (calm, crowded) = ready.partition { !it.isCrowded && it.router != settings.router }
+        return calm.sumOf { it.spare } >= weight(crowded)
+    }
+
     private fun readyRouters(): List<Candidate> {
         val ready = ArrayList<Candidate>()
         if (isReady()) {
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -77,7 +77,7 @@
             )
         val callbacks =
             EndpointCallbacks(
-                isReady = daemon.gateway::isReady,
+                isReady = daemon.gateway::isOpen,
                 addresses = daemon.gateway::addresses,
                 metrics = daemon.gateway.metrics::scrape,
                 explain = daemon.gateway.explanations::answer,
--- a/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformEndpoints.kt
@@ -24,7 +24,7 @@
 
 /** Queries by which [PlatformEndpoints] reads the router's state. */
 internal class EndpointCallbacks(
-    /** Whether this router accepts requests. */
+    /** Whether callers should come to this router. */
     val isReady: () -> Boolean,
     /** Addresses of routers for a caller, and their lifetime in seconds. */
     val addresses: (AddressCaller) -> Pair<List<NetworkAddress>, Double>,
