--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -14,7 +14,6 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
-import azuredale.intake.StartupHold
 import azuredale.logging.EventLog
 import azuredale.peers.Peer
 import azuredale.peers.PeerCallbacks
@@ -50,8 +49,6 @@
 ) {
     private val firstReads = FirstReadDelay(clock(), StableHash.of(settings.router.name))
 
-    private val startupHold = StartupHold(clock(), settings.weight)
-
     /** Declared memory of the registered servers. */
     private var cacheTokens: Map<ServerId, Long> = emptyMap()
     private val clockJumps = ClockJumpDetector(clock, wallClock)
@@ -181,7 +178,6 @@
     /** Runs periodic work that is due; [lag] is how many milliseconds this router is late. */
     fun tick(lag: Long, now: Timestamp) {
         checkClocks()
-        startupHold.record(lag, isLoaded(), now)
         poller.tick(lag, now)
         poller.logFreshnessChange(now)
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
@@ -208,19 +204,12 @@
         }
     }
 
-    /** Whether callers should come to this router. */
-    fun isReady(): Boolean = !gracefulStop.isBegun && isLoaded() && isCatalogFresh(clock()) && !isStarting()
-
-    private fun isLoaded(): Boolean = view.catalog != null && quarantine.isKnown && view.evacuations.isKnown
-
-    private fun isStarting(): Boolean {
-        val peers = exchange.peers
-        return startupHold.isHeld(
-            knownWeight = settings.weight + peers.all.sumOf { it.weight },
-            readyWeight = peers.alive.filter { it.isReady }.sumOf { it.weight },
-            now = clock(),
-        )
-    }
+    /** Whether this router accepts requests. */
+    fun isReady(): Boolean = !gracefulStop.isBegun &&
+        view.catalog != null &&
+        quarantine.isKnown &&
+        view.evacuations.isKnown &&
+        isCatalogFresh(clock())
 
     /** Whether the catalog is proven to be recent enough for decisions. */
     fun isCatalogFresh(now: Timestamp): Boolean {
