--- a/src/main/kotlin/azuredale/engine/LoadTracker.kt
+++ b/src/main/kotlin/azuredale/engine/LoadTracker.kt
@@ -21,6 +21,10 @@
     private val totals = HashMap<Int, ServerLoad>()
     private var nextExpiryAt = Timestamp.DISTANT_FUTURE
 
+    /** Counts the changes of loads, so that unchanged loads need not be compared. */
+    var changes: Long = 0
+        private set
+
     /** Work sent by this router, for reports to other routers. */
     val localLoads: Map<ServerId, ServerLoad> get() = local
 
@@ -49,6 +53,7 @@
 
     /** Adds [change], which may be negative, to this router's work at [server]. */
     fun add(server: ServerId, change: ServerLoad) {
+        changes++
         val updated = (local[server] ?: ServerLoad.NONE) + change
         if (updated == ServerLoad.NONE) local.remove(server) else local[server] = updated
     }
@@ -56,6 +61,7 @@
     /** Replaces the loads reported by [router], which hold as of [asOf] and expire at [validUntil]. */
     fun updatePeer(router: RouterId, loads: Map<Int, ServerLoad>, validUntil: Timestamp, asOf: Timestamp) {
         removePeer(router)
+        changes++
         peers[router] = ReportedLoads(loads, validUntil, asOf)
         nextExpiryAt = minOf(nextExpiryAt, validUntil)
         loads.forEach { (server, load) -> totals.merge(server, load, ServerLoad::plus) }
@@ -64,6 +70,7 @@
     /** Removes the loads reported by [router]. */
     fun removePeer(router: RouterId) {
         val removed = peers.remove(router) ?: return
+        changes++
         removed.loads.forEach { (server, load) ->
             val left = (totals[server] ?: ServerLoad.NONE) - load
             if (left == ServerLoad.NONE) totals.remove(server) else totals[server] = left
--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -15,6 +15,7 @@
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
 import azuredale.logging.EventLog
+import azuredale.peers.LoadUrgency
 import azuredale.peers.Peer
 import azuredale.peers.PeerCallbacks
 import azuredale.peers.PeerExchange
@@ -51,6 +52,9 @@
 
     /** Declared memory of the registered servers. */
     private var cacheTokens: Map<ServerId, Long> = emptyMap()
+
+    /** Change of the wait at an engine that callers notice, null without routes to engines. */
+    private var noticeableMilliseconds: Double? = null
     private val clockJumps = ClockJumpDetector(clock, wallClock)
 
     /** Identifies this process of the router among earlier ones. */
@@ -130,6 +134,7 @@
             isReady = { isReady() },
             isOverloaded = { capacity.isOverloaded(clock()) },
             spareQuarters = { capacity.spareQuarters },
+            noticeableMilliseconds = { noticeableMilliseconds },
         )
 
     /** Reads of the store. */
@@ -233,6 +238,7 @@
 
     private fun storeChanged(isCatalogNew: Boolean) {
         cacheTokens = view.directory.entries.mapValues { declaredTokens(it.value.pool) }
+        noticeableMilliseconds = view.catalog?.let(LoadUrgency::noticeableMilliseconds)
         statistics.updateDirectory(view.directory, clock())
         dependencies.onChange()
         if (isCatalogNew) exchange.report(clock())
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -97,6 +97,7 @@
             regionOf = settings.regions::get,
             weighsPrefixes = settings.weighsPrefixes,
         )
+    private val loadLog = RouterLoadLog(log)
     private val context =
         GatewayContext(
             settings = settings,
@@ -130,6 +131,10 @@
                     onAnswered = fleet.quarantine::recordAnswer,
                     onSent = { server, parts -> exchange.promptSent(server.idHash, parts, clock()) },
                     onExcluded = { log.write(GatewayLogEvent.SERVER_EXCLUDED, "server" to it.server.id) },
+                    onLoadsUsed = { asOf, now ->
+                        metrics.recordLoadAge(asOf, now)
+                        loadLog.recordLoadsUsed(asOf, now)
+                    },
                 ),
             budgets =
                 RequestBudgets(
@@ -147,7 +152,6 @@
 
     /** Answers of this router to operators who ask where a request would go. */
     val explanations = ExplainEndpoint(RoutingExplainer(context, view, statistics), clock) { intake.waiting > 0 }
-    private val loadLog = RouterLoadLog(log)
     private val unreadRequests = UnreadRequests(intake, capacity, metrics, loadLog, log, clock, random::nextDouble)
     private val prefixLog = PrefixLog(statistics.prefixes, log)
     private val serviceLog = ServiceLog({ view.catalog }, { view.directory }, statistics, log)
@@ -182,6 +186,7 @@
             spareQuarters = capacity.spareQuarters,
             knownRouters = exchange.peers.all.size + 1,
             directoryAge = fleet.poller.directoryAgeMilliseconds(now),
+            earlyReports = exchange.earlyRounds,
             now = now,
         )
         prefixLog.tick(now)
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -24,6 +24,7 @@
     private val onSent: (BackendEntry, List<PromptPart>) -> Unit,
     private val onAnswered: (PromptShape, Timestamp) -> Unit,
     private val onExcluded: (ServerSelection.Selected) -> Unit,
+    private val onLoadsUsed: (asOf: Timestamp, now: Timestamp) -> Unit,
 ) {
     fun create(
         selection: ServerSelection.Selected,
@@ -32,6 +33,7 @@
         now: Timestamp,
     ): AttemptRecorder {
         val shared = prompt?.sharedParts.orEmpty()
+        if (prompt != null) statistics.loads.oldestReport(now)?.let { onLoadsUsed(it, now) }
         val parts = if (shared.isEmpty()) null else statistics.recordPrompt(selection.server.id, shared, now)
         if (parts != null) onSent(selection.server, shared)
         return AttemptRecorder(
--- a/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
@@ -27,6 +27,7 @@
     gauge("routers.alive") { exchange.peers.alive.size + 1.0 }
     gauge("directories.learned") { exchange.directoriesLearned.toDouble() }
     gauge("datagrams.sent") { exchange.datagramsSent.toDouble() }
+    gauge("reports.early") { exchange.earlyRounds.toDouble() }
     gauge("datagram.bytes.sent") { exchange.bytesSent.toDouble() }
 }
 
--- a/src/main/kotlin/azuredale/gateway/GatewayMetrics.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayMetrics.kt
@@ -15,6 +15,7 @@
     private val firstEventLatency = histogram("azuredale.first.event.milliseconds")
     private val serverEnds = Counter.builder("azuredale.server.ends").register(registry)
     private val requestDuration = histogram("azuredale.request.milliseconds")
+    private val loadAge = histogram("azuredale.load.age.milliseconds")
 
     /** Counts a finished request; [kind] is null unless this router refused it. */
     public fun recordEnd(kind: ErrorKind?, arrivedAt: Timestamp, firstEventAt: Timestamp?, now: Timestamp) {
@@ -34,6 +35,11 @@
         serverEnds.increment()
     }
 
+    /** Records that a prompt was placed by the loads of other routers as of [asOf]. */
+    public fun recordLoadAge(asOf: Timestamp, now: Timestamp) {
+        loadAge.record(milliseconds(asOf, now))
+    }
+
     /** Registers a gauge that reads [value] at each scrape. */
     public fun gauge(name: String, value: () -> Double) {
         Gauge.builder("azuredale.$name", value) { it() }.strongReference(true).register(registry)
--- a/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterLoadLog.kt
@@ -16,6 +16,8 @@
     private var fewestAddresses = Int.MAX_VALUE
     private val addressCallers = HashSet<String>()
     private var longestLag = 0L
+    private var oldestLoads = 0L
+    private var loggedEarlyReports = 0L
 
     /** Records that a caller's request was read. */
     fun recordRequest() {
@@ -32,6 +34,11 @@
         fewestAddresses = minOf(fewestAddresses, count)
     }
 
+    /** Records that a prompt was placed by the loads of other routers as of [asOf]. */
+    fun recordLoadsUsed(asOf: Timestamp, now: Timestamp) {
+        oldestLoads = maxOf(oldestLoads, now.microsecondsSince(asOf) / Timestamp.MICROSECONDS_PER_MILLISECOND)
+    }
+
     /**
      * Records periodic work, and writes the line if it is due.
      *
@@ -40,6 +47,7 @@
      * @param spareQuarters quarters of the router's capacity that are spare.
      * @param knownRouters routers, including this one, that the router knows of.
      * @param directoryAge milliseconds since the directory was known to be the newest, null if it never was.
+     * @param earlyReports rounds of early reports since the start.
      */
     fun tick(
         lagMilliseconds: Long,
@@ -47,6 +55,7 @@
         spareQuarters: Int,
         knownRouters: Int,
         directoryAge: Long?,
+        earlyReports: Long,
         now: Timestamp,
     ) {
         longestLag = maxOf(longestLag, lagMilliseconds)
@@ -65,6 +74,8 @@
                 "fewestAddresses" to fewestAddresses.takeIf { addressAnswers > 0 },
                 "knownRouters" to knownRouters,
                 "directoryAge" to directoryAge,
+                "loadAge" to oldestLoads,
+                "earlyReports" to earlyReports - loggedEarlyReports,
             )
         }
         requests = 0
@@ -73,6 +84,8 @@
         addressCallers.clear()
         fewestAddresses = Int.MAX_VALUE
         longestLag = 0
+        oldestLoads = 0
+        loggedEarlyReports = earlyReports
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/membership/ByteTokenBucket.kt
+++ b/src/main/kotlin/azuredale/membership/ByteTokenBucket.kt
@@ -20,6 +20,11 @@
         refilledAt = now
     }
 
+    /** Withdraws [bytes] that were sent, also if fewer are available; then later traffic has to wait longer. */
+    fun withdraw(bytes: Int) {
+        available -= bytes
+    }
+
     /** Withdraws [bytes] if that many are available; otherwise withdraws nothing and returns false. */
     fun tryConsume(bytes: Int): Boolean {
         val isAvailable = available >= bytes
--- a/src/main/kotlin/azuredale/peers/LoadExchange.kt
+++ b/src/main/kotlin/azuredale/peers/LoadExchange.kt
@@ -101,7 +101,7 @@
         /** Larger than the memory of a server, and small enough for a sum over the reports of all routers. */
         const val MAXIMUM_COMMITTED_TOKENS = 10_000_000
 
-        /** Reports within the time in which a relay answers. */
-        const val REMEMBERED_STATES = 16
+        /** Reports, early ones included, within the time in which a relay answers. */
+        const val REMEMBERED_STATES = 64
     }
 }
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -31,6 +31,7 @@
     isReady: () -> Boolean,
     isOverloaded: () -> Boolean = { false },
     spareQuarters: () -> Int = { SpareCapacity.ALL },
+    noticeableMilliseconds: () -> Double? = { null },
 ) {
     private val codec = PeerCodec()
     private val table = PeerTable(settings.router)
@@ -55,6 +56,7 @@
             spareQuarters,
         )
     private val periods = ReportPeriods(settings, table, topology)
+    private val early = EarlyReports(view, statistics, topology, writer, noticeableMilliseconds)
     private val loadExchange = LoadExchange(settings, incarnation, view, statistics, usage, topology, periods)
     private val proofExchange =
         ProofExchange(
@@ -81,6 +83,9 @@
     var bytesSent: Long = 0
         private set
 
+    /** Number of rounds of early reports, for metrics. */
+    val earlyRounds: Long get() = early.rounds
+
     /** Number of directories that this router learned from others instead of the store, for metrics. */
     val directoriesLearned: Long get() = directoryExchange.adoptions
 
@@ -112,8 +117,19 @@
             if (!peer.isAlive) statistics.loads.removePeer(peer.router)
             callbacks.onPeerChanged(peer)
         }
-        if (now < nextReportAt) return
-        report(now)
+        if (now < nextReportAt) reportEarly(now) else report(now)
+    }
+
+    private fun reportEarly(now: Timestamp) {
+        val scopes = early.dueScopes(now)
+        if (scopes.isEmpty()) return
+        loadExchange.rememberState(now, writer.beginEarly(now))
+        val encoded = scopes.associateWith { codec.encodeReport(writer.writeEarly(it, now)) }
+        table.all.forEach { peer ->
+            val report = topology.earlyScopeFor(peer, now)?.let(encoded::get)
+            if (report != null) send(peer, report, now)
+        }
+        early.recordSent(encoded.values.maxOf { it.size }, now)
     }
 
     /** Brings the next report forward after this router obtained a newer proof of freshness from the store. */
--- a/src/main/kotlin/azuredale/peers/RelayTopology.kt
+++ b/src/main/kotlin/azuredale/peers/RelayTopology.kt
@@ -60,6 +60,10 @@
         else -> ReportScope.FAILURE_DOMAIN.takeIf { relays[peer.failureDomain] == peer.router }
     }
 
+    /** What an early report to [peer] adds up, or null if [peer] gets none: only routers that use the loads do. */
+    fun earlyScopeFor(peer: Peer, now: Timestamp): ReportScope? =
+        if (isMesh || !peer.isAlive || peer.failureDomain == null) null else scopeFor(peer, now)
+
     /** Records that a report of [scope] is sent to [peer]; relays that report to each other expect reports. */
     fun recordSent(peer: Peer, scope: ReportScope, now: Timestamp) {
         if (scope != ReportScope.FAILURE_DOMAIN) return
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -8,6 +8,7 @@
 import azuredale.gateway.GatewaySettings
 import azuredale.identity.Incarnation
 import azuredale.time.Timestamp
+import java.util.EnumMap
 
 /** Loads and usage of this router as contained in one of its reports. */
 internal class ReportedState(
@@ -48,6 +49,10 @@
     private var lastUsage: Map<Int, TokenUsage> = emptyMap()
     private var roundLoads: Map<Int, ServerLoad> = emptyMap()
     private var roundAt = Timestamp.DISTANT_PAST
+    private val reportedLoads = EnumMap<ReportScope, Map<Int, ServerLoad>>(ReportScope::class.java)
+
+    /** The loads of [scope] as of the latest report that added it up. */
+    fun reported(scope: ReportScope): Map<Int, ServerLoad> = reportedLoads[scope].orEmpty()
 
     /** Adds a prompt part read by a server through a router of this failure domain, for the next reports. */
     fun addDomainRead(read: ReadEntry, now: Timestamp) {
@@ -73,6 +78,11 @@
         }
         isLivenessDue = topology.isRelay && now >= lastLivenessAt.plusMilliseconds(livenessPeriod(now))
         if (isLivenessDue) lastLivenessAt = now
+        return beginEarly(now)
+    }
+
+    /** Begins a round of early reports, which contain loads only, and returns this router's own state as reported. */
+    fun beginEarly(now: Timestamp): ReportedState {
         roundLoads = ownLoads(now)
         roundAt = now
         return ReportedState(roundLoads, lastUsage)
@@ -92,7 +102,7 @@
         sender = ownState(),
         catalog = ProofEntry(view.revision.value, age(view.catalogProof.at, now)),
         directory = ProofEntry(view.directoryDigest.toLong(), age(view.directoryProof.at, now)),
-        loads = loads(scope, now).map { (server, load) -> loadEntry(server, load) },
+        loads = loadEntries(scope, now),
         reads = if (scope == ReportScope.FLEET) roundFleetReads else roundDomainReads,
         usage = if (isUsageDue) usageEntries(scope, now) else emptyList(),
         routers = if (topology.isMesh) routersToReport() else emptyList(),
@@ -106,6 +116,17 @@
         directoryNews = if (topology.isMesh) null else directory.news(scope, now),
     )
 
+    /** Returns a report of the loads of [scope] alone, which routers read like any other. */
+    fun writeEarly(scope: ReportScope, now: Timestamp) = PeerReport(
+        sender = ownState(),
+        catalog = ProofEntry(view.revision.value, NO_AGE),
+        directory = ProofEntry(view.directoryDigest.toLong(), NO_AGE),
+        loads = loadEntries(scope, now),
+        reads = emptyList(),
+        routers = emptyList(),
+        scope = scope.ordinal,
+    )
+
     private fun liveness(scope: ReportScope, now: Timestamp): ByteArray? {
         if (!isLivenessDue || scope == ReportScope.ROUTER) return null
         return PackedLiveness.pack(table.all, { isIncluded(scope, it) }, now)
@@ -140,8 +161,13 @@
         return loads
     }
 
-    private fun loadEntry(server: Int, load: ServerLoad) =
-        LoadEntry(server, load.waitingTokens, load.running, load.recentRequests, load.committedTokens)
+    private fun loadEntries(scope: ReportScope, now: Timestamp): List<LoadEntry> {
+        val loads = loads(scope, now)
+        reportedLoads[scope] = loads
+        return loads.map { (server, load) ->
+            LoadEntry(server, load.waitingTokens, load.running, load.recentRequests, load.committedTokens)
+        }
+    }
 
     private fun limitEntries(now: Timestamp): List<LimitEntry> =
         statistics.limits.recentChanges(now).take(MAXIMUM_LIMITS).map { record ->
@@ -153,7 +179,8 @@
             )
         }
 
-    private fun loads(scope: ReportScope, now: Timestamp): Map<Int, ServerLoad> {
+    /** The loads of [scope], as of the beginning of the round at [now], if there is one. */
+    fun loads(scope: ReportScope, now: Timestamp): Map<Int, ServerLoad> {
         val own = if (now == roundAt) roundLoads else ownLoads(now)
         if (scope == ReportScope.ROUTER) return own
         val sums = HashMap(own)
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -30,6 +30,7 @@
     private val bounds: FleetBounds,
     private val weight: (Int) -> Double,
     private val isRunning: Boolean,
+    private val noticeableMilliseconds: Double? = null,
 ) {
     /** A fleet whose routers know each other and the servers. */
     constructor(routers: Int, domains: Int, weight: (Int) -> Double = ::mixedWeight) :
@@ -39,6 +40,10 @@
     constructor(routers: Int, domains: Int, bounds: FleetBounds) :
         this(routers, domains, bounds, ::mixedWeight, isRunning = true)
 
+    /** The same fleet, whose callers notice waits that change by [noticeableMilliseconds]. */
+    constructor(routers: Int, domains: Int, noticeableMilliseconds: Double?) :
+        this(routers, domains, FleetBounds(), ::mixedWeight, isRunning = true, noticeableMilliseconds)
+
     class Node(
         val router: RouterId,
         val address: NetworkAddress,
@@ -159,6 +164,7 @@
                 isReady = { true },
                 isOverloaded = { node.isOverloaded },
                 spareQuarters = { node.spareQuarters },
+                noticeableMilliseconds = { noticeableMilliseconds },
             )
         byAddress[address] = node
         return node
