--- a/src/test/kotlin/azuredale/peers/EarlyReportsSpec.kt
+++ b/src/test/kotlin/azuredale/peers/EarlyReportsSpec.kt
@@ -10,7 +10,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Load pattern: few routers of a large fleet fill the engines, or demand moves, while the other routers send little. */
+/** Load pattern: few routers of a large fleet fill the engines, or demand moves, while the others send little. */
 class EarlyReportsSpec {
     enum class Fault { NONE, DEMAND_MOVES, RELAY_LOST, REPORTS_LOST }
 
@@ -107,7 +107,7 @@
     private companion object {
         const val SEEDS = 3
 
-        /** Prompts a second of the fleet without and with the flood; the engines read at most 1,060 without first parts. */
+        /** Prompts a second of the fleet without and with the flood; engines read 1,060 if they keep the first parts. */
         const val CALM_RATE = 300.0
         const val RATE = 400.0
 
