--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -132,6 +132,10 @@
                     onAnswered = fleet.quarantine::recordAnswer,
                     onSent = { server, parts -> exchange.promptSent(server.idHash, parts, clock()) },
                     onExcluded = { log.write(GatewayLogEvent.SERVER_EXCLUDED, "server" to it.server.id) },
+                    onLoadsUsed = { asOf, now ->
+                        metrics.recordLoadAge(asOf, now)
+                        loadLog.recordLoadsUsed(asOf, now)
+                    },
                 ),
             budgets =
                 RequestBudgets(
@@ -184,6 +188,7 @@
             spareQuarters = capacity.spareQuarters,
             knownRouters = exchange.peers.all.size + 1,
             directoryAge = fleet.poller.directoryAgeMilliseconds(now),
+            earlyReports = exchange.earlyRounds,
             now = now,
         )
         prefixLog.tick(now)
