--- a/src/test/kotlin/azuredale/gateway/CrowdReliefSpec.kt
+++ b/src/test/kotlin/azuredale/gateway/CrowdReliefSpec.kt
@@ -1,5 +1,6 @@
 package azuredale.gateway
 
+import azuredale.intake.SpareCapacity
 import azuredale.logging.EventLog
 import azuredale.peers.SimulatedExchange
 import kotlin.test.Test
@@ -54,16 +55,28 @@
         assertFalse(fleet.isWithheld(fleet.nodes[1]))
     }
 
+    /** Seconds for which a router is not ready that is crowded for two seconds at each of [times], in seconds. */
+    private fun unreadySeconds(vararg times: Int): Int {
+        val fleet = fleet()
+        val relief = relief(fleet.nodes[1])
+        return (0 until 60).count { second ->
+            val isCrowded = times.any { second in it until it + 2 }
+            fleet.nodes[1].spareQuarters = if (isCrowded) 0 else SpareCapacity.ALL
+            relief.update(isCrowded, fleet.now.plusSeconds(second.toLong()))
+            relief.isWithheld
+        }
+    }
+
     @Test
     fun `a router that is crowded no longer is ready again`() {
         // Guards against a router that stays without callers.
-        val fleet = fleet()
-        val node = fleet.nodes[1]
-        val relief = relief(node)
-        node.spareQuarters = 0
-        relief.update(isCrowded = true, fleet.now)
-        val before = relief.isWithheld
-        relief.update(isCrowded = false, fleet.now.plusMilliseconds(300))
-        assertEquals(listOf(true, false), listOf(before, relief.isWithheld))
+        assertEquals(5, unreadySeconds(0))
+        assertEquals(10, unreadySeconds(0, 30))
+    }
+
+    @Test
+    fun `a router that is crowded again soon stays unready for longer`() {
+        // Guards against callers that come back to the same small VM again and again.
+        assertEquals(5 + 10 + 20, unreadySeconds(0, 6, 18))
     }
 }
