--- a/src/main/kotlin/azuredale/engine/EnginePlacement.kt
+++ b/src/main/kotlin/azuredale/engine/EnginePlacement.kt
@@ -191,27 +191,17 @@
         val repeatedTokens = outline.repeatedTokens(selection.uncachedTokens)
         if (repeatedTokens == 0) return 0.0
         if (!weighsPrefixes) return repeatedTokens * millisecondsPerToken * PrefixWeighing.LEAST_BEHIND
-        val holdMilliseconds = statistics.latency(server.pool).holdMilliseconds
-        val readMilliseconds = outline.ownTokens * millisecondsPerToken
         val behind =
             PrefixWeighing.requestsBehind(
                 running = selection.load.running,
                 waitMilliseconds = selection.predictedMilliseconds,
-                holdMilliseconds = holdMilliseconds,
-                readMilliseconds = readMilliseconds,
+                holdMilliseconds = statistics.latency(server.pool).holdMilliseconds,
+                readMilliseconds = outline.ownTokens * millisecondsPerToken,
                 slots = server.slots,
             )
-        val spareTime =
-            PrefixWeighing.spareTime(
-                running = selection.load.running,
-                waitMilliseconds = selection.predictedMilliseconds,
-                holdMilliseconds = holdMilliseconds,
-                readMilliseconds = readMilliseconds,
-            )
         val repeated = (repeatedTokens - outline.unheldTokens).coerceAtLeast(0) * millisecondsPerToken * behind
         val first = outline.unheldTokens * millisecondsPerToken * PrefixWeighing.LEAST_BEHIND
-        val value = outline.valueOfAnotherHolder(millisecondsPerToken, spareTime)
-        return first + (repeated - value).coerceAtLeast(0.0)
+        return first + (repeated - outline.valueOfAnotherHolder(millisecondsPerToken)).coerceAtLeast(0.0)
     }
 
     private fun affinityMilliseconds(
--- a/src/main/kotlin/azuredale/engine/PromptOutline.kt
+++ b/src/main/kotlin/azuredale/engine/PromptOutline.kt
@@ -51,12 +51,9 @@
     /** Tokens of shared parts that a server reads which has [uncachedTokens] of the prompt to read. */
     fun repeatedTokens(uncachedTokens: Int): Int = (uncachedTokens - ownTokens).coerceAtLeast(0)
 
-    /**
-     * What one more holder of the session saves, in milliseconds, at servers that read at [millisecondsPerToken], if
-     * the further holder has [spareTime] as a part of its time.
-     */
-    fun valueOfAnotherHolder(millisecondsPerToken: Double, spareTime: Double): Double =
-        PrefixWeighing.valueOfAnotherHolder(ratePerSecond, ownTokens * millisecondsPerToken, holders, spareTime)
+    /** What one more holder of the session saves, in milliseconds, at servers that read at [millisecondsPerToken]. */
+    fun valueOfAnotherHolder(millisecondsPerToken: Double): Double =
+        PrefixWeighing.valueOfAnotherHolder(ratePerSecond, ownTokens * millisecondsPerToken, holders)
 
     /**
      * What it costs to read the parts that no server keeps elsewhere than at [home], in milliseconds: another router,
