Review case 9: uploads in chunks end the router's process

A body in chunks that outgrows the budget is refused, but the handler that reads the rest still refers to what was read. Order of events: 10 uploads of 4 MiB a second, in chunks, over links of 10 Mbit/s; a burst of 1.7 times for 3 s; the bodies of refused requests fill the heap; the process ends with OutOfMemoryError, and requests of calm clients that were passed on are cut.

The case on planned stops becomes 10.

--- a/review/standin-2/CalmCallers.java
+++ b/review/standin-2/CalmCallers.java
@@ -22,7 +22,8 @@
     private static final double TIMEOUT_SECONDS = 2;
     private static final double SLACK_SECONDS = 0.5;
     private static final int DEADLINE_MILLISECONDS = 4_000;
-    private static final int WORK_MILLISECONDS = 300;
+    private static final int USUAL_SERVERS = 3;
+    private static final int USUAL_WORK_MILLISECONDS = 300;
 
     private final Lab lab;
     private final Set<String> run = ConcurrentHashMap.newKeySet();
@@ -35,12 +36,17 @@
     final AtomicInteger unanswered = new AtomicInteger();
 
     CalmCallers(Lab lab) throws IOException {
+        this(lab, USUAL_SERVERS, USUAL_WORK_MILLISECONDS);
+    }
+
+    /** Starts the service, with [servers] of six slots that take [workMilliseconds] for a request. */
+    CalmCallers(Lab lab, int servers, int workMilliseconds) throws IOException {
         this.lab = lab;
-        for (int i = 1; i <= 3; i++) {
+        for (int i = 1; i <= servers; i++) {
             lab.new Server("calm-" + i, "calm", 6, (request, input, output) -> {
                 Lab.readBody(input, request, 65_536, (bytes, count) -> {});
                 run.add(request.header("X-Azuredale-Request-Id"));
-                Lab.sleep(WORK_MILLISECONDS);
+                Lab.sleep(workMilliseconds);
                 output.write(Lab.ascii(Lab.head(request, 200, "OK", "Content-Length: 2") + "ok"));
                 output.flush();
                 return true;
--- a/review/standin-2/PlannedStop.java
+++ b/review/standin-2/PlannedStop.java
@@ -2,7 +2,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 9: a router is stopped while clients are still reading long answers; its process ends before they have them. */
+/** Case 10: a router is stopped while clients are still reading long answers; its process ends before they have them. */
 final class PlannedStop {
     private static final int CLIENTS = 12;
     private static final int ANSWER_BYTES = 2_000_000;
