--- a/src/main/kotlin/azuredale/admission/TeamUsage.kt
+++ b/src/main/kotlin/azuredale/admission/TeamUsage.kt
@@ -35,6 +35,7 @@
 
     private class ReportedUsage(
         val usage: Map<Int, TokenUsage>,
+        val asOf: Timestamp,
         val validUntil: Timestamp,
     )
 
@@ -60,11 +61,14 @@
         return sums
     }
 
-    /** Replaces the usage reported by [router], which expires at [validUntil]. */
-    fun updatePeer(router: RouterId, usage: Map<Int, TokenUsage>, validUntil: Timestamp) {
-        peers[router] = ReportedUsage(usage, validUntil)
+    /** Replaces the usage reported by [router], which is as of [asOf] and expires at [validUntil]. */
+    fun updatePeer(router: RouterId, usage: Map<Int, TokenUsage>, asOf: Timestamp, validUntil: Timestamp) {
+        peers[router] = ReportedUsage(usage, asOf, validUntil)
     }
 
+    /** Time of the oldest usage of other routers that is in the sums, null if there is none. */
+    fun oldestReport(): Timestamp? = peers.values.minOfOrNull { it.asOf }
+
     /** Removes the usage reported by all routers except [kept]. */
     fun retainPeer(kept: RouterId?) {
         peers.keys.retainAll { it == kept }
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -145,7 +145,7 @@
                 ),
             backends = dependencies.backends,
             failureHeaders = dependencies.failureHeaders,
-            loadLogs = LoadLogs(ShareLog(shares, { view.catalog }, log), loadLog),
+            loadLogs = LoadLogs(ShareLog(shares, usage, { view.catalog }, log), loadLog),
             metrics = metrics,
             log = log,
             timer = dependencies.timer,
--- a/src/main/kotlin/azuredale/gateway/ShareLog.kt
+++ b/src/main/kotlin/azuredale/gateway/ShareLog.kt
@@ -9,6 +9,7 @@
 /** Logs the shares of the teams while requests are refused for load, at most once a second. */
 internal class ShareLog(
     private val shares: FairShares,
+    private val usage: TeamUsage,
     private val catalog: () -> Catalog?,
     private val log: EventLog,
 ) {
@@ -30,6 +31,8 @@
             "capacity" to current.capacity,
             "fairShare" to current.fairShare.takeIf { it.isFinite() }?.toLong(),
             "gap" to "%.2f".format(current.gap),
+            "usageAge" to
+                usage.oldestReport()?.let { now.microsecondsSince(it) / Timestamp.MICROSECONDS_PER_MILLISECOND },
             "teams" to teams,
         )
     }
--- a/src/main/kotlin/azuredale/peers/LoadExchange.kt
+++ b/src/main/kotlin/azuredale/peers/LoadExchange.kt
@@ -85,8 +85,7 @@
             router = peer.router,
             loads = loads,
             validUntil = now.plusMilliseconds(periods.peerTimeoutMilliseconds()),
-            // Each relay adds loads that were reported to it half a period ago on average.
-            asOf = now.plusMilliseconds(-scope.ordinal * periods.milliseconds() / 2),
+            asOf = meanTime(scope, periods.milliseconds(), now),
         )
         if (report.usage.isEmpty()) return
         val teams = HashMap<Int, TokenUsage>()
@@ -94,9 +93,18 @@
             val sum = TokenUsage(entry.requested.coerceAtLeast(0), entry.granted.coerceAtLeast(0))
             teams[entry.team] = included?.usage?.get(entry.team)?.let { sum - it } ?: sum
         }
-        usage.updatePeer(peer.router, teams, now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS))
+        usage.updatePeer(
+            router = peer.router,
+            usage = teams,
+            asOf = meanTime(scope, periods.usageMilliseconds(), now),
+            validUntil = now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS),
+        )
     }
 
+    /** Each relay adds what was reported to it half a period ago on average. */
+    private fun meanTime(scope: ReportScope, periodMilliseconds: Long, now: Timestamp): Timestamp =
+        now.plusMilliseconds(-scope.ordinal * periodMilliseconds / 2)
+
     private companion object {
         /** Larger than the memory of a server, and small enough for a sum over the reports of all routers. */
         const val MAXIMUM_COMMITTED_TOKENS = 10_000_000
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -21,41 +21,38 @@
  * late report only makes decisions less accurate or causes an additional call to the store.
  */
 internal class PeerExchange(
-    settings: GatewaySettings,
-    incarnation: Incarnation,
+    private val settings: GatewaySettings,
+    private val incarnation: Incarnation,
     private val view: StoreView,
     private val statistics: ServerStatistics,
     usage: TeamUsage,
     quarantine: Quarantine,
     private val callbacks: PeerCallbacks,
-    isReady: () -> Boolean,
-    isOverloaded: () -> Boolean = { false },
-    spareQuarters: () -> Int = { SpareCapacity.ALL },
+    private val isReady: () -> Boolean,
+    private val isOverloaded: () -> Boolean = { false },
+    private val spareQuarters: () -> Int = { SpareCapacity.ALL },
     noticeableMilliseconds: () -> Double? = { null },
 ) {
     private val codec = PeerCodec()
     private val table = PeerTable(settings.router)
     private val topology = RelayTopology(settings, table, isReady)
+    private val periods = ReportPeriods(settings, table, topology)
     private val quarantineExchange = QuarantineExchange(quarantine)
     private val evacuationExchange = EvacuationExchange(view.evacuations)
     private val directoryExchange = DirectoryExchange(view, ::directoryLearned)
     private val writer =
         ReportWriter(
-            settings,
-            incarnation,
             view,
             statistics,
             usage,
             table,
             topology,
+            periods,
             quarantineExchange,
             evacuationExchange,
             directoryExchange,
-            isReady,
-            isOverloaded,
-            spareQuarters,
+            ::ownState,
         )
-    private val periods = ReportPeriods(settings, table, topology)
     private val early = EarlyReports(view, statistics, topology, writer, noticeableMilliseconds)
     private val loadExchange = LoadExchange(settings, incarnation, view, statistics, usage, topology, periods)
     private val proofExchange =
@@ -205,6 +202,18 @@
         if (topology.isRelay) nextReportAt = Timestamp.DISTANT_PAST
     }
 
+    private fun ownState() = RouterState(
+        router = settings.router.name,
+        incarnation = incarnation.value,
+        failureDomain = settings.failureDomain.name,
+        callerHost = settings.callerAddress.host,
+        callerPort = settings.callerAddress.port,
+        weight = settings.weight,
+        isReady = isReady(),
+        isOverloaded = isOverloaded(),
+        spareQuarters = spareQuarters(),
+    )
+
     private fun send(peer: Peer, report: ByteArray, now: Timestamp) {
         val delay = if (peer.lastReportSentAt == 0L) 0 else now.microsecondsSince(peer.lastReportReceivedAt)
         val datagram =
--- a/src/main/kotlin/azuredale/peers/ReportPeriods.kt
+++ b/src/main/kotlin/azuredale/peers/ReportPeriods.kt
@@ -16,6 +16,10 @@
         RELAYED_PERIOD_MILLISECONDS
     }
 
+    /** Interval between the reports of this router that contain usage, which changes slowly. */
+    fun usageMilliseconds(): Long =
+        if (topology.isMesh) MESH_USAGE_PERIOD_MILLISECONDS else RELAYED_USAGE_PERIOD_MILLISECONDS
+
     /** Time after its last report for which a router that reports regularly counts as alive. */
     fun peerTimeoutMilliseconds(): Long = maxOf(
         MINIMUM_PEER_TIMEOUT_MILLISECONDS,
@@ -57,6 +61,9 @@
         /** A router of a failure domain sends and receives five datagrams per second. */
         private const val RELAYED_PERIOD_MILLISECONDS = 200L
 
+        private const val MESH_USAGE_PERIOD_MILLISECONDS = 120L
+        private const val RELAYED_USAGE_PERIOD_MILLISECONDS = 600L
+
         /** From a router to its relay, to the other relays, and to their routers. */
         private const val RELAYED_ROUNDS = 3L
 
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -5,8 +5,6 @@
 import azuredale.engine.ServerLoad
 import azuredale.engine.ServerStatistics
 import azuredale.freshness.StoreView
-import azuredale.gateway.GatewaySettings
-import azuredale.identity.Incarnation
 import azuredale.time.Timestamp
 import java.util.EnumMap
 
@@ -20,21 +18,20 @@
  * Writes this router's reports.
  *
  * [begin] fixes the contents of one round of reports; [write] then returns the report of a scope.
+ *
+ * @param ownState what this router says of itself.
  */
 internal class ReportWriter(
-    private val settings: GatewaySettings,
-    private val incarnation: Incarnation,
     private val view: StoreView,
     private val statistics: ServerStatistics,
     private val usage: TeamUsage,
     private val table: PeerTable,
     private val topology: RelayTopology,
+    private val periods: ReportPeriods,
     private val quarantine: QuarantineExchange,
     private val evacuations: EvacuationExchange,
     private val directory: DirectoryExchange,
-    private val isReady: () -> Boolean,
-    private val isOverloaded: () -> Boolean,
-    private val spareQuarters: () -> Int,
+    private val ownState: () -> RouterState,
 ) {
     private val domainReads = PromptReadBuffer()
     private val fleetReads = PromptReadBuffer()
@@ -70,10 +67,9 @@
         directory.begin(now)
         roundDomainReads = domainReads.take()
         roundFleetReads = fleetReads.take()
-        // Usage changes slowly, so it is sent less often than server loads.
         isUsageDue = now >= nextUsageAt
         if (isUsageDue) {
-            nextUsageAt = now.plusMilliseconds(usagePeriod())
+            nextUsageAt = now.plusMilliseconds(periods.usageMilliseconds())
             lastUsage = usage.localUsage(now)
         }
         isLivenessDue = topology.isRelay && now >= lastLivenessAt.plusMilliseconds(livenessPeriod(now))
@@ -132,18 +128,6 @@
         return PackedLiveness.pack(table.all, { isIncluded(scope, it) }, now)
     }
 
-    private fun ownState() = RouterState(
-        router = settings.router.name,
-        incarnation = incarnation.value,
-        failureDomain = settings.failureDomain.name,
-        callerHost = settings.callerAddress.host,
-        callerPort = settings.callerAddress.port,
-        weight = settings.weight,
-        isReady = isReady(),
-        isOverloaded = isOverloaded(),
-        spareQuarters = spareQuarters(),
-    )
-
     private fun age(at: Timestamp, now: Timestamp): Long =
         now.microsecondsSince(at).let { if (it in 0..MAXIMUM_PROOF_AGE_MICROSECONDS) it else NO_AGE }
 
@@ -247,9 +231,6 @@
         )
     }
 
-    private fun usagePeriod() =
-        if (topology.isMesh) MESH_USAGE_PERIOD_MILLISECONDS else RELAYED_USAGE_PERIOD_MILLISECONDS
-
     companion object {
         /** Older proofs are not sent, since no freshness bound would accept them. */
         const val MAXIMUM_PROOF_AGE_MICROSECONDS = 10_000_000L
@@ -268,7 +249,5 @@
         /** Several times within the silence that is tolerated, so that a lost datagram does not matter. */
         private const val LIVENESS_MILLISECONDS = 1_000L
         private const val URGENT_LIVENESS_MILLISECONDS = 400L
-        private const val MESH_USAGE_PERIOD_MILLISECONDS = 120L
-        private const val RELAYED_USAGE_PERIOD_MILLISECONDS = 600L
     }
 }
--- a/src/test/kotlin/azuredale/admission/TeamFloodSpec.kt
+++ b/src/test/kotlin/azuredale/admission/TeamFloodSpec.kt
@@ -82,7 +82,8 @@
                     TeamUsage.teamHash(flood) to TokenUsage(requested = 2_000_000, granted = 900_000),
                     TeamUsage.teamHash(small) to TokenUsage(requested = 600_000, granted = 100_000),
                 ),
-                start.plusMilliseconds(1_000),
+                asOf = start,
+                validUntil = start.plusMilliseconds(1_000),
             )
             assertTrue(admission.shareRatio(flood, 9_000, start) > 1.0)
             assertTrue(admission.shareRatio(small, 9_000, start) < 0.5)
