Reproduce shares that lag behind waves of floods, without a network

FloodFleet learns teams whose demand changes, servers that are lost, and early reports of loads, which fleets with relays have. UnequalFloodSpec runs as before.

--- a/src/test/kotlin/azuredale/admission/FloodFleet.kt
+++ b/src/test/kotlin/azuredale/admission/FloodFleet.kt
@@ -13,12 +13,14 @@
  * A team that sends requests of [requestTokens] at [tokensPerSecond], each to a router that [router] chooses.
  *
  * @property retries how often a refused request returns.
+ * @property factor of the usual rate by the second of the fleet.
  */
 internal class FloodTeam(
     name: String,
     val tokensPerSecond: Double,
     val requestTokens: Int,
     val retries: Int = 1,
+    val factor: (Int) -> Double = { 1.0 },
     val router: (Random) -> Int,
 ) {
     val id = TeamId(name)
@@ -30,12 +32,19 @@
     fun begunIn(from: Int, until: Int): Long = (from until until).sumOf { begun[it] ?: 0 }
 }
 
-/** Routers that admit the requests of teams to shared servers, which read prompts in order of arrival. */
+/**
+ * Routers that admit the requests of teams to shared servers, which read prompts in order of arrival.
+ *
+ * @param running how many of the [servers] run, by the second of the fleet; what others are reading is lost.
+ * @param noticeableMilliseconds change of the wait at a server that routers report early, null for regular reports only.
+ */
 internal class FloodFleet(
     routers: Int,
     private val servers: Int,
     private val teams: List<FloodTeam>,
     seed: Int = 1,
+    private val running: (Int) -> Int = { servers },
+    noticeableMilliseconds: Double? = null,
 ) {
     private class Return(
         val at: Timestamp,
@@ -53,7 +62,7 @@
         val arrivedAt: Timestamp,
     )
 
-    val fleet = SimulatedExchange(routers, domains = 4)
+    val fleet = SimulatedExchange(routers, domains = 4, noticeableMilliseconds)
     private val random = Random(seed)
     private val shares = fleet.nodes.map { FairShares(it.usage) }
     private val admissions =
@@ -76,7 +85,8 @@
     fun run(milliseconds: Int) {
         repeat(milliseconds) {
             teams.forEach { team ->
-                if (random.nextDouble() < team.tokensPerSecond / team.requestTokens / MILLISECONDS) {
+                val tokensPerSecond = team.tokensPerSecond * team.factor(second)
+                if (random.nextDouble() < tokensPerSecond / team.requestTokens / MILLISECONDS) {
                     offer(team, team.retries, isFirst = true)
                 }
             }
@@ -94,7 +104,7 @@
         val index = team.router(random)
         val node = fleet.nodes[index]
         val server =
-            (0 until servers).minBy { index ->
+            (0 until running(second)).minBy { index ->
                 val entry = fleet.servers[index]
                 node.statistics.loads
                     .load(entry.id, entry.idHash, now)
@@ -104,7 +114,7 @@
         val load = node.statistics.loads.load(entry.id, entry.idHash, now)
         val uncached = team.requestTokens / 2
         val waiting =
-            fleet.servers.take(servers).sumOf {
+            fleet.servers.take(running(second)).sumOf {
                 node.statistics.loads
                     .load(it.id, it.idHash, now)
                     .waitingTokens
@@ -112,7 +122,7 @@
         val prediction =
             LatencyPrediction(
                 milliseconds = (load.waitingTokens + uncached) / TOKENS_PER_MILLISECOND,
-                meanMilliseconds = (waiting / servers + uncached) / TOKENS_PER_MILLISECOND,
+                meanMilliseconds = (waiting / running(second) + uncached) / TOKENS_PER_MILLISECOND,
             )
         val prompt = PromptShape(listOf(PromptPart("own", team.requestTokens)), team.requestTokens, 0)
         val onTimeUntil = now.plusMilliseconds(if (isFirst) TARGET_MILLISECONDS else TARGET_MILLISECONDS / 2)
@@ -137,6 +147,11 @@
         val entry = fleet.servers[reading.server]
         reading.node.statistics.loads
             .add(entry.id, ServerLoad(-reading.load.waitingTokens, -reading.load.running))
+        if (reading.server >= running(second)) {
+            freeAt[reading.server] = fleet.now
+            reading.team.waits += second
+            return
+        }
         reading.team.begun.merge(second, reading.team.requestTokens.toLong(), Long::plus)
         if (reading.endsAt > reading.arrivedAt.plusMilliseconds(TARGET_MILLISECONDS)) reading.team.waits += second
     }
