Let shares follow the last two seconds, known to all routers within one

Callers of a team saw most of their requests refused while others were served well beyond their share, whenever floods began and ended in waves. Usage counted for four seconds of the six over which users compare teams, and reached other routers up to two seconds late. So a new flood had a share of four seconds at once, a flood that had ended was still thinned out, and what a team was granted rightly under a larger share counted against it.

Usage counts for two seconds now; while capacity is scarce every report has it; the difference from the share is made up within half of the window.

--- a/src/main/kotlin/azuredale/admission/ShareGate.kt
+++ b/src/main/kotlin/azuredale/admission/ShareGate.kt
@@ -60,8 +60,8 @@
         /** Lets the measured capacity grow again after it has fallen. */
         const val HEADROOM = 0.1
 
-        /** Weight of the difference between what a team got and its share; larger weights make the usage oscillate. */
-        const val CORRECTION = 1.0
+        /** Makes up within half of the usage window for what a team got beyond or below its share. */
+        const val CORRECTION = 2.0
 
         /** Keeps a team that got far too much from waiting without end. */
         const val MINIMUM_FRACTION = 0.01
--- a/src/main/kotlin/azuredale/admission/TeamUsage.kt
+++ b/src/main/kotlin/azuredale/admission/TeamUsage.kt
@@ -94,6 +94,12 @@
         return fleet
     }
 
+    /** Whether routers of the fleet refused a noticeable part of what the teams requested. */
+    fun isScarce(now: Timestamp): Boolean {
+        val usage = fleetUsage(now).values
+        return usage.sumOf { it.requested } > usage.sumOf { it.granted } * SCARCE_RATIO
+    }
+
     private fun add(team: TeamId, usage: TokenUsage, now: Timestamp) {
         val newest = buckets.lastOrNull()
         val bucket =
@@ -113,9 +119,15 @@
     }
 
     companion object {
-        /** Long enough to smooth over single requests, short enough to react when a team starts to flood. */
-        const val WINDOW_MICROSECONDS = 4_000_000L
-        private const val BUCKET_MICROSECONDS = 250_000L
+        /**
+         * Long enough to smooth over single requests, and a small part of the seconds over which users compare teams:
+         * what a team had before its demand or its share changed soon counts no longer.
+         */
+        const val WINDOW_MICROSECONDS = 2_000_000L
+        private const val BUCKET_MICROSECONDS = 100_000L
+
+        /** Single refusals for other reasons than load do not make capacity scarce. */
+        private const val SCARCE_RATIO = 1.05
 
         /** Sums over the fleet change little within this time. */
         private const val REFRESH_MICROSECONDS = 20_000L
--- a/src/main/kotlin/azuredale/peers/LoadExchange.kt
+++ b/src/main/kotlin/azuredale/peers/LoadExchange.kt
@@ -96,7 +96,7 @@
         usage.updatePeer(
             router = peer.router,
             usage = teams,
-            asOf = meanTime(scope, periods.usageMilliseconds(), now),
+            asOf = meanTime(scope, periods.usageMilliseconds(now), now),
             validUntil = now.plusMicroseconds(TeamUsage.WINDOW_MICROSECONDS),
         )
     }
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -36,7 +36,7 @@
     private val codec = PeerCodec()
     private val table = PeerTable(settings.router)
     private val topology = RelayTopology(settings, table, isReady)
-    private val periods = ReportPeriods(settings, table, topology)
+    private val periods = ReportPeriods(settings, table, topology, usage)
     private val quarantineExchange = QuarantineExchange(quarantine)
     private val evacuationExchange = EvacuationExchange(view.evacuations)
     private val directoryExchange = DirectoryExchange(view, ::directoryLearned)
--- a/src/main/kotlin/azuredale/peers/ReportPeriods.kt
+++ b/src/main/kotlin/azuredale/peers/ReportPeriods.kt
@@ -1,5 +1,6 @@
 package azuredale.peers
 
+import azuredale.admission.TeamUsage
 import azuredale.gateway.GatewaySettings
 import azuredale.time.Timestamp
 
@@ -8,6 +9,7 @@
     private val settings: GatewaySettings,
     private val table: PeerTable,
     private val topology: RelayTopology,
+    private val usage: TeamUsage,
 ) {
     /** Interval between the reports of this router. */
     fun milliseconds(): Long = if (topology.isMesh) {
@@ -16,9 +18,19 @@
         RELAYED_PERIOD_MILLISECONDS
     }
 
-    /** Interval between the reports of this router that contain usage, which changes slowly. */
-    fun usageMilliseconds(): Long =
-        if (topology.isMesh) MESH_USAGE_PERIOD_MILLISECONDS else RELAYED_USAGE_PERIOD_MILLISECONDS
+    /**
+     * Interval between the reports of this router that contain usage.
+     *
+     * With relays, every report contains it while capacity is scarce, or less often if there are many teams.
+     */
+    fun usageMilliseconds(now: Timestamp): Long = when {
+        topology.isMesh -> MESH_USAGE_PERIOD_MILLISECONDS
+        usage.isScarce(now) -> {
+            val reports = 1L + usage.fleetUsage(now).size / TEAMS_PER_REPORT
+            minOf(reports * milliseconds(), RELAYED_USAGE_PERIOD_MILLISECONDS)
+        }
+        else -> RELAYED_USAGE_PERIOD_MILLISECONDS
+    }
 
     /** Time after its last report for which a router that reports regularly counts as alive. */
     fun peerTimeoutMilliseconds(): Long = maxOf(
@@ -62,7 +74,10 @@
         private const val RELAYED_PERIOD_MILLISECONDS = 200L
 
         private const val MESH_USAGE_PERIOD_MILLISECONDS = 120L
-        private const val RELAYED_USAGE_PERIOD_MILLISECONDS = 600L
+        private const val RELAYED_USAGE_PERIOD_MILLISECONDS = 400L
+
+        /** Teams whose usage takes about half a kilobyte. */
+        private const val TEAMS_PER_REPORT = 32
 
         /** From a router to its relay, to the other relays, and to their routers. */
         private const val RELAYED_ROUNDS = 3L
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -40,7 +40,7 @@
     private var isUsageDue = false
     private var isLivenessDue = false
     private var lastLivenessAt = Timestamp.DISTANT_PAST
-    private var nextUsageAt = Timestamp.DISTANT_PAST
+    private var lastUsageAt = Timestamp.DISTANT_PAST
     private var routerCursor = 0
     private val relayedCursors = IntArray(ReportScope.entries.size)
     private var lastUsage: Map<Int, TokenUsage> = emptyMap()
@@ -67,9 +67,9 @@
         directory.begin(now)
         roundDomainReads = domainReads.take()
         roundFleetReads = fleetReads.take()
-        isUsageDue = now >= nextUsageAt
+        isUsageDue = now >= lastUsageAt.plusMilliseconds(periods.usageMilliseconds(now))
         if (isUsageDue) {
-            nextUsageAt = now.plusMilliseconds(periods.usageMilliseconds())
+            lastUsageAt = now
             lastUsage = usage.localUsage(now)
         }
         isLivenessDue = topology.isRelay && now >= lastLivenessAt.plusMilliseconds(livenessPeriod(now))
