Let broken streams go on only at the software version that began them

A stream is bound to the version of the server that sent its first event. Routers remember where streams began and, while a pool has several versions, tell two others before the first event leaves; who gets the caller next asks them. A stream of unknown origin is refused as not run, unless its pool has had one version for 30 s. After a loss of all routers a note in the store, one for each such pool, says so. New versions begin no streams before the note is written and all routers know of them.

Reports between routers have new fields: update all routers together.

--- a/src/main/kotlin/azuredale/engine/SelectionRequest.kt
+++ b/src/main/kotlin/azuredale/engine/SelectionRequest.kt
@@ -6,6 +6,7 @@
 import azuredale.identity.PoolId
 import azuredale.identity.Region
 import azuredale.identity.ServerId
+import azuredale.identity.SoftwareVersion
 import azuredale.identity.TeamId
 import azuredale.time.Timestamp
 
@@ -18,6 +19,7 @@
  * @property excluded servers that were already tried.
  * @property homes the regions whose servers may get the request, null if all may.
  * @property confinedTo a part of the prompt that may crash servers; all requests with it go to one server.
+ * @property softwareVersions the versions of which the server has to have one, null if any will do.
  * @property route name of the request's route, empty if unknown.
  */
 internal data class SelectionRequest(
@@ -31,4 +33,5 @@
     val confinedTo: PartId? = null,
     val route: String = "",
     val homes: Set<Region>? = null,
+    val softwareVersions: Set<SoftwareVersion>? = null,
 )
--- a/src/main/kotlin/azuredale/engine/ServerEligibility.kt
+++ b/src/main/kotlin/azuredale/engine/ServerEligibility.kt
@@ -21,6 +21,9 @@
     /** The route or the team of the request is confined to other regions. */
     OUTSIDE_HOMES,
 
+    /** The stream goes on only at another software version, or may not yet begin at this one. */
+    OTHER_SOFTWARE_VERSION,
+
     /** An earlier attempt of the request was sent to the server, or failed to reach it. */
     ALREADY_TRIED,
 
@@ -136,6 +139,7 @@
     private fun refusalOf(server: BackendEntry, request: SelectionRequest, now: Timestamp): Ineligibility? = when {
         isEvacuated(server.failureDomain) -> Ineligibility.EVACUATED
         request.homes?.contains(regionOf(server.failureDomain)) == false -> Ineligibility.OUTSIDE_HOMES
+        request.softwareVersions?.contains(server.softwareVersion) == false -> Ineligibility.OTHER_SOFTWARE_VERSION
         server.id in request.excluded -> Ineligibility.ALREADY_TRIED
         !statistics.announcements.allowsRequest(server, now) -> Ineligibility.UNWILLING
         else -> null
@@ -180,7 +184,8 @@
                 .minOfOrNull { statistics.announcements.availableAt(it, now) } ?: Timestamp.DISTANT_FUTURE
         if (until < Timestamp.DISTANT_FUTURE) return ServerSelection.OnHold(until)
         val evacuated = ready.count { isEvacuated(it.failureDomain) }
-        val detail = "none of ${ready.size} servers of ${request.pool} accepts requests"
+        val versions = request.softwareVersions?.joinToString(prefix = " with software version ").orEmpty()
+        val detail = "none of ${ready.size} servers of ${request.pool} accepts requests$versions"
         return ServerSelection.Unavailable("$detail, $evacuated in evacuated failure domains")
     }
 
--- a/src/main/kotlin/azuredale/gateway/AttemptReader.kt
+++ b/src/main/kotlin/azuredale/gateway/AttemptReader.kt
@@ -18,7 +18,15 @@
     val log: RequestLog,
     val promptGate: PromptGate,
     val signals: Channel<RequestSignal>,
-)
+) {
+    /** Binds a resumable stream to the software version of [server], before the first event is forwarded. */
+    fun bindToVersion(server: BackendEntry, now: Timestamp) {
+        if (progress.softwareVersion != null || !authorized.route.isResumable) return
+        progress.softwareVersion = server.softwareVersion
+        val beginning = caller.head.resumedRequest ?: caller.head.id
+        context.admission.resumption.recordBegin(beginning, server.pool, server.softwareVersion, now)
+    }
+}
 
 /** Processes the events of one attempt and forwards the response. */
 internal class AttemptReader(
@@ -184,6 +192,7 @@
         // Bytes without an event are no progress.
         if (!stalls.hasBegun || events.any { it.hasContent && !isRepeated(it) }) stalls.recordProgress(now)
         progress.recordEvents(now)
+        if (count > 0) exchange.bindToVersion(server, now)
         beginStream()
         val batch = EventBatch()
         val end = events.firstNotNullOfOrNull { addEvent(it, batch) }
--- a/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
+++ b/src/main/kotlin/azuredale/gateway/BackendAttempts.kt
@@ -2,8 +2,10 @@
 
 import azuredale.directory.BackendEntry
 import azuredale.engine.ServerSelection
+import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
 import azuredale.outcome.Outcome
+import azuredale.resumption.ResumptionDecision
 import io.vertx.core.buffer.Buffer
 
 /**
@@ -29,10 +31,16 @@
             authorized = exchange.authorized,
             onTimeUntil = progress.onTimeUntil,
             deadline = progress.deadline,
+            softwareVersion = { progress.softwareVersion },
         )
 
     /** Runs attempts until the request has ended. */
     suspend fun run() {
+        val failure = resumptionFailure()
+        if (failure == null) runAttempts() else exchange.response.refuse(failure)
+    }
+
+    private suspend fun runAttempts() {
         var notRun: Failure? = null
         var connectFailures = 0
         while (true) {
@@ -69,6 +77,25 @@
         }
     }
 
+    /** Finds out where a broken stream may go on; returns the failure if that is nowhere. */
+    private suspend fun resumptionFailure(): Failure? {
+        if (!route.isResumable || head.lastEventNumber == null) return null
+        return when (
+            val decision =
+                context.admission.resumption.decide(
+                    head.resumedRequest,
+                    exchange.authorized.pool,
+                )
+        ) {
+            is ResumptionDecision.GoOn -> {
+                progress.softwareVersion = decision.version
+                null
+            }
+            is ResumptionDecision.Refuse ->
+                Failure(ErrorKind.STREAM_ORIGIN_UNKNOWN, decision.detail, RetryDelay.afterDisruption(clock()))
+        }
+    }
+
     private suspend fun mayRepeat(end: AttemptResult.Failed, selection: ServerSelection.Selected): Boolean {
         val worth = if (progress.hasBegunStream) RetryWorth.BROKEN_STREAM else RetryWorth.UNANSWERED
         return exchange.promptGate.mayRepeat(end.hasServerEnded) && mayRetry(selection, worth)
--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -24,6 +24,12 @@
 import azuredale.quarantine.QuarantineKeeper
 import azuredale.quarantine.QuarantineLogEvent
 import azuredale.quarantine.ServerEnd
+import azuredale.resumption.OriginCodec
+import azuredale.resumption.OriginExchange
+import azuredale.resumption.PoolVersions
+import azuredale.resumption.StreamOrigins
+import azuredale.resumption.StreamResumption
+import azuredale.resumption.VersionNoteKeeper
 import azuredale.sharing.StableHash
 import azuredale.time.Clock
 import azuredale.time.Timestamp
@@ -127,9 +133,9 @@
                     onPeerChanged = ::peerChanged,
                     onOutdated = { isCatalogOld, isDirectoryOld -> poller.markOutdated(isCatalogOld, isDirectoryOld) },
                     onDirectoryLearned = { directory, provenAt -> poller.directoryLearned(directory, provenAt) },
-                    onRefused = { from, bytes ->
-                        log.write(GatewayLogEvent.PEER_MESSAGE_REFUSED, "from" to from, "bytes" to bytes.size)
-                    },
+                    onRefused = ::messageRefused,
+                    mixedPools = { resumption.mixedPools() },
+                    onMixedPools = { pools, now -> resumption.reported(pools, now) },
                 ),
             isReady = { isReady() },
             isOverloaded = { capacity.isOverloaded(clock()) },
@@ -137,6 +143,23 @@
             noticeableMilliseconds = { noticeableMilliseconds },
         )
 
+    private val poolVersions = PoolVersions(announcementMilliseconds = settings.bounds.drainBoundMilliseconds)
+    private val origins = StreamOrigins()
+    private val originExchange =
+        OriginExchange(origins, { exchange.peers.all }, dependencies.sendDatagram, dependencies.timer, clock)
+
+    /** Where broken streams may go on. */
+    val resumption: StreamResumption =
+        StreamResumption(
+            versions = poolVersions,
+            origins = origins,
+            exchange = originExchange,
+            notes =
+                VersionNoteKeeper(poolVersions, dependencies.versionNotes, clock, scope, { exchange.rank() }, log),
+            log = log,
+            clock = clock,
+        )
+
     /** Reads of the store. */
     val poller: StorePoller =
         StorePoller(
@@ -188,15 +211,20 @@
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
         if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
         if (!isHeld(now)) keeper.tick(now)
+        resumption.tick(now)
         exchange.tick(now)
     }
 
     /** Handles a datagram from another router. */
     fun datagramReceived(from: NetworkAddress, bytes: ByteArray) {
         checkClocks()
-        exchange.received(from, bytes, clock())
+        if (!OriginCodec.isOriginMessage(bytes)) return exchange.received(from, bytes, clock())
+        if (!originExchange.received(from, bytes, clock())) messageRefused(from, bytes)
     }
 
+    private fun messageRefused(from: NetworkAddress, bytes: ByteArray) =
+        log.write(GatewayLogEvent.PEER_MESSAGE_REFUSED, "from" to from, "bytes" to bytes.size)
+
     /** Handles the head of any response of [server]. */
     fun serverAnswered(server: BackendEntry, head: ResponseHead) {
         if (head.isLeaving && statistics.announcements.recordLeaving(server)) {
@@ -240,6 +268,7 @@
         cacheTokens = view.directory.entries.mapValues { declaredTokens(it.value.pool) }
         noticeableMilliseconds = view.catalog?.let(LoadUrgency::noticeableMilliseconds)
         statistics.updateDirectory(view.directory, clock())
+        resumption.directoryChanged(view.directory, clock())
         dependencies.onChange()
         if (isCatalogNew) exchange.report(clock())
     }
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -117,6 +117,7 @@
                             directoryFault = fleet.poller::directoryFault,
                         ),
                     gracefulStop = gracefulStop,
+                    resumption = fleet.resumption,
                     memoryLog = fleet.memoryLog,
                     random = random::nextDouble,
                 ),
--- a/src/main/kotlin/azuredale/gateway/GatewayContext.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayContext.kt
@@ -8,6 +8,7 @@
 import azuredale.identity.PoolId
 import azuredale.intake.Intake
 import azuredale.logging.EventLog
+import azuredale.resumption.StreamResumption
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 
@@ -70,6 +71,7 @@
     val quarantine: PromptQuarantine,
     val sendGuard: SendGuard,
     val gracefulStop: GracefulStop,
+    val resumption: StreamResumption,
     val memoryLog: MemoryLog,
     /** Returns a random number from 0 to 1, which spreads the returns of callers. */
     val random: () -> Double,
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -13,6 +13,7 @@
 import azuredale.outcome.Failure
 import azuredale.peers.PeerCodec
 import azuredale.quarantine.QuarantineStore
+import azuredale.resumption.VersionNotes
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import io.netty.buffer.ByteBuf
@@ -34,6 +35,7 @@
     val storeReader: StoreReader,
     val registry: Registry,
     val quarantineStore: QuarantineStore,
+    val versionNotes: VersionNotes,
     val failureHeaders: FailureHeaders,
     val responses: ResponseDecoder,
     val encode: (BackendRequest, BackendEntry) -> FullHttpRequest,
@@ -75,6 +77,7 @@
                     sendDatagram = { to, bytes -> datagrams.send(Buffer.buffer(bytes), to.port, to.host) },
                     timer = ::timer,
                     quarantineStore = adapter.quarantineStore,
+                    versionNotes = adapter.versionNotes,
                     probe = backends::probe,
                     onChange = {},
                     openCallerConnections = { callers?.openConnections ?: 0 },
--- a/src/main/kotlin/azuredale/gateway/GatewayDependencies.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDependencies.kt
@@ -4,6 +4,7 @@
 import azuredale.freshness.StoreReader
 import azuredale.identity.NetworkAddress
 import azuredale.quarantine.QuarantineStore
+import azuredale.resumption.VersionNotes
 import azuredale.time.Timestamp
 
 /** External dependencies of a [Gateway]. */
@@ -17,6 +18,7 @@
     /** Schedules an action for a given time. */
     val timer: (Timestamp, () -> Unit) -> Timer,
     val quarantineStore: QuarantineStore,
+    val versionNotes: VersionNotes,
     /** Tries a new connection to a server and reports whether it was refused. */
     val probe: (BackendEntry, (isRefused: Boolean) -> Unit) -> Unit,
     /** Called when the server directory or the catalog changes. */
--- a/src/main/kotlin/azuredale/gateway/RequestHead.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestHead.kt
@@ -66,6 +66,7 @@
  * @property remainingMilliseconds how long the caller will wait, null if not given.
  * @property key the caller's API key without the authentication scheme, null if not given.
  * @property lastEventNumber number of the last event that the caller received, if it resumes a stream.
+ * @property resumedRequest id of the caller's request that brought the first event, if it resumes a stream and says so.
  * @property headers the headers to forward, without hop-by-hop headers and those that routers set.
  */
 public data class RequestHead(
@@ -78,6 +79,7 @@
     val prompt: PromptShape?,
     val lastEventNumber: Long?,
     val headers: List<Header>,
+    val resumedRequest: String? = null,
 ) {
     /** The path without its query. */
     val path: String get() = target.substringBefore('?')
--- a/src/main/kotlin/azuredale/gateway/RequestProgress.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestProgress.kt
@@ -1,6 +1,7 @@
 package azuredale.gateway
 
 import azuredale.engine.ServerSelection
+import azuredale.identity.SoftwareVersion
 import azuredale.time.Timestamp
 
 /**
@@ -28,6 +29,9 @@
     var selection: ServerSelection.Selected? = null
     var sentAt: Timestamp? = null
     var hasBegunStream = false
+
+    /** The software version of the servers whose events the caller has, null while there are none. */
+    var softwareVersion: SoftwareVersion? = null
     var firstEventAt: Timestamp? = null
         private set
     var lastEventAt: Timestamp? = null
--- a/src/main/kotlin/azuredale/gateway/ServerChoice.kt
+++ b/src/main/kotlin/azuredale/gateway/ServerChoice.kt
@@ -6,6 +6,7 @@
 import azuredale.engine.SelectionRequest
 import azuredale.engine.ServerSelection
 import azuredale.identity.ServerId
+import azuredale.identity.SoftwareVersion
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
 import azuredale.outcome.Outcome
@@ -19,6 +20,7 @@
  *
  * @param onTimeUntil when the latency target of the request expires.
  * @param deadline when the caller stops waiting.
+ * @param softwareVersion the version of the servers whose events the caller has, null while there are none.
  */
 internal class ServerChoice(
     private val context: GatewayContext,
@@ -27,6 +29,7 @@
     private val authorized: AuthorizedRequest,
     private val onTimeUntil: Timestamp,
     private val deadline: Timestamp,
+    private val softwareVersion: () -> SoftwareVersion? = { null },
 ) {
     private val excluded = HashSet<ServerId>()
 
@@ -68,8 +71,14 @@
         confinedTo = promptGate.confinedTo(now),
         route = authorized.route.name,
         homes = authorized.homes,
+        softwareVersions = softwareVersions(),
     )
 
+    private fun softwareVersions(): Set<SoftwareVersion>? {
+        if (!authorized.route.isResumable) return null
+        return softwareVersion()?.let(::setOf) ?: context.admission.resumption.beginning(authorized.pool)
+    }
+
     private fun directoryFailure(now: Timestamp) = context.admission.sendGuard
         .directoryFailure(now)
         ?.let { Outcome.Refused(it) }
--- a/src/main/kotlin/azuredale/identity/Identifiers.kt
+++ b/src/main/kotlin/azuredale/identity/Identifiers.kt
@@ -118,3 +118,10 @@
 
     override fun toString(): String = value.toString()
 }
+
+/** Version of a backend server's software, as the server registers it; not that of a model's weights. */
+@JvmInline
+@Serializable
+public value class SoftwareVersion(public val name: String) {
+    override fun toString(): String = name
+}
--- a/src/main/kotlin/azuredale/outcome/ErrorKind.kt
+++ b/src/main/kotlin/azuredale/outcome/ErrorKind.kt
@@ -50,6 +50,7 @@
     PREDICTED_LATE(503, Execution.NOT_RUN, true, "the request cannot be served in time at the moment"),
     SERVER_REFUSED(503, Execution.NOT_RUN, true, "the backend server refused the request without running it"),
     PROMPT_QUARANTINED(503, Execution.NOT_RUN, true, "a part of the prompt has crashed several backend servers"),
+    STREAM_ORIGIN_UNKNOWN(503, Execution.NOT_RUN, true, "it is not known where the stream can go on"),
     CONNECT_FAILED(503, Execution.NOT_RUN, true, "no connection to a backend server could be opened"),
     DEADLINE_BEFORE_START(503, Execution.NOT_RUN, true, "the deadline passed while the request was waiting"),
     DEADLINE_DURING_RUN(504, Execution.UNKNOWN, false, "the deadline passed while the request was running"),
--- a/src/main/kotlin/azuredale/peers/DirectoryExchange.kt
+++ b/src/main/kotlin/azuredale/peers/DirectoryExchange.kt
@@ -14,6 +14,7 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.identity.SoftwareVersion
 import azuredale.time.Timestamp
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
@@ -29,6 +30,7 @@
     @CborLabel(6) val isDraining: Boolean = false,
     @CborLabel(7) val startedAtMilliseconds: Long? = null,
     @CborLabel(8) val isCold: Boolean = false,
+    @CborLabel(9) val softwareVersion: String = "",
 ) {
     fun toEntry(id: ServerId): BackendEntry = BackendEntry(
         id = id,
@@ -39,6 +41,7 @@
         state = if (isDraining) BackendState.DRAINING else BackendState.READY,
         startedAtMilliseconds = startedAtMilliseconds,
         isCold = isCold,
+        softwareVersion = SoftwareVersion(softwareVersion),
     )
 
     companion object {
@@ -51,6 +54,7 @@
             isDraining = entry.state == BackendState.DRAINING,
             startedAtMilliseconds = entry.startedAtMilliseconds,
             isCold = entry.isCold,
+            softwareVersion = entry.softwareVersion.name,
         )
     }
 }
--- a/src/main/kotlin/azuredale/peers/PeerCallbacks.kt
+++ b/src/main/kotlin/azuredale/peers/PeerCallbacks.kt
@@ -2,6 +2,7 @@
 
 import azuredale.directory.ServerDirectory
 import azuredale.identity.NetworkAddress
+import azuredale.resumption.MixedPool
 import azuredale.time.Timestamp
 
 /** Functions through which [PeerExchange] interacts with the rest of the gateway. */
@@ -16,4 +17,8 @@
     val onDirectoryLearned: (ServerDirectory, Timestamp) -> Unit,
     /** Called with the source address and the bytes of an invalid datagram. */
     val onRefused: (NetworkAddress, ByteArray) -> Unit,
+    /** Returns the pools whose servers have had several software versions lately. */
+    val mixedPools: () -> List<MixedPool> = { emptyList() },
+    /** Called with such pools as another router knows them. */
+    val onMixedPools: (List<MixedPool>, Timestamp) -> Unit = { _, _ -> },
 )
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -8,9 +8,11 @@
 import azuredale.gateway.PromptPart
 import azuredale.identity.Incarnation
 import azuredale.identity.NetworkAddress
+import azuredale.identity.PoolId
 import azuredale.identity.RouterId
 import azuredale.intake.SpareCapacity
 import azuredale.quarantine.Quarantine
+import azuredale.resumption.MixedPool
 import azuredale.time.Timestamp
 
 /**
@@ -52,6 +54,7 @@
             evacuationExchange,
             directoryExchange,
             ::ownState,
+            callbacks.mixedPools,
         )
     private val early = EarlyReports(view, statistics, topology, writer, noticeableMilliseconds)
     private val loadExchange = LoadExchange(settings, incarnation, view, statistics, usage, topology, periods)
@@ -175,6 +178,7 @@
         report.liveness?.let { table.relayedLiveness(it, createdAt, relayedTimeout, now) }
         loadExchange.apply(peer, scope, datagram, report, now)
         applyReads(report, scope, now)
+        if (report.mixedPools.isNotEmpty()) applyMixedPools(report, now)
         loadExchange.applyLimits(report, now)
         proofExchange.apply(datagram, report, now)
         // A router that has just started learns the others from their answers.
@@ -196,6 +200,20 @@
         }
     }
 
+    private fun applyMixedPools(report: PeerReport, now: Timestamp) {
+        val pools =
+            report.mixedPools.map { entry ->
+                val notedAt =
+                    entry.noteAge?.let {
+                        now.plusMilliseconds(
+                            -it.coerceIn(0, ReportPeriods.MAXIMUM_AGE_MILLISECONDS),
+                        )
+                    }
+                MixedPool(PoolId(entry.pool), notedAt)
+            }
+        callbacks.onMixedPools(pools, now)
+    }
+
     private fun directoryLearned(directory: ServerDirectory, provenAt: Timestamp) {
         callbacks.onDirectoryLearned(directory, provenAt)
         // The routers of the failure domain get the change from this one only.
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -55,6 +55,17 @@
     @CborLabel(3) val granted: Long,
 )
 
+/**
+ * A pool whose servers have had several software versions lately.
+ *
+ * @property noteAge milliseconds since the store was known to have a note of it, null if it never was.
+ */
+@Serializable
+internal class MixedPoolEntry(
+    @CborLabel(1) val pool: String,
+    @CborLabel(2) val noteAge: Long? = null,
+)
+
 /** Peer address of a router. */
 @Serializable
 internal class RouterEntry(
@@ -127,6 +138,7 @@
  * @property liveness when the sender last heard from the routers that it knows, if it is a relay: [PackedLiveness].
  * @property quarantine the quarantine table as known to the sender, null if it knows none.
  * @property evacuations the evacuated failure domains as known to the sender, null if it knows of no table.
+ * @property mixedPools pools whose servers have had several software versions lately.
  * @property directoryNews the latest changes of the directory; null in fleets without relays.
  */
 @Serializable
@@ -146,6 +158,7 @@
     @CborLabel(12) val limits: List<LimitEntry> = emptyList(),
     @CborLabel(13) val evacuations: EvacuationEntry? = null,
     @ByteString @CborLabel(14) val liveness: ByteArray? = null,
+    @CborLabel(15) val mixedPools: List<MixedPoolEntry> = emptyList(),
     @CborLabel(20) val directoryNews: DirectoryNews? = null,
 )
 
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -5,6 +5,7 @@
 import azuredale.engine.ServerLoad
 import azuredale.engine.ServerStatistics
 import azuredale.freshness.StoreView
+import azuredale.resumption.MixedPool
 import azuredale.time.Timestamp
 import java.util.EnumMap
 
@@ -20,6 +21,7 @@
  * [begin] fixes the contents of one round of reports; [write] then returns the report of a scope.
  *
  * @param ownState what this router says of itself.
+ * @param mixedPools the pools whose servers have had several software versions lately.
  */
 internal class ReportWriter(
     private val view: StoreView,
@@ -32,6 +34,7 @@
     private val evacuations: EvacuationExchange,
     private val directory: DirectoryExchange,
     private val ownState: () -> RouterState,
+    private val mixedPools: () -> List<MixedPool>,
 ) {
     private val domainReads = PromptReadBuffer()
     private val fleetReads = PromptReadBuffer()
@@ -109,6 +112,7 @@
         quarantine = quarantine.table { age(it, now) },
         evacuations = evacuations.table { age(it, now) },
         liveness = liveness(scope, now),
+        mixedPools = mixedPools().map { MixedPoolEntry(it.pool.name, noteAge(it, now)) },
         directoryNews = if (topology.isMesh) null else directory.news(scope, now),
     )
 
@@ -123,6 +127,9 @@
         scope = scope.ordinal,
     )
 
+    private fun noteAge(mixed: MixedPool, now: Timestamp): Long? =
+        mixed.notedAt?.let { now.microsecondsSince(it) / Timestamp.MICROSECONDS_PER_MILLISECOND }
+
     private fun liveness(scope: ReportScope, now: Timestamp): ByteArray? {
         if (!isLivenessDue || scope == ReportScope.ROUTER) return null
         return PackedLiveness.pack(table.all, { isIncluded(scope, it) }, now)
--- a/src/main/kotlin/azuredale/platform/CallerRequestDecoder.kt
+++ b/src/main/kotlin/azuredale/platform/CallerRequestDecoder.kt
@@ -36,6 +36,7 @@
                         headers.text(PlatformHeader.LENGTH_HINT),
                     ),
                 lastEventNumber = headers.text(PlatformHeader.LAST_EVENT)?.toLongOrNull(),
+                resumedRequest = headers.text(PlatformHeader.RESUMED_REQUEST)?.trim()?.ifEmpty { null },
                 headers = forwardedHeaders(headers.entries(), headers.getAll("Connection")),
             ),
         )
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -66,6 +66,7 @@
                             ),
                         registry = RouterRegistry(store),
                         quarantineStore = QuarantineRegistry(store),
+                        versionNotes = VersionNoteRegistry(store),
                         failureHeaders = ErrorResponseFormat,
                         responses = BackendCodec,
                         encode = BackendCodec::encode,
--- a/src/main/kotlin/azuredale/platform/PlatformNames.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformNames.kt
@@ -16,6 +16,9 @@
     const val SERVER_LEAVING = "Server-Leaving"
     const val NOT_EXECUTED = "X-Azuredale-Not-Executed"
     const val LAST_EVENT = "Last-Event-Id"
+
+    /** The request id with which a caller began the stream that it resumes. */
+    const val RESUMED_REQUEST = "Resumes"
     const val AUTHORIZATION = "Authorization"
     const val RETRY_AFTER = "Retry-After"
 
@@ -61,4 +64,7 @@
     const val SERVERS = "servers/"
     const val ROUTERS = "azuredale/routers/"
     const val QUARANTINE = "azuredale/quarantine/"
+
+    /** One key for each pool whose servers have had several software versions lately; its name follows. */
+    const val VERSIONS = "azuredale/versions/"
 }
--- a/src/main/kotlin/azuredale/platform/ServerRegistration.kt
+++ b/src/main/kotlin/azuredale/platform/ServerRegistration.kt
@@ -6,6 +6,7 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.identity.SoftwareVersion
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
@@ -45,8 +46,8 @@
         val pool = fields.string("service")
         val domain = fields.string("zone")
         val coldMilliseconds = fields.number("cold-left-ms")
-        val hasRemainingFields =
-            fields.string("version") != null && coldMilliseconds != null && fields.number("sequence") != null
+        val version = fields.string("version")
+        val hasRemainingFields = version != null && coldMilliseconds != null && fields.number("sequence") != null
         // Start time of the server process in Unix milliseconds.
         val startedAt = fields.long("born")
         val isComplete = address != null && slots != null && pool != null && domain != null && hasRemainingFields
@@ -57,7 +58,17 @@
         }
         val isCold = coldMilliseconds > 0
         return Entry(
-            BackendEntry(id, PoolId(pool), address, FailureDomain(domain), slots.toInt(), state, startedAt, isCold),
+            BackendEntry(
+                id = id,
+                pool = PoolId(pool),
+                address = address,
+                failureDomain = FailureDomain(domain),
+                slots = slots.toInt(),
+                state = state,
+                startedAtMilliseconds = startedAt,
+                isCold = isCold,
+                softwareVersion = SoftwareVersion(version),
+            ),
         )
     }
 
--- a/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
+++ b/src/main/kotlin/azuredale/selftest/GatewayFixture.kt
@@ -170,27 +170,35 @@
         )
     }
 
-    /** Registers server [index] at [address] in [domain] with [state]; [generation] distinguishes its processes. */
+    /**
+     * Registers server [index] at [address] in [domain] with [state] and software [version]; [generation] distinguishes
+     * its processes.
+     */
     public fun register(
         index: Int,
         address: NetworkAddress,
         state: String = "ready",
         generation: Int = 1,
         domain: String = "domain",
+        version: String = "1",
     ) {
         platform.put(
             StoreKey.SERVERS + "server-$index",
-            """{"service":"pool-a","address":"$address","zone":"$domain","version":"1","slots":8,""" +
+            """{"service":"pool-a","address":"$address","zone":"$domain","version":"$version","slots":8,""" +
                 """"state":"$state","cold-left-ms":0,"sequence":1,"born":$generation}""",
         )
     }
 
-    /** Sends one request and waits for the complete response. */
+    /** Removes the registration of server [index]. */
+    public fun unregister(index: Int): Unit = platform.remove(StoreKey.SERVERS + "server-$index")
+
+    /** Sends one request, with [headers] in addition to or in place of the usual ones, and waits for the response. */
     public suspend fun get(
         path: String,
         key: String? = KEY,
         remainingMilliseconds: Long = 2_000,
         prompt: String? = null,
+        headers: Map<String, String> = emptyMap(),
     ): ReceivedResponse {
         val request =
             client
@@ -206,6 +214,7 @@
                     "$PROMPT_TOKENS,20",
                 ).putHeader(PlatformHeader.PROMPT_PARTS, prompt)
         }
+        headers.forEach { (name, value) -> request.putHeader(name, value) }
         val response = request.send().coAwait()
         return ReceivedResponse(
             status = response.statusCode(),
--- a/src/main/kotlin/azuredale/sharing/StableHash.kt
+++ b/src/main/kotlin/azuredale/sharing/StableHash.kt
@@ -13,6 +13,13 @@
     private const val MANTISSA_BITS = 53
     private const val SEPARATOR = 0x1F
 
+    /** The SplitMix64 mixer: each bit of [value] changes about half of the result's. */
+    fun mixed(value: Long): Long {
+        var hash = (value xor (value ushr SHIFT_FIRST)) * MIX_FIRST
+        hash = (hash xor (hash ushr SHIFT_SECOND)) * MIX_SECOND
+        return hash xor (hash ushr SHIFT_THIRD)
+    }
+
     /** FNV-1a over the characters of [parts], finalized with the SplitMix64 mixer. */
     fun of(vararg parts: String): Long {
         var hash = FNV_OFFSET_BASIS
@@ -20,9 +27,7 @@
             part.forEach { hash = (hash xor it.code.toLong()) * FNV_PRIME }
             hash = (hash xor SEPARATOR.toLong()) * FNV_PRIME
         }
-        hash = (hash xor (hash ushr SHIFT_FIRST)) * MIX_FIRST
-        hash = (hash xor (hash ushr SHIFT_SECOND)) * MIX_SECOND
-        return hash xor (hash ushr SHIFT_THIRD)
+        return mixed(hash)
     }
 
     /** The hash of [parts] mapped to the open interval (0, 1). */
--- a/src/test/kotlin/azuredale/selftest/RawServer.kt
+++ b/src/test/kotlin/azuredale/selftest/RawServer.kt
@@ -10,12 +10,18 @@
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
-/** A request as received by a [RawServer]; [previous] is the last response on the same connection. */
+/**
+ * A request as received by a [RawServer].
+ *
+ * @property previous the last response on the same connection.
+ * @property lastEvent the number of the last event that the caller has, if it resumes a stream.
+ */
 class RawRequest(
     val socket: NetSocket,
     val id: String,
     val target: String,
     val previous: String?,
+    val lastEvent: Long? = null,
 )
 
 /** Backend server that sends any bytes, also such that are no HTTP. Requests must have no body. */
@@ -55,7 +61,16 @@
                 val id = lines.first { it.lowercase().startsWith("x-azuredale-request-id:") }.substringAfter(':').trim()
                 val target = lines.first().split(' ')[1]
                 targets += target
-                previous = handler(RawRequest(socket, id, target, previous)) ?: previous
+                val lastEvent =
+                    lines
+                        .firstOrNull {
+                            it.lowercase().startsWith(
+                                "last-event-id:",
+                            )
+                        }?.substringAfter(':')
+                        ?.trim()
+                        ?.toLong()
+                previous = handler(RawRequest(socket, id, target, previous, lastEvent)) ?: previous
             }
         }
     }
--- a/src/test/kotlin/azuredale/selftest/RawServers.kt
+++ b/src/test/kotlin/azuredale/selftest/RawServers.kt
@@ -33,9 +33,17 @@
         servers.forEach { it.targets.clear() }
     }
 
-    /** Registers server [index] in [domain] with [state]; another [generation] is another process under the same id. */
-    fun register(index: Int, state: String = "ready", generation: Int = 2, domain: String = "domain") =
-        fixture.register(index, checkNotNull(addresses[index]), state, generation, domain)
+    /**
+     * Registers server [index] in [domain] with [state] and software [version]; another [generation] is another process
+     * under the same id.
+     */
+    fun register(
+        index: Int,
+        state: String = "ready",
+        generation: Int = 2,
+        domain: String = "domain",
+        version: String = "1",
+    ) = fixture.register(index, checkNotNull(addresses[index]), state, generation, domain, version)
 
     /** Answers [request] with "ok" and the header lines [more]. */
     fun answer(request: RawRequest, more: String = ""): String =
