Take a status that HTTP does not define for a failure of the server

A head with a status outside 100 to 599 is now malformed like one that was joined from two responses: the attempt has failed, the request may be repeated where that is allowed, and the caller gets 502 with an unknown outcome, without the server's stamp.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -38,8 +38,9 @@
  * Matches responses to requests by the echoed request ID. It skips responses to other requests and waits for the right
  * one, so an HTTP client that pairs responses with requests by their order cannot be used. After a mismatched response
  * or unexpected data, the connection is not used again. A server that sends more than a bounded number of bytes or
- * responses to be skipped fails the request, and so does a head that was joined from two responses. A response that
- * ends with its connection is complete only if the server ended the connection in order.
+ * responses to be skipped fails the request, and so does a head that was joined from two responses, or one whose status
+ * HTTP does not define. A response that ends with its connection is complete only if the server ended the connection in
+ * order.
  *
  * @param number number of the connection in this router, for logs.
  * @param onUnexpectedBytes called when bytes that belong to no request end the use of the connection.
@@ -147,17 +148,24 @@
                 fail("response is malformed: ${message.decoderResult().cause()?.message}")
                 return
             }
-            if (message is HttpResponse && isJoinedHead(message.status().reasonPhrase(), message.headers())) {
-                fail("response is malformed: its head contains the status line of another response")
-                return
+            if (message is HttpResponse) {
+                val fault = faultOf(message)
+                if (fault == null) headReceived(current, message) else fail("response is malformed: $fault")
             }
-            if (message is HttpResponse) headReceived(current, message)
             if (message is HttpContent && isCurrent(current)) contentReceived(current, message)
         } finally {
             ReferenceCountUtil.release(message)
         }
     }
 
+    /** Why the head of [response] means nothing although it could be decoded, null if it does. */
+    private fun faultOf(response: HttpResponse): String? = when {
+        response.status().code() !in STATUS_CODES -> "status ${response.status().code()}"
+        isJoinedHead(response.status().reasonPhrase(), response.headers()) ->
+            "its head contains the status line of another response"
+        else -> null
+    }
+
     /** Whether [started] is still in progress. An event listener may have cancelled it. */
     private fun isCurrent(started: Exchange): Boolean = exchange === started
 
@@ -296,6 +304,9 @@
         /** Name of the handler that Vert.x adds at the end of a connection's pipeline. */
         const val SOCKET_HANDLER = "handler"
 
+        /** Status codes that HTTP gives a meaning by their first digit. */
+        val STATUS_CODES = 100..599
+
         /** More than one read of a socket, which may hold several parts of a response. */
         const val MAXIMUM_SKIPPED_BYTES = 512 * 1024
 
