Know where streams begin also right after a loss of all routers

A router that reads the note counts the pool as mixed until streams from before its start have ended, and reports it; the others then tell of their streams. Until they do, a question goes to all routers. A note that is left over after such a loss is removed by the routers that read it. StreamResumptionSpec: the new case failed before at its first assertion (refused instead of going on), and passes now.

--- a/src/main/kotlin/azuredale/resumption/OriginExchange.kt
+++ b/src/main/kotlin/azuredale/resumption/OriginExchange.kt
@@ -51,9 +51,12 @@
         }
     }
 
-    /** Asks the homes of [stream] for its origin; null if none of them knows it, or none answers in time. */
-    suspend fun ask(stream: StreamId): StreamOrigin? {
-        val asked = homes(stream, ASKED_ROUTERS)
+    /**
+     * Asks the homes of [stream], or all routers if [asksAll], for its origin; null if none of them knows it, or none
+     * answers in time.
+     */
+    suspend fun ask(stream: StreamId, asksAll: Boolean): StreamOrigin? {
+        val asked = homes(stream, if (asksAll) Int.MAX_VALUE else ASKED_ROUTERS)
         if (asked.isEmpty()) return null
         val known = questions[stream]
         val question = known ?: Question(asked.size).also { questions[stream] = it }
--- a/src/main/kotlin/azuredale/resumption/PoolVersions.kt
+++ b/src/main/kotlin/azuredale/resumption/PoolVersions.kt
@@ -39,6 +39,9 @@
         /** Until when the pool counts as mixed because another router says so. */
         var reportedUntil = Timestamp.DISTANT_PAST
 
+        /** Until when the pool counts as mixed because the store said so when this router started. */
+        var presumedUntil = Timestamp.DISTANT_PAST
+
         /** When the store was last known to have a note of the pool. */
         var notedAt = Timestamp.DISTANT_PAST
 
@@ -99,7 +102,7 @@
             pool.versions.values.removeIf { version ->
                 version.goneAt?.let { now >= it.plusMilliseconds(LIFETIME_MILLISECONDS) } ?: false
             }
-            val isMixed = pool.versions.size > 1 || now < pool.reportedUntil
+            val isMixed = isMixedHere(pool, now) || now < pool.reportedUntil
             if (isMixed != pool.isMixed) {
                 pool.isMixed = isMixed
                 pool.changedAt = now
@@ -110,6 +113,8 @@
         return changed
     }
 
+    private fun isMixedHere(pool: Pool, now: Timestamp) = pool.versions.size > 1 || now < pool.presumedUntil
+
     private fun announce(pool: Pool, now: Timestamp) {
         if (pool.versions.values.all { it.isAnnounced }) return
         if (pool.isMixed && now >= pool.notedUntil) return
@@ -140,9 +145,9 @@
         return announced.takeIf { it.isNotEmpty() }
     }
 
-    /** The mixed pools, for reports to other routers: those that this router's own directories show to be mixed. */
-    fun mixedPools(): List<MixedPool> = pools.entries
-        .filter { it.value.versions.size > 1 }
+    /** The mixed pools, for reports to other routers: not those that it knows from reports only. */
+    fun mixedPools(now: Timestamp): List<MixedPool> = pools.entries
+        .filter { isMixedHere(it.value, now) }
         .map { (id, pool) -> MixedPool(id, pool.notedAt.takeIf { pool.hasNote }) }
 
     /** Records that the store had a note of [pool] at [at]. */
@@ -152,6 +157,19 @@
         known.notedAt = maxOf(known.notedAt, at)
     }
 
+    /**
+     * Records that the store had a note of [pool] at [at], after this router had started; returns the pools that have
+     * become mixed. What was before this router's first directory counts for as long as streams may be taken up.
+     */
+    fun noteFound(pool: PoolId, at: Timestamp, now: Timestamp): List<PoolId> {
+        noted(pool, at)
+        pools[pool]?.presumedUntil = settledAt()
+        return refresh(now)
+    }
+
+    /** When all streams from before this router's first directory have ended. */
+    fun settledAt(): Timestamp = observedSince?.plusMilliseconds(LIFETIME_MILLISECONDS) ?: Timestamp.DISTANT_FUTURE
+
     /** Records that the store has no note of [pool] any more. */
     fun noteRemoved(pool: PoolId) {
         pools[pool]?.hasNote = false
--- a/src/main/kotlin/azuredale/resumption/StreamResumption.kt
+++ b/src/main/kotlin/azuredale/resumption/StreamResumption.kt
@@ -37,7 +37,7 @@
     fun reported(pools: List<MixedPool>, now: Timestamp) = mixed(versions.reported(pools, now), now)
 
     /** The mixed pools, for reports to other routers. */
-    fun mixedPools(): List<MixedPool> = versions.mixedPools()
+    fun mixedPools(): List<MixedPool> = versions.mixedPools(clock())
 
     /** Runs periodic work that is due. */
     fun tick(now: Timestamp) {
@@ -73,17 +73,19 @@
     }
 
     private suspend fun ask(requestId: String): StreamOrigin? {
-        val origin = exchange.ask(StreamId.of(requestId))
+        // Soon after a start the others may not know yet that the pool is mixed, so they have told nobody.
+        val origin = exchange.ask(StreamId.of(requestId), asksAll = clock() < versions.settledAt())
         log.write(ResumptionLogEvent.ORIGIN_ASKED, "request" to requestId, "origin" to origin)
         return origin
     }
 
     /** Whether the servers of [pool] have had one version for as long as streams last. */
     private suspend fun isAlwaysAlike(pool: PoolId): Boolean {
-        if (versions.isMixed(pool)) return false
-        val since = versions.observedSince ?: return false
-        if (clock() >= since.plusMilliseconds(PoolVersions.LIFETIME_MILLISECONDS)) return true
-        return notes.isNoted(pool) == false && !versions.isMixed(pool)
+        if (versions.isMixed(pool) || versions.observedSince == null) return false
+        if (clock() >= versions.settledAt()) return true
+        val isNoted = notes.isNoted(pool) ?: return false
+        if (isNoted) mixed(versions.noteFound(pool, clock(), clock()), clock())
+        return !isNoted && !versions.isMixed(pool)
     }
 
     private fun mixed(pools: List<PoolId>, now: Timestamp) {
--- a/src/test/kotlin/azuredale/resumption/StreamResumptionSpec.kt
+++ b/src/test/kotlin/azuredale/resumption/StreamResumptionSpec.kt
@@ -55,6 +55,23 @@
             assertEquals(goesOnAt("2"), fleet.nodes[1].decide("later"))
         }
 
+        @Test
+        fun `after the loss of all routers new streams go on at other routers`() {
+            // Guards against refusals of streams that began when only the store knew of the earlier version.
+            val fleet = mixed(8)
+            fleet.kill(0..7)
+            fleet.start(0..7)
+            fleet.allSee("2", "2")
+            repeat(8) { fleet.nodes[it].begin("early-$it", "2") }
+            repeat(8) { assertEquals(goesOnAt("2"), fleet.nodes[(it + 3) % 8].decide("early-$it")) }
+            repeat(8) { fleet.nodes[0].begin("late-$it", "2") }
+            fleet.kill(listOf(0))
+            repeat(7) { assertEquals(goesOnAt("2"), fleet.nodes[it + 1].decide("late-$it")) }
+            fleet.run(milliseconds = 40_000)
+            assertEquals(goesOnAt("2"), fleet.nodes[1].decide("unknown"))
+            assertTrue(fleet.notes.pools.isEmpty(), "the note is left over")
+        }
+
         @Test
         fun `a router that starts while the store is away guesses nothing`() {
             // Guards against a router that takes the lack of an answer for the lack of a note.
