Share the guard of periodic store calls, and split what grew

QuarantineKeeper and VersionNoteKeeper had the same guard of one call at a time with a pause after a failure: SingleCall. The fault of a response head moves beside the check of joined heads (HeadFault), and the parts of the resumption of streams are put together in one function. No change of behaviour; specs of both keepers and ResponseStatusSpec pass.

--- a/src/main/kotlin/azuredale/edge/BackendConnection.kt
+++ b/src/main/kotlin/azuredale/edge/BackendConnection.kt
@@ -149,7 +149,7 @@
                 return
             }
             if (message is HttpResponse) {
-                val fault = faultOf(message)
+                val fault = headFault(message)
                 if (fault == null) headReceived(current, message) else fail("response is malformed: $fault")
             }
             if (message is HttpContent && isCurrent(current)) contentReceived(current, message)
@@ -158,14 +158,6 @@
         }
     }
 
-    /** Why the head of [response] means nothing although it could be decoded, null if it does. */
-    private fun faultOf(response: HttpResponse): String? = when {
-        response.status().code() !in STATUS_CODES -> "status ${response.status().code()}"
-        isJoinedHead(response.status().reasonPhrase(), response.headers()) ->
-            "its head contains the status line of another response"
-        else -> null
-    }
-
     /** Whether [started] is still in progress. An event listener may have cancelled it. */
     private fun isCurrent(started: Exchange): Boolean = exchange === started
 
@@ -304,9 +296,6 @@
         /** Name of the handler that Vert.x adds at the end of a connection's pipeline. */
         const val SOCKET_HANDLER = "handler"
 
-        /** Status codes that HTTP gives a meaning by their first digit. */
-        val STATUS_CODES = 100..599
-
         /** More than one read of a socket, which may hold several parts of a response. */
         const val MAXIMUM_SKIPPED_BYTES = 512 * 1024
 
--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -24,7 +24,6 @@
 import azuredale.quarantine.QuarantineKeeper
 import azuredale.quarantine.QuarantineLogEvent
 import azuredale.quarantine.ServerEnd
-import azuredale.resumption.OriginCodec
 import azuredale.resumption.OriginExchange
 import azuredale.resumption.PoolVersions
 import azuredale.resumption.StreamOrigins
@@ -143,22 +142,8 @@
             noticeableMilliseconds = { noticeableMilliseconds },
         )
 
-    private val poolVersions = PoolVersions(announcementMilliseconds = settings.bounds.drainBoundMilliseconds)
-    private val origins = StreamOrigins()
-    private val originExchange =
-        OriginExchange(origins, { exchange.peers.all }, dependencies.sendDatagram, dependencies.timer, clock)
-
     /** Where broken streams may go on. */
-    val resumption: StreamResumption =
-        StreamResumption(
-            versions = poolVersions,
-            origins = origins,
-            exchange = originExchange,
-            notes =
-                VersionNoteKeeper(poolVersions, dependencies.versionNotes, clock, scope, { exchange.rank() }, log),
-            log = log,
-            clock = clock,
-        )
+    val resumption: StreamResumption = streamResumption()
 
     /** Reads of the store. */
     val poller: StorePoller =
@@ -218,8 +203,8 @@
     /** Handles a datagram from another router. */
     fun datagramReceived(from: NetworkAddress, bytes: ByteArray) {
         checkClocks()
-        if (!OriginCodec.isOriginMessage(bytes)) return exchange.received(from, bytes, clock())
-        if (!originExchange.received(from, bytes, clock())) messageRefused(from, bytes)
+        if (!resumption.isMessage(bytes)) return exchange.received(from, bytes, clock())
+        if (!resumption.messageReceived(from, bytes)) messageRefused(from, bytes)
     }
 
     private fun messageRefused(from: NetworkAddress, bytes: ByteArray) =
@@ -284,6 +269,17 @@
         log.write(event, "router" to peer.router, "address" to peer.address, "incarnation" to peer.incarnation)
     }
 
+    private fun streamResumption(): StreamResumption {
+        val versions = PoolVersions(announcementMilliseconds = settings.bounds.drainBoundMilliseconds)
+        val origins = StreamOrigins()
+        val peers = { exchange.peers.all }
+        val originExchange = OriginExchange(origins, peers, dependencies.sendDatagram, dependencies.timer, clock)
+        val notes = VersionNoteKeeper(versions, dependencies.versionNotes, clock, scope, ::rank, log)
+        return StreamResumption(versions, origins, originExchange, notes, log, clock)
+    }
+
+    private fun rank(): Int = exchange.rank()
+
     private fun coldServers(onWarm: (ServerId) -> Unit) = ColdServers(
         fleet = ColdServerFleet(settings.router) { exchange.peers.routers },
         usableFrom = clock().plusMilliseconds(ColdServers.START_MILLISECONDS),
--- a/src/main/kotlin/azuredale/quarantine/QuarantineKeeper.kt
+++ b/src/main/kotlin/azuredale/quarantine/QuarantineKeeper.kt
@@ -3,11 +3,10 @@
 import azuredale.freshness.StoreReadSchedule
 import azuredale.identity.PartId
 import azuredale.logging.EventLog
+import azuredale.store.SingleCall
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.launch
 
 /**
  * Keeps a [Quarantine] and its table in the store consistent.
@@ -22,25 +21,24 @@
     private val quarantine: Quarantine,
     private val store: QuarantineStore,
     private val clock: Clock,
-    private val scope: CoroutineScope,
+    scope: CoroutineScope,
     private val rank: () -> Int,
     private val isDivided: () -> Boolean,
     private val log: EventLog,
 ) {
-    private var isCalling = false
-    private var notBefore = Timestamp.DISTANT_PAST
+    private val calls = SingleCall(clock, scope)
     private var hasChanged = false
 
     /** Draws conclusions and starts the calls to the store that are due. */
     fun tick(now: Timestamp) {
         quarantine.update(now)
-        if (isCalling || now < notBefore) return
+        if (!calls.isFree(now)) return
         val unstored = quarantine.unstored.entries.firstOrNull { (_, since) -> now >= since.plusMilliseconds(delay()) }
         val released = quarantine.releasedParts.firstOrNull()
         when {
-            unstored != null -> call { write(unstored.key) { part, deadline -> store.add(part, deadline) } }
-            released != null -> call { write(released) { part, deadline -> store.remove(part, deadline) } }
-            hasChanged || now >= quarantine.tableProvenAt.plusMilliseconds(readInterval()) -> call(::read)
+            unstored != null -> calls.start { write(unstored.key) { part, deadline -> store.add(part, deadline) } }
+            released != null -> calls.start { write(released) { part, deadline -> store.remove(part, deadline) } }
+            hasChanged || now >= quarantine.tableProvenAt.plusMilliseconds(readInterval()) -> calls.start(::read)
         }
     }
 
@@ -52,19 +50,6 @@
         return result is QuarantineCallResult.Done
     }
 
-    private fun call(action: suspend () -> Boolean) {
-        isCalling = true
-        scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            var isDone = false
-            try {
-                isDone = action()
-            } finally {
-                isCalling = false
-                notBefore = clock().plusMilliseconds(if (isDone) 0 else RETRY_MILLISECONDS)
-            }
-        }
-    }
-
     private suspend fun write(part: PartId, send: suspend (PartId, Timestamp) -> QuarantineCallResult): Boolean {
         val result = send(part, callDeadline())
         log.write(QuarantineLogEvent.TABLE_WRITTEN, "part" to part, "result" to result)
@@ -96,7 +81,6 @@
 
         /** A third of the shortest time in which all routers must act on a change, 3 s. */
         const val SHORT_INTERVAL_MILLISECONDS = 1_000L
-        const val RETRY_MILLISECONDS = 300L
         const val RANK_DELAY_MILLISECONDS = 200L
         const val MAXIMUM_RANK = 4
     }
--- a/src/main/kotlin/azuredale/resumption/StreamResumption.kt
+++ b/src/main/kotlin/azuredale/resumption/StreamResumption.kt
@@ -1,6 +1,7 @@
 package azuredale.resumption
 
 import azuredale.directory.ServerDirectory
+import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.SoftwareVersion
 import azuredale.logging.EventLog
@@ -30,6 +31,12 @@
     private val log: EventLog,
     private val clock: Clock,
 ) {
+    /** Whether [bytes] are a message about streams. */
+    fun isMessage(bytes: ByteArray): Boolean = OriginCodec.isOriginMessage(bytes)
+
+    /** Handles such a message of the router at [from]; returns false if it is malformed. */
+    fun messageReceived(from: NetworkAddress, bytes: ByteArray): Boolean = exchange.received(from, bytes, clock())
+
     /** Observes [directory]. */
     fun directoryChanged(directory: ServerDirectory, now: Timestamp) = mixed(versions.update(directory, now), now)
 
--- a/src/main/kotlin/azuredale/resumption/VersionNoteKeeper.kt
+++ b/src/main/kotlin/azuredale/resumption/VersionNoteKeeper.kt
@@ -3,11 +3,10 @@
 import azuredale.freshness.StoreReadSchedule
 import azuredale.identity.PoolId
 import azuredale.logging.EventLog
+import azuredale.store.SingleCall
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.launch
 
 /**
  * Keeps the notes of mixed pools in the store up to date.
@@ -22,25 +21,24 @@
     private val versions: PoolVersions,
     private val notes: VersionNotes,
     private val clock: Clock,
-    private val scope: CoroutineScope,
+    scope: CoroutineScope,
     private val rank: () -> Int,
     private val log: EventLog,
 ) {
-    private var isCalling = false
-    private var notBefore = Timestamp.DISTANT_PAST
+    private val calls = SingleCall(clock, scope)
     private var pools: Set<PoolId>? = null
 
     /** Starts the call to the store that is due. */
     fun tick(now: Timestamp) {
-        if (isCalling || now < notBefore) return
+        if (!calls.isFree(now)) return
         val unnoted = versions.unnoted(now)?.takeIf { (_, since) -> now >= since.plusMilliseconds(delay()) }
         val outlived =
             versions.outlived()?.takeIf { (_, since) ->
                 rank() <= MAXIMUM_RANK && now >= since.plusMilliseconds(delay())
             }
         when {
-            unnoted != null -> call { add(unnoted.first) }
-            outlived != null -> call { remove(outlived.first) }
+            unnoted != null -> calls.start { add(unnoted.first) }
+            outlived != null -> calls.start { remove(outlived.first) }
         }
     }
 
@@ -54,19 +52,6 @@
         return pool in known
     }
 
-    private fun call(action: suspend () -> Boolean) {
-        isCalling = true
-        scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            var isDone = false
-            try {
-                isDone = action()
-            } finally {
-                isCalling = false
-                notBefore = clock().plusMilliseconds(if (isDone) 0 else RETRY_MILLISECONDS)
-            }
-        }
-    }
-
     private suspend fun add(pool: PoolId): Boolean {
         val sentAt = clock()
         val isDone = notes.add(pool, callDeadline())
@@ -88,8 +73,6 @@
     private fun delay(): Long = rank().coerceAtMost(MAXIMUM_RANK) * RANK_DELAY_MILLISECONDS
 
     private companion object {
-        const val RETRY_MILLISECONDS = 300L
-
         /** Longer than it takes with relays until all routers hear that the note is written. */
         const val RANK_DELAY_MILLISECONDS = 800L
         const val MAXIMUM_RANK = 2
