End a planned stop only when the answers have been written

A request counted as ended once its answer was passed to the connection, whatever its caller had read of it; the same held for the end of a stream.

CallerServer counts responses that have ended and are not written yet, and the stop waits for them, until the end of the grace period at the latest. A caller that leaves no longer counts. A case of PlannedStopSpec with 2 MB answers was tried and dropped: over loopback the sockets take them whole, so it passed or failed by the size of their buffers.

--- a/src/main/kotlin/azuredale/edge/CallerServer.kt
+++ b/src/main/kotlin/azuredale/edge/CallerServer.kt
@@ -8,6 +8,7 @@
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import io.netty.handler.codec.http.HttpRequest
+import io.vertx.core.Future
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpConnection
@@ -60,8 +61,12 @@
     }
 
     private var server: HttpServer? = null
+    private val pending = PendingResponses()
     private val connections = HashMap<HttpConnection, Connection>()
 
+    /** Whether all responses that were ended have been written, as far as their callers are still there. */
+    val areResponsesWritten: Boolean get() = pending.count == 0
+
     /** Number of open connections, for metrics. */
     val openConnections: Int get() = connections.size
 
@@ -150,7 +155,7 @@
         when (val decoded = handlers.decode(request)) {
             is DecodedHead.Valid ->
                 handlers.serve(
-                    HttpCaller(request, decoded.head, handlers.isClosing) { requestEnded(connection) },
+                    HttpCaller(request, decoded.head, pending, handlers.isClosing) { requestEnded(connection) },
                 )
             is DecodedHead.Malformed -> {
                 handlers.malformed(decoded.fault)
@@ -187,10 +192,23 @@
     if (isClosing) putHeader("Connection", "close")
 }
 
+/** Counts responses that have ended but are not yet written to their connections. */
+private class PendingResponses {
+    var count = 0
+        private set
+
+    /** Counts a response until [writing] has completed, also if it failed. */
+    fun add(writing: Future<Void>) {
+        count++
+        writing.onComplete { count-- }
+    }
+}
+
 /** A request on a caller's connection. */
 private class HttpCaller(
     private val request: HttpServerRequest,
     override val head: RequestHead,
+    private val pending: PendingResponses,
     private val isClosing: () -> Boolean,
     private val onEnded: () -> Unit,
 ) : Caller {
@@ -252,7 +270,7 @@
         resume()
         response.begin(status, headers, isClosing())
         response.putHeader("Content-Length", body.length().toString())
-        response.end(body).onComplete { onWritten() }
+        pending.add(response.end(body).onComplete { onWritten() })
     }
 
     override fun beginStream(status: Int, headers: List<Header>) {
@@ -275,7 +293,7 @@
     }
 
     override fun end() {
-        if (!isDisconnected) response.end()
+        if (!isDisconnected) pending.add(response.end())
     }
 
     override fun abort() {
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -123,7 +123,7 @@
     suspend fun stop() {
         gateway.stop()
         val end = gateway.gracefulStop.endsAt ?: clock()
-        while (clock() < end && !gateway.hasStopped(clock())) delay(Gateway.TICK_MILLISECONDS)
+        while (clock() < end && !hasStopped()) delay(Gateway.TICK_MILLISECONDS)
         val unfinished = gateway.running
         gateway.endRequests()
         // Lets the last responses leave the socket buffers.
@@ -132,6 +132,8 @@
         scope.cancel()
     }
 
+    private fun hasStopped() = gateway.hasStopped(clock()) && callers?.areResponsesWritten != false
+
     private fun refusal(request: HttpRequest): Refusal? {
         val failure = gateway.refusal(adapter.preview(request)) ?: return null
         return Refusal { allocator, isClosing -> adapter.encodeRefusal(failure, clock(), isClosing, allocator) }
