--- a/src/main/kotlin/azuredale/resumption/PoolVersions.kt
+++ b/src/main/kotlin/azuredale/resumption/PoolVersions.kt
@@ -1,5 +1,6 @@
 package azuredale.resumption
 
+import azuredale.directory.BackendEntry
 import azuredale.directory.BackendState
 import azuredale.directory.ServerDirectory
 import azuredale.identity.PoolId
@@ -65,25 +66,26 @@
     fun update(directory: ServerDirectory, now: Timestamp): List<PoolId> {
         val isFirst = observedSince == null
         if (isFirst) observedSince = now
-        val present = directory.entries.values.groupBy({ it.pool }, { it })
-        present.keys.forEach { pools.getOrPut(it) { Pool() } }
-        pools.forEach { (id, pool) ->
-            val servers = present[id].orEmpty()
-            pool.ready = servers.filter { it.state == BackendState.READY }.mapTo(HashSet()) { it.softwareVersion }
-            val versions = servers.mapTo(HashSet()) { it.softwareVersion }
-            versions.forEach { name ->
-                val version = pool.versions.getOrPut(name) { Version(now) }
-                version.goneAt = null
-                // Nobody waits for the versions that a router finds at its start.
-                if (isFirst || pool.versions.size == 1) version.isAnnounced = true
-            }
-            pool.versions.forEach { (name, version) ->
-                if (name !in versions && version.goneAt == null) version.goneAt = now
-            }
-        }
+        val servers = directory.entries.values.groupBy { it.pool }
+        servers.keys.forEach { pools.getOrPut(it) { Pool() } }
+        pools.forEach { (id, pool) -> observe(pool, servers[id].orEmpty(), isFirst, now) }
         return refresh(now)
     }
 
+    private fun observe(pool: Pool, servers: List<BackendEntry>, isFirst: Boolean, now: Timestamp) {
+        pool.ready = servers.filter { it.state == BackendState.READY }.mapTo(HashSet()) { it.softwareVersion }
+        val present = servers.mapTo(HashSet()) { it.softwareVersion }
+        present.forEach { name ->
+            val version = pool.versions.getOrPut(name) { Version(now) }
+            version.goneAt = null
+            // Other routers know of the versions that a router finds at its start.
+            if (isFirst || pool.versions.size == 1) version.isAnnounced = true
+        }
+        pool.versions.forEach { (name, version) ->
+            if (name !in present && version.goneAt == null) version.goneAt = now
+        }
+    }
+
     /** Applies what another router reports; returns the pools that have become mixed. */
     fun reported(mixed: List<MixedPool>, now: Timestamp): List<PoolId> {
         if (mixed.isEmpty()) return emptyList()
