--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -5,6 +5,7 @@
 import azuredale.gateway.FleetBounds
 import azuredale.identity.FailureDomain
 import azuredale.identity.Revision
+import azuredale.identity.RouterId
 import azuredale.time.Timestamp
 
 /**
@@ -12,10 +13,12 @@
  *
  * @property version identifies the version of the table.
  * @property at when the confirming read was sent, on this router's monotonic clock.
+ * @property reader the router that sent the read, null if it was this one.
  */
 internal data class FreshnessProof(
     val version: Long,
     val at: Timestamp,
+    val reader: RouterId? = null,
 ) {
     /** Whether the version is certain to show every change that is older than [bound] milliseconds at [now]. */
     fun holds(bound: Long, now: Timestamp): Boolean =
@@ -88,9 +91,13 @@
         return isNewer
     }
 
-    /** Records that revision [proven] was the newest at [at]; ignored unless it is the revision in force. */
-    fun confirmCatalog(proven: Revision, at: Timestamp) {
-        if (proven == revision && at > catalogProof.at) catalogProof = FreshnessProof(proven.value, at)
+    /**
+     * Records that revision [proven] was the newest at [at]; ignored unless it is the revision in force.
+     *
+     * @param reader the router that read it, null if it was this one.
+     */
+    fun confirmCatalog(proven: Revision, at: Timestamp, reader: RouterId? = null) {
+        if (proven == revision && at > catalogProof.at) catalogProof = FreshnessProof(proven.value, at, reader)
     }
 
     /**
--- a/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayLogEvent.kt
@@ -26,6 +26,7 @@
     CLOCK_JUMPED(2226, Level.WARN, "clock jump detected; proofs of freshness discarded"),
     PROOF_EXPIRED(2227, Level.WARN, "catalog freshness not confirmed in time; requests that need a key are refused"),
     PROOF_REGAINED(2228, Level.INFO, "catalog freshness confirmed again"),
+    READ_PROVED_NOTHING(2229, Level.WARN, "store answered with an older revision than the known one"),
     PEER_FOUND(2230, Level.INFO, "peer router alive"),
     PEER_LOST(2231, Level.INFO, "peer router stopped reporting"),
     PEER_MESSAGE_REFUSED(2232, Level.WARN, "datagram from a peer router rejected"),
--- a/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
@@ -17,10 +17,12 @@
 /**
  * A request that passed the checks against the catalog of [revision].
  *
+ * @property version the operators' version of that catalog, for logs.
  * @property homes the regions whose servers may get it, null if all may.
  */
 internal class AuthorizedRequest(
     val revision: Revision,
+    val version: Long,
     val route: Route,
     val pool: PoolId,
     val team: TeamId?,
@@ -83,6 +85,7 @@
         return Outcome.Success(
             AuthorizedRequest(
                 revision = current.revision,
+                version = current.version,
                 route = route,
                 pool = pool,
                 team = team?.id,
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -42,6 +42,7 @@
     private var malformedRevision = Revision.NONE
     private var malformedEvacuations: List<String> = emptyList()
     private var knownMalformed: Map<String, String> = emptyMap()
+    private var nextUnprovenLogAt = Timestamp.DISTANT_PAST
 
     /** Records that another router has newer data. */
     fun markOutdated(isCatalog: Boolean, isDirectory: Boolean) {
@@ -75,7 +76,9 @@
     }
 
     /** Milliseconds since the directory was known to be the newest; null if it never was, or its time is unknown. */
-    fun directoryAgeMilliseconds(now: Timestamp): Long? = view.directoryProof.at
+    fun directoryAgeMilliseconds(now: Timestamp): Long? = ageMilliseconds(view.directoryProof.at, now)
+
+    private fun ageMilliseconds(provenAt: Timestamp, now: Timestamp): Long? = provenAt
         .takeIf { it > Timestamp.DISTANT_PAST }
         ?.let { now.microsecondsSince(it) / Timestamp.MICROSECONDS_PER_MILLISECOND }
 
@@ -98,7 +101,20 @@
         if (isFresh == wasCatalogFresh) return
         wasCatalogFresh = isFresh
         val event = if (isFresh) GatewayLogEvent.PROOF_REGAINED else GatewayLogEvent.PROOF_EXPIRED
-        log.write(event, "revision" to view.revision)
+        log.write(
+            event,
+            "revision" to view.revision,
+            "version" to view.catalog?.version,
+            "reader" to view.catalogProof.reader,
+            "age" to ageMilliseconds(view.catalogProof.at, now),
+        )
+    }
+
+    /** Logs, at most once a second, that a read of [table] was answered and proved nothing. */
+    private fun logUnproven(table: String, known: Long, read: Long, now: Timestamp) {
+        if (now < nextUnprovenLogAt) return
+        nextUnprovenLogAt = now.plusSeconds(1)
+        log.write(GatewayLogEvent.READ_PROVED_NOTHING, "table" to table, "known" to known, "read" to read)
     }
 
     /** Reads the catalog once and updates the view. */
@@ -131,7 +147,12 @@
                     )
                     onChange(true)
                 }
-            is CatalogRead.Unchanged -> view.confirmCatalog(read.revision, sentAt)
+            is CatalogRead.Unchanged -> {
+                view.confirmCatalog(read.revision, sentAt)
+                if (read.revision != view.revision) {
+                    logUnproven("catalog", view.revision.value, read.revision.value, now)
+                }
+            }
             // Shared like any other proof, so that not every router of a fleet polls the store for the first catalog.
             is CatalogRead.Missing -> view.confirmCatalog(Revision.NONE, sentAt)
             is CatalogRead.Malformed -> {
@@ -169,7 +190,10 @@
 
     private fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp) {
         val outageUntil = health.lastUnansweredAt.takeIf { health.wasUnavailableSince(view.directoryProof.at) }
-        val before = view.adoptDirectory(read, sentAt, outageUntil) ?: return
+        val known = view.readDirectory.storeRevision
+        val before =
+            view.adoptDirectory(read, sentAt, outageUntil)
+                ?: return logUnproven("directory", known, read.storeRevision, clock())
         if (before.entries == view.directory.entries) return
         logChanges(before, view.directory)
         onChange(false)
--- a/src/main/kotlin/azuredale/peers/ProofExchange.kt
+++ b/src/main/kotlin/azuredale/peers/ProofExchange.kt
@@ -3,6 +3,7 @@
 import azuredale.freshness.StoreView
 import azuredale.identity.Incarnation
 import azuredale.identity.Revision
+import azuredale.identity.RouterId
 import azuredale.time.Timestamp
 
 /**
@@ -40,7 +41,11 @@
         evacuations.apply(report, createdAfter)
         if (createdAfter == null) return
         if (report.catalog.age >= 0) {
-            view.confirmCatalog(Revision(report.catalog.version), createdAfter.plusMicroseconds(-report.catalog.age))
+            view.confirmCatalog(
+                Revision(report.catalog.version),
+                createdAfter.plusMicroseconds(-report.catalog.age),
+                RouterId(report.sender.router),
+            )
         }
         if (report.directory.age >= 0) {
             view.confirmDirectory(
--- a/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformLogEvent.kt
@@ -15,4 +15,5 @@
     BUDGET_EXHAUSTED(1103, Level.WARN, "platform call budget exhausted"),
     LIMIT_MALFORMED(1104, Level.WARN, "malformed request limit of a backend server ignored"),
     RETRY_AFTER_MALFORMED(1105, Level.WARN, "malformed retry time of a backend server ignored"),
+    STORE_ERA_CHANGED(1106, Level.WARN, "store names another era of its history"),
 }
--- a/src/main/kotlin/azuredale/platform/PlatformNames.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformNames.kt
@@ -12,6 +12,7 @@
     const val TEAM = "X-Azuredale-Tenant"
     const val EXPECTED_SERVER = "X-Azuredale-Expect-Instance"
     const val ANSWERING_SERVER = "X-Azuredale-Instance-Id"
+    const val STORE_ERA = "Store-Era"
     const val SERVER_LIMIT = "Server-Limit"
     const val SERVER_LEAVING = "Server-Leaving"
     const val NOT_EXECUTED = "X-Azuredale-Not-Executed"
--- a/src/main/kotlin/azuredale/platform/StoreCalls.kt
+++ b/src/main/kotlin/azuredale/platform/StoreCalls.kt
@@ -55,6 +55,7 @@
     private val decoder: LargeValueDecoder,
 ) {
     private val log = EventLog("azuredale.platform")
+    private var lastEra: Long? = null
 
     /**
      * Sends one call. It ends by [deadline]; if no response has arrived by then, the connection is closed.
@@ -128,6 +129,7 @@
         val call = AbortableCall()
         try {
             val response = await(call.send(client, options, body), milliseconds)
+            logEra(response.era)
             interpret(response.status, response.body)
         } finally {
             call.abort()
@@ -151,6 +153,12 @@
         return response ?: throw TimeoutException("no response within $milliseconds ms")
     }
 
+    private fun logEra(era: Long?) {
+        if (era == null || era == lastEra) return
+        log.write(PlatformLogEvent.STORE_ERA_CHANGED, "before" to lastEra, "after" to era)
+        lastEra = era
+    }
+
     private fun interpret(status: Int, body: Buffer): StoreCallResult = when (status) {
         OK -> StoreCallResult.Success(body)
         NOT_FOUND -> StoreCallResult.Missing
@@ -189,6 +197,7 @@
 private class StoreResponse(
     val status: Int,
     val body: Buffer,
+    val era: Long?,
 )
 
 /** One HTTP exchange with the store, which any thread may abandon at any time. */
@@ -210,10 +219,16 @@
             if (body != null) opened.putHeader("Content-Type", "application/json")
             val sent = if (body == null) opened.send() else opened.send(body)
             sent
-                .compose { response -> readBody(response).map { StoreResponse(response.statusCode(), it) } }
+                .compose { response -> readBody(response).map { storeResponse(response, it) } }
                 .onSuccess { isComplete = true }
         }
 
+    private fun storeResponse(response: HttpClientResponse, body: Buffer) = StoreResponse(
+        status = response.statusCode(),
+        body = body,
+        era = response.getHeader(PlatformHeader.STORE_ERA)?.toLongOrNull(),
+    )
+
     private fun readBody(response: HttpClientResponse): Future<Buffer> {
         val body = Buffer.buffer()
         val end = Promise.promise<Buffer>()
