Let the store stand-in return from an older copy

Change: KeyValueStore.copy and restore, and PlatformStandIn.copy and restore (control: copy, restore). The era rises by one and is in each answer (Store-Era); later writes and leases are gone, revisions are given out again, a watch from a revision that the new history does not have gets 410.

--- a/src/main/kotlin/azuredale/standin/KeyValueStore.kt
+++ b/src/main/kotlin/azuredale/standin/KeyValueStore.kt
@@ -38,6 +38,13 @@
     data object LeaseNotFound : TransactionResult
 }
 
+/** Contents of a [KeyValueStore] at some time. */
+internal class StoreCopy(
+    val entries: Map<String, StoredEntry>,
+    val leases: Set<Long>,
+    val revision: Long,
+)
+
 /** In-memory key-value store with revisions, leases, change history and watches. */
 internal class KeyValueStore(private val clock: Clock) {
     private class Lease(
@@ -53,6 +60,11 @@
 
     private var compactedRevision = 0L
 
+    /** Rises each time the store returns from an older copy. */
+    @get:Synchronized
+    var era = 1L
+        private set
+
     /** Revision of the last change. */
     @get:Synchronized
     var revision = 1L
@@ -101,10 +113,34 @@
     /** Changes after revision [after] of keys that begin with [prefix], or null when some were discarded. */
     @Synchronized
     fun changes(prefix: String, after: Long): List<KeyChange>? {
-        if (after < compactedRevision) return null
+        if (after < compactedRevision || after > revision) return null
         return history.filter { it.revision > after && it.key.startsWith(prefix) }
     }
 
+    /** Returns the present contents. */
+    @Synchronized
+    fun copy(): StoreCopy {
+        expire()
+        return StoreCopy(TreeMap(entries), leases.keys.toSet(), revision)
+    }
+
+    /**
+     * Goes back to [copy] in a new era: later writes and leases are lost, and their revisions are given out again.
+     *
+     * Leases of the copy run for their full time again. Watches continue from revisions of the new history only.
+     */
+    @Synchronized
+    fun restore(copy: StoreCopy) {
+        era++
+        revision = copy.revision
+        entries.clear()
+        entries.putAll(copy.entries)
+        leases.keys.retainAll(copy.leases)
+        leases.values.forEach { it.deadline = clock().plusSeconds(it.seconds) }
+        history.clear()
+        compactedRevision = revision
+    }
+
     /** Discards the change history. */
     @Synchronized
     fun compact() {
--- a/src/main/kotlin/azuredale/standin/PlatformStandIn.kt
+++ b/src/main/kotlin/azuredale/standin/PlatformStandIn.kt
@@ -1,5 +1,6 @@
 package azuredale.standin
 
+import azuredale.platform.PlatformHeader
 import azuredale.platform.PlatformPath
 import azuredale.store.CallRateLimiter
 import azuredale.time.Clock
@@ -23,6 +24,7 @@
  * ```
  * {"down": true, "delay_milliseconds": 50, "lost_replies": 1, "lost_requests": 0, "error_status": 503,
  *  "calls_per_second": 100, "end_leases": true, "break_watches": true, "forget_history": true,
+ *  "copy": true, "restore": true,
  *  "vms": {"live": ["127.0.0.1"], "leaving": [], "lag_milliseconds": 500}}
  * ```
  *
@@ -44,6 +46,9 @@
     private var server: HttpServer? = null
     private var timer: Long? = null
 
+    @Volatile
+    private var copy: StoreCopy? = null
+
     /** Faults injected into further calls. */
     @Volatile
     public var faults: PlatformFaults = PlatformFaults()
@@ -113,6 +118,17 @@
         breakWatches()
     }
 
+    /** Remembers the store's present contents for [restore]. */
+    public fun copy() {
+        copy = store.copy()
+    }
+
+    /** Returns the store from its last [copy] in a new era. What was written since is gone, and watches end. */
+    public fun restore() {
+        store.restore(checkNotNull(copy) { "copy() comes first" })
+        breakWatches()
+    }
+
     private fun admit(context: RoutingContext, handle: () -> Unit) {
         callCount.incrementAndGet()
         val status = faults.errorStatus
@@ -153,7 +169,11 @@
     private fun reply(context: RoutingContext, answer: StoreResponse) {
         val response = context.response()
         if (response.closed()) return
-        response.setStatusCode(answer.status).putHeader("Content-Type", "application/json").end(answer.body)
+        response
+            .setStatusCode(answer.status)
+            .putHeader("Content-Type", "application/json")
+            .putHeader(PlatformHeader.STORE_ERA, store.era.toString())
+            .end(answer.body)
     }
 
     private fun delayed(action: () -> Unit) {
@@ -168,7 +188,11 @@
 
     private fun fail(context: RoutingContext, status: Int, message: String) {
         val body = JsonObject().put("error", message).put("message", message)
-        context.response().setStatusCode(status).end(Buffer.buffer(body.encode()))
+        context
+            .response()
+            .setStatusCode(status)
+            .putHeader(PlatformHeader.STORE_ERA, store.era.toString())
+            .end(Buffer.buffer(body.encode()))
     }
 
     private fun control(context: RoutingContext) {
@@ -185,6 +209,8 @@
         if (order.getBoolean("end_leases", false)) endLeases()
         if (order.getBoolean("break_watches", false)) breakWatches()
         if (order.getBoolean("forget_history", false)) forgetHistory()
+        if (order.getBoolean("copy", false)) copy()
+        if (order.getBoolean("restore", false)) restore()
         order.getJsonObject("vms")?.let { vms ->
             setVirtualMachines(names(vms, "live"), names(vms, "leaving"), vms.getLong("lag_milliseconds", 0))
         }
--- a/src/main/kotlin/azuredale/standin/StoreStandIn.kt
+++ b/src/main/kotlin/azuredale/standin/StoreStandIn.kt
@@ -4,6 +4,7 @@
 import azuredale.platform.ItemMessage
 import azuredale.platform.LeaseMessage
 import azuredale.platform.LeaseRequest
+import azuredale.platform.PlatformHeader
 import azuredale.platform.PlatformPath
 import azuredale.platform.RangeMessage
 import azuredale.platform.TransactionMessage
@@ -53,7 +54,7 @@
         val request = context.request()
         val prefix = request.getParam("path-prefix").orEmpty()
         val after = request.getParam("after").orEmpty().toLong()
-        val response = context.response()
+        val response = context.response().putHeader(PlatformHeader.STORE_ERA, store.era.toString())
         val known = store.changes(prefix, after)
         if (known == null) {
             response.setStatusCode(GONE).end("{}")
