--- /dev/null
+++ b/src/test/kotlin/azuredale/freshness/RestoredStoreSpec.kt
@@ -0,0 +1,115 @@
+package azuredale.freshness
+
+import azuredale.standin.StoreCopy
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** The store returns from a copy some seconds old and gives out its latest revisions again. */
+class RestoredStoreSpec {
+    private fun fleet(routers: Int, test: RestoredStoreFleet.() -> Unit) = RestoredStoreFleet(routers).run {
+        writeVersion("a", "b")
+        run(milliseconds = 4_000)
+        assertEquals(emptyList(), behind(), "routers that do not serve before the drill")
+        test()
+        assertEquals(emptySet(), violations)
+    }
+
+    /** Returns from [copy] after [awayMilliseconds] in which the store does not answer. */
+    private fun RestoredStoreFleet.restore(copy: StoreCopy, awayMilliseconds: Int = 500) {
+        isAway = true
+        run(awayMilliseconds)
+        storage.restore(copy)
+        isAway = false
+    }
+
+    @Nested
+    inner class Revocations {
+        @Test
+        fun `under a revision that is given out again are in force in time`() = fleet(routers = 3) {
+            // Guards against a catalog that is proven by the revision of another one, so that revoked keys work on.
+            val copy = copy()
+            writeVersion("a", "b", "c")
+            run(milliseconds = 1_000)
+            restore(copy)
+            writeVersion("a", "c")
+            run(milliseconds = 10_000)
+            assertEquals(emptyList(), behind())
+        }
+
+        @Test
+        fun `that were lost are in force at routers that start before they are written again`() = fleet(routers = 3) {
+            // Guards against a router that reads the copy, takes it for the newest catalog and serves revoked keys.
+            val copy = copy()
+            writeVersion("a")
+            run(milliseconds = 1_000)
+            restore(copy)
+            run(milliseconds = 2_000)
+            restart(0..2)
+            run(milliseconds = 2_400)
+            writeNewest()
+            run(milliseconds = 10_000)
+            assertEquals(emptyList(), behind())
+        }
+
+        @Test
+        fun `that were lost are in force at a router that starts while others know them`() = fleet(routers = 3) {
+            // Guards against a router that starts after the drill and does not ask what others know.
+            val copy = copy()
+            writeVersion("a")
+            run(milliseconds = 1_000)
+            restore(copy)
+            run(milliseconds = 6_000)
+            restart(0..0)
+            run(milliseconds = 4_000)
+            writeNewest()
+            run(milliseconds = 2_000)
+            assertEquals(emptyList(), behind())
+        }
+    }
+
+    @Nested
+    inner class Service {
+        @Test
+        fun `goes on by the known catalog when the copy has the same one`() = fleet(routers = 3) {
+            // Guards against requests that are refused for seconds because the store's revision is lower than before.
+            val copy = copy()
+            raiseRevision(10)
+            run(milliseconds = 1_000)
+            restore(copy)
+            repeat(100) {
+                run(milliseconds = 100)
+                assertTrue(nodes.all { it.serves("a") }, "refused ${it * 100} ms after the store's return")
+            }
+        }
+
+        @Test
+        fun `has a new catalog with a lower revision`() = fleet(routers = 3) {
+            // Guards against a configuration that stays out of force until the revision has passed its old value.
+            val copy = copy()
+            raiseRevision(100)
+            writeVersion("a", "b", "c")
+            run(milliseconds = 1_000)
+            restore(copy)
+            run(milliseconds = 500)
+            writeVersion("a", "d")
+            run(milliseconds = 6_000)
+            assertEquals(emptyList(), behind())
+        }
+
+        @Test
+        fun `costs no more than half of the calls that a router may make`() = fleet(routers = 3) {
+            // Guards against routers that read without pause while the store proves nothing to them.
+            val copy = copy()
+            raiseRevision(100)
+            writeVersion("a")
+            run(milliseconds = 1_000)
+            restore(copy)
+            val before = nodes.map { it.store.calls }
+            run(milliseconds = 20_000)
+            val calls = nodes.zip(before) { node, calls -> node.store.calls - calls }
+            assertTrue(calls.all { it <= 20 * MemoryStore.CALLS_PER_SECOND / 2 }, "calls in 20 s: $calls")
+        }
+    }
+}
