--- a/src/main/kotlin/azuredale/catalog/Catalog.kt
+++ b/src/main/kotlin/azuredale/catalog/Catalog.kt
@@ -1,27 +1,27 @@
 package azuredale.catalog
 
 import azuredale.identity.PoolId
-import azuredale.identity.Revision
 
 /**
- * Immutable snapshot of the operators' configuration: routes, pools, teams and limits. Each revision is a new instance.
+ * Immutable snapshot of the operators' configuration: routes, pools, teams and limits. Each version is a new instance.
  *
  * ```
  * val route = catalog.route("shop.example", "/drafts/2") ?: return notFound()
  * val team = catalog.teamOf(key)
  * ```
  *
- * @property revision revision of the stored value; it orders catalogs.
- * @property version version number assigned by the operators, for logs only.
+ * @property mark identifies the catalog and orders it among others.
  */
 public class Catalog(
-    public val revision: Revision,
-    public val version: Long,
+    public val mark: CatalogMark,
     public val routes: List<Route>,
     pools: List<BackendPool>,
     public val teams: List<CatalogTeam>,
     public val limits: CallerLimits,
 ) {
+    /** Version number assigned by the operators. */
+    public val version: Long get() = mark.version
+
     private val routesByHost =
         routes.groupBy { it.host }.mapValues { (_, list) -> list.sortedByDescending { it.pathPrefix.length } }
     private val teamsByKey = teams.flatMap { team -> team.keys.map { it to team } }.toMap()
--- a/src/main/kotlin/azuredale/directory/RegistrationChanges.kt
+++ b/src/main/kotlin/azuredale/directory/RegistrationChanges.kt
@@ -1,18 +1,19 @@
 package azuredale.directory
 
 import azuredale.identity.ServerId
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 
 /**
- * Registration of one server as of a revision of the store.
+ * Registration of one server as of a point in the store's history.
  *
  * @property entry the registration, null if it is gone.
- * @property storeRevision revision at which the registration was read.
+ * @property point point at which the registration was read.
  */
 internal class RegistrationChange(
     val id: ServerId,
     val entry: BackendEntry?,
-    val storeRevision: Long,
+    val point: StorePoint,
 )
 
 /** Registrations that changed lately, for reports to routers that would otherwise read the store. */
@@ -46,7 +47,7 @@
     }
 
     private fun record(id: ServerId, entry: BackendEntry?, isOwnRead: Boolean, now: Timestamp) {
-        val change = RegistrationChange(id, entry, latest.storeRevision)
+        val change = RegistrationChange(id, entry, latest.point)
         changes[id] = Recorded(change, isOwnRead, now.plusMilliseconds(REPEAT_MILLISECONDS))
     }
 
@@ -73,22 +74,22 @@
 
     /** Returns the directory announced as [target] if [base] and the changes received so far result in it. */
     fun assemble(base: ServerDirectory, changes: List<RegistrationChange>, target: DirectoryVersion): ServerDirectory? {
-        pending.values.removeIf { it.storeRevision <= base.storeRevision }
+        pending.values.removeIf { it.point <= base.point }
         changes.forEach { change ->
             val known = pending[change.id]
-            val isNewer = known == null || change.storeRevision > known.storeRevision
-            if (change.storeRevision > base.storeRevision && isNewer && pending.size < MAXIMUM_PENDING) {
+            val isNewer = known == null || change.point > known.point
+            if (change.point > base.point && isNewer && pending.size < MAXIMUM_PENDING) {
                 pending[change.id] = change
             }
         }
-        if (target.storeRevision <= base.storeRevision || pending.isEmpty()) return null
+        if (target.point <= base.point || pending.isEmpty()) return null
         val entries = LinkedHashMap(base.entries)
         pending.values.forEach { change ->
-            if (change.storeRevision > target.storeRevision) return null
+            if (change.point > target.point) return null
             if (change.entry == null) entries -= change.id else entries[change.id] = change.entry
         }
         if (entries.size != target.servers) return null
-        return ServerDirectory(target.storeRevision, entries).takeIf { it.digest == target.digest }
+        return ServerDirectory(target.point, entries).takeIf { it.digest == target.digest }
     }
 
     private companion object {
@@ -97,9 +98,9 @@
     }
 }
 
-/** Identifies a snapshot of the directory, by the number of its [servers] and its [digest], at a store revision. */
+/** Identifies a snapshot of the directory at [point] by the number of its [servers] and its [digest]. */
 internal class DirectoryVersion(
-    val storeRevision: Long,
+    val point: StorePoint,
     val servers: Int,
     val digest: Int,
 )
--- a/src/main/kotlin/azuredale/directory/ServerDirectory.kt
+++ b/src/main/kotlin/azuredale/directory/ServerDirectory.kt
@@ -2,14 +2,15 @@
 
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.store.StorePoint
 
 /**
  * Immutable snapshot of the registered backend servers.
  *
- * @property storeRevision revision of the store at which the snapshot was read; it orders snapshots.
+ * @property point point in the store's history at which the snapshot was read; it orders snapshots.
  */
 public class ServerDirectory(
-    public val storeRevision: Long,
+    public val point: StorePoint,
     public val entries: Map<ServerId, BackendEntry>,
 ) {
     private val readyByPool: Map<PoolId, List<BackendEntry>> =
@@ -21,7 +22,7 @@
     /** The entries by the hash of their ids, as used in messages between routers. */
     internal val byIdHash: Map<Int, BackendEntry> = entries.values.associateBy { it.idHash }
 
-    /** Hash of the entries, the same on every router for equal entries regardless of [storeRevision]. */
+    /** Hash of the entries, the same on every router for equal entries regardless of [point]. */
     public val digest: Int =
         entries.values.sortedBy { it.id.name }.fold(
             1,
@@ -35,7 +36,7 @@
 
     public companion object {
         /** Initial snapshot without servers. */
-        public val EMPTY: ServerDirectory = ServerDirectory(0, emptyMap())
+        public val EMPTY: ServerDirectory = ServerDirectory(StorePoint.NONE, emptyMap())
     }
 }
 
--- /dev/null
+++ b/src/main/kotlin/azuredale/freshness/DepartedServers.kt
@@ -0,0 +1,57 @@
+package azuredale.freshness
+
+import azuredale.directory.BackendState
+import azuredale.directory.ServerDirectory
+import azuredale.directory.ServerProcess
+import azuredale.directory.process
+import azuredale.store.StorePoint
+import azuredale.time.Timestamp
+
+/**
+ * Servers that began to drain, or left, within the time that a copy of the store may be old.
+ *
+ * A store that has returned from such a copy shows them as ready until their registrations expire.
+ */
+internal class DepartedServers {
+    private val departures = LinkedHashMap<ServerProcess, Timestamp>()
+    private var returnedUntil = Timestamp.DISTANT_PAST
+
+    /** Whether servers are still regarded as departed, whatever the store shows. */
+    fun isInForce(now: Timestamp): Boolean = now < returnedUntil
+
+    /** Records what [read] shows to have departed since [before], the directory read previously, at [now]. */
+    fun record(before: ServerDirectory, read: ServerDirectory, now: Timestamp) {
+        departures.values.removeIf { now >= it.plusMilliseconds(COPY_AGE_MILLISECONDS) }
+        if (read.point.era > before.point.era) {
+            if (before.point != StorePoint.NONE) returnedUntil = now.plusMilliseconds(EXPIRY_MILLISECONDS)
+            return
+        }
+        before.entries.values.forEach { entry ->
+            val wasReady = entry.state == BackendState.READY
+            if (wasReady && !read.isReady(entry.id)) departures[entry.process] = now
+        }
+        // A server that has been shown as ready since the return is not known to have come back.
+        read.entries.values.forEach { entry ->
+            val wasReady = before.entries[entry.id]?.state == BackendState.READY
+            if (entry.state == BackendState.READY && !wasReady) departures -= entry.process
+        }
+    }
+
+    /** Returns [directory] with the departed servers as draining, if that is in force at [now]. */
+    fun applyTo(directory: ServerDirectory, now: Timestamp): ServerDirectory {
+        if (!isInForce(now) || directory.entries.values.none { it.process in departures }) return directory
+        val entries =
+            directory.entries.mapValues { (_, entry) ->
+                if (entry.process in departures) entry.copy(state = BackendState.DRAINING) else entry
+            }
+        return ServerDirectory(directory.point, entries)
+    }
+
+    private companion object {
+        /** Exceeds the seconds by which a copy is older than the store. */
+        const val COPY_AGE_MILLISECONDS = 30_000L
+
+        /** Registrations of servers that are silent expire within four seconds. */
+        const val EXPIRY_MILLISECONDS = 5_000L
+    }
+}
--- a/src/main/kotlin/azuredale/freshness/Evacuations.kt
+++ b/src/main/kotlin/azuredale/freshness/Evacuations.kt
@@ -1,15 +1,16 @@
 package azuredale.freshness
 
 import azuredale.identity.FailureDomain
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 
 /**
  * The failure domains that operators have evacuated.
  *
- * @property revision revision of the store at which the table was read; it orders tables.
+ * @property point point in the store's history at which the table was read; it orders tables.
  */
 public data class EvacuationTable(
-    val revision: Long,
+    val point: StorePoint,
     val domains: Set<FailureDomain>,
 )
 
@@ -34,6 +35,9 @@
     var provenAt: Timestamp = Timestamp.DISTANT_PAST
         private set
 
+    /** Whether [table] has domains of an earlier era that the store may have lost. */
+    private var hasRetained = false
+
     /** Whether this router knows enough to send requests. */
     val isKnown: Boolean get() = boundMilliseconds == null || table != null
 
@@ -49,17 +53,22 @@
      * Adopts [read] if it is newer than the known table. It was the newest one at [at], or at an unknown time if that
      * is [Timestamp.DISTANT_PAST].
      *
-     * A table of a higher revision contains all that was confirmed before the proof of a lower one, so proofs of either
-     * hold for the newer table.
+     * A later table contains all that was confirmed before the proof of a lower one, so proofs of either
+     * hold for the newer table. A store that has returned from an older copy may have lost evacuations, so the domains
+     * stay evacuated until the era [isSettled].
      */
-    fun adopt(read: EvacuationTable, at: Timestamp) {
+    fun adopt(read: EvacuationTable, at: Timestamp, isSettled: Boolean = true) {
         if (boundMilliseconds == null) return
         provenAt = maxOf(provenAt, at)
         val known = table
-        if (known != null && read.revision <= known.revision) return
-        table = read
+        if (known != null && read.point < known.point) return
+        val isRetained = known != null && !isSettled && (hasRetained || read.point.era > known.point.era)
+        if (known != null && read.point == known.point && isRetained == hasRetained) return
+        hasRetained = isRetained
         val before = known?.domains.orEmpty()
-        if (before != read.domains) onChange(before, read.domains)
+        val after = if (isRetained) before + read.domains else read.domains
+        table = EvacuationTable(read.point, after)
+        if (before != after) onChange(before, after)
     }
 
     /** Discards the proof of freshness; the table stays in force. */
--- a/src/main/kotlin/azuredale/freshness/StoreReadSchedule.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreReadSchedule.kt
@@ -15,6 +15,7 @@
     private var isReading = false
     private var notBefore = Timestamp.DISTANT_PAST
     private var failures = 0
+    private var unproven = 0
 
     /** Whether to read now, given the time of the latest proof and whether the local version is known to be stale. */
     fun isDue(now: Timestamp, provenAt: Timestamp, isKnownStale: Boolean): Boolean {
@@ -34,10 +35,18 @@
         isReading = true
     }
 
-    fun recordSuccess(now: Timestamp) {
+    /** Increases the interval with each answer that proves nothing, whatever calls for the next read. */
+    fun recordSuccess(now: Timestamp, isProven: Boolean) {
         isReading = false
         failures = 0
-        notBefore = now.plusMilliseconds(MINIMUM_INTERVAL_MILLISECONDS)
+        unproven = if (isProven) 0 else unproven + 1
+        notBefore = now.plusMilliseconds(MINIMUM_INTERVAL_MILLISECONDS shl unproven.coerceAtMost(MAXIMUM_UNPROVEN))
+    }
+
+    /** Lets the next read start at [now], since it is expected to prove more than the last one. */
+    fun expedite(now: Timestamp) {
+        unproven = 0
+        notBefore = minOf(notBefore, now)
     }
 
     /** Increases the delay after each failure, so that the fleet does not overload a store that recovers. */
@@ -65,6 +74,9 @@
 
         /** Minimum time between two reads of a table when changes follow each other quickly. */
         const val MINIMUM_INTERVAL_MILLISECONDS = 60L
+
+        /** Doublings of that interval, to about the usual time between two reads. */
+        const val MAXIMUM_UNPROVEN = 3
         const val RETRY_DELAY_MILLISECONDS = 150L
         const val MAXIMUM_DOUBLINGS = 2
 
--- a/src/main/kotlin/azuredale/freshness/StoreReader.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreReader.kt
@@ -2,26 +2,38 @@
 
 import azuredale.catalog.Catalog
 import azuredale.directory.ServerDirectory
-import azuredale.identity.Revision
 import azuredale.store.CallFailure
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 
 /** Result of reading the operators' configuration from the store. */
 public sealed interface CatalogRead {
-    /** The stored catalog is newer than the known revision. */
-    public data class Newer(val catalog: Catalog) : CatalogRead
+    /** The store's answer in the given [era]. */
+    public sealed interface Answered : CatalogRead {
+        public val era: StoreEra
+    }
 
-    /** The stored catalog has the known revision. */
-    public data class Unchanged(val revision: Revision) : CatalogRead
+    /** The stored catalog is not known yet. */
+    public data class Unknown(val catalog: Catalog) : Answered {
+        override val era: StoreEra get() = catalog.mark.point.era
+    }
 
-    /** The store holds no catalog yet. */
-    public data object Missing : CatalogRead
+    /** The stored catalog is the known one that was written at [point]. */
+    public data class Unchanged(val point: StorePoint) : Answered {
+        override val era: StoreEra get() = point.era
+    }
 
-    /** The stored value is newer but cannot be decoded. */
+    /** The store holds no catalog. */
+    public data class Missing(override val era: StoreEra = StoreEra.NONE) : Answered
+
+    /** The value that was stored at [point] cannot be decoded. */
     public data class Malformed(
-        val revision: Revision,
+        val point: StorePoint,
         val detail: String,
-    ) : CatalogRead
+    ) : Answered {
+        override val era: StoreEra get() = point.era
+    }
 
     /** The store gave no usable response. */
     public data class Failed(val failure: CallFailure) : CatalogRead
@@ -53,8 +65,8 @@
 
 /** Linearizable reads of the catalog and the server directory. The adapter defines keys and encodings. */
 public interface StoreReader {
-    /** Reads the catalog and evacuations; a catalog with revision [known] is not decoded again. */
-    public suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead
+    /** Reads the catalog and evacuations; a catalog whose point [isKnown] is not decoded. */
+    public suspend fun readCatalog(isKnown: (StorePoint) -> Boolean, deadline: Timestamp): OperatorRead
 
     /** Reads all backend server registrations. */
     public suspend fun readDirectory(deadline: Timestamp): DirectoryRead
--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -1,22 +1,20 @@
 package azuredale.freshness
 
 import azuredale.catalog.Catalog
+import azuredale.catalog.CatalogMark
 import azuredale.directory.ServerDirectory
 import azuredale.gateway.FleetBounds
 import azuredale.identity.FailureDomain
-import azuredale.identity.Revision
 import azuredale.identity.RouterId
 import azuredale.time.Timestamp
 
 /**
- * Proof of freshness: this version of a table was the newest at the given time.
+ * Proof of freshness: the known version of a table was the newest at the given time.
  *
- * @property version identifies the version of the table.
  * @property at when the confirming read was sent, on this router's monotonic clock.
  * @property reader the router that sent the read, null if it was this one.
  */
 internal data class FreshnessProof(
-    val version: Long,
     val at: Timestamp,
     val reader: RouterId? = null,
 ) {
@@ -28,12 +26,14 @@
 /**
  * Local copy of the store's tables: the catalog and the server directory, each with its latest proof of freshness.
  *
- * A late response never replaces the catalog by an older revision.
+ * Neither a late response nor a store that has returned from an older copy replaces the catalog by an older version.
  *
+ * @property history the era of the store's history.
  * @param onEvacuationChange called with the evacuated failure domains before and after each change.
  */
 internal class StoreView(
     private val bounds: FleetBounds,
+    val history: StoreHistory = StoreHistory(isFirstStart = true, bounds.contactMilliseconds),
     onEvacuationChange: (before: Set<FailureDomain>, after: Set<FailureDomain>) -> Unit = { _, _ -> },
 ) {
     /** The failure domains that operators have evacuated. */
@@ -50,6 +50,7 @@
     /** The directory as last read, without retained servers. */
     private var lastReadDirectory = ServerDirectory.EMPTY
     private var retainedUntil = Timestamp.DISTANT_PAST
+    private val departedServers = DepartedServers()
 
     /** The directory as last read, which is what routers pass on; it contains no retained servers. */
     val readDirectory: ServerDirectory get() = lastReadDirectory
@@ -61,12 +62,16 @@
     var catalogProof: FreshnessProof = NO_PROOF
         private set
 
-    /** Latest proof of freshness for [directory]; its version is the digest. */
+    /** Latest proof of freshness for [directory]. */
     var directoryProof: FreshnessProof = NO_PROOF
         private set
 
-    /** Revision of [catalog], or [Revision.NONE] if there is none. */
-    val revision: Revision get() = catalog?.revision ?: Revision.NONE
+    /** Identifies [catalog]. */
+    val catalogMark: CatalogMark get() = catalog?.mark ?: CatalogMark.NONE
+
+    /** The newest catalog that any router is known to have had, which the store may have lost. */
+    var newestMark: CatalogMark = CatalogMark.NONE
+        private set
 
     /** Whether the catalog is certain to reflect every key revocation that is older than the revocation bound. */
     fun isCatalogFresh(now: Timestamp): Boolean =
@@ -80,26 +85,48 @@
     fun isDirectoryFresh(now: Timestamp): Boolean =
         directoryProof.holds(bounds.drainBoundMilliseconds - DRAIN_MARGIN_MILLISECONDS, now)
 
-    /** Adopts a catalog from a read sent at [sentAt] if it is newer, and returns whether it was. */
+    /**
+     * Adopts a catalog from a read sent at [sentAt] if it is newer than the known one, or the same one written again;
+     * returns whether it was.
+     *
+     * A newer catalog contains all changes before it, so the proof of the previous one holds for it as well.
+     */
     fun adoptCatalog(read: Catalog, sentAt: Timestamp): Boolean {
-        val isNewer = read.revision > revision
-        if (isNewer) {
-            catalog = read
-            catalogProof = NO_PROOF
-        }
-        confirmCatalog(read.revision, sentAt)
-        return isNewer
+        val known = catalogMark
+        val isWrittenAgain = read.mark.isSameAs(known) && read.mark.point > known.point
+        val isAdopted = read.mark.isNewerThan(known) || isWrittenAgain
+        if (isAdopted) catalog = read
+        recordMark(read.mark)
+        confirmRead(read.mark, sentAt)
+        return isAdopted
+    }
+
+    /** Records that a router has the catalog identified by [mark]. */
+    fun recordMark(mark: CatalogMark) {
+        if (mark.isNewerThan(newestMark)) newestMark = mark
+    }
+
+    /** Records that a read sent at [sentAt] found the catalog identified by [read]; it proves that in a settled era. */
+    fun confirmRead(read: CatalogMark, sentAt: Timestamp) {
+        if (read.point.era == history.era && history.isSettled(sentAt)) confirmCatalog(read, sentAt)
     }
 
     /**
-     * Records that revision [proven] was the newest at [at]; ignored unless it is the revision in force.
+     * Records that the catalog identified by [proven] was the newest at [at].
+     *
+     * Ignored unless it is the catalog in force. A catalog that is older than one that any router has had is not the
+     * newest, even if the store holds no other.
      *
      * @param reader the router that read it, null if it was this one.
      */
-    fun confirmCatalog(proven: Revision, at: Timestamp, reader: RouterId? = null) {
-        if (proven == revision && at > catalogProof.at) catalogProof = FreshnessProof(proven.value, at, reader)
+    fun confirmCatalog(proven: CatalogMark, at: Timestamp, reader: RouterId? = null) {
+        if (!proven.isSameAs(catalogMark) || isCatalogLost()) return
+        if (at > catalogProof.at) catalogProof = FreshnessProof(at, reader)
     }
 
+    /** Whether another router has had a newer catalog in an earlier or a later era than that of [catalog]. */
+    private fun isCatalogLost() = newestMark.point.era != catalogMark.point.era && newestMark.isNewerThan(catalogMark)
+
     /**
      * Adopts the directory from a read sent at [sentAt]; returns the previous one, or null if the read is outdated.
      *
@@ -111,32 +138,37 @@
      *   ended, null if there was none.
      */
     fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp, outageUntil: Timestamp?): ServerDirectory? {
-        if (read.storeRevision < lastReadDirectory.storeRevision) return null
-        if (outageUntil != null && lastReadDirectory !== ServerDirectory.EMPTY) {
-            val connectedAt = outageUntil.plusMilliseconds(bounds.contactMilliseconds - DRAIN_MARGIN_MILLISECONDS)
+        if (read.point < lastReadDirectory.point) return null
+        val isNewEra = read.point.era > lastReadDirectory.point.era && lastReadDirectory !== ServerDirectory.EMPTY
+        val returnedAt = outageUntil ?: sentAt.takeIf { isNewEra }
+        if (returnedAt != null && lastReadDirectory !== ServerDirectory.EMPTY) {
+            val connectedAt = returnedAt.plusMilliseconds(bounds.contactMilliseconds - DRAIN_MARGIN_MILLISECONDS)
             retainedUntil = minOf(sentAt.plusMilliseconds(RETENTION_MILLISECONDS), connectedAt)
         }
+        departedServers.record(lastReadDirectory, read, sentAt)
         val before = directory
         lastReadDirectory = read
-        directory = if (sentAt < retainedUntil) withRetained(read, before) else read
-        directoryProof = FreshnessProof(read.digest.toLong(), maxOf(sentAt, directoryProof.at))
+        val usable = departedServers.applyTo(read, sentAt)
+        directory = if (sentAt < retainedUntil) withRetained(usable, before) else usable
+        directoryProof = FreshnessProof(maxOf(sentAt, directoryProof.at))
         return before
     }
 
-    /** Whether the retention of missing servers has ended, so that the directory should be read again. */
+    /** Whether missing or departed servers are no longer retained, so that the directory should be read again. */
     fun isRetentionOver(now: Timestamp): Boolean = now >= retainedUntil &&
+        !departedServers.isInForce(now) &&
         directory !== lastReadDirectory &&
-        directory.entries.size != lastReadDirectory.entries.size
+        directory.digest != lastReadDirectory.digest
 
     private fun withRetained(read: ServerDirectory, before: ServerDirectory): ServerDirectory {
         val addresses = read.entries.values.mapTo(HashSet()) { it.address }
         val retained = before.entries.filter { (id, entry) -> id !in read.entries && entry.address !in addresses }
-        return if (retained.isEmpty()) read else ServerDirectory(read.storeRevision, retained + read.entries)
+        return if (retained.isEmpty()) read else ServerDirectory(read.point, retained + read.entries)
     }
 
     /** Records that the directory with [digest] was the newest at [at]; ignored for another digest. */
     fun confirmDirectory(digest: Int, at: Timestamp) {
-        if (digest == directoryDigest && at > directoryProof.at) directoryProof = FreshnessProof(digest.toLong(), at)
+        if (digest == directoryDigest && at > directoryProof.at) directoryProof = FreshnessProof(at)
     }
 
     /** Discards all proofs of freshness, because the time since then is unknown after a clock jump. */
@@ -147,7 +179,7 @@
     }
 
     private companion object {
-        val NO_PROOF = FreshnessProof(0, Timestamp.DISTANT_PAST)
+        val NO_PROOF = FreshnessProof(Timestamp.DISTANT_PAST)
 
         /** Covers the transit time of a request to the server and the clock drift between routers. */
         const val REVOCATION_MARGIN_MILLISECONDS = 700L
--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -7,7 +7,9 @@
 import azuredale.engine.ColdServers
 import azuredale.engine.ServerStatistics
 import azuredale.freshness.ClockJumpDetector
+import azuredale.freshness.EraKeeper
 import azuredale.freshness.FirstReadDelay
+import azuredale.freshness.StoreHistory
 import azuredale.freshness.StoreView
 import azuredale.identity.FailureDomain
 import azuredale.identity.Incarnation
@@ -66,7 +68,12 @@
     val incarnation = Incarnation(clock().microseconds)
 
     /** Local copy of the store's tables. */
-    val view = StoreView(settings.bounds, ::evacuationsChanged)
+    val view =
+        StoreView(
+            bounds = settings.bounds,
+            history = StoreHistory(settings.isFirstStart, settings.bounds.contactMilliseconds),
+            onEvacuationChange = ::evacuationsChanged,
+        )
 
     /** Runtime state of the backend servers. */
     val statistics =
@@ -133,6 +140,7 @@
                     onOutdated = { isCatalogOld, isDirectoryOld -> poller.markOutdated(isCatalogOld, isDirectoryOld) },
                     onDirectoryLearned = { directory, provenAt -> poller.directoryLearned(directory, provenAt) },
                     onRefused = ::messageRefused,
+                    onEra = { era, now -> poller.eraNamed(era, now) },
                     mixedPools = { resumption.mixedPools() },
                     onMixedPools = { pools, now -> resumption.reported(pools, now) },
                 ),
@@ -157,6 +165,7 @@
             log = log,
             onChange = ::storeChanged,
             onProof = { exchange.proofRenewed(clock()) },
+            onEra = ::eraBegun,
         )
     private val registrar =
         RouterRegistrar(
@@ -180,6 +189,16 @@
             log = log,
         )
 
+    private val eraKeeper =
+        EraKeeper(
+            history = view.history,
+            notes = dependencies.eraNotes,
+            clock = clock,
+            scope = scope,
+            rank = exchange::rank,
+            log = log,
+        )
+
     /** What this router still bears. */
     val capacity = RouterCapacity(settings.weight, log) { exchange.reportSoon(clock()) }
 
@@ -196,6 +215,7 @@
         if (poller.isCatalogDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readCatalog() }
         if (poller.isDirectoryDue(now)) scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }
         if (!isHeld(now)) keeper.tick(now)
+        eraKeeper.tick(now)
         resumption.tick(now)
         exchange.tick(now)
     }
@@ -258,6 +278,13 @@
         if (isCatalogNew) exchange.report(clock())
     }
 
+    private fun eraBegun() {
+        registrar.registerAgain()
+        keeper.readAgain()
+        resumption.storeReturned()
+        exchange.reportSoon(clock())
+    }
+
     private fun evacuationsChanged(before: Set<FailureDomain>, after: Set<FailureDomain>) {
         (after - before).forEach { log.write(GatewayLogEvent.DOMAIN_EVACUATED, "domain" to it) }
         (before - after).forEach { log.write(GatewayLogEvent.EVACUATION_ENDED, "domain" to it) }
--- a/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDaemon.kt
@@ -7,6 +7,7 @@
 import azuredale.edge.DecodedHead
 import azuredale.edge.Refusal
 import azuredale.edge.ResponseDecoder
+import azuredale.freshness.EraNotes
 import azuredale.freshness.StoreReader
 import azuredale.identity.NetworkAddress
 import azuredale.logging.EventLog
@@ -36,6 +37,7 @@
     val registry: Registry,
     val quarantineStore: QuarantineStore,
     val versionNotes: VersionNotes,
+    val eraNotes: EraNotes,
     val failureHeaders: FailureHeaders,
     val responses: ResponseDecoder,
     val encode: (BackendRequest, BackendEntry) -> FullHttpRequest,
@@ -78,6 +80,7 @@
                     timer = ::timer,
                     quarantineStore = adapter.quarantineStore,
                     versionNotes = adapter.versionNotes,
+                    eraNotes = adapter.eraNotes,
                     probe = backends::probe,
                     onChange = {},
                     openCallerConnections = { callers?.openConnections ?: 0 },
--- a/src/main/kotlin/azuredale/gateway/GatewayDependencies.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayDependencies.kt
@@ -1,6 +1,7 @@
 package azuredale.gateway
 
 import azuredale.directory.BackendEntry
+import azuredale.freshness.EraNotes
 import azuredale.freshness.StoreReader
 import azuredale.identity.NetworkAddress
 import azuredale.quarantine.QuarantineStore
@@ -19,6 +20,7 @@
     val timer: (Timestamp, () -> Unit) -> Timer,
     val quarantineStore: QuarantineStore,
     val versionNotes: VersionNotes,
+    val eraNotes: EraNotes,
     /** Tries a new connection to a server and reports whether it was refused. */
     val probe: (BackendEntry, (isRefused: Boolean) -> Unit) -> Unit,
     /** Called when the server directory or the catalog changes. */
--- a/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
@@ -7,7 +7,15 @@
 
 /** Exposes what the router knows of the store's tables and of the backend servers. */
 internal fun GatewayMetrics.exposeServers(view: StoreView, statistics: ServerStatistics, clock: Clock) {
-    gauge("catalog.revision") { view.revision.value.toDouble() }
+    gauge("catalog.revision") {
+        view.catalogMark.point.revision
+            .toDouble()
+    }
+    gauge("catalog.version") { view.catalogMark.version.toDouble() }
+    gauge("store.era") {
+        view.history.era.number
+            .toDouble()
+    }
     gauge("servers.ready") {
         view.directory.entries.values
             .count { view.directory.isReady(it.id) }
--- a/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewaySettings.kt
@@ -51,6 +51,7 @@
  * @property weight relative size of the VM.
  * @property memoryBytes memory that the process may use; null if the platform names no limit.
  * @property maximumDescriptors file descriptors that the process may have open.
+ * @property isFirstStart whether the whole system starts for the first time.
  * @property weighsPrefixes whether kept prompt prefixes are weighed against wait, memory and demand for each request.
  */
 public data class GatewaySettings(
@@ -68,6 +69,7 @@
     val regions: Map<FailureDomain, Region> = emptyMap(),
     val bounds: FleetBounds,
     val weighsPrefixes: Boolean = true,
+    val isFirstStart: Boolean = false,
 ) {
     /**
      * Connections that callers may have open. Each request in progress needs a connection to a server as well, and the
--- a/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestAuthorizer.kt
@@ -1,11 +1,11 @@
 package azuredale.gateway
 
 import azuredale.catalog.Catalog
+import azuredale.catalog.CatalogMark
 import azuredale.catalog.HomeRegions
 import azuredale.catalog.Route
 import azuredale.identity.PoolId
 import azuredale.identity.Region
-import azuredale.identity.Revision
 import azuredale.identity.TeamId
 import azuredale.outcome.ErrorKind
 import azuredale.outcome.Failure
@@ -15,14 +15,12 @@
 import azuredale.time.Timestamp
 
 /**
- * A request that passed the checks against the catalog of [revision].
+ * A request that passed the checks against the catalog identified by [mark].
  *
- * @property version the operators' version of that catalog, for logs.
  * @property homes the regions whose servers may get it, null if all may.
  */
 internal class AuthorizedRequest(
-    val revision: Revision,
-    val version: Long,
+    val mark: CatalogMark,
     val route: Route,
     val pool: PoolId,
     val team: TeamId?,
@@ -53,7 +51,7 @@
     /** Returns the failure if [request], which was authorized earlier, may no longer be sent; otherwise null. */
     fun recheck(head: RequestHead, request: AuthorizedRequest, now: Timestamp): Failure? {
         val isProven = request.route.allowsAnonymous || isFresh(now)
-        if (isProven && catalog()?.revision == request.revision) return null
+        if (isProven && catalog()?.mark == request.mark) return null
         return when (val again = authorizeByCatalog(head, now)) {
             is Outcome.Refused -> again.failure
             is Outcome.Success ->
@@ -84,8 +82,7 @@
         val pool = route.selectPool(StableHash.fraction(head.id))
         return Outcome.Success(
             AuthorizedRequest(
-                revision = current.revision,
-                version = current.version,
+                mark = current.mark,
                 route = route,
                 pool = pool,
                 team = team?.id,
--- a/src/main/kotlin/azuredale/gateway/RequestLog.kt
+++ b/src/main/kotlin/azuredale/gateway/RequestLog.kt
@@ -80,7 +80,7 @@
             "pause" to progress.longestPause / Timestamp.MICROSECONDS_PER_MILLISECOND,
             "route" to authorized?.route?.name,
             "team" to authorized?.team,
-            "version" to authorized?.version,
+            "version" to authorized?.mark?.version,
             "tokens" to head.prompt?.cost,
             "late" to milliseconds(progress.onTimeUntil, progress.firstEventAt ?: now),
             "left" to head.remainingMilliseconds,
--- a/src/main/kotlin/azuredale/gateway/RouterRegistrar.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterRegistrar.kt
@@ -1,11 +1,14 @@
 package azuredale.gateway
 
 import azuredale.logging.EventLog
+import azuredale.sharing.StableHash
 import azuredale.store.LeaseId
 import azuredale.store.LeaseResult
 import azuredale.store.WriteResult
 import azuredale.time.Clock
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Registers this router in the store and discovers the other routers. */
 internal class RouterRegistrar(
@@ -16,6 +19,14 @@
     private val onFound: (RegisteredRouter) -> Unit,
     private val onListed: () -> Unit,
 ) {
+    private val losses = Channel<Unit>(Channel.CONFLATED)
+    private val spreadMilliseconds = Math.floorMod(StableHash.of(own.router.name), SPREAD_MILLISECONDS)
+
+    /** Lets this router register again soon, since the store may have lost its registration. */
+    fun registerAgain() {
+        losses.trySend(Unit)
+    }
+
     /** Keeps this router registered until cancelled. */
     suspend fun run() {
         while (true) {
@@ -49,7 +60,8 @@
 
     private suspend fun renewUntilEnded(lease: LeaseId) {
         while (true) {
-            delay(RENEWAL_INTERVAL_MILLISECONDS)
+            val isLost = withTimeoutOrNull(RENEWAL_INTERVAL_MILLISECONDS) { losses.receive() } != null
+            if (isLost) return delay(spreadMilliseconds)
             if (registry.renew(lease, clock().plusMilliseconds(CALL_TIMEOUT_MILLISECONDS)) is LeaseResult.Ended) return
         }
     }
@@ -60,5 +72,8 @@
         const val RENEWAL_INTERVAL_MILLISECONDS = 9_000L
         const val CALL_TIMEOUT_MILLISECONDS = 900L
         const val RETRY_DELAY_MILLISECONDS = 500L
+
+        /** The routers of a large fleet that register again do so one after the other. */
+        const val SPREAD_MILLISECONDS = 1_000L
     }
 }
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -1,5 +1,7 @@
 package azuredale.gateway
 
+import azuredale.catalog.Catalog
+import azuredale.catalog.CatalogMark
 import azuredale.directory.BackendEntry
 import azuredale.directory.ServerDirectory
 import azuredale.freshness.CatalogRead
@@ -9,10 +11,11 @@
 import azuredale.freshness.StoreReadSchedule
 import azuredale.freshness.StoreReader
 import azuredale.freshness.StoreView
-import azuredale.identity.Revision
 import azuredale.logging.EventLog
 import azuredale.store.CallFailure
 import azuredale.store.CallFailureReason
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 
@@ -20,6 +23,7 @@
  * Keeps a [StoreView] up to date: reads the store when this router's [StoreReadSchedule] is due, and logs changes.
  *
  * @param isHeld whether reads wait that no other router's report calls for.
+ * @param onEra called when the store's history has entered another era.
  */
 internal class StorePoller(
     private val view: StoreView,
@@ -31,6 +35,7 @@
     private val log: EventLog,
     private val onChange: (isCatalogNew: Boolean) -> Unit,
     private val onProof: () -> Unit,
+    private val onEra: () -> Unit = {},
 ) {
     private val catalogSchedule = StoreReadSchedule(rank)
     private val directorySchedule = StoreReadSchedule(rank)
@@ -39,7 +44,10 @@
     private var directoryStaleSince: Timestamp? = null
     private var isStoreLost = false
     private var wasCatalogFresh = false
-    private var malformedRevision = Revision.NONE
+    private var wasEraSettled = true
+
+    /** Point at which the store holds a catalog that is malformed or older than the known one. */
+    private var unusablePoint = StorePoint.NONE
     private var malformedEvacuations: List<String> = emptyList()
     private var knownMalformed: Map<String, String> = emptyMap()
     private var nextUnprovenLogAt = Timestamp.DISTANT_PAST
@@ -60,6 +68,12 @@
     fun tick(lagMilliseconds: Long, now: Timestamp) {
         health.recordLag(lagMilliseconds, now)
         health.update(now)
+        val isSettled = view.history.isSettled(now)
+        if (isSettled && !wasEraSettled) {
+            log.write(GatewayLogEvent.ERA_SETTLED, "era" to view.history.era)
+            catalogSchedule.expedite(now)
+        }
+        wasEraSettled = isSettled
     }
 
     /**
@@ -103,66 +117,105 @@
         val event = if (isFresh) GatewayLogEvent.PROOF_REGAINED else GatewayLogEvent.PROOF_EXPIRED
         log.write(
             event,
-            "revision" to view.revision,
-            "version" to view.catalog?.version,
+            "catalog" to view.catalogMark,
+            "newest" to view.newestMark,
+            "era" to view.history.era,
             "reader" to view.catalogProof.reader,
             "age" to ageMilliseconds(view.catalogProof.at, now),
         )
     }
 
     /** Logs, at most once a second, that a read of [table] was answered and proved nothing. */
-    private fun logUnproven(table: String, known: Long, read: Long, now: Timestamp) {
+    private fun logUnproven(table: String, known: Any, read: Any, now: Timestamp) {
         if (now < nextUnprovenLogAt) return
         nextUnprovenLogAt = now.plusSeconds(1)
         log.write(GatewayLogEvent.READ_PROVED_NOTHING, "table" to table, "known" to known, "read" to read)
     }
 
+    /** Records the era that the store, or another router, names; later eras make what is known outdated. */
+    fun eraNamed(era: StoreEra, now: Timestamp) {
+        val before = view.history.era
+        if (!view.history.recordEra(era, now)) return
+        log.write(
+            GatewayLogEvent.ERA_BEGUN,
+            "before" to before,
+            "era" to era,
+            "isSettled" to view.history.isSettled(now),
+            "catalog" to view.catalogMark,
+        )
+        markOutdated(isCatalog = true, isDirectory = true)
+        onEra()
+    }
+
     /** Reads the catalog once and updates the view. */
     suspend fun readCatalog() {
         catalogSchedule.recordStart()
         isCatalogStale = false
         val sentAt = clock()
         health.recordSent(sentAt)
-        val operators =
-            storeReader.readCatalog(
-                maxOf(view.revision, malformedRevision),
-                sentAt.plusMilliseconds(StoreReadSchedule.CALL_TIMEOUT_MILLISECONDS),
-            )
+        val deadline = sentAt.plusMilliseconds(StoreReadSchedule.CALL_TIMEOUT_MILLISECONDS)
+        val operators = storeReader.readCatalog(::isKnown, deadline)
         val now = clock()
-        operators.evacuations?.let { adoptEvacuations(it, operators.malformed, sentAt) }
         when (val read = operators.catalog) {
             is CatalogRead.Failed -> {
                 catalogSchedule.recordFailure(now)
                 storeFailed(read.failure, sentAt)
-                return
             }
-            is CatalogRead.Newer ->
-                if (view.adoptCatalog(read.catalog, sentAt)) {
-                    log.write(
-                        GatewayLogEvent.CATALOG_ADOPTED,
-                        "revision" to read.catalog.revision,
-                        "version" to read.catalog.version,
-                        "routes" to read.catalog.routes.size,
-                        "teams" to read.catalog.teams.size,
-                    )
-                    onChange(true)
-                }
-            is CatalogRead.Unchanged -> {
-                view.confirmCatalog(read.revision, sentAt)
-                if (read.revision != view.revision) {
-                    logUnproven("catalog", view.revision.value, read.revision.value, now)
-                }
+            is CatalogRead.Answered -> {
+                eraNamed(read.era, now)
+                operators.evacuations?.let { adoptEvacuations(it, operators.malformed, sentAt) }
+                if (read.era == view.history.era) applyCatalog(read, sentAt)
+                val isProven = view.catalogProof.at >= sentAt
+                if (!isProven) logUnproven("catalog", view.catalogMark, pointOf(read), now)
+                catalogSchedule.recordSuccess(now, isProven)
+                storeAnswered(sentAt, now)
+                onProof()
             }
+        }
+    }
+
+    /** Whether a catalog stored at [point] need not be decoded. */
+    private fun isKnown(point: StorePoint): Boolean {
+        val known = view.catalogMark.point
+        return point == unusablePoint || (point.era == known.era && point.revision <= known.revision)
+    }
+
+    private fun pointOf(read: CatalogRead.Answered) = when (read) {
+        is CatalogRead.Unknown -> read.catalog.mark.point
+        is CatalogRead.Unchanged -> read.point
+        is CatalogRead.Malformed -> read.point
+        is CatalogRead.Missing -> StorePoint(read.era, 0)
+    }
+
+    private fun applyCatalog(read: CatalogRead.Answered, sentAt: Timestamp) {
+        when (read) {
+            is CatalogRead.Unknown -> adoptCatalog(read.catalog, sentAt)
+            is CatalogRead.Unchanged ->
+                if (read.point == view.catalogMark.point) view.confirmRead(view.catalogMark, sentAt)
             // Shared like any other proof, so that not every router of a fleet polls the store for the first catalog.
-            is CatalogRead.Missing -> view.confirmCatalog(Revision.NONE, sentAt)
+            is CatalogRead.Missing -> view.confirmRead(CatalogMark(StorePoint(read.era, 0), 0), sentAt)
             is CatalogRead.Malformed -> {
-                malformedRevision = read.revision
-                log.write(GatewayLogEvent.CATALOG_REFUSED, "revision" to read.revision, "detail" to read.detail)
+                unusablePoint = read.point
+                log.write(GatewayLogEvent.CATALOG_REFUSED, "point" to read.point, "detail" to read.detail)
             }
         }
-        catalogSchedule.recordSuccess(now)
-        storeAnswered(sentAt, now)
-        onProof()
+    }
+
+    private fun adoptCatalog(read: Catalog, sentAt: Timestamp) {
+        val known = view.catalogMark
+        if (!view.adoptCatalog(read, sentAt)) {
+            unusablePoint = read.mark.point
+            log.write(GatewayLogEvent.CATALOG_OUTDATED, "known" to known, "stored" to read.mark)
+            return
+        }
+        log.write(
+            GatewayLogEvent.CATALOG_ADOPTED,
+            "revision" to read.mark.point,
+            "version" to read.version,
+            "routes" to read.routes.size,
+            "teams" to read.teams.size,
+        )
+        onChange(true)
     }
 
     /** Reads the server directory once and updates the view. */
@@ -179,10 +232,11 @@
                 storeFailed(read.failure, sentAt)
             }
             is DirectoryRead.Found -> {
-                directorySchedule.recordSuccess(now)
+                eraNamed(read.directory.point.era, now)
                 storeAnswered(sentAt, now)
                 logMalformed(read.malformed)
                 adoptDirectory(read.directory, sentAt)
+                directorySchedule.recordSuccess(now, isProven = view.directoryProof.at >= sentAt)
                 onProof()
             }
         }
@@ -190,10 +244,10 @@
 
     private fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp) {
         val outageUntil = health.lastUnansweredAt.takeIf { health.wasUnavailableSince(view.directoryProof.at) }
-        val known = view.readDirectory.storeRevision
+        val known = view.readDirectory.point
         val before =
             view.adoptDirectory(read, sentAt, outageUntil)
-                ?: return logUnproven("directory", known, read.storeRevision, clock())
+                ?: return logUnproven("directory", known, read.point, clock())
         if (before.entries == view.directory.entries) return
         logChanges(before, view.directory)
         onChange(false)
@@ -212,7 +266,7 @@
     }
 
     private fun adoptEvacuations(read: EvacuationTable, malformed: List<String>, sentAt: Timestamp) {
-        view.evacuations.adopt(read, sentAt)
+        view.evacuations.adopt(read, sentAt, view.history.isSettled(sentAt))
         if (malformed != malformedEvacuations && malformed.isNotEmpty()) {
             log.write(GatewayLogEvent.EVACUATION_MALFORMED, "names" to malformed.take(LOGGED_NAMES))
         }
@@ -236,7 +290,7 @@
                     "server" to id,
                     "before" to describe(old),
                     "after" to describe(new),
-                    "revision" to after.storeRevision,
+                    "revision" to after.point,
                 )
             }
         }
--- a/src/main/kotlin/azuredale/peers/DirectoryExchange.kt
+++ b/src/main/kotlin/azuredale/peers/DirectoryExchange.kt
@@ -59,18 +59,18 @@
     }
 }
 
-/** Change of one registration, as of [storeRevision]; without a [registration], the server has left. */
+/** Change of one registration, as of [point]; without a [registration], the server has left. */
 @Serializable
 internal class RegistrationChangeEntry(
     @CborLabel(1) val server: String,
-    @CborLabel(2) val storeRevision: Long,
+    @CborLabel(2) val point: PointEntry,
     @CborLabel(3) val registration: RegistrationEntry? = null,
 )
 
-/** The sender's directory: revision of the store at which it was read, number of servers, and its latest changes. */
+/** The sender's directory: the point at which it was read, number of servers, and its latest changes. */
 @Serializable
 internal class DirectoryNews(
-    @CborLabel(1) val storeRevision: Long,
+    @CborLabel(1) val point: PointEntry,
     @CborLabel(2) val servers: Int,
     @CborLabel(3) val changes: List<RegistrationChangeEntry> = emptyList(),
 )
@@ -100,7 +100,7 @@
         val directory = view.readDirectory
         // The relay already knows what this router learned from it.
         val changes = recent.select(MAXIMUM_CHANGES, isOwnRead = scope == ReportScope.ROUTER, now)
-        return DirectoryNews(directory.storeRevision, directory.entries.size, changes.map(::entryOf))
+        return DirectoryNews(PointEntry.of(directory.point), directory.entries.size, changes.map(::entryOf))
     }
 
     /** Adopts the directory that [report] announces as the newest at [provenAt] if its changes suffice for it. */
@@ -109,7 +109,7 @@
         val digest = report.directory.version.toInt()
         val before = view.readDirectory
         if (digest == before.digest) return
-        val version = DirectoryVersion(news.storeRevision, news.servers, digest)
+        val version = DirectoryVersion(news.point.toPoint(), news.servers, digest)
         val assembled = assembler.assemble(before, news.changes.map(::changeOf), version) ?: return
         recordChanges(now)
         learned = assembled
@@ -120,7 +120,7 @@
     /** Whether [report] names a directory that was read later than this router's own. */
     fun isLater(report: PeerReport): Boolean {
         val news = report.directoryNews ?: return true
-        return news.storeRevision > view.readDirectory.storeRevision
+        return news.point.toPoint() > view.readDirectory.point
     }
 
     private fun recordChanges(now: Timestamp) {
@@ -129,11 +129,11 @@
     }
 
     private fun entryOf(change: RegistrationChange) =
-        RegistrationChangeEntry(change.id.name, change.storeRevision, change.entry?.let(RegistrationEntry::of))
+        RegistrationChangeEntry(change.id.name, PointEntry.of(change.point), change.entry?.let(RegistrationEntry::of))
 
     private fun changeOf(entry: RegistrationChangeEntry): RegistrationChange {
         val id = ServerId(entry.server)
-        return RegistrationChange(id, entry.registration?.toEntry(id), entry.storeRevision)
+        return RegistrationChange(id, entry.registration?.toEntry(id), entry.point.toPoint())
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/peers/PeerCallbacks.kt
+++ b/src/main/kotlin/azuredale/peers/PeerCallbacks.kt
@@ -3,6 +3,7 @@
 import azuredale.directory.ServerDirectory
 import azuredale.identity.NetworkAddress
 import azuredale.resumption.MixedPool
+import azuredale.store.StoreEra
 import azuredale.time.Timestamp
 
 /** Functions through which [PeerExchange] interacts with the rest of the gateway. */
@@ -17,6 +18,8 @@
     val onDirectoryLearned: (ServerDirectory, Timestamp) -> Unit,
     /** Called with the source address and the bytes of an invalid datagram. */
     val onRefused: (NetworkAddress, ByteArray) -> Unit,
+    /** Called with the era of the store that another router names. */
+    val onEra: (StoreEra, Timestamp) -> Unit = { _, _ -> },
     /** Returns the pools whose servers have had several software versions lately. */
     val mixedPools: () -> List<MixedPool> = { emptyList() },
     /** Called with such pools as another router knows them. */
--- a/src/main/kotlin/azuredale/peers/PeerCodec.kt
+++ b/src/main/kotlin/azuredale/peers/PeerCodec.kt
@@ -27,7 +27,7 @@
     }
 
     companion object {
-        const val VERSION = 4
+        const val VERSION = 5
 
         /** Largest datagram that a router receives whole; relays of large fleets send several kilobytes. */
         const val MAXIMUM_DATAGRAM_BYTES = 65_536
--- a/src/main/kotlin/azuredale/peers/PeerExchange.kt
+++ b/src/main/kotlin/azuredale/peers/PeerExchange.kt
@@ -40,7 +40,7 @@
     private val topology = RelayTopology(settings, table, isReady)
     private val periods = ReportPeriods(settings, table, topology, usage)
     private val quarantineExchange = QuarantineExchange(quarantine)
-    private val evacuationExchange = EvacuationExchange(view.evacuations)
+    private val evacuationExchange = EvacuationExchange(view)
     private val directoryExchange = DirectoryExchange(view, ::directoryLearned)
     private val writer =
         ReportWriter(
@@ -65,7 +65,7 @@
             quarantineExchange,
             evacuationExchange,
             directoryExchange,
-            callbacks.onOutdated,
+            callbacks,
         )
     private var nextReportAt = Timestamp.DISTANT_PAST
 
--- a/src/main/kotlin/azuredale/peers/PeerReport.kt
+++ b/src/main/kotlin/azuredale/peers/PeerReport.kt
@@ -139,13 +139,14 @@
  * @property quarantine the quarantine table as known to the sender, null if it knows none.
  * @property evacuations the evacuated failure domains as known to the sender, null if it knows of no table.
  * @property mixedPools pools whose servers have had several software versions lately.
+ * @property era the era of the store's history, null if the store names none.
  * @property directoryNews the latest changes of the directory; null in fleets without relays.
  */
 @Serializable
 @Suppress("LongParameterList")
 internal class PeerReport(
     @CborLabel(1) val sender: RouterState,
-    @CborLabel(2) val catalog: ProofEntry,
+    @CborLabel(2) val catalog: CatalogProofEntry,
     @CborLabel(3) val directory: ProofEntry,
     @CborLabel(4) val loads: List<LoadEntry>,
     @CborLabel(5) val reads: List<ReadEntry>,
@@ -159,6 +160,7 @@
     @CborLabel(13) val evacuations: EvacuationEntry? = null,
     @ByteString @CborLabel(14) val liveness: ByteArray? = null,
     @CborLabel(15) val mixedPools: List<MixedPoolEntry> = emptyList(),
+    @CborLabel(16) val era: EraEntry? = null,
     @CborLabel(20) val directoryNews: DirectoryNews? = null,
 )
 
--- a/src/main/kotlin/azuredale/peers/ProofExchange.kt
+++ b/src/main/kotlin/azuredale/peers/ProofExchange.kt
@@ -2,14 +2,12 @@
 
 import azuredale.freshness.StoreView
 import azuredale.identity.Incarnation
-import azuredale.identity.Revision
 import azuredale.identity.RouterId
+import azuredale.store.StoreEra
 import azuredale.time.Timestamp
 
 /**
  * Applies what other routers report of the store's tables: proofs of freshness, changes, quarantine and evacuations.
- *
- * @param onOutdated called when another router reports a newer catalog or a different server directory.
  */
 internal class ProofExchange(
     private val incarnation: Incarnation,
@@ -17,7 +15,7 @@
     private val quarantine: QuarantineExchange,
     private val evacuations: EvacuationExchange,
     private val directory: DirectoryExchange,
-    private val onOutdated: (isCatalogOld: Boolean, isDirectoryOld: Boolean) -> Unit,
+    private val callbacks: PeerCallbacks,
 ) {
     /**
      * Applies the proofs of freshness in [report].
@@ -26,23 +24,27 @@
      * counted from that time, so that a delay of the datagram in transit never makes a proof appear too recent.
      */
     fun apply(datagram: PeerDatagram, report: PeerReport, now: Timestamp) {
+        report.era?.let { applyEra(it, now) }
         val createdAfter = createdAfter(datagram, now)
         if (createdAfter != null && report.directory.age >= 0) {
             directory.apply(report, createdAfter.plusMicroseconds(-report.directory.age), now)
         }
-        val isCatalogOld = report.catalog.version > view.revision.value
+        val mark = report.catalog.mark.toMark()
+        view.recordMark(mark)
+        report.catalog.newest?.let { view.recordMark(it.toMark()) }
+        val isCatalogOld = mark.isNewerThan(view.catalogMark)
         val isDirectoryOld =
             report.directory.age in 0..ReportWriter.MAXIMUM_PROOF_AGE_MICROSECONDS &&
                 report.directory.version.toInt() != view.directoryDigest &&
                 now.plusMicroseconds(-report.directory.age) > view.directoryProof.at &&
                 directory.isLater(report)
-        if (isCatalogOld || isDirectoryOld) onOutdated(isCatalogOld, isDirectoryOld)
+        if (isCatalogOld || isDirectoryOld) callbacks.onOutdated(isCatalogOld, isDirectoryOld)
         quarantine.apply(report, createdAfter, now)
-        evacuations.apply(report, createdAfter)
+        evacuations.apply(report, createdAfter, now)
         if (createdAfter == null) return
         if (report.catalog.age >= 0) {
             view.confirmCatalog(
-                Revision(report.catalog.version),
+                mark,
                 createdAfter.plusMicroseconds(-report.catalog.age),
                 RouterId(report.sender.router),
             )
@@ -55,6 +57,15 @@
         }
     }
 
+    /** A report that was delayed names too low an age, so the era never appears to be settled too soon. */
+    private fun applyEra(entry: EraEntry, now: Timestamp) {
+        val era = StoreEra(entry.era)
+        callbacks.onEra(era, now)
+        if (era == view.history.era) {
+            view.history.recordReportedAge(entry.age, now)
+        }
+    }
+
     /** Time after which the report in [datagram] was created, by this router's clock; null if it echoes no report. */
     fun createdAfter(datagram: PeerDatagram, now: Timestamp): Timestamp? {
         if (datagram.echoedTime == 0L || datagram.echoIncarnation != incarnation.value) return null
--- a/src/main/kotlin/azuredale/peers/QuarantineExchange.kt
+++ b/src/main/kotlin/azuredale/peers/QuarantineExchange.kt
@@ -38,10 +38,10 @@
     @CborLabel(2) val trials: Int,
 )
 
-/** The quarantine table of the store at [revision], and the age of the proof that it was the latest one, or -1. */
+/** The quarantine table of the store at [point], and the age of the proof that it was the latest one, or -1. */
 @Serializable
 internal class QuarantineEntry(
-    @CborLabel(1) val revision: Long,
+    @CborLabel(1) val point: PointEntry,
     @CborLabel(2) val age: Long,
     @CborLabel(3) val parts: List<QuarantinedEntry> = emptyList(),
 )
@@ -62,7 +62,7 @@
     fun table(age: (Timestamp) -> Long): QuarantineEntry? = if (quarantine.isKnown) {
         val table = quarantine.table
         val parts = table.trials.map { (part, trials) -> QuarantinedEntry(part.name, trials) }
-        QuarantineEntry(table.revision, age(quarantine.tableProvenAt), parts)
+        QuarantineEntry(PointEntry.of(table.point), age(quarantine.tableProvenAt), parts)
     } else {
         null
     }
@@ -79,7 +79,7 @@
         val trials = table.parts.associate { PartId(it.part) to it.trials.coerceAtLeast(0) }
         val isProven = createdAfter != null && table.age >= 0
         val provenAt = if (isProven) createdAfter.plusMicroseconds(-table.age) else Timestamp.DISTANT_PAST
-        quarantine.adoptTable(QuarantineTable(table.revision, trials), provenAt, now)
+        quarantine.adoptTable(QuarantineTable(table.point.toPoint(), trials), provenAt, now)
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/peers/ReportWriter.kt
+++ b/src/main/kotlin/azuredale/peers/ReportWriter.kt
@@ -6,6 +6,7 @@
 import azuredale.engine.ServerStatistics
 import azuredale.freshness.StoreView
 import azuredale.resumption.MixedPool
+import azuredale.store.StoreEra
 import azuredale.time.Timestamp
 import java.util.EnumMap
 
@@ -99,7 +100,7 @@
     /** Returns the report that adds up [scope]. */
     fun write(scope: ReportScope, now: Timestamp) = PeerReport(
         sender = ownState(),
-        catalog = ProofEntry(view.revision.value, age(view.catalogProof.at, now)),
+        catalog = catalogProof(age(view.catalogProof.at, now)),
         directory = ProofEntry(view.directoryDigest.toLong(), age(view.directoryProof.at, now)),
         loads = loadEntries(scope, now),
         reads = if (scope == ReportScope.FLEET) roundFleetReads else roundDomainReads,
@@ -113,13 +114,14 @@
         evacuations = evacuations.table { age(it, now) },
         liveness = liveness(scope, now),
         mixedPools = mixedPools().map { MixedPoolEntry(it.pool.name, noteAge(it, now)) },
+        era = era(now),
         directoryNews = if (topology.isMesh) null else directory.news(scope, now),
     )
 
     /** Returns a report of the loads of [scope] alone, which routers read like any other. */
     fun writeEarly(scope: ReportScope, now: Timestamp) = PeerReport(
         sender = ownState(),
-        catalog = ProofEntry(view.revision.value, NO_AGE),
+        catalog = catalogProof(NO_AGE),
         directory = ProofEntry(view.directoryDigest.toLong(), NO_AGE),
         loads = loadEntries(scope, now),
         reads = emptyList(),
@@ -127,6 +129,16 @@
         scope = scope.ordinal,
     )
 
+    private fun catalogProof(age: Long): CatalogProofEntry {
+        val mark = view.catalogMark
+        val newest = view.newestMark.takeIf { it.isNewerThan(mark) }
+        return CatalogProofEntry(CatalogMarkEntry.of(mark), age, newest?.let(CatalogMarkEntry::of))
+    }
+
+    private fun era(now: Timestamp): EraEntry? = view.history.era
+        .takeIf { it != StoreEra.NONE }
+        ?.let { EraEntry(it.number, view.history.ageMicroseconds(now)) }
+
     private fun noteAge(mixed: MixedPool, now: Timestamp): Long? =
         mixed.notedAt?.let { now.microsecondsSince(it) / Timestamp.MICROSECONDS_PER_MILLISECOND }
 
--- a/src/main/kotlin/azuredale/platform/CatalogMessage.kt
+++ b/src/main/kotlin/azuredale/platform/CatalogMessage.kt
@@ -3,6 +3,7 @@
 import azuredale.catalog.BackendPool
 import azuredale.catalog.CallerLimits
 import azuredale.catalog.Catalog
+import azuredale.catalog.CatalogMark
 import azuredale.catalog.CatalogTeam
 import azuredale.catalog.EngineProfile
 import azuredale.catalog.Route
@@ -10,8 +11,8 @@
 import azuredale.catalog.WeightedPool
 import azuredale.identity.PoolId
 import azuredale.identity.Region
-import azuredale.identity.Revision
 import azuredale.identity.TeamId
+import azuredale.store.StorePoint
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -24,9 +25,8 @@
     private val limits: LimitsMessage = LimitsMessage(),
     private val tenants: List<TeamMessage> = emptyList(),
 ) {
-    fun toCatalog(revision: Revision): Catalog = Catalog(
-        revision = revision,
-        version = version,
+    fun toCatalog(point: StorePoint): Catalog = Catalog(
+        mark = CatalogMark(point, version),
         routes = routes.map { it.toRoute() },
         pools = services.map { it.toPool() },
         teams = tenants.map { it.toTeam() },
--- a/src/main/kotlin/azuredale/platform/GatewayProcess.kt
+++ b/src/main/kotlin/azuredale/platform/GatewayProcess.kt
@@ -67,6 +67,7 @@
                         registry = RouterRegistry(store),
                         quarantineStore = QuarantineRegistry(store),
                         versionNotes = VersionNoteRegistry(store),
+                        eraNotes = EraRegistry(store),
                         failureHeaders = ErrorResponseFormat,
                         responses = BackendCodec,
                         encode = BackendCodec::encode,
--- a/src/main/kotlin/azuredale/platform/PlatformNames.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformNames.kt
@@ -66,6 +66,9 @@
     const val ROUTERS = "azuredale/routers/"
     const val QUARANTINE = "azuredale/quarantine/"
 
+    /** The latest era of the store in which everything that was lost before it counts as written again. */
+    const val SETTLED_ERA = "azuredale/era"
+
     /** One key for each pool whose servers have had several software versions lately; its name follows. */
     const val VERSIONS = "azuredale/versions/"
 }
--- a/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
+++ b/src/main/kotlin/azuredale/platform/PlatformStoreReader.kt
@@ -7,11 +7,12 @@
 import azuredale.freshness.OperatorRead
 import azuredale.freshness.StoreReader
 import azuredale.identity.FailureDomain
-import azuredale.identity.Revision
 import azuredale.identity.ServerId
 import azuredale.store.KeyValueService
 import azuredale.store.ListResult
 import azuredale.store.ReadResult
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.store.StoredItem
 import azuredale.store.StoredValue
 import azuredale.time.Timestamp
@@ -30,26 +31,28 @@
     private val observesColdServers: Boolean = false,
     private val decodeCatalog: suspend (Int, () -> CatalogRead) -> CatalogRead = { _, decode -> decode() },
 ) : StoreReader {
-    override suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead =
-        if (readsEvacuations) readOperatorKeys(known, deadline) else OperatorRead(readCatalogKey(known, deadline))
+    override suspend fun readCatalog(isKnown: (StorePoint) -> Boolean, deadline: Timestamp): OperatorRead =
+        if (readsEvacuations) readOperatorKeys(isKnown, deadline) else OperatorRead(readCatalogKey(isKnown, deadline))
 
-    private suspend fun readCatalogKey(known: Revision, deadline: Timestamp): CatalogRead =
+    private suspend fun readCatalogKey(isKnown: (StorePoint) -> Boolean, deadline: Timestamp): CatalogRead =
         when (val read = service.read(StoreKey.CATALOG, deadline)) {
             is ReadResult.Failed -> CatalogRead.Failed(read.failure)
-            is ReadResult.Missing -> CatalogRead.Missing
-            is ReadResult.Found -> catalogRead(read.stored, known)
+            is ReadResult.Missing -> CatalogRead.Missing(read.era)
+            is ReadResult.Found -> catalogRead(read.stored, read.era, isKnown)
         }
 
-    private suspend fun readOperatorKeys(known: Revision, deadline: Timestamp): OperatorRead =
+    private suspend fun readOperatorKeys(isKnown: (StorePoint) -> Boolean, deadline: Timestamp): OperatorRead =
         when (val list = service.list(StoreKey.OPERATORS, deadline)) {
             is ListResult.Failed -> OperatorRead(CatalogRead.Failed(list.failure))
             is ListResult.Found -> {
                 val catalog = list.items.firstOrNull { it.key == StoreKey.CATALOG }?.value
                 val (valid, malformed) = evacuatedDomains(list.items).partition(::isDomainName)
                 OperatorRead(
-                    catalog = catalog?.let { catalogRead(it, known) } ?: CatalogRead.Missing,
+                    catalog =
+                        catalog?.let { catalogRead(it, list.point.era, isKnown) }
+                            ?: CatalogRead.Missing(list.point.era),
                     evacuations =
-                        EvacuationTable(list.revision, valid.take(MAXIMUM_DOMAINS).mapTo(HashSet(), ::FailureDomain)),
+                        EvacuationTable(list.point, valid.take(MAXIMUM_DOMAINS).mapTo(HashSet(), ::FailureDomain)),
                     malformed = malformed + valid.drop(MAXIMUM_DOMAINS),
                 )
             }
@@ -61,9 +64,13 @@
 
     private fun isDomainName(name: String) = name.isNotEmpty() && name.length <= MAXIMUM_NAME_CHARACTERS
 
-    private suspend fun catalogRead(stored: StoredValue, known: Revision): CatalogRead {
-        val revision = Revision(stored.version.value)
-        return if (revision <= known) CatalogRead.Unchanged(revision) else decode(stored, revision)
+    private suspend fun catalogRead(
+        stored: StoredValue,
+        era: StoreEra,
+        isKnown: (StorePoint) -> Boolean,
+    ): CatalogRead {
+        val point = StorePoint(era, stored.version.value)
+        return if (isKnown(point)) CatalogRead.Unchanged(point) else decode(stored, point)
     }
 
     override suspend fun readDirectory(deadline: Timestamp): DirectoryRead =
@@ -77,7 +84,7 @@
                     }
                 val entries = decoded.values.filterIsInstance<ServerRegistration.Entry>().map(::observed)
                 DirectoryRead.Found(
-                    ServerDirectory(list.revision, entries.associateBy { it.id }),
+                    ServerDirectory(list.point, entries.associateBy { it.id }),
                     decoded.filterValues { it is ServerRegistration.Malformed }.mapValues { it.value.toString() },
                 )
             }
@@ -93,14 +100,14 @@
     }
 
     /** Also builds the catalog's tables where [decodeCatalog] runs. */
-    private suspend fun decode(stored: StoredValue, revision: Revision): CatalogRead =
-        decodeCatalog(stored.size) { catalog(stored, revision) }
+    private suspend fun decode(stored: StoredValue, point: StorePoint): CatalogRead =
+        decodeCatalog(stored.size) { catalog(stored, point) }
 
-    private fun catalog(stored: StoredValue, revision: Revision): CatalogRead = try {
+    private fun catalog(stored: StoredValue, point: StorePoint): CatalogRead = try {
         val message = platformJson.decodeFromString<CatalogMessage>(stored.bytes.decodeToString())
-        CatalogRead.Newer(message.toCatalog(revision))
+        CatalogRead.Unknown(message.toCatalog(point))
     } catch (exception: IllegalArgumentException) {
-        CatalogRead.Malformed(revision, exception.message.orEmpty())
+        CatalogRead.Malformed(point, exception.message.orEmpty())
     }
 
     private companion object {
--- a/src/main/kotlin/azuredale/platform/QuarantineRegistry.kt
+++ b/src/main/kotlin/azuredale/platform/QuarantineRegistry.kt
@@ -31,7 +31,7 @@
                         trials[PartId(part)] = count
                     }
                 }
-                QuarantineTable(list.revision, trials)
+                QuarantineTable(list.point, trials)
             }
         }
 
--- a/src/main/kotlin/azuredale/platform/SettingsFile.kt
+++ b/src/main/kotlin/azuredale/platform/SettingsFile.kt
@@ -53,6 +53,7 @@
                 memoryBytes = fields.optionalCount("limits.memory-mb")?.let { it * BYTES_PER_MEGABYTE },
                 maximumDescriptors = fields.descriptors("limits.max-fds"),
                 bounds = bounds(fields),
+                isFirstStart = fields.isTrue("bootstrap"),
                 weighsPrefixes = fields.switch("prefixes.weigh", true),
             )
         return if (fields.faults.isEmpty()) SettingsResult.Valid(settings) else SettingsResult.Invalid(fields.faults)
@@ -112,6 +113,8 @@
         /** A number that the platform may leave out. */
         fun optionalCount(name: String): Long? = count(name, 0).takeIf { it > 0 }
 
+        fun isTrue(name: String): Boolean = values[name] == "true"
+
         fun switch(name: String, default: Boolean): Boolean = when (val text = values[name].orEmpty()) {
             "" -> default
             "on" -> true
--- a/src/main/kotlin/azuredale/platform/StoreCalls.kt
+++ b/src/main/kotlin/azuredale/platform/StoreCalls.kt
@@ -5,6 +5,7 @@
 import azuredale.store.CallFailure
 import azuredale.store.CallFailureReason
 import azuredale.store.CallRateLimiter
+import azuredale.store.StoreEra
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import io.netty.handler.codec.http.QueryStringEncoder
@@ -33,11 +34,17 @@
 
 /** Result of one call to the store. */
 internal sealed interface StoreCallResult {
+    /** Era of the store that the response names. */
+    val era: StoreEra get() = StoreEra.NONE
+
     /** Status 200 with the response [body]. */
-    class Success(val body: Buffer) : StoreCallResult
+    class Success(
+        val body: Buffer,
+        override val era: StoreEra,
+    ) : StoreCallResult
 
     /** Status 404: the key or lease does not exist. */
-    data object Missing : StoreCallResult
+    class Missing(override val era: StoreEra) : StoreCallResult
 
     /** Status 412: a precondition failed; [body] has the current items. */
     class Conflict(val body: Buffer) : StoreCallResult
@@ -55,7 +62,7 @@
     private val decoder: LargeValueDecoder,
 ) {
     private val log = EventLog("azuredale.platform")
-    private var lastEra: Long? = null
+    private var lastEra = StoreEra.NONE
 
     /**
      * Sends one call. It ends by [deadline]; if no response has arrived by then, the connection is closed.
@@ -130,7 +137,7 @@
         try {
             val response = await(call.send(client, options, body), milliseconds)
             logEra(response.era)
-            interpret(response.status, response.body)
+            interpret(response)
         } finally {
             call.abort()
         }
@@ -153,20 +160,22 @@
         return response ?: throw TimeoutException("no response within $milliseconds ms")
     }
 
-    private fun logEra(era: Long?) {
-        if (era == null || era == lastEra) return
-        log.write(PlatformLogEvent.STORE_ERA_CHANGED, "before" to lastEra, "after" to era)
+    private fun logEra(era: StoreEra) {
+        if (era == lastEra) return
+        if (lastEra != StoreEra.NONE) log.write(PlatformLogEvent.STORE_ERA_CHANGED, "before" to lastEra, "after" to era)
         lastEra = era
     }
 
-    private fun interpret(status: Int, body: Buffer): StoreCallResult = when (status) {
-        OK -> StoreCallResult.Success(body)
-        NOT_FOUND -> StoreCallResult.Missing
-        CONDITION_FAILED -> StoreCallResult.Conflict(body)
+    private fun interpret(response: StoreResponse): StoreCallResult = when (response.status) {
+        OK -> StoreCallResult.Success(response.body, response.era)
+        NOT_FOUND -> StoreCallResult.Missing(response.era)
+        CONDITION_FAILED -> StoreCallResult.Conflict(response.body)
         // With these statuses the store reports that the call had no effect.
-        in CLIENT_ERRORS, UNAVAILABLE ->
-            failed(CallFailureReason.REFUSED, "status $status: ${body.toString().take(DETAIL_CHARACTERS)}")
-        else -> failed(CallFailureReason.ANSWER_LOST, "status $status")
+        in CLIENT_ERRORS, UNAVAILABLE -> {
+            val body = response.body.toString().take(DETAIL_CHARACTERS)
+            failed(CallFailureReason.REFUSED, "status ${response.status}: $body")
+        }
+        else -> failed(CallFailureReason.ANSWER_LOST, "status ${response.status}")
     }
 
     private fun failed(reason: CallFailureReason, detail: String) = StoreCallResult.Failed(CallFailure(reason, detail))
@@ -197,7 +206,7 @@
 private class StoreResponse(
     val status: Int,
     val body: Buffer,
-    val era: Long?,
+    val era: StoreEra,
 )
 
 /** One HTTP exchange with the store, which any thread may abandon at any time. */
@@ -226,7 +235,7 @@
     private fun storeResponse(response: HttpClientResponse, body: Buffer) = StoreResponse(
         status = response.statusCode(),
         body = body,
-        era = response.getHeader(PlatformHeader.STORE_ERA)?.toLongOrNull(),
+        era = response.getHeader(PlatformHeader.STORE_ERA)?.toLongOrNull()?.let(::StoreEra) ?: StoreEra.NONE,
     )
 
     private fun readBody(response: HttpClientResponse): Future<Buffer> {
--- a/src/main/kotlin/azuredale/platform/StoreClient.kt
+++ b/src/main/kotlin/azuredale/platform/StoreClient.kt
@@ -11,6 +11,8 @@
 import azuredale.store.LeaseResult
 import azuredale.store.ListResult
 import azuredale.store.ReadResult
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.store.StoredItem
 import azuredale.store.VersionResult
 import azuredale.store.WatchEvent
@@ -52,9 +54,9 @@
     override suspend fun read(key: String, deadline: Timestamp): ReadResult =
         when (val response = calls.send(HttpMethod.GET, PlatformPath.KEY, mapOf("key" to key), null, deadline)) {
             is StoreCallResult.Failed -> ReadResult.Failed(response.failure)
-            is StoreCallResult.Missing -> ReadResult.Missing
+            is StoreCallResult.Missing -> ReadResult.Missing(response.era)
             else ->
-                calls.decode<ItemMessage, ReadResult>(response, { ReadResult.Found(it.toValue()) }) {
+                calls.decode<ItemMessage, ReadResult>(response, { ReadResult.Found(it.toValue(), response.era) }) {
                     ReadResult.Failed(it)
                 }
         }
@@ -69,7 +71,7 @@
     override suspend fun list(prefix: String, deadline: Timestamp): ListResult {
         val items = mutableListOf<StoredItem>()
         var after = ""
-        var revision = 0L
+        var point = StorePoint.NONE
         while (true) {
             val query = mapOf("path-prefix" to prefix) + if (after.isEmpty()) emptyMap() else mapOf("after" to after)
             val response = calls.send(HttpMethod.GET, PlatformPath.RANGE, query, null, deadline)
@@ -81,12 +83,16 @@
                     is Page.Read -> page.range
                 }
             items += read.items.map { it.toItem() }
-            if (revision == 0L) revision = read.storeRevision
-            if (!read.hasMore || read.items.isEmpty()) return ListResult.Found(items, revision)
+            if (point == StorePoint.NONE) point = StorePoint(response.era, read.storeRevision)
+            if (point.era != response.era) return ListResult.Failed(eraChanged(point.era, response.era))
+            if (!read.hasMore || read.items.isEmpty()) return ListResult.Found(items, point)
             after = read.items.last().key
         }
     }
 
+    private fun eraChanged(before: StoreEra, after: StoreEra) =
+        CallFailure(CallFailureReason.ANSWER_LOST, "the store went from era $before to $after meanwhile")
+
     override suspend fun write(
         key: String,
         value: ByteArray,
@@ -142,12 +148,16 @@
 
     override fun watch(key: String): Flow<WatchEvent> = flow {
         var after = 0L
+        var era = StoreEra.NONE
         when (val start = list(key, clock().plusMilliseconds(WATCH_START_TIMEOUT_MILLISECONDS))) {
             is ListResult.Failed -> {
                 emit(watchLost(key, start.failure))
                 return@flow
             }
-            is ListResult.Found -> after = start.revision
+            is ListResult.Found -> {
+                after = start.point.revision
+                era = start.point.era
+            }
         }
         emit(WatchEvent.Started)
         while (true) {
@@ -162,7 +172,7 @@
             val result =
                 calls.decode<WatchMessage, WatchResult>(
                     response,
-                    { WatchResult.Received(it) },
+                    { if (response.era == era) WatchResult.Received(it) else lost(era, response.era) },
                 ) { WatchResult.Lost(it) }
             when (result) {
                 is WatchResult.Lost -> {
@@ -183,6 +193,8 @@
         http.close()
     }
 
+    private fun lost(before: StoreEra, after: StoreEra) = WatchResult.Lost(eraChanged(before, after))
+
     private fun watchLost(key: String, failure: CallFailure): WatchEvent {
         log.write(PlatformLogEvent.WATCH_BROKEN, "key" to key, "failure" to failure)
         return WatchEvent.Broken(failure)
--- a/src/main/kotlin/azuredale/quarantine/Quarantine.kt
+++ b/src/main/kotlin/azuredale/quarantine/Quarantine.kt
@@ -140,8 +140,9 @@
 
     /** Adopts [read] if it is not older than the known table, which was the latest one at [provenAt]. */
     fun adoptTable(read: QuarantineTable, provenAt: Timestamp, now: Timestamp) {
-        if (read.revision < table.revision) return
+        if (read.point < table.point) return
         val before = table
+        val isNewEra = before !== QuarantineTable.UNKNOWN && read.point.era > before.point.era
         table = read
         tableProvenAt = maxOf(tableProvenAt, provenAt)
         if (read.trials == before.trials && before !== QuarantineTable.UNKNOWN) return
@@ -150,6 +151,11 @@
             if (part !in before.trials && concluded.remove(part) == null) callbacks.onChange(part, true, "in the store")
         }
         (before.trials.keys - read.trials.keys).forEach { part ->
+            // The store has lost the entry, which operators did not remove; it is to be stored again.
+            if (isNewEra && part !in released) {
+                concluded[part] = now
+                return@forEach
+            }
             evidence.forget(part)
             knownSince.remove(part)
             if (!released.remove(part)) callbacks.onChange(part, false, "removed from the store")
--- a/src/main/kotlin/azuredale/quarantine/QuarantineKeeper.kt
+++ b/src/main/kotlin/azuredale/quarantine/QuarantineKeeper.kt
@@ -42,6 +42,11 @@
         }
     }
 
+    /** Lets the table be read at once, since the store may have lost entries. */
+    fun readAgain() {
+        hasChanged = true
+    }
+
     /** Claims the next trial of [part] after [trials] earlier ones; only one router of the fleet gets it. */
     suspend fun claimTrial(part: PartId, trials: Int): Boolean {
         val result = store.addTrial(part, trials, callDeadline())
--- a/src/main/kotlin/azuredale/resumption/PoolVersions.kt
+++ b/src/main/kotlin/azuredale/resumption/PoolVersions.kt
@@ -177,6 +177,9 @@
         pools[pool]?.hasNote = false
     }
 
+    /** Records that the store may have lost its notes; those of mixed pools are to be written again. */
+    fun notesLost() = pools.values.forEach { if (it.versions.size > 1) it.hasNote = false }
+
     /** A mixed pool of which the store has no note, as far as known, with the time since when. */
     fun unnoted(now: Timestamp): Pair<PoolId, Timestamp>? = pools.entries
         .firstOrNull { it.value.versions.size > 1 && now >= it.value.notedUntil }
--- a/src/main/kotlin/azuredale/resumption/StreamResumption.kt
+++ b/src/main/kotlin/azuredale/resumption/StreamResumption.kt
@@ -46,6 +46,9 @@
     /** The mixed pools, for reports to other routers. */
     fun mixedPools(): List<MixedPool> = versions.mixedPools(clock())
 
+    /** Records that the store has returned from an older copy. */
+    fun storeReturned() = versions.notesLost()
+
     /** Runs periodic work that is due. */
     fun tick(now: Timestamp) {
         mixed(versions.refresh(now), now)
--- a/src/main/kotlin/azuredale/store/KeyValueResult.kt
+++ b/src/main/kotlin/azuredale/store/KeyValueResult.kt
@@ -4,11 +4,14 @@
 
 /** Result of [KeyValueService.read]. */
 public sealed interface ReadResult {
-    /** The key exists with the value [stored]. */
-    public data class Found(val stored: StoredValue) : ReadResult
+    /** The key exists with the value [stored], in the given [era] of the store. */
+    public data class Found(
+        val stored: StoredValue,
+        val era: StoreEra = StoreEra.NONE,
+    ) : ReadResult
 
-    /** The key does not exist. */
-    public data object Missing : ReadResult
+    /** The key does not exist in the given [era] of the store. */
+    public data class Missing(val era: StoreEra = StoreEra.NONE) : ReadResult
 
     /** The service gave no usable response. */
     public data class Failed(val failure: CallFailure) : ReadResult
@@ -116,12 +119,12 @@
      * The keys were read.
      *
      * @property items the keys and values, ordered by key.
-     * @property revision revision of the service when the first page was read. A key that changed later may be missing
-     *   or newer.
+     * @property point point in the service's history when the first page was read. A key that changed later may be
+     *   missing or newer.
      */
     public data class Found(
         val items: List<StoredItem>,
-        val revision: Long,
+        val point: StorePoint,
     ) : ListResult
 
     /** The service gave no usable response. */
--- a/src/test/kotlin/azuredale/directory/DirectoryAssemblerSpec.kt
+++ b/src/test/kotlin/azuredale/directory/DirectoryAssemblerSpec.kt
@@ -4,6 +4,8 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -25,9 +27,9 @@
     )
 
     private fun directory(revision: Long, vararg entries: BackendEntry) =
-        ServerDirectory(revision, entries.associateBy { it.id })
+        ServerDirectory(StorePoint(StoreEra.NONE, revision), entries.associateBy { it.id })
 
-    private fun ServerDirectory.version() = DirectoryVersion(storeRevision, entries.size, digest)
+    private fun ServerDirectory.version() = DirectoryVersion(point, entries.size, digest)
 
     /** Changes that a router passes on which has read [snapshots] one after the other. */
     private fun changes(vararg snapshots: ServerDirectory): List<RegistrationChange> {
@@ -48,7 +50,7 @@
             listOf(ServerDirectory.EMPTY, first, between).forEach { base ->
                 val assembled = DirectoryAssembler().assemble(base, changes(first, second), second.version())
                 assertEquals(second.entries, assertNotNull(assembled).entries)
-                assertEquals(20, assembled.storeRevision)
+                assertEquals(StorePoint(StoreEra.NONE, 20), assembled.point)
             }
         }
 
--- a/src/test/kotlin/azuredale/engine/ColdServersSpec.kt
+++ b/src/test/kotlin/azuredale/engine/ColdServersSpec.kt
@@ -10,6 +10,7 @@
 import azuredale.identity.PoolId
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
@@ -41,7 +42,7 @@
         isCold = isCold,
     )
 
-    private fun directory(entry: BackendEntry) = ServerDirectory(1, mapOf(entry.id to entry))
+    private fun directory(entry: BackendEntry) = ServerDirectory(StorePoint.NONE, mapOf(entry.id to entry))
 
     /** One router that knows the routers named in [known]. */
     private inner class Router(
@@ -184,7 +185,7 @@
     @Nested
     inner class Selection {
         private val warm = server(isCold = false).copy(id = ServerId("warm"), address = NetworkAddress("10.0.0.2", 80))
-        private var directory = ServerDirectory(1, mapOf(server.id to server, warm.id to warm))
+        private var directory = ServerDirectory(StorePoint.NONE, mapOf(server.id to server, warm.id to warm))
         private val statistics =
             ServerStatistics(
                 coldServers = { onWarm ->
--- a/src/test/kotlin/azuredale/engine/EngineMemorySpec.kt
+++ b/src/test/kotlin/azuredale/engine/EngineMemorySpec.kt
@@ -5,6 +5,8 @@
 import azuredale.engine.MemoryPrompts.chat
 import azuredale.engine.MemoryPrompts.long
 import azuredale.engine.MemoryPrompts.prompt
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
@@ -234,7 +236,7 @@
             router.now = router.now.plusMilliseconds(500)
             assertTrue(router.statistics.memory.wasExceeded(router.servers[0], router.now))
             val successor = router.server(0, startedAt = 2)
-            router.directory = ServerDirectory(2, mapOf(successor.id to successor))
+            router.directory = ServerDirectory(StorePoint(StoreEra.NONE, 2), mapOf(successor.id to successor))
             router.hear(emptyMap())
             router.statistics.updateDirectory(router.directory, router.now)
             assertEquals(0, router.committed())
--- a/src/test/kotlin/azuredale/engine/EvacuatedServersSpec.kt
+++ b/src/test/kotlin/azuredale/engine/EvacuatedServersSpec.kt
@@ -9,6 +9,7 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -32,7 +33,7 @@
                 state = BackendState.READY,
             )
         }
-    private val directory = ServerDirectory(1, servers.associateBy { it.id })
+    private val directory = ServerDirectory(StorePoint.NONE, servers.associateBy { it.id })
     private val statistics = ServerStatistics(cacheTokens = { 100_000 })
     private val selector = ServerSelector({ directory }, statistics, evacuated::contains)
 
--- a/src/test/kotlin/azuredale/engine/HomeRegionsSpec.kt
+++ b/src/test/kotlin/azuredale/engine/HomeRegionsSpec.kt
@@ -13,6 +13,7 @@
 import azuredale.identity.Region
 import azuredale.identity.ServerId
 import azuredale.identity.TeamId
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
@@ -72,7 +73,7 @@
                 FailureDomain("north-a") to Region("north"),
                 FailureDomain("south-a") to Region("south"),
             )
-        private val directory = ServerDirectory(1, servers.associateBy { it.id })
+        private val directory = ServerDirectory(StorePoint.NONE, servers.associateBy { it.id })
         private val statistics = ServerStatistics(cacheTokens = { 0 })
         private val selector = ServerSelector({ directory }, statistics, regionOf = regionOf::get)
 
--- a/src/test/kotlin/azuredale/engine/HotPrefixSpec.kt
+++ b/src/test/kotlin/azuredale/engine/HotPrefixSpec.kt
@@ -9,6 +9,7 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -21,7 +22,7 @@
     private val pool = PoolId("pool-a")
     private val now = Timestamp.ofMilliseconds(1_000_000)
     private val directory =
-        ServerDirectory(1, (1..6).map { server("server-$it") }.associateBy { it.id })
+        ServerDirectory(StorePoint.NONE, (1..6).map { server("server-$it") }.associateBy { it.id })
     private val statistics = ServerStatistics { 400_000 }
     private val selector = ServerSelector({ directory }, statistics)
 
--- a/src/test/kotlin/azuredale/engine/MemoryRouter.kt
+++ b/src/test/kotlin/azuredale/engine/MemoryRouter.kt
@@ -12,6 +12,7 @@
 import azuredale.identity.PoolId
 import azuredale.identity.RouterId
 import azuredale.identity.ServerId
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 
 /** One router's view of servers with 64 slots and memory for 225,000 tokens each. */
@@ -22,7 +23,7 @@
 ) {
     var now = Timestamp.ofMilliseconds(1_000_000)
     val servers = List(servers) { server(it) }
-    var directory = ServerDirectory(1, this.servers.associateBy { it.id })
+    var directory = ServerDirectory(StorePoint.NONE, this.servers.associateBy { it.id })
     val statistics = ServerStatistics(routers = { routers }) { capacity }
     private val selector = ServerSelector({ directory }, statistics)
     private val memory = statistics.memory
--- a/src/test/kotlin/azuredale/engine/PrefixPlacementSpec.kt
+++ b/src/test/kotlin/azuredale/engine/PrefixPlacementSpec.kt
@@ -9,6 +9,8 @@
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
 import azuredale.identity.ServerId
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -22,7 +24,7 @@
     private val pool = PoolId("pool-a")
     private val now = Timestamp.ofMilliseconds(1_000_000)
     private val servers = (1..6).map { server("server-$it") }
-    private var directory = ServerDirectory(1, servers.associateBy { it.id })
+    private var directory = ServerDirectory(StorePoint.NONE, servers.associateBy { it.id })
     private val router = Router()
 
     private fun server(name: String) = BackendEntry(
@@ -139,7 +141,7 @@
         @Test
         fun `under pressure is taken where parts yield that nobody asks for`() {
             val router = Router(free = { if (it == servers[0].id || it == servers[1].id) 20_000 else 0 })
-            directory = ServerDirectory(2, servers.take(2).associateBy { it.id })
+            directory = ServerDirectory(StorePoint(StoreEra.NONE, 2), servers.take(2).associateBy { it.id })
             router.keep(servers[0], PromptPart("hot", 20_000))
             router.keep(servers[1], PromptPart("cold", 20_000))
             repeat(5) { router.statistics.demand.record("hot", now) }
@@ -210,7 +212,7 @@
             val sessions = (1..60).map { "session-$it" }
             val before = sessions.associateWith(router::choose)
             val gone = before.getValue("session-1")
-            directory = ServerDirectory(2, (servers - gone).associateBy { it.id })
+            directory = ServerDirectory(StorePoint(StoreEra.NONE, 2), (servers - gone).associateBy { it.id })
             router.statistics.updateDirectory(directory, now)
             val after = sessions.associateWith(router::choose)
             assertEquals(before.filterValues { it != gone }, after.filterKeys { before[it] != gone })
--- a/src/test/kotlin/azuredale/engine/ServicePlacementSpec.kt
+++ b/src/test/kotlin/azuredale/engine/ServicePlacementSpec.kt
@@ -6,6 +6,7 @@
 import azuredale.engine.ServiceFleet.Companion.SERVERS
 import azuredale.identity.FailureDomain
 import azuredale.identity.RouterId
+import azuredale.store.StorePoint
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -106,7 +107,14 @@
     @Nested
     inner class States {
         private val evacuated = HashSet<FailureDomain>()
-        private val directory = ServerDirectory(1, SERVERS.associate { it.id to it.copy(isCold = it == SERVERS[0]) })
+        private val directory =
+            ServerDirectory(
+                StorePoint.NONE,
+                SERVERS.associate {
+                    it.id to
+                        it.copy(isCold = it == SERVERS[0])
+                },
+            )
         private val statistics =
             ServerStatistics(
                 coldServers = { onWarm ->
--- a/src/test/kotlin/azuredale/freshness/EvacuationsSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/EvacuationsSpec.kt
@@ -4,10 +4,11 @@
 import azuredale.gateway.FleetBounds
 import azuredale.gateway.StorePoller
 import azuredale.identity.FailureDomain
-import azuredale.identity.Revision
 import azuredale.logging.EventLog
 import azuredale.store.CallFailure
 import azuredale.store.CallFailureReason
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
@@ -30,7 +31,7 @@
     private fun after(milliseconds: Long) = start.plusMilliseconds(milliseconds)
 
     private fun table(revision: Long, vararg domains: String) =
-        EvacuationTable(revision, domains.mapTo(HashSet(), ::FailureDomain))
+        EvacuationTable(StorePoint(StoreEra.NONE, revision), domains.mapTo(HashSet(), ::FailureDomain))
 
     @Nested
     inner class Table {
@@ -54,6 +55,17 @@
             assertFalse(evacuations.isFresh(after(4_701)))
         }
 
+        @Test
+        fun `of a later era lifts no evacuation before it is settled`() {
+            // Guards against requests to a domain whose evacuation the store lost when it returned from an older copy.
+            evacuations.adopt(table(7, "a"), start)
+            val copy = EvacuationTable(StorePoint(StoreEra(1), 6), setOf(FailureDomain("b")))
+            evacuations.adopt(copy, after(100), isSettled = false)
+            assertTrue(evacuations.isEvacuated(domain) && evacuations.isEvacuated(FailureDomain("b")))
+            evacuations.adopt(copy.copy(domains = emptySet()), after(200), isSettled = true)
+            assertFalse(evacuations.isEvacuated(domain))
+        }
+
         @Test
         fun `reports changes only`() {
             evacuations.adopt(table(7), start)
@@ -80,8 +92,9 @@
             object : StoreReader {
                 private val failure = CallFailure(CallFailureReason.REFUSED, "down")
 
-                override suspend fun readCatalog(known: Revision, deadline: Timestamp) =
-                    answer?.let { OperatorRead(CatalogRead.Missing, it()) } ?: OperatorRead(CatalogRead.Failed(failure))
+                override suspend fun readCatalog(isKnown: (StorePoint) -> Boolean, deadline: Timestamp) =
+                    answer?.let { OperatorRead(CatalogRead.Missing(), it()) }
+                        ?: OperatorRead(CatalogRead.Failed(failure))
 
                 override suspend fun readDirectory(deadline: Timestamp) =
                     answer?.let { DirectoryRead.Found(ServerDirectory.EMPTY, emptyMap()) }
--- a/src/test/kotlin/azuredale/freshness/MemoryStore.kt
+++ b/src/test/kotlin/azuredale/freshness/MemoryStore.kt
@@ -13,6 +13,8 @@
 import azuredale.store.LeaseResult
 import azuredale.store.ListResult
 import azuredale.store.ReadResult
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.store.StoredItem
 import azuredale.store.StoredValue
 import azuredale.store.VersionResult
@@ -32,11 +34,13 @@
 ) : KeyValueService {
     private val limiter = CallRateLimiter(CALLS_PER_SECOND, CALL_BURST, clock)
 
+    private val era get() = StoreEra(store.era)
+
     /** Number of calls that were made. */
     val calls get() = limiter.allowed
 
     override suspend fun read(key: String, deadline: Timestamp): ReadResult = call(
-        { store.read(key)?.let { ReadResult.Found(value(it)) } ?: ReadResult.Missing },
+        { store.read(key)?.let { ReadResult.Found(value(it), era) } ?: ReadResult.Missing(era) },
         ReadResult::Failed,
     )
 
@@ -51,7 +55,7 @@
                 store.list(prefix, after = "", Int.MAX_VALUE).map { (key, entry) ->
                     StoredItem(key, value(entry))
                 }
-            ListResult.Found(items, store.revision)
+            ListResult.Found(items, StorePoint(era, store.revision))
         },
         ListResult::Failed,
     )
--- a/src/test/kotlin/azuredale/freshness/RestoredStoreFleet.kt
+++ b/src/test/kotlin/azuredale/freshness/RestoredStoreFleet.kt
@@ -19,6 +19,7 @@
 import azuredale.identity.RouterId
 import azuredale.logging.EventLog
 import azuredale.outcome.Outcome
+import azuredale.platform.EraRegistry
 import azuredale.platform.PlatformStoreReader
 import azuredale.platform.QuarantineRegistry
 import azuredale.platform.RouterRegistry
@@ -55,13 +56,16 @@
     )
 
     /** A process of a router. */
-    inner class Node(val index: Int) {
+    inner class Node(
+        val index: Int,
+        isFirstStart: Boolean,
+    ) {
         private val dispatcher = StandardTestDispatcher(scheduler)
         private val scope = CoroutineScope(dispatcher + Job())
         val store = MemoryStore(storage, ::now) { isAway }
         private val coordination =
             FleetCoordination(
-                settings = settings(index),
+                settings = settings(index, isFirstStart),
                 clock = ::now,
                 wallClock = ::now,
                 dependencies = dependencies(),
@@ -116,6 +120,7 @@
             timer = { at, action -> timer(scope, at, action) },
             quarantineStore = QuarantineRegistry(store),
             versionNotes = VersionNoteRegistry(store),
+            eraNotes = EraRegistry(store),
             probe = { _, _ -> },
             onChange = {},
         )
@@ -132,7 +137,7 @@
     private var written = 0
     private var keysOfNewest = emptyList<String>()
     private val revocations = ArrayList<Revocation>()
-    val nodes = MutableList(routers) { Node(it) }
+    val nodes = MutableList(routers) { Node(it, isFirstStart = true) }
     private val newestSeen = HashMap<Node, Long>()
 
     /** What broke the bound on revocations, or a rule that no version comes back, since the start. */
@@ -163,7 +168,7 @@
     /** Kills the routers [indices] and starts them again, with empty state. */
     fun restart(indices: Iterable<Int>) = indices.forEach {
         nodes[it].end()
-        nodes[it] = Node(it)
+        nodes[it] = Node(it, isFirstStart = false)
     }
 
     /** Lets time pass and checks all routers every 20 ms. */
@@ -204,7 +209,7 @@
         return Timer { job.cancel() }
     }
 
-    private fun settings(index: Int) = GatewaySettings(
+    private fun settings(index: Int, isFirstStart: Boolean) = GatewaySettings(
         router = RouterId("router-$index"),
         region = Region("region"),
         failureDomain = FailureDomain("domain-${index % DOMAINS}"),
@@ -215,6 +220,7 @@
         storeAddress = address(index),
         weight = 1.0,
         bounds = bounds,
+        isFirstStart = isFirstStart,
     )
 
     companion object {
--- a/src/test/kotlin/azuredale/freshness/RestoredStoreSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/RestoredStoreSpec.kt
@@ -71,6 +71,18 @@
 
     @Nested
     inner class Service {
+        @Test
+        fun `is given at once by routers that start when the store's return is long past`() = fleet(routers = 3) {
+            // Guards against seconds of refusals at each start, since nobody is left who knows how old the era is.
+            val copy = copy()
+            raiseRevision(1)
+            restore(copy)
+            run(milliseconds = 8_000)
+            restart(0..2)
+            run(milliseconds = 1_000)
+            assertEquals(emptyList(), behind())
+        }
+
         @Test
         fun `goes on by the known catalog when the copy has the same one`() = fleet(routers = 3) {
             // Guards against requests that are refused for seconds because the store's revision is lower than before.
--- a/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
@@ -2,6 +2,7 @@
 
 import azuredale.catalog.CallerLimits
 import azuredale.catalog.Catalog
+import azuredale.catalog.CatalogMark
 import azuredale.directory.BackendEntry
 import azuredale.directory.BackendState
 import azuredale.directory.ServerDirectory
@@ -9,10 +10,12 @@
 import azuredale.identity.FailureDomain
 import azuredale.identity.NetworkAddress
 import azuredale.identity.PoolId
-import azuredale.identity.Revision
 import azuredale.identity.ServerId
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
+import kotlin.test.BeforeTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -26,11 +29,14 @@
 
     private fun after(milliseconds: Long) = start.plusMilliseconds(milliseconds)
 
-    private fun catalog(revision: Long) =
-        Catalog(Revision(revision), revision, emptyList(), emptyList(), emptyList(), CallerLimits())
+    private fun mark(revision: Long) = CatalogMark(StorePoint(StoreEra.NONE, revision), version = revision)
+
+    private fun catalog(revision: Long) = catalog(mark(revision))
+
+    private fun catalog(mark: CatalogMark) = Catalog(mark, emptyList(), emptyList(), emptyList(), CallerLimits())
 
     private fun directory(revision: Long, vararg names: String) = ServerDirectory(
-        revision,
+        StorePoint(StoreEra.NONE, revision),
         names.withIndex().associate { (index, name) ->
             ServerId(name) to
                 BackendEntry(
@@ -51,7 +57,7 @@
             // Guards against a removed key or route that works again after a slow response.
             assertTrue(view.adoptCatalog(catalog(7), start))
             assertFalse(view.adoptCatalog(catalog(5), after(100)))
-            assertEquals(Revision(7), view.revision)
+            assertEquals(mark(7), view.catalogMark)
         }
 
         @Test
@@ -66,10 +72,10 @@
         fun `is not confirmed by a proof for another revision`() {
             // Guards against a peer with an older or newer catalog that confirms this one.
             view.adoptCatalog(catalog(7), start)
-            view.confirmCatalog(Revision(8), after(3_000))
-            view.confirmCatalog(Revision(6), after(3_000))
+            view.confirmCatalog(mark(8), after(3_000))
+            view.confirmCatalog(mark(6), after(3_000))
             assertFalse(view.isCatalogFresh(after(5_000)))
-            view.confirmCatalog(Revision(7), after(3_000))
+            view.confirmCatalog(mark(7), after(3_000))
             assertTrue(view.isCatalogFresh(after(5_000)))
         }
 
@@ -150,4 +156,118 @@
             assertEquals(setOf(ServerId("new")), view.directory.entries.keys)
         }
     }
+
+    /** The store has returned from an older copy at [returnedAt]. */
+    @Nested
+    inner class LaterEra {
+        private val returnedAt = after(1_000)
+        private val settledAt = after(4_000)
+
+        private fun later(revision: Long, version: Long) =
+            catalog(CatalogMark(StorePoint(StoreEra(2), revision), version))
+
+        private fun laterDirectory(revision: Long, vararg entries: BackendEntry) =
+            ServerDirectory(StorePoint(StoreEra(2), revision), entries.associateBy { it.id })
+
+        private fun server(name: String, state: BackendState = BackendState.READY) = BackendEntry(
+            ServerId(name),
+            PoolId("p"),
+            NetworkAddress("10.0.0.1", 80),
+            FailureDomain("a"),
+            4,
+            state = state,
+        )
+
+        @BeforeTest
+        fun returns() {
+            view.adoptCatalog(catalog(7), start)
+            view.history.recordEra(StoreEra(1), start)
+            view.history.recordEra(StoreEra(2), returnedAt)
+        }
+
+        @Test
+        fun `proves nothing until operators had time to write again`() {
+            // Guards against a catalog of the copy that is taken for the newest one.
+            assertFalse(view.adoptCatalog(later(5, version = 5), after(1_100)))
+            assertEquals(mark(7), view.catalogMark)
+            assertFalse(view.isCatalogFresh(after(4_400)), "proven by a read of the copy")
+            assertTrue(view.adoptCatalog(later(6, version = 7), after(3_900)))
+            assertFalse(view.isCatalogFresh(after(4_400)), "proven before the era was settled")
+            view.confirmRead(view.catalogMark, settledAt)
+            assertTrue(view.isCatalogFresh(after(8_300)))
+        }
+
+        @Test
+        fun `proves no catalog under a revision that has been given out again`() {
+            // Guards against the known catalog that is proven by another one with the same revision.
+            val other = later(7, version = 8)
+            assertTrue(view.adoptCatalog(other, after(1_100)))
+            assertEquals(8, view.catalogMark.version)
+            view.confirmCatalog(mark(7), settledAt)
+            assertFalse(view.isCatalogFresh(after(4_400)))
+        }
+
+        @Test
+        fun `does not prove a catalog while a newer one is lost`() {
+            // Guards against a router that has started on the copy, while others know what the copy lacks.
+            val started = StoreView(FleetBounds(), StoreHistory(isFirstStart = false, settlingMilliseconds = 3_000))
+            started.history.recordEra(StoreEra(2), returnedAt)
+            started.recordMark(mark(7))
+            started.adoptCatalog(later(5, version = 5), settledAt)
+            assertFalse(started.isCatalogFresh(settledAt))
+            started.adoptCatalog(later(6, version = 7), after(4_500))
+            assertTrue(started.isCatalogFresh(after(4_500)))
+        }
+
+        @Test
+        fun `is not settled at once if the store named none before`() {
+            // Guards against a return that is taken for the first start of the whole system.
+            val history = StoreHistory(isFirstStart = true, settlingMilliseconds = 3_000)
+            history.recordEra(StoreEra.NONE, start)
+            assertTrue(history.isSettled(start))
+            history.recordEra(StoreEra(1), returnedAt)
+            assertFalse(history.isSettled(after(3_999)))
+            assertTrue(history.isSettled(settledAt))
+        }
+
+        @Test
+        fun `is not proven by a late answer of the earlier one`() {
+            view.confirmRead(mark(7), after(5_000))
+            assertFalse(view.isCatalogFresh(after(5_000)))
+        }
+
+        @Test
+        fun `does not return servers that drained or left before it`() {
+            // Guards against requests to servers that left between the copy and the store's return.
+            view.adoptDirectory(directory(10, "a", "b"), start, outageUntil = null)
+            view.adoptDirectory(directory(11, "a"), after(500), outageUntil = null)
+            val left = checkNotNull(directory(10, "a", "b").entries[ServerId("b")])
+            val stays = checkNotNull(directory(10, "a").entries[ServerId("a")])
+            listOf(1_000L, 1_100L, 5_900L).forEach {
+                view.adoptDirectory(laterDirectory(9, stays, left), after(it), outageUntil = null)
+                assertFalse(view.directory.isReady(ServerId("b")), "ready at $it ms")
+                assertTrue(view.directory.isReady(ServerId("a")))
+            }
+            view.adoptDirectory(laterDirectory(9, stays, left), after(6_100), outageUntil = null)
+            assertTrue(view.directory.isReady(ServerId("b")), "its registration has not expired in time")
+        }
+
+        @Test
+        fun `retains servers that the copy lacks until they had time to register`() {
+            // Guards against a pool that appears empty because its servers are newer than the copy.
+            view.adoptDirectory(directory(10, "a"), start, outageUntil = null)
+            view.adoptDirectory(laterDirectory(8), returnedAt, outageUntil = null)
+            assertTrue(view.directory.isReady(ServerId("a")))
+            view.adoptDirectory(laterDirectory(9, server("c")), after(3_300), outageUntil = null)
+            assertEquals(setOf(ServerId("c")), view.directory.entries.keys)
+        }
+
+        @Test
+        fun `has a server that comes back after it`() {
+            view.adoptDirectory(directory(10, "a"), start, outageUntil = null)
+            view.adoptDirectory(laterDirectory(8, server("d", BackendState.DRAINING)), returnedAt, outageUntil = null)
+            view.adoptDirectory(laterDirectory(9, server("d")), after(1_200), outageUntil = null)
+            assertTrue(view.directory.isReady(ServerId("d")))
+        }
+    }
 }
--- a/src/test/kotlin/azuredale/gateway/HomeRoutersSpec.kt
+++ b/src/test/kotlin/azuredale/gateway/HomeRoutersSpec.kt
@@ -2,12 +2,14 @@
 
 import azuredale.catalog.CallerLimits
 import azuredale.catalog.Catalog
+import azuredale.catalog.CatalogMark
 import azuredale.catalog.HomeRegions
 import azuredale.catalog.Route
 import azuredale.catalog.RouteKind
 import azuredale.identity.FailureDomain
 import azuredale.identity.Region
-import azuredale.identity.Revision
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import kotlin.test.assertEquals
@@ -47,7 +49,14 @@
         expected: String,
     ) {
         val limits = CallerLimits(1, 1, 1, 1)
-        val catalog = Catalog(Revision(1), 1, homes.split(',').map(::route), emptyList(), emptyList(), limits)
+        val catalog =
+            Catalog(
+                CatalogMark(StorePoint(StoreEra.NONE, 1), 1),
+                homes.split(',').map(::route),
+                emptyList(),
+                emptyList(),
+                limits,
+            )
         val routers = HomeRouters(HomeRegions(regions.values.toSet()), { catalog }, regions::get)
         val named =
             routers.keep(
--- a/src/test/kotlin/azuredale/gateway/OutdatedCatalogSpec.kt
+++ b/src/test/kotlin/azuredale/gateway/OutdatedCatalogSpec.kt
@@ -2,15 +2,17 @@
 
 import azuredale.catalog.CallerLimits
 import azuredale.catalog.Catalog
+import azuredale.catalog.CatalogMark
 import azuredale.catalog.CatalogTeam
 import azuredale.catalog.Route
 import azuredale.catalog.RouteKind
 import azuredale.catalog.WeightedPool
 import azuredale.freshness.StoreView
 import azuredale.identity.PoolId
-import azuredale.identity.Revision
 import azuredale.identity.TeamId
 import azuredale.outcome.Outcome
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
@@ -28,7 +30,13 @@
         val pools = listOf(WeightedPool(PoolId("pool"), 1.0))
         val route = Route("route", "host", "/known/", RouteKind.IDEMPOTENT, pools, 1_000, 500)
         val team = CatalogTeam(TeamId("team"), setOf("key"))
-        return Catalog(Revision(1), 1, listOf(route), emptyList(), listOf(team), CallerLimits())
+        return Catalog(
+            CatalogMark(StorePoint(StoreEra.NONE, 1), 1),
+            listOf(route),
+            emptyList(),
+            listOf(team),
+            CallerLimits(),
+        )
     }
 
     private fun head(path: String, key: String) =
--- a/src/test/kotlin/azuredale/peers/EvacuationExchangeSpec.kt
+++ b/src/test/kotlin/azuredale/peers/EvacuationExchangeSpec.kt
@@ -3,6 +3,8 @@
 import azuredale.freshness.EvacuationTable
 import azuredale.gateway.FleetBounds
 import azuredale.identity.FailureDomain
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -18,7 +20,7 @@
 
     private fun SimulatedExchange.read(router: Int, revision: Long, domains: Set<FailureDomain>) {
         val node = nodes[router]
-        node.view.evacuations.adopt(EvacuationTable(revision, domains), now)
+        node.view.evacuations.adopt(EvacuationTable(StorePoint(StoreEra.NONE, revision), domains), now)
         node.exchange.proofRenewed(now)
     }
 
--- a/src/test/kotlin/azuredale/peers/LargeFleetExchangeSpec.kt
+++ b/src/test/kotlin/azuredale/peers/LargeFleetExchangeSpec.kt
@@ -1,9 +1,9 @@
 package azuredale.peers
 
+import azuredale.catalog.CatalogMark
 import azuredale.engine.ServerLoad
 import azuredale.gateway.PromptPart
 import azuredale.gateway.PromptShape
-import azuredale.identity.Revision
 import azuredale.identity.TeamId
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
@@ -167,7 +167,7 @@
             fleet.run(3_000)
             val first = fleet.nodes.single { it.exchange.rank() == 0 }
             val provenAt = fleet.now
-            first.view.confirmCatalog(Revision.NONE, provenAt)
+            first.view.confirmCatalog(CatalogMark.NONE, provenAt)
             first.exchange.proofRenewed(provenAt)
             fleet.run(1_000)
             val late = fleet.nodes.filter { it.view.catalogProof.at < provenAt.plusMilliseconds(-250) }
--- a/src/test/kotlin/azuredale/peers/QuarantineExchangeSpec.kt
+++ b/src/test/kotlin/azuredale/peers/QuarantineExchangeSpec.kt
@@ -6,6 +6,8 @@
 import azuredale.quarantine.QuarantineDecision
 import azuredale.quarantine.QuarantineTable
 import azuredale.quarantine.ServerEnd
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -62,7 +64,8 @@
             // Guards against reads of the store by every router.
             val fleet = SimulatedExchange(routers = 40, domains = 4)
             fleet.run(3_000)
-            fleet.nodes[5].quarantine.adoptTable(QuarantineTable(9, mapOf(PartId("deadly") to 0)), fleet.now, fleet.now)
+            val table = QuarantineTable(StorePoint(StoreEra.NONE, 9), mapOf(PartId("deadly") to 0))
+            fleet.nodes[5].quarantine.adoptTable(table, fleet.now, fleet.now)
             fleet.run(1_000)
             assertEquals(40, fleet.blocking("deadly"))
         }
--- a/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedExchange.kt
@@ -19,6 +19,7 @@
 import azuredale.intake.SpareCapacity
 import azuredale.quarantine.Quarantine
 import azuredale.quarantine.QuarantineCallbacks
+import azuredale.store.StorePoint
 import azuredale.time.Clock
 import azuredale.time.Timestamp
 import kotlin.random.Random
@@ -123,7 +124,7 @@
     private fun create(index: Int, domains: Int): Node {
         val address = NetworkAddress("10.0.${index / 200}.${index % 200 + 1}", 7_000)
         val view = StoreView(bounds) { _, _ -> nodes[index].exchange.reportSoon(now) }
-        val known = ServerDirectory(1, servers.associateBy { it.id })
+        val known = ServerDirectory(StorePoint.NONE, servers.associateBy { it.id })
         if (isRunning) view.adoptDirectory(known, now, outageUntil = null)
         val node = Node(RouterId("router-$index"), address, statistics(index), view, TeamUsage(), { now })
         node.settings =
--- a/src/test/kotlin/azuredale/peers/SimulatedStore.kt
+++ b/src/test/kotlin/azuredale/peers/SimulatedStore.kt
@@ -2,6 +2,7 @@
 
 import azuredale.catalog.CallerLimits
 import azuredale.catalog.Catalog
+import azuredale.catalog.CatalogMark
 import azuredale.directory.BackendEntry
 import azuredale.directory.ServerDirectory
 import azuredale.freshness.CatalogRead
@@ -11,7 +12,6 @@
 import azuredale.freshness.StoreReader
 import azuredale.gateway.StorePoller
 import azuredale.identity.PartId
-import azuredale.identity.Revision
 import azuredale.identity.ServerId
 import azuredale.logging.EventLog
 import azuredale.quarantine.QuarantineCallResult
@@ -21,6 +21,8 @@
 import azuredale.sharing.StableHash
 import azuredale.store.CallFailure
 import azuredale.store.CallFailureReason
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -88,12 +90,14 @@
         }
     }
 
-    val directory get() = ServerDirectory(revision, entries.toMap())
+    val directory get() = ServerDirectory(StorePoint(StoreEra.NONE, revision), entries.toMap())
 
     /** Routers whose directory differs from the store's. */
     fun outdated() = started.filter { it !in fleet.cut && it.view.directoryDigest != directory.digest }
 
-    fun hasCatalog(node: SimulatedExchange.Node) = node.view.revision.value == catalogRevision
+    private val mark get() = CatalogMark(StorePoint(StoreEra.NONE, catalogRevision), catalogRevision)
+
+    fun hasCatalog(node: SimulatedExchange.Node) = node.view.catalogMark == mark
 
     private fun count(call: Call) = calls.merge(call, 1, Int::plus)
 
@@ -157,17 +161,16 @@
 
         private val silence = CallFailure(CallFailureReason.DEADLINE_PASSED, "silent")
 
-        override suspend fun readCatalog(known: Revision, deadline: Timestamp): OperatorRead {
+        override suspend fun readCatalog(isKnown: (StorePoint) -> Boolean, deadline: Timestamp): OperatorRead {
             val isAnswered = call(Call.CATALOG)
-            val found = Revision(catalogRevision)
             val read =
                 when {
                     !isAnswered -> CatalogRead.Failed(silence)
-                    catalogRevision == 0L -> CatalogRead.Missing
-                    found <= known -> CatalogRead.Unchanged(found)
+                    catalogRevision == 0L -> CatalogRead.Missing()
+                    isKnown(mark.point) -> CatalogRead.Unchanged(mark.point)
                     else ->
-                        CatalogRead.Newer(
-                            Catalog(found, 1, emptyList(), emptyList(), emptyList(), CallerLimits()),
+                        CatalogRead.Unknown(
+                            Catalog(mark, emptyList(), emptyList(), emptyList(), CallerLimits()),
                         )
                 }
             return OperatorRead(read)
@@ -177,7 +180,7 @@
             if (call(Call.DIRECTORY)) DirectoryRead.Found(directory, emptyMap()) else DirectoryRead.Failed(silence)
 
         override suspend fun read(deadline: Timestamp): QuarantineTable? =
-            QuarantineTable(0, emptyMap()).takeIf { call(Call.QUARANTINE) }
+            QuarantineTable(StorePoint.NONE, emptyMap()).takeIf { call(Call.QUARANTINE) }
 
         override suspend fun add(part: PartId, deadline: Timestamp) = QuarantineCallResult.Conflict
 
--- a/src/test/kotlin/azuredale/platform/LargeCatalogSpec.kt
+++ b/src/test/kotlin/azuredale/platform/LargeCatalogSpec.kt
@@ -1,7 +1,6 @@
 package azuredale.platform
 
 import azuredale.freshness.CatalogRead
-import azuredale.identity.Revision
 import azuredale.store.KeyVersion
 import azuredale.store.WriteResult
 import io.vertx.kotlin.coroutines.dispatcher
@@ -47,11 +46,11 @@
                             turns++
                         }
                     }
-                val read = async { reader.readCatalog(Revision.NONE, deadline()).catalog }.await()
-                assertEquals(1_400, assertIs<CatalogRead.Newer>(read).catalog.routes.size)
+                val read = async { reader.readCatalog({ false }, deadline()).catalog }.await()
+                assertEquals(1_400, assertIs<CatalogRead.Unknown>(read).catalog.routes.size)
                 assertTrue(turns > DECODE_MILLISECONDS / TICK_MILLISECONDS / 4, "$turns turns")
-                val again = reader.readCatalog(read.catalog.revision, deadline()).catalog
-                assertEquals(CatalogRead.Unchanged(read.catalog.revision), again)
+                val again = reader.readCatalog({ it == read.catalog.mark.point }, deadline()).catalog
+                assertEquals(CatalogRead.Unchanged(read.catalog.mark.point), again)
                 ticks.cancel()
             }
         }
--- a/src/test/kotlin/azuredale/platform/PlatformStoreReaderSpec.kt
+++ b/src/test/kotlin/azuredale/platform/PlatformStoreReaderSpec.kt
@@ -6,8 +6,8 @@
 import azuredale.identity.FailureDomain
 import azuredale.identity.PoolId
 import azuredale.identity.Region
-import azuredale.identity.Revision
 import azuredale.standin.PlatformFaults
+import azuredale.store.StoreEra
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -18,7 +18,7 @@
 /** Contract of the reads of the operators' keys with the platform's store. */
 class PlatformStoreReaderSpec {
     private suspend fun PlatformFixture.read(readsEvacuations: Boolean = true): OperatorRead =
-        PlatformStoreReader(client, readsEvacuations).readCatalog(Revision.NONE, deadline(1_000))
+        PlatformStoreReader(client, readsEvacuations).readCatalog({ false }, deadline(1_000))
 
     @Nested
     inner class ColdServers {
@@ -54,7 +54,7 @@
                 StoreKey.CATALOG,
                 """{"services":[{"name":"a","cold-per-s":10,"warmup-s":2.5},{"name":"b","cold-per-s":0,"warmup-s":3}]}""",
             )
-            val catalog = assertIs<CatalogRead.Newer>(read().catalog).catalog
+            val catalog = assertIs<CatalogRead.Unknown>(read().catalog).catalog
             assertEquals(listOf(10.0, null), catalog.pools.map { it.coldRequestsPerSecond })
             assertEquals(2_500, catalog.pool(PoolId("a"))?.warmUpMilliseconds)
         }
@@ -70,7 +70,7 @@
                     """"timeout-ms":1000,"target-latency-ms":500,"allowed-regions":["sul"]}],""" +
                     """"tenants":[{"name":"t","api-keys":["k"],"allowed-regions":["norte"]},{"name":"u"}]}""",
             )
-            val catalog = assertIs<CatalogRead.Newer>(read().catalog).catalog
+            val catalog = assertIs<CatalogRead.Unknown>(read().catalog).catalog
             assertEquals(setOf(Region("sul")), catalog.routes.single().homes)
             assertEquals(listOf(setOf(Region("norte")), emptySet()), catalog.teams.map { it.homes })
         }
@@ -86,14 +86,14 @@
             val before = standIn.callsReceived
             val read = read()
             assertEquals(1, standIn.callsReceived - before)
-            assertEquals(3, assertIs<CatalogRead.Newer>(read.catalog).catalog.version)
+            assertEquals(3, assertIs<CatalogRead.Unknown>(read.catalog).catalog.version)
             assertEquals(setOf(FailureDomain("sul-a")), assertNotNull(read.evacuations).domains)
         }
 
         @Test
         fun `are empty, not unknown, before the first catalog`() = PlatformFixture.run {
             val read = read()
-            assertEquals(CatalogRead.Missing, read.catalog)
+            assertEquals(CatalogRead.Missing(StoreEra.NONE), read.catalog)
             assertEquals(emptySet(), assertNotNull(read.evacuations).domains)
         }
 
--- a/src/test/kotlin/azuredale/platform/StoreClientSpec.kt
+++ b/src/test/kotlin/azuredale/platform/StoreClientSpec.kt
@@ -9,6 +9,7 @@
 import azuredale.store.LeaseResult
 import azuredale.store.ListResult
 import azuredale.store.ReadResult
+import azuredale.store.StoreEra
 import azuredale.store.VersionResult
 import azuredale.store.WatchEvent
 import azuredale.store.WriteResult
@@ -68,7 +69,7 @@
             standIn.faults = PlatformFaults()
             val read = client.read("/k", deadline())
             if (case.isStored) assertContentEquals(value, assertIs<ReadResult.Found>(read).stored.bytes)
-            if (!case.isStored) assertEquals(ReadResult.Missing, read)
+            if (!case.isStored) assertIs<ReadResult.Missing>(read)
         }
 
         @Test
@@ -103,7 +104,7 @@
                 val watch = limited.watch("/k").produceIn(scope)
                 assertEquals(WatchEvent.Started, watch.receive())
                 while (standIn.openWatches == 0) delay(10)
-                assertEquals(ReadResult.Missing, limited.read("/k", deadline()))
+                assertIs<ReadResult.Missing>(limited.read("/k", deadline()))
                 assertEquals(VersionResult.Found(KeyVersion.ABSENT), limited.readVersion("/k", deadline()))
                 val result = limited.write("/k", value, KeyVersion.ABSENT, deadline())
                 assertEquals(
@@ -152,7 +153,7 @@
             assertEquals(held.lease, assertIs<LeaseResult.Held>(client.keepAlive(held.lease, deadline())).lease)
             standIn.endLeases()
             assertEquals(LeaseResult.Ended, client.keepAlive(held.lease, deadline()))
-            assertEquals(ReadResult.Missing, client.read("/k", deadline()))
+            assertIs<ReadResult.Missing>(client.read("/k", deadline()))
             val late = client.write("/k", value, KeyVersion.ABSENT, deadline(), held.lease)
             assertEquals(CallFailureReason.LEASE_ENDED, assertIs<WriteResult.NotWritten>(late).failure.reason)
         }
@@ -161,7 +162,7 @@
         fun `ends a lease that is not kept alive`() = PlatformFixture.run {
             val held = assertIs<LeaseResult.Held>(client.grantLease(1, deadline()))
             client.write("/k", value, KeyVersion.ABSENT, deadline(), held.lease)
-            while (client.read("/k", deadline()) != ReadResult.Missing) delay(50)
+            while (client.read("/k", deadline()) !is ReadResult.Missing) delay(50)
             assertTrue(clock() >= held.deadline, "the lease ended before the deadline reported to its holder")
             assertEquals(LeaseResult.Ended, client.revoke(held.lease, deadline()))
         }
@@ -205,6 +206,20 @@
             assertIs<WatchEvent.Broken>(watch.receive())
         }
 
+        @Test
+        fun `reports a broken watch when the service returns from an older copy`() = PlatformFixture.run { scope ->
+            // Guards against a reader that takes the state of the copy for the continuation of what it has read.
+            standIn.copy()
+            client.write("/k", value, KeyVersion.ABSENT, deadline())
+            val found = assertIs<ReadResult.Found>(client.read("/k", deadline()))
+            val watch = client.watch("/k").produceIn(scope)
+            assertEquals(WatchEvent.Started, watch.receive())
+            while (standIn.openWatches == 0) delay(10)
+            standIn.restore()
+            assertIs<WatchEvent.Broken>(watch.receive())
+            assertEquals(ReadResult.Missing(StoreEra(found.era.number + 1)), client.read("/k", deadline()))
+        }
+
         @Test
         fun `reports a broken watch when the service is down from the start`() = PlatformFixture.run { scope ->
             standIn.faults = PlatformFaults(isDown = true)
--- a/src/test/kotlin/azuredale/quarantine/QuarantineKeeperSpec.kt
+++ b/src/test/kotlin/azuredale/quarantine/QuarantineKeeperSpec.kt
@@ -9,6 +9,8 @@
 import azuredale.identity.PartId
 import azuredale.logging.EventLog
 import azuredale.outcome.ErrorKind
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -25,12 +27,13 @@
     private class FakeStore : QuarantineStore {
         val trials = LinkedHashMap<PartId, Int>()
         var revision = 1L
+        var era = StoreEra.NONE
         var calls = 0
         var isDown = false
 
         override suspend fun read(deadline: Timestamp): QuarantineTable? {
             calls++
-            return if (isDown) null else QuarantineTable(revision, trials.toMap())
+            return if (isDown) null else QuarantineTable(StorePoint(era, revision), trials.toMap())
         }
 
         override suspend fun add(part: PartId, deadline: Timestamp) = change { trials.putIfAbsent(part, 0) == null }
@@ -112,6 +115,24 @@
             assertEquals(setOf(part), store.trials.keys)
         }
 
+        @Test
+        fun `that the store has lost are stored again`() {
+            // Guards against a store that returns from an older copy and releases the parts that it lacks.
+            val router = Router(rank = 0)
+            run(100, router)
+            crashThreeTimes(router)
+            run(500, router)
+            store.trials.clear()
+            store.revision = 1
+            store.era = StoreEra(1)
+            router.keeper.readAgain()
+            repeat(50) {
+                run(20, router)
+                assertEquals(ErrorKind.PROMPT_QUARANTINED, router.refusal()?.kind)
+            }
+            assertEquals(setOf(part), store.trials.keys)
+        }
+
         @Test
         fun `that prove wrong are removed from the store`() {
             // Guards against a sound part that stays blocked by its entry.
--- a/src/test/kotlin/azuredale/quarantine/QuarantineSpec.kt
+++ b/src/test/kotlin/azuredale/quarantine/QuarantineSpec.kt
@@ -3,6 +3,8 @@
 import azuredale.gateway.PromptPart
 import azuredale.gateway.PromptShape
 import azuredale.identity.PartId
+import azuredale.store.StoreEra
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.params.ParameterizedTest
@@ -191,7 +193,13 @@
     @Nested
     inner class Table {
         private fun adopt(revision: Long, vararg parts: Pair<String, Int>) = quarantine.adoptTable(
-            QuarantineTable(revision, parts.associate { (part, trials) -> PartId(part) to trials }),
+            QuarantineTable(
+                StorePoint(StoreEra.NONE, revision),
+                parts.associate { (part, trials) ->
+                    PartId(part) to
+                        trials
+                },
+            ),
             now,
             now,
         )
--- a/src/test/kotlin/azuredale/resumption/ResumptionFleet.kt
+++ b/src/test/kotlin/azuredale/resumption/ResumptionFleet.kt
@@ -12,6 +12,7 @@
 import azuredale.identity.SoftwareVersion
 import azuredale.logging.EventLog
 import azuredale.peers.Peer
+import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -120,7 +121,7 @@
 
         /** A directory with one server for each of [versions]; a draining one has a minus before its version. */
         private fun directory(versions: List<String>) = ServerDirectory(
-            1,
+            StorePoint.NONE,
             versions
                 .mapIndexed { index, version ->
                     BackendEntry(
--- a/src/test/kotlin/azuredale/resumption/StreamResumptionSpec.kt
+++ b/src/test/kotlin/azuredale/resumption/StreamResumptionSpec.kt
@@ -210,5 +210,15 @@
             fleet.run(milliseconds = 11_000)
             assertEquals(setOf(ResumptionFleet.POOL), fleet.notes.pools)
         }
+
+        @Test
+        fun `are written again at once by routers that know of the store's return`() {
+            // Guards against seconds in which a router that starts reads that the pool is alike.
+            val fleet = mixed(8)
+            fleet.notes.pools.clear()
+            fleet.nodes.forEach { it.resumption.storeReturned() }
+            fleet.run(milliseconds = 1_000)
+            assertEquals(setOf(ResumptionFleet.POOL), fleet.notes.pools)
+        }
     }
 }
--- a/src/test/kotlin/azuredale/selftest/LargeReportSpec.kt
+++ b/src/test/kotlin/azuredale/selftest/LargeReportSpec.kt
@@ -1,7 +1,10 @@
 package azuredale.selftest
 
+import azuredale.catalog.CatalogMark
 import azuredale.gateway.AddressCaller
 import azuredale.identity.NetworkAddress
+import azuredale.peers.CatalogMarkEntry
+import azuredale.peers.CatalogProofEntry
 import azuredale.peers.LoadEntry
 import azuredale.peers.PeerCodec
 import azuredale.peers.PeerDatagram
@@ -31,7 +34,7 @@
         val report =
             PeerReport(
                 sender = RouterState("relay", 1, "domain", relayAddress.host, relayAddress.port, 1.0, isReady = true),
-                catalog = ProofEntry(0, -1),
+                catalog = CatalogProofEntry(CatalogMarkEntry.of(CatalogMark.NONE), -1),
                 directory = ProofEntry(0, -1),
                 loads = List(rows) { LoadEntry(it, 1_000, 1) },
                 reads = emptyList(),
--- a/src/test/kotlin/azuredale/standin/PlatformStandInSpec.kt
+++ b/src/test/kotlin/azuredale/standin/PlatformStandInSpec.kt
@@ -28,7 +28,7 @@
         control("""{"down": true, "vms": {"live": ["10.0.0.1"], "leaving": ["10.0.0.2"]}}""")
         assertIs<ReadResult.Failed>(client.read("/k", deadline()))
         control("{}")
-        assertEquals(ReadResult.Missing, client.read("/k", deadline()))
+        assertIs<ReadResult.Missing>(client.read("/k", deadline()))
         val machines = VirtualMachineListClient(vertx, address, rateLimiter, clock).list(deadline())
         val expected = setOf(NetworkAddress("10.0.0.1", 0)) to setOf(NetworkAddress("10.0.0.2", 0))
         assertEquals(expected, assertIs<VirtualMachineListResult.Listed>(machines).let { it.live to it.leaving })
