Take no pool for one of a single version at a router that is out of step

Cause: StreamResumption let a stream of unknown origin go on whenever this router's own directory had shown one version for as long as streams last, however old that directory was. SendGuard does not prevent it, because a directory of any age is good enough for requests as soon as the store is unavailable to the router.

Change: a pool counts as one of a single version only while the router is in step: its directory is proven within the bound on leaving servers, less the margin (1.7 s; others begin streams at a new version after 2 s), or the store is unavailable to it and every other router has reported within that time. Otherwise it asks all routers and refuses what none of them knows as not run. A jump of the clocks is looked for before the age of the directory is used, also for routes that need no key.

Cut off from the store only, or from the routers only, was right before. After: all 7 pass, and StreamResumptionSpec.

Price: while the store is unavailable and any other router is silent, streams whose origin no router knows are refused. Rejected: refusing each resumed stream at such a router without asking (refuses what others know). Not covered: a pool whose servers are all replaced at once begins streams at the new version without waiting; a router with a directory up to 1.7 s old may take such a stream for one of the old version.

--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -82,8 +82,7 @@
         bounds.configurationBoundMilliseconds?.let { catalogProof.holds(it, now) } ?: true
 
     /** Whether the directory is certain to show every server that left longer ago than the bound on new requests. */
-    fun isDirectoryFresh(now: Timestamp): Boolean =
-        directoryProof.holds(bounds.drainBoundMilliseconds - DRAIN_MARGIN_MILLISECONDS, now)
+    fun isDirectoryFresh(now: Timestamp): Boolean = directoryProof.holds(drainMilliseconds(bounds), now)
 
     /**
      * Adopts a catalog from a read sent at [sentAt] if it is newer than the known one, or the same one written again;
@@ -178,16 +177,19 @@
         evacuations.invalidateProof()
     }
 
-    private companion object {
-        val NO_PROOF = FreshnessProof(Timestamp.DISTANT_PAST)
+    companion object {
+        private val NO_PROOF = FreshnessProof(Timestamp.DISTANT_PAST)
+
+        /** Longest age, in milliseconds, of a directory by which requests are sent. */
+        fun drainMilliseconds(bounds: FleetBounds): Long = bounds.drainBoundMilliseconds - DRAIN_MARGIN_MILLISECONDS
 
         /** Covers the transit time of a request to the server and the clock drift between routers. */
-        const val REVOCATION_MARGIN_MILLISECONDS = 700L
+        private const val REVOCATION_MARGIN_MILLISECONDS = 700L
 
         /** Covers the transit of a request to the server, and a short pause before it is written. */
-        const val DRAIN_MARGIN_MILLISECONDS = 300L
+        private const val DRAIN_MARGIN_MILLISECONDS = 300L
 
         /** Servers register again within about two seconds after a store outage. */
-        const val RETENTION_MILLISECONDS = 2_200L
+        private const val RETENTION_MILLISECONDS = 2_200L
     }
 }
--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -63,6 +63,7 @@
     /** Change of the wait at an engine that callers notice, null without routes to engines. */
     private var noticeableMilliseconds: Double? = null
     private val clockJumps = ClockJumpDetector(clock, wallClock)
+    private var clockJumpedAt = Timestamp.DISTANT_PAST
 
     /** Identifies this process of the router among earlier ones. */
     val incarnation = Incarnation(clock().microseconds)
@@ -255,6 +256,12 @@
         return view.isCatalogFresh(now)
     }
 
+    /** Why this router does not know which servers may be used, see [StorePoller.directoryFault]. */
+    fun directoryFault(now: Timestamp): String? {
+        checkClocks()
+        return poller.directoryFault(now)
+    }
+
     /** Whether the catalog shows every change that is due. */
     fun isCatalogCurrent(now: Timestamp): Boolean {
         checkClocks()
@@ -265,6 +272,7 @@
 
     private fun checkClocks() {
         if (!clockJumps.hasJumped()) return
+        clockJumpedAt = clock()
         log.write(GatewayLogEvent.CLOCK_JUMPED)
         view.invalidateProofs()
     }
@@ -302,7 +310,21 @@
         val peers = { exchange.peers.all }
         val originExchange = OriginExchange(origins, peers, dependencies.sendDatagram, dependencies.timer, clock)
         val notes = VersionNoteKeeper(versions, dependencies.versionNotes, clock, scope, ::rank, log)
-        return StreamResumption(versions, origins, originExchange, notes, log, clock)
+        return StreamResumption(versions, origins, originExchange, notes, log, clock, ::isInStep)
+    }
+
+    /**
+     * Whether this router knows of each server that was registered before others may use it for new streams.
+     *
+     * While the store answers nobody, no router reads of new servers. What others can read and this router cannot is in
+     * their reports, so all of them must have reported.
+     */
+    private fun isInStep(): Boolean {
+        checkClocks()
+        val now = clock()
+        if (view.isDirectoryFresh(now)) return true
+        val since = now.plusMilliseconds(-StoreView.drainMilliseconds(settings.bounds))
+        return poller.isStoreUnavailable && exchange.peers.haveAllReported(maxOf(since, clockJumpedAt))
     }
 
     private fun rank(): Int = exchange.rank()
--- a/src/main/kotlin/azuredale/gateway/Gateway.kt
+++ b/src/main/kotlin/azuredale/gateway/Gateway.kt
@@ -114,7 +114,7 @@
                         SendGuard(
                             authorizer = authorizer,
                             mayUse = selector::mayUse,
-                            directoryFault = fleet.poller::directoryFault,
+                            directoryFault = fleet::directoryFault,
                         ),
                     gracefulStop = gracefulStop,
                     resumption = fleet.resumption,
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -76,6 +76,9 @@
         wasEraSettled = isSettled
     }
 
+    /** Whether the store counts as unavailable to this router. */
+    val isStoreUnavailable: Boolean get() = health.isUnavailable
+
     /**
      * Why this router does not know which servers may be used; null if it does, or nobody can know more.
      *
--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -24,12 +24,20 @@
     /** Routers that sent a report recently. */
     val alive: List<Peer> get() = peers.values.filter { it.isAlive }
 
+    /** Whether another router was ever known; all are forgotten once they have been silent for long. */
+    private var hasKnownOthers = false
+
+    /** Whether every other router has been heard from since [since]. */
+    fun haveAllReported(since: Timestamp): Boolean =
+        if (peers.isEmpty()) !hasKnownOthers else peers.values.all { it.lastHeardAt >= since }
+
     /** The router named [router], or null if it is unknown. */
     fun find(router: RouterId): Peer? = peers[router]
 
     /** Adds [router], or updates the address of a known router that is not alive; returns whether the router is new. */
     fun add(router: RouterId, address: NetworkAddress, now: Timestamp): Boolean {
         if (router == self) return false
+        hasKnownOthers = true
         val known = peers[router]
         val isNew = known == null
         if (known == null) {
--- a/src/main/kotlin/azuredale/resumption/StreamResumption.kt
+++ b/src/main/kotlin/azuredale/resumption/StreamResumption.kt
@@ -22,6 +22,8 @@
  *
  * What servers of two versions write does not fit together, and servers do not check it. So a stream goes on only at
  * the version that began it; if that is unknown, only while its pool has had no other version.
+ *
+ * @param isInStep whether this router knows of each version at which another router may have begun a stream by now.
  */
 internal class StreamResumption(
     private val versions: PoolVersions,
@@ -30,6 +32,7 @@
     private val notes: VersionNoteKeeper,
     private val log: EventLog,
     private val clock: Clock,
+    private val isInStep: () -> Boolean,
 ) {
     /** Whether [bytes] are a message about streams. */
     fun isMessage(bytes: ByteArray): Boolean = OriginCodec.isOriginMessage(bytes)
@@ -83,8 +86,10 @@
     }
 
     private suspend fun ask(requestId: String): StreamOrigin? {
-        // Soon after a start the others may not know yet that the pool is mixed, so they have told nobody.
-        val origin = exchange.ask(StreamId.of(requestId), asksAll = clock() < versions.settledAt())
+        // Soon after a start the others may not know yet that the pool is mixed, so they have told nobody. A router
+        // that is out of step does not know whom they have told.
+        val asksAll = clock() < versions.settledAt() || !isInStep()
+        val origin = exchange.ask(StreamId.of(requestId), asksAll)
         log.write(ResumptionLogEvent.ORIGIN_ASKED, "request" to requestId, "origin" to origin)
         return origin
     }
@@ -92,10 +97,10 @@
     /** Whether the servers of [pool] have had one version for as long as streams last. */
     private suspend fun isAlwaysAlike(pool: PoolId): Boolean {
         if (versions.isMixed(pool) || versions.observedSince == null) return false
-        if (clock() >= versions.settledAt()) return true
+        if (clock() >= versions.settledAt()) return isInStep()
         val isNoted = notes.isNoted(pool) ?: return false
         if (isNoted) mixed(versions.noteFound(pool, clock(), clock()), clock())
-        return !isNoted && !versions.isMixed(pool)
+        return !isNoted && !versions.isMixed(pool) && isInStep()
     }
 
     private fun mixed(pools: List<PoolId>, now: Timestamp) {
--- /dev/null
+++ b/src/test/kotlin/azuredale/freshness/OutOfStepRouterSpec.kt
@@ -0,0 +1,119 @@
+package azuredale.freshness
+
+import azuredale.identity.PoolId
+import azuredale.identity.SoftwareVersion
+import azuredale.platform.StoreKey
+import azuredale.resumption.ResumptionDecision
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+
+/** Servers of a second software version join while one router is out of step, and a stream of them breaks. */
+class OutOfStepRouterSpec {
+    private val pool = PoolId("s")
+    private val fleet = RestoredStoreFleet(routers = 4)
+    private val router = fleet.nodes[0]
+    private val other = fleet.nodes[1]
+
+    private fun goesOnAt(version: String) = ResumptionDecision.GoOn(SoftwareVersion(version))
+
+    private fun register(name: String, version: String, port: Int) = fleet.put(
+        StoreKey.SERVERS + name,
+        """{"service":"s","address":"10.1.0.1:$port","zone":"domain-1","version":"$version","slots":8,""" +
+            """"state":"ready","cold-left-ms":0,"sequence":1}""",
+    )
+
+    /** All routers have known the pool's first version for as long as streams last. */
+    private fun start() {
+        fleet.writeVersion("a")
+        register("first", "1", port = 81)
+        fleet.run(milliseconds = 40_000)
+        assertEquals(goesOnAt("1"), router.resume("earlier", pool))
+    }
+
+    /** Servers of the second version join, and a stream begins there at another router as soon as it may. */
+    private fun beginAtSecondVersion() {
+        register("second", "2", port = 82)
+        fleet.run(milliseconds = 3_000)
+        assertNull(other.resumption.beginning(pool), "streams begin at all versions")
+        other.resumption.recordBegin("request", pool, SoftwareVersion("2"), fleet.now)
+    }
+
+    private fun assertJoinsNoStream() {
+        val decision = router.resume("request", pool)
+        if (decision is ResumptionDecision.GoOn) assertEquals(goesOnAt("2"), decision)
+    }
+
+    @Test
+    fun `a router that hears from neither the store nor others joins no stream`() {
+        // Guards against a router that has not heard of the second version and takes the pool for one of a single version.
+        start()
+        router.isCut = true
+        router.isStoreAway = true
+        beginAtSecondVersion()
+        assertIs<ResumptionDecision.Refuse>(router.resume("request", pool))
+        fleet.run(milliseconds = 120_000)
+        assertIs<ResumptionDecision.Refuse>(router.resume("request", pool), "others have been forgotten")
+    }
+
+    @Test
+    fun `a router that has stood still joins no stream before it has read the directory`() {
+        // Guards against the first request after a pause, which comes before any timer.
+        start()
+        router.isPaused = true
+        beginAtSecondVersion()
+        router.isPaused = false
+        assertJoinsNoStream()
+        fleet.run(milliseconds = 1_000)
+        assertEquals(goesOnAt("2"), router.resume("request", pool))
+    }
+
+    @Test
+    fun `a router whose VM was suspended sends nothing before it has read the directory`() {
+        // Guards against requests of routes without keys, which come before the clocks are compared.
+        start()
+        assertNull(router.directoryFault)
+        router.suspendedMilliseconds = 3_000
+        assertNotNull(router.directoryFault)
+        fleet.run(milliseconds = 1_000)
+        assertNull(router.directoryFault)
+    }
+
+    @Test
+    fun `a router that hears from others, but not from the store, asks them`() {
+        start()
+        router.isStoreAway = true
+        beginAtSecondVersion()
+        assertEquals(goesOnAt("2"), router.resume("request", pool))
+    }
+
+    @Test
+    fun `a router that reads the store, but hears from no other, refuses what only others know`() {
+        start()
+        router.isCut = true
+        beginAtSecondVersion()
+        assertIs<ResumptionDecision.Refuse>(router.resume("request", pool))
+    }
+
+    @Test
+    fun `streams go on while the store is away, if all routers hear from each other`() {
+        // Guards against refusals of sound streams in a store outage, when no router can learn of new servers.
+        start()
+        fleet.isAway = true
+        fleet.run(milliseconds = 60_000)
+        assertEquals(goesOnAt("1"), router.resume("unknown", pool))
+    }
+
+    @Test
+    fun `while the store is away and a router is silent, streams go on that others know`() {
+        start()
+        other.resumption.recordBegin("request", pool, SoftwareVersion("1"), fleet.now)
+        fleet.isAway = true
+        fleet.nodes[3].isCut = true
+        fleet.run(milliseconds = 3_000)
+        assertEquals(goesOnAt("1"), router.resume("request", pool))
+        assertIs<ResumptionDecision.Refuse>(router.resume("unknown", pool))
+    }
+}
--- a/src/test/kotlin/azuredale/freshness/RestoredStoreFleet.kt
+++ b/src/test/kotlin/azuredale/freshness/RestoredStoreFleet.kt
@@ -15,6 +15,7 @@
 import azuredale.gateway.Timer
 import azuredale.identity.FailureDomain
 import azuredale.identity.NetworkAddress
+import azuredale.identity.PoolId
 import azuredale.identity.Region
 import azuredale.identity.RouterId
 import azuredale.logging.EventLog
@@ -25,12 +26,14 @@
 import azuredale.platform.RouterRegistry
 import azuredale.platform.StoreKey
 import azuredale.platform.VersionNoteRegistry
+import azuredale.resumption.ResumptionDecision
 import azuredale.standin.KeyValueStore
 import azuredale.standin.Put
 import azuredale.standin.StoreCopy
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -62,12 +65,12 @@
     ) {
         private val dispatcher = StandardTestDispatcher(scheduler)
         private val scope = CoroutineScope(dispatcher + Job())
-        val store = MemoryStore(storage, ::now) { isAway }
+        val store = MemoryStore(storage, ::now) { isAway || isStoreAway }
         private val coordination =
             FleetCoordination(
                 settings = settings(index, isFirstStart),
                 clock = ::now,
-                wallClock = ::now,
+                wallClock = { now.plusMilliseconds(suspendedMilliseconds) },
                 dependencies = dependencies(),
                 scope = scope,
                 metrics = GatewayMetrics(),
@@ -83,7 +86,9 @@
                 isCurrent = coordination::isCatalogCurrent,
             )
         val view get() = coordination.view
+        val resumption get() = coordination.resumption
         val quarantine get() = coordination.quarantine
+        val directoryFault get() = coordination.directoryFault(now)
         val isReady get() = coordination.isReady()
 
         /** Whether the router stands still. */
@@ -92,6 +97,12 @@
         /** Whether the router's datagrams are lost. */
         var isCut = false
 
+        /** Whether the store answers no calls of this router. */
+        var isStoreAway = false
+
+        /** How long the router's VM has been suspended, by its time of day. */
+        var suspendedMilliseconds = 0L
+
         init {
             scope.launch {
                 coordination.start()
@@ -107,6 +118,13 @@
             authorizer.authorize(RequestHead("id", "GET", "/p/", HOST, 1_000, key, null, null, emptyList()), now) is
                 Outcome.Success
 
+        /** What the router decides on a stream of [pool] that [request] began. */
+        fun resume(request: String, pool: PoolId): ResumptionDecision {
+            val decision = scope.async { resumption.decide(request, pool) }
+            run(RESUMPTION_MILLISECONDS)
+            return decision.getCompleted()
+        }
+
         fun received(from: NetworkAddress, bytes: ByteArray) = coordination.datagramReceived(from, bytes)
 
         fun end() = scope.cancel()
@@ -227,6 +245,9 @@
         private const val HOST = "api.example"
         private const val DOMAINS = 3
         private const val TICK_MILLISECONDS = 20L
+
+        /** Covers a question to other routers. */
+        private const val RESUMPTION_MILLISECONDS = 200
         private const val TRANSIT_MILLISECONDS = 2L
         private val START = Timestamp.ofMilliseconds(1_000_000)
 
--- a/src/test/kotlin/azuredale/resumption/ResumptionFleet.kt
+++ b/src/test/kotlin/azuredale/resumption/ResumptionFleet.kt
@@ -46,8 +46,9 @@
         val exchange =
             OriginExchange(origins, { peersOf(index) }, { to, bytes -> deliver(index, to, bytes) }, ::timer, { now })
         private val keeper = VersionNoteKeeper(versions, notes, { now }, scope, { index }, LOG)
-        val resumption = StreamResumption(versions, origins, exchange, keeper, LOG) { now }
+        val resumption = StreamResumption(versions, origins, exchange, keeper, LOG, { now }, { isInStep })
         var isAlive = true
+        var isInStep = true
 
         /** The stream of [request] begins at [version] through this router. */
         fun begin(request: String, version: String) =
--- a/src/test/kotlin/azuredale/resumption/StreamResumptionSpec.kt
+++ b/src/test/kotlin/azuredale/resumption/StreamResumptionSpec.kt
@@ -128,6 +128,21 @@
             assertIs<ResumptionDecision.Refuse>(fleet.nodes[0].decide("unknown"))
         }
 
+        @Test
+        fun `a router that is out of step asks all others, and takes no pool for one of a single version`() {
+            // Guards against a router that was cut off or stood still while servers of a second version joined.
+            val fleet = ResumptionFleet(8)
+            fleet.allSee("1", "1")
+            fleet.run(milliseconds = 40_000)
+            fleet.nodes[5].begin("request", "1")
+            fleet.nodes[0].isInStep = false
+            assertEquals(goesOnAt("1"), fleet.nodes[0].decide("request"))
+            assertIs<ResumptionDecision.Refuse>(fleet.nodes[0].decide("unknown"))
+            assertIs<ResumptionDecision.Refuse>(fleet.nodes[0].decide(null))
+            fleet.nodes[0].isInStep = true
+            assertEquals(goesOnAt("1"), fleet.nodes[0].decide("unknown"))
+        }
+
         @Test
         fun `a version that has left counts as long as its streams may be resumed`() {
             // Guards against a guess right after the last server of the old version has left.
