--- a/src/main/kotlin/azuredale/freshness/EraKeeper.kt
+++ b/src/main/kotlin/azuredale/freshness/EraKeeper.kt
@@ -45,7 +45,9 @@
         }
     }
 
-    private fun writeAt() = maxOf(knownAt, history.settledAt).plusMilliseconds(rank() * RANK_DELAY_MILLISECONDS)
+    /** Ranks are known once the other routers have reported. */
+    private fun writeAt() = maxOf(knownAt.plusMilliseconds(FIRST_REPORTS_MILLISECONDS), history.settledAt)
+        .plusMilliseconds(rank() * RANK_DELAY_MILLISECONDS)
 
     private suspend fun write(era: StoreEra): Boolean {
         val isDone = notes.write(era, callDeadline())
@@ -70,6 +72,9 @@
         /** Time in which other routers usually have reported to one that starts. */
         const val REPORT_MILLISECONDS = 200L
 
+        /** Time in which all other routers have reported to one that starts. */
+        const val FIRST_REPORTS_MILLISECONDS = 3_000L
+
         /** Longer than a write takes. */
         const val RANK_DELAY_MILLISECONDS = 800L
         const val MAXIMUM_RANK = 2
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -146,6 +146,7 @@
             "isSettled" to view.history.isSettled(now),
             "catalog" to view.catalogMark,
         )
+        if (view.history.isFirstEra) return
         markOutdated(isCatalog = true, isDirectory = true)
         onEra()
     }
--- a/src/test/kotlin/azuredale/freshness/MemoryStore.kt
+++ b/src/test/kotlin/azuredale/freshness/MemoryStore.kt
@@ -39,6 +39,10 @@
     /** Number of calls that were made. */
     val calls get() = limiter.allowed
 
+    /** Number of writes among them, those of leases included. */
+    var writes = 0
+        private set
+
     override suspend fun read(key: String, deadline: Timestamp): ReadResult = call(
         { store.read(key)?.let { ReadResult.Found(value(it), era) } ?: ReadResult.Missing(era) },
         ReadResult::Failed,
@@ -73,6 +77,7 @@
 
     private suspend fun transact(key: String, expected: KeyVersion, puts: List<Put>, removed: List<String>) = call(
         {
+            writes++
             when (val result = store.transact(mapOf(key to expected.value), puts, removed)) {
                 is TransactionResult.Committed -> WriteResult.Written(KeyVersion(result.revision))
                 is TransactionResult.RevisionMismatch -> WriteResult.Conflict(store.read(key)?.let(::value))
@@ -83,7 +88,10 @@
     )
 
     override suspend fun grantLease(seconds: Long, deadline: Timestamp): LeaseResult = call(
-        { LeaseResult.Held(LeaseId(store.grant(seconds)), clock().plusSeconds(seconds)) },
+        {
+            writes++
+            LeaseResult.Held(LeaseId(store.grant(seconds)), clock().plusSeconds(seconds))
+        },
         LeaseResult::Failed,
     )
 
--- a/src/test/kotlin/azuredale/freshness/RestoredStoreSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/RestoredStoreSpec.kt
@@ -71,6 +71,26 @@
 
     @Nested
     inner class Service {
+        @Test
+        fun `takes no more than half of the writes that all routers may make`() {
+            // Guards against a large fleet that registers again at once, or at each start, and exceeds the store's limit.
+            RestoredStoreFleet(routers = LARGE_FLEET).run {
+                writeVersion("a", "b")
+                val writes = ArrayList<Int>()
+                val runSecond = {
+                    val before = nodes.sumOf { it.store.writes }
+                    run(milliseconds = 1_000)
+                    writes += nodes.sumOf { it.store.writes } - before
+                }
+                repeat(3) { runSecond() }
+                val copy = copy()
+                restore(copy)
+                repeat(6) { runSecond() }
+                assertTrue(writes.first() <= 2 * LARGE_FLEET + 3, "writes of a start: $writes")
+                assertTrue(writes.drop(1).all { it <= WRITES_PER_SECOND / 2 }, "writes in each second: $writes")
+            }
+        }
+
         @Test
         fun `is given at once by routers that start when the store's return is long past`() = fleet(routers = 3) {
             // Guards against seconds of refusals at each start, since nobody is left who knows how old the era is.
@@ -124,4 +144,11 @@
             assertTrue(calls.all { it <= 20 * MemoryStore.CALLS_PER_SECOND / 2 }, "calls in 20 s: $calls")
         }
     }
+
+    private companion object {
+        const val LARGE_FLEET = 100
+
+        /** Limit of the store for all nodes of a system together. */
+        const val WRITES_PER_SECOND = 400
+    }
 }
