Keep evacuations of earlier eras apart from the table that is read and reported

Domains that a router kept from an earlier era travelled in its reports under the point of the copy, so the same point had two contents: a router that had read the copy ignored them, and one that had heard them kept them after the era was settled. A late answer of an earlier era was dropped but counted as a proof, and so did a read of the copy.

Change: the table is as it was read; domains of earlier eras are kept beside it until the era is settled, also if they are heard late.

After: EvacuationsSpec has a case for news of an earlier era. Price: a router that starts in an unsettled era sends nothing until it is settled, as far as the store answers (STALE_DIRECTORY).

--- a/src/main/kotlin/azuredale/freshness/Evacuations.kt
+++ b/src/main/kotlin/azuredale/freshness/Evacuations.kt
@@ -27,7 +27,7 @@
     private val boundMilliseconds: Long?,
     private val onChange: (before: Set<FailureDomain>, after: Set<FailureDomain>) -> Unit,
 ) {
-    /** The newest known table, null before the first one is known. */
+    /** The newest known table as it was read, null before the first one is known. */
     var table: EvacuationTable? = null
         private set
 
@@ -35,14 +35,17 @@
     var provenAt: Timestamp = Timestamp.DISTANT_PAST
         private set
 
-    /** Whether [table] has domains of an earlier era that the store may have lost. */
-    private var hasRetained = false
+    /** Domains that were evacuated in earlier eras, which the store may have lost. */
+    private var retained = emptySet<FailureDomain>()
+
+    /** The domains whose servers may get no requests. */
+    val domains: Set<FailureDomain> get() = table?.domains.orEmpty() + retained
 
     /** Whether this router knows enough to send requests. */
     val isKnown: Boolean get() = boundMilliseconds == null || table != null
 
     /** Whether servers of [domain] may get no requests. */
-    fun isEvacuated(domain: FailureDomain): Boolean = table?.domains?.contains(domain) == true
+    fun isEvacuated(domain: FailureDomain): Boolean = table?.domains?.contains(domain) == true || domain in retained
 
     /** Whether the table is certain to show every evacuation that is older than the bound. */
     fun isFresh(now: Timestamp): Boolean = boundMilliseconds == null ||
@@ -50,24 +53,27 @@
         (boundMilliseconds - MARGIN_MILLISECONDS) * Timestamp.MICROSECONDS_PER_MILLISECOND
 
     /**
-     * Adopts [read] if it is newer than the known table. It was the newest one at [at], or at an unknown time if that
-     * is [Timestamp.DISTANT_PAST].
+     * Adopts [read] if it is not older than the known table. It was the newest one at [at], or at an unknown time if
+     * that is [Timestamp.DISTANT_PAST].
      *
-     * A later table contains all that was confirmed before the proof of a lower one, so proofs of either
-     * hold for the newer table. A store that has returned from an older copy may have lost evacuations, so the domains
-     * stay evacuated until the era [isSettled].
+     * A later table contains all that was confirmed before the proof of an earlier one, so proofs of either hold for
+     * the later one. A store that has returned from an older copy may have lost evacuations, so domains of earlier eras
+     * stay evacuated until the present era [isSettled].
      */
-    fun adopt(read: EvacuationTable, at: Timestamp, isSettled: Boolean = true) {
+    fun adopt(read: EvacuationTable, at: Timestamp, isSettled: Boolean) {
         if (boundMilliseconds == null) return
-        provenAt = maxOf(provenAt, at)
+        val before = domains
         val known = table
-        if (known != null && read.point < known.point) return
-        val isRetained = known != null && !isSettled && (hasRetained || read.point.era > known.point.era)
-        if (known != null && read.point == known.point && isRetained == hasRetained) return
-        hasRetained = isRetained
-        val before = known?.domains.orEmpty()
-        val after = if (isRetained) before + read.domains else read.domains
-        table = EvacuationTable(read.point, after)
+        provenAt = maxOf(provenAt, at)
+        when {
+            known == null || read.point >= known.point -> {
+                if (known != null && read.point.era > known.point.era) retained += known.domains
+                table = read
+            }
+            read.point.era < known.point.era -> retained += read.domains
+        }
+        if (isSettled) retained = emptySet()
+        val after = domains
         if (before != after) onChange(before, after)
     }
 
--- a/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
+++ b/src/main/kotlin/azuredale/gateway/GatewayGauges.kt
@@ -23,10 +23,8 @@
     }
     gauge("servers.cold") { statistics.coldServers?.count(clock())?.toDouble() ?: 0.0 }
     gauge("domains.evacuated") {
-        view.evacuations.table
-            ?.domains
-            ?.size
-            ?.toDouble() ?: 0.0
+        view.evacuations.domains.size
+            .toDouble()
     }
 }
 
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -270,7 +270,8 @@
     }
 
     private fun adoptEvacuations(read: EvacuationTable, malformed: List<String>, sentAt: Timestamp) {
-        view.evacuations.adopt(read, sentAt, view.history.isSettled(sentAt))
+        val isSettled = view.history.isSettled(sentAt)
+        view.evacuations.adopt(read, if (isSettled) sentAt else Timestamp.DISTANT_PAST, isSettled)
         if (malformed != malformedEvacuations && malformed.isNotEmpty()) {
             log.write(GatewayLogEvent.EVACUATION_MALFORMED, "names" to malformed.take(LOGGED_NAMES))
         }
--- a/src/test/kotlin/azuredale/freshness/EvacuationsSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/EvacuationsSpec.kt
@@ -38,8 +38,8 @@
         @Test
         fun `of a lower revision changes nothing, but its proof counts`() {
             // Guards against a late answer or report that lifts an evacuation.
-            evacuations.adopt(table(7, "a"), start)
-            evacuations.adopt(table(6), after(1_000))
+            evacuations.adopt(table(7, "a"), start, isSettled = true)
+            evacuations.adopt(table(6), after(1_000), isSettled = true)
             assertTrue(evacuations.isEvacuated(domain))
             assertTrue(evacuations.isFresh(after(5_700)))
             assertFalse(evacuations.isFresh(after(5_701)))
@@ -48,8 +48,8 @@
         @Test
         fun `of a higher revision without a proof keeps the earlier proof`() {
             // Guards against a report of unknown age that makes a table look recent, or old.
-            evacuations.adopt(table(7), start)
-            evacuations.adopt(table(8, "a"), Timestamp.DISTANT_PAST)
+            evacuations.adopt(table(7), start, isSettled = true)
+            evacuations.adopt(table(8, "a"), Timestamp.DISTANT_PAST, isSettled = true)
             assertTrue(evacuations.isEvacuated(domain))
             assertTrue(evacuations.isFresh(after(4_700)))
             assertFalse(evacuations.isFresh(after(4_701)))
@@ -58,7 +58,7 @@
         @Test
         fun `of a later era lifts no evacuation before it is settled`() {
             // Guards against requests to a domain whose evacuation the store lost when it returned from an older copy.
-            evacuations.adopt(table(7, "a"), start)
+            evacuations.adopt(table(7, "a"), start, isSettled = true)
             val copy = EvacuationTable(StorePoint(StoreEra(1), 6), setOf(FailureDomain("b")))
             evacuations.adopt(copy, after(100), isSettled = false)
             assertTrue(evacuations.isEvacuated(domain) && evacuations.isEvacuated(FailureDomain("b")))
@@ -66,19 +66,31 @@
             assertFalse(evacuations.isEvacuated(domain))
         }
 
+        @Test
+        fun `of an earlier era, if it is heard late, evacuates until the later one is settled`() {
+            // Guards against an evacuation that another router knows, while this one has read the copy.
+            val copy = EvacuationTable(StorePoint(StoreEra(1), 6), emptySet())
+            evacuations.adopt(copy, Timestamp.DISTANT_PAST, isSettled = false)
+            evacuations.adopt(table(7, "a"), after(50), isSettled = false)
+            assertTrue(evacuations.isEvacuated(domain))
+            assertEquals(copy, evacuations.table, "what was read is passed on")
+            evacuations.adopt(copy, after(200), isSettled = true)
+            assertFalse(evacuations.isEvacuated(domain))
+        }
+
         @Test
         fun `reports changes only`() {
-            evacuations.adopt(table(7), start)
-            evacuations.adopt(table(8, "a"), start)
-            evacuations.adopt(table(9, "a"), start)
-            evacuations.adopt(table(10), start)
+            evacuations.adopt(table(7), start, isSettled = true)
+            evacuations.adopt(table(8, "a"), start, isSettled = true)
+            evacuations.adopt(table(9, "a"), start, isSettled = true)
+            evacuations.adopt(table(10), start, isSettled = true)
             assertEquals(listOf(setOf(domain), emptySet()), changes)
         }
 
         @Test
         fun `is ignored where operators evacuate no failure domains`() {
             val without = Evacuations(null) { _, _ -> }
-            without.adopt(table(8, "a"), start)
+            without.adopt(table(8, "a"), start, isSettled = true)
             assertFalse(without.isEvacuated(domain))
             assertTrue(without.isKnown && without.isFresh(after(60_000)))
         }
@@ -114,7 +126,7 @@
             answer = null
             read(0)
             assertNotNull(poller.directoryFault(now))
-            evacuations.adopt(table(5, "a"), Timestamp.DISTANT_PAST)
+            evacuations.adopt(table(5, "a"), Timestamp.DISTANT_PAST, isSettled = true)
             assertNull(poller.directoryFault(now), "another router told it what binds")
         }
 
--- a/src/test/kotlin/azuredale/peers/EvacuationExchangeSpec.kt
+++ b/src/test/kotlin/azuredale/peers/EvacuationExchangeSpec.kt
@@ -20,7 +20,11 @@
 
     private fun SimulatedExchange.read(router: Int, revision: Long, domains: Set<FailureDomain>) {
         val node = nodes[router]
-        node.view.evacuations.adopt(EvacuationTable(StorePoint(StoreEra.NONE, revision), domains), now)
+        node.view.evacuations.adopt(
+            EvacuationTable(StorePoint(StoreEra.NONE, revision), domains),
+            now,
+            isSettled = true,
+        )
         node.exchange.proofRenewed(now)
     }
 
