Take no live server for departed, and no released part for quarantined, when the store returns from a copy

Registrations that had expired in an outage before the return counted as departures, so live servers that the copy showed were not used for 5 s. An entry of the quarantine table that had been removed after the copy was made came back, and prompts that had been answered were refused for 60 s.

Change: a missing registration is no departure while servers are retained after an outage; a part that was answered lately is released again, and its entry removed.

After: a case each in StoreViewSpec and QuarantineSpec.

--- a/src/main/kotlin/azuredale/freshness/DepartedServers.kt
+++ b/src/main/kotlin/azuredale/freshness/DepartedServers.kt
@@ -19,8 +19,12 @@
     /** Whether servers are still regarded as departed, whatever the store shows. */
     fun isInForce(now: Timestamp): Boolean = now < returnedUntil
 
-    /** Records what [read] shows to have departed since [before], the directory read previously, at [now]. */
-    fun record(before: ServerDirectory, read: ServerDirectory, now: Timestamp) {
+    /**
+     * Records what [read] shows to have departed since [before], the directory read previously, at [now].
+     *
+     * @param hasExpired whether registrations of live servers may have expired in an outage of the store.
+     */
+    fun record(before: ServerDirectory, read: ServerDirectory, hasExpired: Boolean, now: Timestamp) {
         departures.values.removeIf { now >= it.plusMilliseconds(COPY_AGE_MILLISECONDS) }
         if (read.point.era > before.point.era) {
             if (before.point != StorePoint.NONE) returnedUntil = now.plusMilliseconds(EXPIRY_MILLISECONDS)
@@ -28,9 +32,11 @@
         }
         before.entries.values.forEach { entry ->
             val wasReady = entry.state == BackendState.READY
-            if (wasReady && !read.isReady(entry.id)) departures[entry.process] = now
+            val hasLeft = entry.id !in read.entries && !hasExpired
+            val isDraining = entry.id in read.entries && !read.isReady(entry.id)
+            if (wasReady && (hasLeft || isDraining)) departures[entry.process] = now
         }
-        // A server that has been shown as ready since the return is not known to have come back.
+        // A server that the copy shows as ready, and later reads as well, has not come back.
         read.entries.values.forEach { entry ->
             val wasReady = before.entries[entry.id]?.state == BackendState.READY
             if (entry.state == BackendState.READY && !wasReady) departures -= entry.process
--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -144,7 +144,7 @@
             val connectedAt = returnedAt.plusMilliseconds(bounds.contactMilliseconds - DRAIN_MARGIN_MILLISECONDS)
             retainedUntil = minOf(sentAt.plusMilliseconds(RETENTION_MILLISECONDS), connectedAt)
         }
-        departedServers.record(lastReadDirectory, read, sentAt)
+        departedServers.record(lastReadDirectory, read, hasExpired = sentAt < retainedUntil, sentAt)
         val before = directory
         lastReadDirectory = read
         val usable = departedServers.applyTo(read, sentAt)
--- a/src/main/kotlin/azuredale/quarantine/Quarantine.kt
+++ b/src/main/kotlin/azuredale/quarantine/Quarantine.kt
@@ -147,6 +147,11 @@
         tableProvenAt = maxOf(tableProvenAt, provenAt)
         if (read.trials == before.trials && before !== QuarantineTable.UNKNOWN) return
         read.trials.forEach { (part, trials) ->
+            // Its entry was removed after the copy had been made, since prompts with the part were answered.
+            if (isNewEra && part !in before.trials && isAnswered(part, now)) {
+                released += part
+                return@forEach
+            }
             if (before.trials[part] != trials) knownSince[part] = now
             if (part !in before.trials && concluded.remove(part) == null) callbacks.onChange(part, true, "in the store")
         }
--- a/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
@@ -262,6 +262,16 @@
             assertEquals(setOf(ServerId("c")), view.directory.entries.keys)
         }
 
+        @Test
+        fun `has servers whose registrations had expired in an outage before it`() {
+            // Guards against live servers that are taken for departed ones.
+            view.adoptDirectory(directory(10, "a"), start, outageUntil = null)
+            view.adoptDirectory(directory(11), after(900), outageUntil = after(800))
+            val copy = checkNotNull(directory(10, "a").entries[ServerId("a")])
+            view.adoptDirectory(laterDirectory(9, copy), returnedAt, outageUntil = null)
+            assertTrue(view.directory.isReady(ServerId("a")))
+        }
+
         @Test
         fun `has a server that comes back after it`() {
             view.adoptDirectory(directory(10, "a"), start, outageUntil = null)
--- a/src/test/kotlin/azuredale/quarantine/QuarantineSpec.kt
+++ b/src/test/kotlin/azuredale/quarantine/QuarantineSpec.kt
@@ -232,6 +232,17 @@
             assertTrue(!isQuarantined("part"))
         }
 
+        @Test
+        fun `a part that was released stays so when the store returns from an older copy`() {
+            // Guards against sound prompts that are refused again because of an entry that was removed.
+            adopt(5, "part" to 0)
+            quarantine.recordAnswer(prompt("part"), now)
+            adopt(6)
+            val copy = QuarantineTable(StorePoint(StoreEra(1), 5), mapOf(PartId("part") to 0))
+            quarantine.adoptTable(copy, now, now)
+            assertTrue(!isQuarantined("part"))
+        }
+
         @Test
         fun `trials come later each time and end`() {
             // Guards against servers that end for ever because a part is tried again and again.
