Prove no catalog of the copy by three rare coincidences

A router that had waited for the store since the first start of the system took the era of a copy for the first one, and told all. 2. While the era was not settled and the store was away again, time ran on although nobody could write again. 3. A version written again in the new era was still compared under the earlier era, so that a lower version, which operators may write later within the era, was never proven.

Change: the first start counts only for an answer within the settling time; an outage of the store restarts the settling; the news voids the proof; the newest mark moves to the later point.

After: RestoredStoreSpec, Coincidences, and StoreViewSpec have a case each. A router that does not read the store does not notice an outage of it; if only such routers go on, the second one is not covered.

--- a/src/main/kotlin/azuredale/freshness/StoreHistory.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreHistory.kt
@@ -9,11 +9,12 @@
  * When a store returns from an older copy, it does not hold what was written last until operators and servers have
  * written it again. Until they had time for that, the era is not settled, and what is read proves nothing.
  *
- * @param isFirstStart whether the whole system starts for the first time, so that nothing can have been lost before.
+ * @param firstStartAt when the whole system started for the first time, so that nothing can have been lost before;
+ *   null if only this router starts.
  * @param settlingMilliseconds time within which operators and servers have written again what was lost.
  */
 internal class StoreHistory(
-    isFirstStart: Boolean,
+    private val firstStartAt: Timestamp?,
     private val settlingMilliseconds: Long,
 ) {
     /** The latest era that is known. */
@@ -22,7 +23,9 @@
 
     /** When the era was seen first, by this router or any other; it may have begun earlier. */
     private var seenAt = Timestamp.DISTANT_PAST
-    private val isFirstEraSettled = isFirstStart
+
+    /** The latest time at which the store answered nobody while the present era was not settled. */
+    private var awayAt = Timestamp.DISTANT_PAST
 
     /** Whether the store or another router has named an era, or the store has answered without one. */
     private var isObserved = false
@@ -38,13 +41,25 @@
         if (seen <= era) return false
         isFirstEra = isFirstAnswer
         era = seen
-        seenAt = if (isFirstEra && isFirstEraSettled) Timestamp.DISTANT_PAST else now
+        seenAt = if (isFirstEra && isFirstStart(now)) Timestamp.DISTANT_PAST else now
+        awayAt = Timestamp.DISTANT_PAST
         return true
     }
 
+    /** A store that gives its first answer later may have lost what was written since the start. */
+    private fun isFirstStart(now: Timestamp) =
+        firstStartAt?.let { now < it.plusMilliseconds(settlingMilliseconds) } ?: false
+
+    /** Records that the store answers nobody at [now], so that nothing is written again. */
+    fun recordAway(now: Timestamp) {
+        if (isSettled(now)) return
+        awayAt = now
+        seenAt = now
+    }
+
     /** Records that another router has known the present era for [age] microseconds at [now]. */
     fun recordReportedAge(age: Long, now: Timestamp) {
-        if (age > 0) seenAt = minOf(seenAt, now.plusMicroseconds(-age))
+        if (age > 0) seenAt = maxOf(awayAt, minOf(seenAt, now.plusMicroseconds(-age)))
     }
 
     /** Records that the present era is known to be settled. */
--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -33,7 +33,7 @@
  */
 internal class StoreView(
     private val bounds: FleetBounds,
-    val history: StoreHistory = StoreHistory(isFirstStart = true, bounds.contactMilliseconds),
+    val history: StoreHistory = StoreHistory(firstStartAt = null, bounds.contactMilliseconds),
     onEvacuationChange: (before: Set<FailureDomain>, after: Set<FailureDomain>) -> Unit = { _, _ -> },
 ) {
     /** The failure domains that operators have evacuated. */
@@ -100,9 +100,15 @@
         return isAdopted
     }
 
-    /** Records that a router has the catalog identified by [mark]. */
+    /**
+     * Records that a router has the catalog identified by [mark].
+     *
+     * If this shows that the store had lost a newer catalog than the known one when that was read, its proof is void.
+     */
     fun recordMark(mark: CatalogMark) {
-        if (mark.isNewerThan(newestMark)) newestMark = mark
+        val isWrittenAgain = mark.isSameAs(newestMark) && mark.point > newestMark.point
+        if (mark.isNewerThan(newestMark) || isWrittenAgain) newestMark = mark
+        if (isCatalogLost() && newestMark.point.era < catalogMark.point.era) catalogProof = NO_PROOF
     }
 
     /** Records that a read sent at [sentAt] found the catalog identified by [read]; it proves that in a settled era. */
--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -72,7 +72,7 @@
     val view =
         StoreView(
             bounds = settings.bounds,
-            history = StoreHistory(settings.isFirstStart, settings.bounds.contactMilliseconds),
+            history = StoreHistory(clock().takeIf { settings.isFirstStart }, settings.bounds.contactMilliseconds),
             onEvacuationChange = ::evacuationsChanged,
         )
 
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -68,6 +68,7 @@
     fun tick(lagMilliseconds: Long, now: Timestamp) {
         health.recordLag(lagMilliseconds, now)
         health.update(now)
+        if (health.isUnavailable) view.history.recordAway(now)
         val isSettled = view.history.isSettled(now)
         if (isSettled && !wasEraSettled) {
             log.write(GatewayLogEvent.ERA_SETTLED, "era" to view.history.era)
--- a/src/test/kotlin/azuredale/freshness/RestoredStoreSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/RestoredStoreSpec.kt
@@ -69,6 +69,73 @@
         }
     }
 
+    /** Events that fall together with a return. */
+    @Nested
+    inner class Coincidences {
+        private fun RestoredStoreFleet.loseRevocation(): StoreCopy {
+            val copy = copy()
+            writeVersion("a")
+            run(milliseconds = 1_000)
+            return copy
+        }
+
+        @Test
+        fun `a router that has waited for the store since the first start is no witness`() {
+            // Guards against a router that takes the era of the copy for the first one and tells all that it is settled.
+            RestoredStoreFleet(routers = 3).run {
+                nodes[0].isCut = true
+                nodes[0].isStoreAway = true
+                writeVersion("a", "b")
+                run(milliseconds = 4_000)
+                val copy = loseRevocation()
+                run(milliseconds = 5_000)
+                restore(copy)
+                restart(1..2)
+                nodes[0].isCut = false
+                nodes[0].isStoreAway = false
+                run(milliseconds = 1_000)
+                writeNewest()
+                run(milliseconds = 5_000)
+                assertEquals(emptySet(), violations)
+            }
+        }
+
+        @Test
+        fun `an outage in which nobody can write again does not settle the era`() = fleet(routers = 3) {
+            // Guards against a copy that is proven as soon as the store is back for the second time.
+            val copy = loseRevocation()
+            restore(copy)
+            nodes.forEach { it.isCut = true }
+            restart(0..2)
+            run(milliseconds = 800)
+            isAway = true
+            run(milliseconds = 3_500)
+            isAway = false
+            run(milliseconds = 1_500)
+            writeNewest()
+            nodes.forEach { it.isCut = false }
+            run(milliseconds = 10_000)
+            assertEquals(emptyList(), behind())
+        }
+
+        @Test
+        fun `a router that hears late of the lost version serves no more keys of the copy`() {
+            // Guards against a proof of the copy that outlives the news that the copy is outdated.
+            RestoredStoreFleet(routers = 3).run {
+                writeVersion("a", "b")
+                run(milliseconds = 4_000)
+                restore(loseRevocation())
+                run(milliseconds = 5_500)
+                restart(0..0)
+                nodes[0].isCut = true
+                run(milliseconds = 1_000)
+                nodes[0].isCut = false
+                run(milliseconds = 1_000)
+                assertTrue(nodes.none { it.serves("b") })
+            }
+        }
+    }
+
     @Nested
     inner class Service {
         @Test
--- a/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/StoreViewSpec.kt
@@ -210,7 +210,7 @@
         @Test
         fun `does not prove a catalog while a newer one is lost`() {
             // Guards against a router that has started on the copy, while others know what the copy lacks.
-            val started = StoreView(FleetBounds(), StoreHistory(isFirstStart = false, settlingMilliseconds = 3_000))
+            val started = StoreView(FleetBounds(), StoreHistory(firstStartAt = null, settlingMilliseconds = 3_000))
             started.history.recordEra(StoreEra(2), returnedAt)
             started.recordMark(mark(7))
             started.adoptCatalog(later(5, version = 5), settledAt)
@@ -219,10 +219,18 @@
             assertTrue(started.isCatalogFresh(after(4_500)))
         }
 
+        @Test
+        fun `is refused for good by no version that was written again`() {
+            // Guards against a lower version that operators write later, which is compared with the earlier era.
+            view.adoptCatalog(later(6, version = 7), settledAt)
+            assertTrue(view.adoptCatalog(later(8, version = 6), after(9_000)))
+            assertTrue(view.isCatalogFresh(after(9_000)))
+        }
+
         @Test
         fun `is not settled at once if the store named none before`() {
             // Guards against a return that is taken for the first start of the whole system.
-            val history = StoreHistory(isFirstStart = true, settlingMilliseconds = 3_000)
+            val history = StoreHistory(firstStartAt = start, settlingMilliseconds = 3_000)
             history.recordEra(StoreEra.NONE, start)
             assertTrue(history.isSettled(start))
             history.recordEra(StoreEra(1), returnedAt)
