--- a/src/main/kotlin/azuredale/gateway/RouterRegistrar.kt
+++ b/src/main/kotlin/azuredale/gateway/RouterRegistrar.kt
@@ -73,7 +73,7 @@
         const val CALL_TIMEOUT_MILLISECONDS = 900L
         const val RETRY_DELAY_MILLISECONDS = 500L
 
-        /** Spreads registrations of a large fleet like renewals, since the store's limit is for all routers together. */
+        /** Spreads registrations like renewals, since the limit of the store is for all routers together. */
         const val SPREAD_MILLISECONDS = RENEWAL_INTERVAL_MILLISECONDS
     }
 }
