--- a/src/test/kotlin/azuredale/platform/PlatformStoreReaderSpec.kt
+++ b/src/test/kotlin/azuredale/platform/PlatformStoreReaderSpec.kt
@@ -93,7 +93,7 @@
         @Test
         fun `are empty, not unknown, before the first catalog`() = PlatformFixture.run {
             val read = read()
-            assertEquals(CatalogRead.Missing(StoreEra.NONE), read.catalog)
+            assertEquals(CatalogRead.Missing(StoreEra(1)), read.catalog)
             assertEquals(emptySet(), assertNotNull(read.evacuations).domains)
         }
 
