Read the document again when the store has entered another era

DocumentSource confirms a known document while its key keeps its version. After a return from an older copy the store gives versions out again, so document 2 was confirmed although the store held document 3. The known document now has the era of its key version, which reads and watches name.

--- a/src/main/kotlin/azuredale/configuration/DocumentSource.kt
+++ b/src/main/kotlin/azuredale/configuration/DocumentSource.kt
@@ -6,6 +6,7 @@
 import azuredale.store.KeyValueService
 import azuredale.store.KeyVersion
 import azuredale.store.ReadResult
+import azuredale.store.StoreEra
 import azuredale.store.StoredValue
 import azuredale.store.VersionResult
 import azuredale.store.WatchEvent
@@ -28,8 +29,14 @@
     private val service: KeyValueService,
     private val clock: Clock,
 ) {
-    /** Key version and revision of the last document read. */
-    private val lastRead = AtomicReference<Pair<KeyVersion, Revision>>()
+    /** A document's [revision] and the [version] of its key, which identifies a value within one [era] only. */
+    private class KnownDocument(
+        val version: KeyVersion,
+        val era: StoreEra,
+        val revision: Revision,
+    )
+
+    private val lastRead = AtomicReference<KnownDocument>()
 
     /** Executes [NodeEffect.ReadDocument]. If the key version is unchanged, does not transfer the document again. */
     public suspend fun read(): NodeEvent {
@@ -53,32 +60,35 @@
     /** Reads the key when a watch starts, since a change before the start is not reported by the watch. */
     private suspend fun eventOf(event: WatchEvent): NodeEvent? = when (event) {
         is WatchEvent.Started -> read()
-        is WatchEvent.Changed -> documentOf(event.stored)
+        is WatchEvent.Changed -> documentOf(event.stored, event.era)
         is WatchEvent.Removed -> NodeEvent.DocumentRead(null)
         is WatchEvent.Broken -> null
     }
 
-    private suspend fun confirm(last: Pair<KeyVersion, Revision>, deadline: Timestamp): NodeEvent? =
+    private suspend fun confirm(last: KnownDocument, deadline: Timestamp): NodeEvent? =
         when (val result = service.readVersion(DocumentEnvelope.KEY, deadline)) {
             is VersionResult.Failed -> NodeEvent.PlatformFailed
-            is VersionResult.Found -> NodeEvent.RevisionConfirmed(last.second).takeIf { result.version == last.first }
+            is VersionResult.Found ->
+                NodeEvent.RevisionConfirmed(last.revision).takeIf {
+                    result.version == last.version && result.era == last.era
+                }
         }
 
     private suspend fun readAll(deadline: Timestamp): NodeEvent =
         when (val result = service.read(DocumentEnvelope.KEY, deadline)) {
             is ReadResult.Failed -> NodeEvent.PlatformFailed
             is ReadResult.Missing -> NodeEvent.DocumentRead(null)
-            is ReadResult.Found -> documentOf(result.stored)
+            is ReadResult.Found -> documentOf(result.stored, result.era)
         }
 
     /** Reports a malformed value as a platform failure, not as a missing document. */
-    private fun documentOf(stored: StoredValue): NodeEvent {
+    private fun documentOf(stored: StoredValue, era: StoreEra): NodeEvent {
         val document = DocumentEnvelope.decode(stored.bytes)?.accepted()
         if (document == null) {
             log.write(ConfigurationLogEvent.DOCUMENT_MALFORMED, "from" to "service", "version" to stored.version)
             return NodeEvent.PlatformFailed
         }
-        lastRead.set(stored.version to document.revision)
+        lastRead.set(KnownDocument(stored.version, era, document.revision))
         return NodeEvent.DocumentRead(document)
     }
 
--- a/src/main/kotlin/azuredale/platform/StoreClient.kt
+++ b/src/main/kotlin/azuredale/platform/StoreClient.kt
@@ -64,8 +64,8 @@
     override suspend fun readVersion(key: String, deadline: Timestamp): VersionResult =
         when (val read = read(key, deadline)) {
             is ReadResult.Failed -> VersionResult.Failed(read.failure)
-            is ReadResult.Missing -> VersionResult.Found(KeyVersion.ABSENT)
-            is ReadResult.Found -> VersionResult.Found(read.stored.version)
+            is ReadResult.Missing -> VersionResult.Found(KeyVersion.ABSENT, read.era)
+            is ReadResult.Found -> VersionResult.Found(read.stored.version, read.era)
         }
 
     override suspend fun list(prefix: String, deadline: Timestamp): ListResult {
@@ -182,7 +182,7 @@
                 is WatchResult.Received -> {
                     result.message.events
                         .filter { it.key == key }
-                        .forEach { emit(eventOf(it)) }
+                        .forEach { emit(eventOf(it, era)) }
                     after = result.message.storeRevision
                 }
             }
@@ -200,8 +200,8 @@
         return WatchEvent.Broken(failure)
     }
 
-    private fun eventOf(item: ItemMessage): WatchEvent =
-        if (item.isRemoved) WatchEvent.Removed(KeyVersion(item.revision)) else WatchEvent.Changed(item.toValue())
+    private fun eventOf(item: ItemMessage, era: StoreEra): WatchEvent =
+        if (item.isRemoved) WatchEvent.Removed(KeyVersion(item.revision)) else WatchEvent.Changed(item.toValue(), era)
 
     private suspend fun lease(
         method: HttpMethod,
--- a/src/main/kotlin/azuredale/store/KeyValueResult.kt
+++ b/src/main/kotlin/azuredale/store/KeyValueResult.kt
@@ -19,8 +19,11 @@
 
 /** Result of [KeyValueService.readVersion]. */
 public sealed interface VersionResult {
-    /** The key has [version], which is [KeyVersion.ABSENT] if it does not exist. */
-    public data class Found(val version: KeyVersion) : VersionResult
+    /** The key has [version], which is [KeyVersion.ABSENT] if it does not exist, in the given [era] of the store. */
+    public data class Found(
+        val version: KeyVersion,
+        val era: StoreEra = StoreEra.NONE,
+    ) : VersionResult
 
     /** The service gave no usable response. */
     public data class Failed(val failure: CallFailure) : VersionResult
@@ -66,8 +69,11 @@
     /** The watch is established, and changes from now on are reported. */
     public data object Started : WatchEvent
 
-    /** The key was written and has the value [stored]. */
-    public data class Changed(val stored: StoredValue) : WatchEvent
+    /** The key was written and has the value [stored], in the given [era] of the store. */
+    public data class Changed(
+        val stored: StoredValue,
+        val era: StoreEra = StoreEra.NONE,
+    ) : WatchEvent
 
     /** The key was removed. */
     public data class Removed(val version: KeyVersion) : WatchEvent
--- a/src/test/kotlin/azuredale/configuration/DocumentSubmitterSpec.kt
+++ b/src/test/kotlin/azuredale/configuration/DocumentSubmitterSpec.kt
@@ -172,6 +172,36 @@
             assertEquals(NodeEvent.PlatformFailed, source.read())
         }
 
+        @Test
+        fun `reads the document again after the store has returned from an older copy`() = PlatformFixture.run {
+            // Guards against an outdated document that is confirmed because the store gave its version out again.
+            val source = DocumentSource(client, clock)
+            submitter().submit(DocumentFixture.text(1), Revision.NONE, "a")
+            standIn.copy()
+            submitter().submit(DocumentFixture.text(2), Revision(1), "b")
+            held = assertIs<NodeEvent.DocumentRead>(source.read()).document
+            standIn.restore()
+            submitter().submit(DocumentFixture.text(3), Revision(2), "c")
+            assertEquals("c", assertIs<NodeEvent.DocumentRead>(source.read()).document?.submission)
+        }
+
+        @Test
+        fun `reads a document again that was reported by a watch of an earlier era`() = PlatformFixture.run { scope ->
+            // Guards against an outdated document that is confirmed because the store gave its version out again.
+            val source = DocumentSource(client, clock)
+            val events = source.watch().produceIn(scope)
+            assertEquals(NodeEvent.DocumentRead(null), events.receive())
+            submitter().submit(DocumentFixture.text(1), Revision.NONE, "a")
+            assertEquals("a", assertIs<NodeEvent.DocumentRead>(events.receive()).document?.submission)
+            standIn.copy()
+            submitter().submit(DocumentFixture.text(2), Revision(1), "b")
+            held = assertIs<NodeEvent.DocumentRead>(events.receive()).document
+            events.cancel()
+            standIn.restore()
+            submitter().submit(DocumentFixture.text(3), Revision(2), "c")
+            assertEquals("c", assertIs<NodeEvent.DocumentRead>(source.read()).document?.submission)
+        }
+
         @Test
         fun `reopens a broken watch and reports changes made meanwhile`() = PlatformFixture.run { scope ->
             // Guards against a watcher that misses a document accepted while its watch was broken.
