--- a/src/main/kotlin/azuredale/platform/StoreCalls.kt
+++ b/src/main/kotlin/azuredale/platform/StoreCalls.kt
@@ -160,8 +160,9 @@
         return response ?: throw TimeoutException("no response within $milliseconds ms")
     }
 
+    /** Ignores a response without an era, for example of a proxy, so that a change around it is still seen. */
     private fun logEra(era: StoreEra) {
-        if (era == lastEra) return
+        if (era == lastEra || era == StoreEra.NONE) return
         if (lastEra != StoreEra.NONE) log.write(PlatformLogEvent.STORE_ERA_CHANGED, "before" to lastEra, "after" to era)
         lastEra = era
     }
