Read once what has shown that the store is in another era

A read whose answer showed a new era marked its own table as outdated, so every router that reads called the store a second time at each return. Now it marks the other table only; news of other routers mark both, as before.

--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -136,10 +136,15 @@
         log.write(GatewayLogEvent.READ_PROVED_NOTHING, "table" to table, "known" to known, "read" to read)
     }
 
-    /** Records the era that the store, or another router, names; later eras make what is known outdated. */
+    /** Records the [era] that another router names; if it is later than the known one, what is known is outdated. */
     fun eraNamed(era: StoreEra, now: Timestamp) {
+        if (recordEra(era, now)) markOutdated(isCatalog = true, isDirectory = true)
+    }
+
+    /** Records [era] and returns whether the store has gone on to it from another one. */
+    private fun recordEra(era: StoreEra, now: Timestamp): Boolean {
         val before = view.history.era
-        if (!view.history.recordEra(era, now)) return
+        if (!view.history.recordEra(era, now)) return false
         log.write(
             GatewayLogEvent.ERA_BEGUN,
             "before" to before,
@@ -147,9 +152,9 @@
             "isSettled" to view.history.isSettled(now),
             "catalog" to view.catalogMark,
         )
-        if (view.history.isFirstEra) return
-        markOutdated(isCatalog = true, isDirectory = true)
+        if (view.history.isFirstEra) return false
         onEra()
+        return true
     }
 
     /** Reads the catalog once and updates the view. */
@@ -167,7 +172,7 @@
                 storeFailed(read.failure, sentAt)
             }
             is CatalogRead.Answered -> {
-                eraNamed(read.era, now)
+                if (recordEra(read.era, now)) markOutdated(isCatalog = false, isDirectory = true)
                 operators.evacuations?.let { adoptEvacuations(it, operators.malformed, sentAt) }
                 if (read.era == view.history.era) applyCatalog(read, sentAt)
                 val isProven = view.catalogProof.at >= sentAt
@@ -237,7 +242,7 @@
                 storeFailed(read.failure, sentAt)
             }
             is DirectoryRead.Found -> {
-                eraNamed(read.directory.point.era, now)
+                if (recordEra(read.directory.point.era, now)) markOutdated(isCatalog = true, isDirectory = false)
                 storeAnswered(sentAt, now)
                 logMalformed(read.malformed)
                 adoptDirectory(read.directory, sentAt)
