--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -220,7 +220,7 @@
         }
         log.write(
             GatewayLogEvent.CATALOG_ADOPTED,
-            "revision" to read.mark.point,
+            "point" to read.mark.point,
             "version" to read.version,
             "routes" to read.routes.size,
             "teams" to read.teams.size,
@@ -301,7 +301,7 @@
                     "server" to id,
                     "before" to describe(old),
                     "after" to describe(new),
-                    "revision" to after.point,
+                    "point" to after.point,
                 )
             }
         }
