--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -21,6 +21,11 @@
     /** Whether the version is certain to show every change that is older than [bound] milliseconds at [now]. */
     fun holds(bound: Long, now: Timestamp): Boolean =
         now.microsecondsSince(at) <= bound * Timestamp.MICROSECONDS_PER_MILLISECOND
+
+    /** Milliseconds since the proof, null if there is none. */
+    fun ageMilliseconds(now: Timestamp): Long? = at
+        .takeIf { it > Timestamp.DISTANT_PAST }
+        ?.let { now.microsecondsSince(it) / Timestamp.MICROSECONDS_PER_MILLISECOND }
 }
 
 /**
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -2,7 +2,6 @@
 
 import azuredale.catalog.Catalog
 import azuredale.catalog.CatalogMark
-import azuredale.directory.BackendEntry
 import azuredale.directory.ServerDirectory
 import azuredale.freshness.CatalogRead
 import azuredale.freshness.DirectoryRead
@@ -40,17 +39,14 @@
     private val catalogSchedule = StoreReadSchedule(rank)
     private val directorySchedule = StoreReadSchedule(rank)
     private val health = StoreHealth()
+    private val changes = StoreChangeLog(view, log)
     private var isCatalogStale = false
     private var directoryStaleSince: Timestamp? = null
     private var isStoreLost = false
-    private var wasCatalogFresh = false
     private var wasEraSettled = true
 
     /** Point at which the store holds a catalog that is malformed or older than the known one. */
     private var unusablePoint = StorePoint.NONE
-    private var malformedEvacuations: List<String> = emptyList()
-    private var knownMalformed: Map<String, String> = emptyMap()
-    private var nextUnprovenLogAt = Timestamp.DISTANT_PAST
 
     /** Records that another router has newer data. */
     fun markOutdated(isCatalog: Boolean, isDirectory: Boolean) {
@@ -94,11 +90,7 @@
     }
 
     /** Milliseconds since the directory was known to be the newest; null if it never was, or its time is unknown. */
-    fun directoryAgeMilliseconds(now: Timestamp): Long? = ageMilliseconds(view.directoryProof.at, now)
-
-    private fun ageMilliseconds(provenAt: Timestamp, now: Timestamp): Long? = provenAt
-        .takeIf { it > Timestamp.DISTANT_PAST }
-        ?.let { now.microsecondsSince(it) / Timestamp.MICROSECONDS_PER_MILLISECOND }
+    fun directoryAgeMilliseconds(now: Timestamp): Long? = view.directoryProof.ageMilliseconds(now)
 
     /** Whether [readCatalog] should be called now. */
     fun isCatalogDue(now: Timestamp): Boolean =
@@ -114,27 +106,7 @@
     }
 
     /** Logs when the catalog becomes stale or fresh, which decides whether requests that need a key are refused. */
-    fun logFreshnessChange(now: Timestamp) {
-        val isFresh = view.isCatalogFresh(now)
-        if (isFresh == wasCatalogFresh) return
-        wasCatalogFresh = isFresh
-        val event = if (isFresh) GatewayLogEvent.PROOF_REGAINED else GatewayLogEvent.PROOF_EXPIRED
-        log.write(
-            event,
-            "catalog" to view.catalogMark,
-            "newest" to view.newestMark,
-            "era" to view.history.era,
-            "reader" to view.catalogProof.reader,
-            "age" to ageMilliseconds(view.catalogProof.at, now),
-        )
-    }
-
-    /** Logs, at most once a second, that a read of [table] was answered and proved nothing. */
-    private fun logUnproven(table: String, known: Any, read: Any, now: Timestamp) {
-        if (now < nextUnprovenLogAt) return
-        nextUnprovenLogAt = now.plusSeconds(1)
-        log.write(GatewayLogEvent.READ_PROVED_NOTHING, "table" to table, "known" to known, "read" to read)
-    }
+    fun logFreshnessChange(now: Timestamp) = changes.freshnessChecked(now)
 
     /** Records the [era] that another router names; if it is later than the known one, what is known is outdated. */
     fun eraNamed(era: StoreEra, now: Timestamp) {
@@ -145,13 +117,7 @@
     private fun recordEra(era: StoreEra, now: Timestamp): Boolean {
         val before = view.history.era
         if (!view.history.recordEra(era, now)) return false
-        log.write(
-            GatewayLogEvent.ERA_BEGUN,
-            "before" to before,
-            "era" to era,
-            "isSettled" to view.history.isSettled(now),
-            "catalog" to view.catalogMark,
-        )
+        changes.eraBegun(before, now)
         if (view.history.isFirstEra) return false
         onEra()
         return true
@@ -176,7 +142,7 @@
                 operators.evacuations?.let { adoptEvacuations(it, operators.malformed, sentAt) }
                 if (read.era == view.history.era) applyCatalog(read, sentAt)
                 val isProven = view.catalogProof.at >= sentAt
-                if (!isProven) logUnproven("catalog", view.catalogMark, pointOf(read), now)
+                if (!isProven) changes.readProvedNothing("catalog", view.catalogMark, pointOf(read), now)
                 catalogSchedule.recordSuccess(now, isProven)
                 storeAnswered(sentAt, now)
                 onProof()
@@ -218,13 +184,7 @@
             log.write(GatewayLogEvent.CATALOG_OUTDATED, "known" to known, "stored" to read.mark)
             return
         }
-        log.write(
-            GatewayLogEvent.CATALOG_ADOPTED,
-            "point" to read.mark.point,
-            "version" to read.version,
-            "routes" to read.routes.size,
-            "teams" to read.teams.size,
-        )
+        changes.catalogAdopted(read)
         onChange(true)
     }
 
@@ -244,7 +204,7 @@
             is DirectoryRead.Found -> {
                 if (recordEra(read.directory.point.era, now)) markOutdated(isCatalog = true, isDirectory = false)
                 storeAnswered(sentAt, now)
-                logMalformed(read.malformed)
+                changes.entriesMalformed(read.malformed)
                 adoptDirectory(read.directory, sentAt)
                 directorySchedule.recordSuccess(now, isProven = view.directoryProof.at >= sentAt)
                 onProof()
@@ -257,9 +217,9 @@
         val known = view.readDirectory.point
         val before =
             view.adoptDirectory(read, sentAt, outageUntil)
-                ?: return logUnproven("directory", known, read.point, clock())
+                ?: return changes.readProvedNothing("directory", known, read.point, clock())
         if (before.entries == view.directory.entries) return
-        logChanges(before, view.directory)
+        changes.directoryChanged(before, view.directory)
         onChange(false)
     }
 
@@ -278,42 +238,10 @@
     private fun adoptEvacuations(read: EvacuationTable, malformed: List<String>, sentAt: Timestamp) {
         val isSettled = view.history.isSettled(sentAt)
         view.evacuations.adopt(read, if (isSettled) sentAt else Timestamp.DISTANT_PAST, isSettled)
-        if (malformed != malformedEvacuations && malformed.isNotEmpty()) {
-            log.write(GatewayLogEvent.EVACUATION_MALFORMED, "names" to malformed.take(LOGGED_NAMES))
-        }
-        malformedEvacuations = malformed
-    }
-
-    private fun logMalformed(now: Map<String, String>) {
-        now.filter { knownMalformed[it.key] != it.value }.forEach { (id, detail) ->
-            log.write(GatewayLogEvent.ENTRY_MALFORMED, "server" to id, "detail" to detail)
-        }
-        knownMalformed = now
+        changes.evacuationsMalformed(malformed)
     }
 
-    private fun logChanges(before: ServerDirectory, after: ServerDirectory) {
-        (before.entries.keys + after.entries.keys).forEach { id ->
-            val old = before.entries[id]
-            val new = after.entries[id]
-            if (old != new) {
-                log.write(
-                    GatewayLogEvent.DIRECTORY_CHANGED,
-                    "server" to id,
-                    "before" to describe(old),
-                    "after" to describe(new),
-                    "point" to after.point,
-                )
-            }
-        }
-    }
-
-    private fun describe(entry: BackendEntry?) = entry?.let {
-        "${it.state} ${it.pool} ${it.address}" + if (it.isCold) " cold" else ""
-    } ?: "gone"
-
     private companion object {
-        const val LOGGED_NAMES = 3
-
         /** Failures after which the store has answered, or has closed the connection, whatever this router's delay. */
         val REJECTIONS =
             setOf(CallFailureReason.REFUSED, CallFailureReason.BUDGET_EXHAUSTED, CallFailureReason.ANSWER_LOST)
