Keep routers that are cut off together out of step

Routers that are cut off together from the store and from all others remove the others from their tables after a minute. Each then had reports of all routers it knew, counted as in step, and took a pool with two versions for one of its old version. A router that was removed since the directory was last proven now counts as not heard from.

In an outage of the store that lasts longer than a minute, streams of killed routers are refused until it ends; before, they went on after the first minute.

--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -317,14 +317,15 @@
      * Whether this router knows of each server that was registered before others may use it for new streams.
      *
      * While the store answers nobody, no router reads of new servers. What others can read and this router cannot is in
-     * their reports, so all of them must have reported.
+     * their reports, so all that were known when the directory was last proven must have reported.
      */
     private fun isInStep(): Boolean {
         checkClocks()
         val now = clock()
         if (view.isDirectoryFresh(now)) return true
         val since = now.plusMilliseconds(-StoreView.drainMilliseconds(settings.bounds))
-        return poller.isStoreUnavailable && exchange.peers.haveAllReported(maxOf(since, clockJumpedAt))
+        return poller.isStoreUnavailable &&
+            exchange.peers.haveAllReported(knownAt = view.directoryProof.at, since = maxOf(since, clockJumpedAt))
     }
 
     private fun rank(): Int = exchange.rank()
--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -24,12 +24,15 @@
     /** Routers that sent a report recently. */
     val alive: List<Peer> get() = peers.values.filter { it.isAlive }
 
-    /** Whether another router was ever known; all are forgotten once they have been silent for long. */
-    private var hasKnownOthers = false
+    private var lastRemovalAt = Timestamp.DISTANT_PAST
 
-    /** Whether every other router has been heard from since [since]. */
-    fun haveAllReported(since: Timestamp): Boolean =
-        if (peers.isEmpty()) !hasKnownOthers else peers.values.all { it.lastHeardAt >= since }
+    /**
+     * Whether every router that was known at [knownAt], or has been since, has been heard from since [since].
+     *
+     * A router that has been removed for its silence may still run and only be out of reach.
+     */
+    fun haveAllReported(knownAt: Timestamp, since: Timestamp): Boolean =
+        lastRemovalAt <= knownAt && peers.values.all { it.lastHeardAt >= since }
 
     /** The router named [router], or null if it is unknown. */
     fun find(router: RouterId): Peer? = peers[router]
@@ -37,7 +40,6 @@
     /** Adds [router], or updates the address of a known router that is not alive; returns whether the router is new. */
     fun add(router: RouterId, address: NetworkAddress, now: Timestamp): Boolean {
         if (router == self) return false
-        hasKnownOthers = true
         val known = peers[router]
         val isNew = known == null
         if (known == null) {
@@ -186,7 +188,10 @@
         nextRemovalAt = now.plusSeconds(1)
         peers.values.removeIf { peer ->
             val isForgotten = now > maxOf(peer.aliveUntil, peer.firstSeenAt).plusSeconds(REMOVE_AFTER_SECONDS)
-            if (isForgotten) byProcessKey.remove(peer.processKey, peer)
+            if (isForgotten) {
+                byProcessKey.remove(peer.processKey, peer)
+                lastRemovalAt = now
+            }
             isForgotten
         }
     }
--- a/src/test/kotlin/azuredale/freshness/OutOfStepRouterSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/OutOfStepRouterSpec.kt
@@ -58,6 +58,19 @@
         assertIs<ResumptionDecision.Refuse>(router.resume("request", pool), "others have been forgotten")
     }
 
+    @Test
+    fun `routers that are cut off together join no stream once they have forgotten the others`() {
+        // Guards against two routers that take each other for the whole fleet after a minute without the others.
+        start()
+        listOf(router, fleet.nodes[2]).forEach {
+            it.side = 1
+            it.isStoreAway = true
+        }
+        fleet.run(milliseconds = 120_000)
+        beginAtSecondVersion()
+        assertIs<ResumptionDecision.Refuse>(router.resume("request", pool))
+    }
+
     @Test
     fun `a router that has stood still joins no stream before it has read the directory`() {
         // Guards against the first request after a pause, which comes before any timer.
--- a/src/test/kotlin/azuredale/freshness/RestoredStoreFleet.kt
+++ b/src/test/kotlin/azuredale/freshness/RestoredStoreFleet.kt
@@ -97,6 +97,9 @@
         /** Whether the router's datagrams are lost. */
         var isCut = false
 
+        /** Side of a partition; datagrams reach routers of the same side only. */
+        var side = 0
+
         /** Whether the store answers no calls of this router. */
         var isStoreAway = false
 
@@ -214,7 +217,8 @@
         network.launch {
             delay(TRANSIT_MILLISECONDS)
             val target = nodes.first { address(it.index) == to }
-            if (!from.isCut && !target.isCut && !target.isPaused) target.received(address(from.index), bytes)
+            val isReachable = !from.isCut && !target.isCut && from.side == target.side
+            if (isReachable && !target.isPaused) target.received(address(from.index), bytes)
         }
     }
 
