Take no stream up by a copy of the store before its era is settled

Routers that start on a copy of the store, or read it while they are cut off, see neither the servers of the second version nor the note of their pool, since both were written after the copy was made. Such a directory counted as proven, so a stream of version 2 went on at version 1. Until the era is settled no router is in step: it asks all others and refuses what none of them knows. The notes are read only then as well, so those of a copy are not kept.

Callers: for contact-ms after a return, resumed streams whose router was killed are refused.

--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -317,11 +317,13 @@
      * Whether this router knows of each server that was registered before others may use it for new streams.
      *
      * While the store answers nobody, no router reads of new servers. What others can read and this router cannot is in
-     * their reports, so all that were known when the directory was last proven must have reported.
+     * their reports, so all that were known when the directory was last proven must have reported. A copy of the store
+     * may lack servers, and notes of mixed pools, until its era is settled.
      */
     private fun isInStep(): Boolean {
         checkClocks()
         val now = clock()
+        if (!view.history.isSettled(now)) return false
         if (view.isDirectoryFresh(now)) return true
         val since = now.plusMilliseconds(-StoreView.drainMilliseconds(settings.bounds))
         return poller.isStoreUnavailable &&
--- a/src/main/kotlin/azuredale/resumption/StreamResumption.kt
+++ b/src/main/kotlin/azuredale/resumption/StreamResumption.kt
@@ -96,8 +96,8 @@
 
     /** Whether the servers of [pool] have had one version for as long as streams last. */
     private suspend fun isAlwaysAlike(pool: PoolId): Boolean {
-        if (versions.isMixed(pool) || versions.observedSince == null) return false
-        if (clock() >= versions.settledAt()) return isInStep()
+        if (versions.isMixed(pool) || versions.observedSince == null || !isInStep()) return false
+        if (clock() >= versions.settledAt()) return true
         val isNoted = notes.isNoted(pool) ?: return false
         if (isNoted) mixed(versions.noteFound(pool, clock(), clock()), clock())
         return !isNoted && !versions.isMixed(pool) && isInStep()
--- /dev/null
+++ b/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
@@ -0,0 +1,115 @@
+package azuredale.freshness
+
+import azuredale.gateway.FleetBounds
+import azuredale.identity.PoolId
+import azuredale.identity.SoftwareVersion
+import azuredale.platform.StoreKey
+import azuredale.resumption.ResumptionDecision
+import azuredale.standin.StoreCopy
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Events that fall together with a return of the store from an older copy. */
+class ReturnCoincidencesSpec {
+    private fun fleet(
+        routers: Int = 3,
+        bounds: FleetBounds = FleetBounds(configurationBoundMilliseconds = 2_000),
+        test: RestoredStoreFleet.() -> Unit,
+    ) = RestoredStoreFleet(routers, bounds = bounds).run {
+        writeVersion("a", "b")
+        run(milliseconds = 4_000)
+        assertEquals(emptyList(), behind(), "routers that do not serve before the drill")
+        test()
+        assertEquals(emptySet(), violations)
+    }
+
+    private fun RestoredStoreFleet.restore(copy: StoreCopy, awayMilliseconds: Int = 500) {
+        isAway = true
+        run(awayMilliseconds)
+        storage.restore(copy)
+        isAway = false
+    }
+
+    /** Kills the routers [indices], whose last datagrams are lost, and starts them again. */
+    private fun RestoredStoreFleet.kill(indices: Iterable<Int>) {
+        indices.forEach { nodes[it].isCut = true }
+        run(milliseconds = 20)
+        restart(indices)
+    }
+
+    private fun RestoredStoreFleet.remove(key: String) {
+        storage.transact(emptyMap(), emptyList(), listOf(key))
+    }
+
+    private fun RestoredStoreFleet.register(name: String, version: String, port: Int) = put(
+        StoreKey.SERVERS + name,
+        """{"service":"s","address":"10.1.0.1:$port","zone":"domain-1","version":"$version","slots":8,""" +
+            """"state":"ready","cold-left-ms":0,"sequence":1}""",
+    )
+
+    @Nested
+    inner class Streams {
+        private val pool = PoolId("s")
+
+        private fun RestoredStoreFleet.beginAtSecondVersion() {
+            register("second", "2", port = 82)
+            run(milliseconds = 3_000)
+            nodes[1].resumption.recordBegin("request", pool, SoftwareVersion("2"), now)
+        }
+
+        private fun RestoredStoreFleet.start() {
+            register("first", "1", port = 81)
+            run(milliseconds = 40_000)
+        }
+
+        @Test
+        fun `of a version that the copy lacks are not joined by routers that start on the copy`() = fleet(routers = 4) {
+            // Guards against a directory and notes of the copy that pass for the newest: the pool seems to have one version.
+            start()
+            val copy = copy()
+            beginAtSecondVersion()
+            restore(copy)
+            kill(0..3)
+            run(milliseconds = 700)
+            val decision = nodes[0].resume("request", pool)
+            assertTrue(decision != ResumptionDecision.GoOn(SoftwareVersion("1")), "$decision")
+        }
+
+        @Test
+        fun `of a version that the copy lacks are not joined by the only router that starts on the copy`() {
+            // Guards against a router that decides before others have told it that the pool is mixed.
+            val joined =
+                (20..500 step 40).filter { started ->
+                    var isJoined = false
+                    fleet(routers = 4) {
+                        start()
+                        val copy = copy()
+                        beginAtSecondVersion()
+                        restore(copy)
+                        kill(0..0)
+                        run(started)
+                        isJoined = nodes[0].resume("request", pool) == ResumptionDecision.GoOn(SoftwareVersion("1"))
+                    }
+                    isJoined
+                }
+            assertEquals(emptyList(), joined, "ms after the start at which the stream is taken up")
+        }
+
+        @Test
+        fun `of a version that the copy lacks are not joined by a router that was out of step`() = fleet(routers = 4) {
+            // Guards against a router that is cut off from the others and takes the copy for the newest directory.
+            start()
+            val copy = copy()
+            nodes[0].isCut = true
+            nodes[0].isStoreAway = true
+            beginAtSecondVersion()
+            restore(copy)
+            nodes[0].isStoreAway = false
+            run(milliseconds = 1_000)
+            val decision = nodes[0].resume("request", pool)
+            assertTrue(decision != ResumptionDecision.GoOn(SoftwareVersion("1")), "$decision")
+        }
+    }
+}
