Count no time for which a router stood still as time for writing again

All routers start in the first second after a return and then stand still while the store is away. None of them notices the outage, so the era counted as settled when they went on: the copy was proven, and a key was served that a lost version had revoked. A gap of more than 0.5 s between two periodic works now counts as time without the store.

Before: the case of ReturnCoincidencesSpec.Catalog fails.

--- a/src/main/kotlin/azuredale/freshness/StoreHistory.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreHistory.kt
@@ -50,9 +50,9 @@
     private fun isFirstStart(now: Timestamp) =
         firstStartAt?.let { now < it.plusMilliseconds(settlingMilliseconds) } ?: false
 
-    /** Records that the store answers nobody at [now], so that nothing is written again. */
-    fun recordAway(now: Timestamp) {
-        if (isSettled(now)) return
+    /** Records that the store may have answered nobody from [since] to [now], so that nothing was written again. */
+    fun recordAway(since: Timestamp, now: Timestamp) {
+        if (isSettled(since)) return
         awayAt = now
         seenAt = now
     }
--- a/src/main/kotlin/azuredale/gateway/StorePoller.kt
+++ b/src/main/kotlin/azuredale/gateway/StorePoller.kt
@@ -44,6 +44,7 @@
     private var directoryStaleSince: Timestamp? = null
     private var isStoreLost = false
     private var wasEraSettled = true
+    private var lastTickAt = clock()
 
     /** Point at which the store holds a catalog that is malformed or older than the known one. */
     private var unusablePoint = StorePoint.NONE
@@ -64,7 +65,9 @@
     fun tick(lagMilliseconds: Long, now: Timestamp) {
         health.recordLag(lagMilliseconds, now)
         health.update(now)
-        if (health.isUnavailable) view.history.recordAway(now)
+        val isStoreUnobserved = now > lastTickAt.plusMilliseconds(STANDSTILL_MILLISECONDS)
+        if (health.isUnavailable || isStoreUnobserved) view.history.recordAway(since = lastTickAt, now)
+        lastTickAt = now
         val isSettled = view.history.isSettled(now)
         if (isSettled && !wasEraSettled) {
             log.write(GatewayLogEvent.ERA_SETTLED, "era" to view.history.era)
@@ -242,6 +245,9 @@
     }
 
     private companion object {
+        /** Time without periodic work from which on an outage of the store may not have been noticed. */
+        const val STANDSTILL_MILLISECONDS = 500L
+
         /** Failures after which the store has answered, or has closed the connection, whatever this router's delay. */
         val REJECTIONS =
             setOf(CallFailureReason.REFUSED, CallFailureReason.BUDGET_EXHAUSTED, CallFailureReason.ANSWER_LOST)
--- a/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
@@ -49,6 +49,48 @@
             """"state":"ready","cold-left-ms":0,"sequence":1}""",
     )
 
+    @Nested
+    inner class Catalog {
+        @Test
+        fun `time in which all routers stood still and the store was away does not settle the era`() = fleet {
+            // Guards against routers that count an outage as time for writing again, because they slept through it.
+            val copy = copy()
+            writeVersion("a")
+            run(milliseconds = 1_000)
+            restore(copy)
+            kill(0..2)
+            run(milliseconds = 600)
+            nodes.forEach { it.isPaused = true }
+            run(milliseconds = 100)
+            isAway = true
+            run(milliseconds = 3_400)
+            isAway = false
+            nodes.forEach { it.isPaused = false }
+            run(milliseconds = 1_000)
+            writeNewest()
+            run(milliseconds = 6_000)
+            assertEquals(emptyList(), behind())
+        }
+
+        @Test
+        fun `of the copy is not proven by a router that finds no registrations of others`() {
+            // Guards against a router that starts after a return, before the others have registered again.
+            RestoredStoreFleet(routers = 3).run {
+                writeVersion("a", "b")
+                val copy = copy()
+                run(milliseconds = 4_000)
+                writeVersion("a")
+                run(milliseconds = 1_000)
+                restore(copy)
+                kill(0..0)
+                run(milliseconds = 8_000)
+                writeNewest()
+                run(milliseconds = 5_000)
+                assertEquals(emptySet(), violations)
+            }
+        }
+    }
+
     @Nested
     inner class Streams {
         private val pool = PoolId("s")
