Store no released part again at a router that was out of touch

A router takes an entry of the quarantine that is missing in the first table of a later era for lost, and stores it again. A router that had been cut off for long took an entry that had been removed since for lost as well, so the part was quarantined at all routers again. Now only a router that has known the newest table within the last 12 s does so.

Before: ReturnCoincidencesSpec.LateReaders fails in this case (1 part at three routers). After: it passes; QuarantineSpec passes.

--- a/src/main/kotlin/azuredale/quarantine/Quarantine.kt
+++ b/src/main/kotlin/azuredale/quarantine/Quarantine.kt
@@ -142,7 +142,10 @@
     fun adoptTable(read: QuarantineTable, provenAt: Timestamp, now: Timestamp) {
         if (read.point < table.point) return
         val before = table
-        val isNewEra = before !== QuarantineTable.UNKNOWN && read.point.era > before.point.era
+        // After a long time without a proof, a missing entry may as well have been removed since the return.
+        val isKnownRecently = now < tableProvenAt.plusMilliseconds(RECENT_MILLISECONDS)
+        val isNewEra =
+            before !== QuarantineTable.UNKNOWN && read.point.era > before.point.era && isKnownRecently
         table = read
         tableProvenAt = maxOf(tableProvenAt, provenAt)
         if (read.trials == before.trials && before !== QuarantineTable.UNKNOWN) return
@@ -214,6 +217,9 @@
         /** Lifetime of a conclusion that cannot be stored, and so is not subject to trials. */
         const val UNSTORED_LIFETIME_MILLISECONDS = 600_000L
 
+        /** Two reads of the table, and a moment in which the store is away. */
+        const val RECENT_MILLISECONDS = 12_000L
+
         /** Bounds the conclusions of a router and the parts that count of one prompt, whoever sends prompts. */
         const val MAXIMUM_PARTS = 64
 
--- a/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
@@ -1,5 +1,6 @@
 package azuredale.freshness
 
+import azuredale.directory.BackendState
 import azuredale.gateway.FleetBounds
 import azuredale.identity.PoolId
 import azuredale.identity.SoftwareVersion
@@ -91,6 +92,62 @@
         }
     }
 
+    @Nested
+    inner class LateReaders {
+        @Test
+        fun `do not store a quarantined part again that was released after a return`() = fleet {
+            // Guards against a router that was cut off and takes what was removed in the new era for lost.
+            val key = StoreKey.QUARANTINE + "part"
+            put(key, "0")
+            run(milliseconds = 8_000)
+            assertTrue(nodes.all { it.quarantine.size == 1 })
+            val copy = copy()
+            nodes[2].isCut = true
+            nodes[2].isStoreAway = true
+            restore(copy)
+            run(milliseconds = 8_000)
+            remove(key)
+            run(milliseconds = 10_000)
+            assertEquals(listOf(0, 0), nodes.take(2).map { it.quarantine.size })
+            nodes[2].isCut = false
+            nodes[2].isStoreAway = false
+            run(milliseconds = 5_000)
+            assertEquals(listOf(0, 0, 0), nodes.map { it.quarantine.size }, "parts quarantined")
+        }
+
+        @Test
+        fun `use no server that drains through two returns`() = fleet {
+            // Guards against a server that both copies show as ready.
+            register("first", "1", port = 81)
+            register("second", "1", port = 82)
+            run(milliseconds = 1_000)
+            val copy = copy()
+            val draining =
+                """{"service":"s","address":"10.1.0.1:82","zone":"domain-1","version":"1","slots":8,""" +
+                    """"state":"draining","cold-left-ms":0,"sequence":2}"""
+            put(StoreKey.SERVERS + "second", draining)
+            run(milliseconds = 1_000)
+            val used = LinkedHashSet<String>()
+
+            fun pass(milliseconds: Int) = repeat(milliseconds / 20) { step ->
+                run(milliseconds = 20)
+                nodes.forEach { node ->
+                    val entry =
+                        node.view.directory.entries.values
+                            .first { it.id.name == "second" }
+                    if (entry.state == BackendState.READY) used += "router ${node.index}"
+                }
+            }
+            restore(copy)
+            pass(milliseconds = 1_500)
+            restore(copy)
+            pass(milliseconds = 2_000)
+            put(StoreKey.SERVERS + "second", draining)
+            pass(milliseconds = 10_000)
+            assertEquals(emptySet(), used.toSet())
+        }
+    }
+
     @Nested
     inner class Streams {
         private val pool = PoolId("s")
