Retain no server at a router that reads the directory late after a return

A router whose read failed at the return goes on with the directory that others prove by its digest, and keeps its point in the earlier era. It took its next read, whenever that came, for the first one after the return, and retained a server that had just left. A directory that was proven in the present era shows that the return is over.

Before: the case of ReturnCoincidencesSpec.LateReaders fails (the server is used 2 s after it left). After: it passes.

--- a/src/main/kotlin/azuredale/freshness/DepartedServers.kt
+++ b/src/main/kotlin/azuredale/freshness/DepartedServers.kt
@@ -4,7 +4,6 @@
 import azuredale.directory.ServerDirectory
 import azuredale.directory.ServerProcess
 import azuredale.directory.process
-import azuredale.store.StorePoint
 import azuredale.time.Timestamp
 
 /**
@@ -19,17 +18,19 @@
     /** Whether servers are still regarded as departed, whatever the store shows. */
     fun isInForce(now: Timestamp): Boolean = now < returnedUntil
 
+    /** Records that the store has returned from a copy, as a read sent at [now] shows. */
+    fun recordReturn(now: Timestamp) {
+        forgetEarly(now)
+        returnedUntil = now.plusMilliseconds(EXPIRY_MILLISECONDS)
+    }
+
     /**
      * Records what [read] shows to have departed since [before], the directory read previously, at [now].
      *
      * @param hasExpired whether registrations of live servers may have expired in an outage of the store.
      */
     fun record(before: ServerDirectory, read: ServerDirectory, hasExpired: Boolean, now: Timestamp) {
-        departures.values.removeIf { now >= it.plusMilliseconds(COPY_AGE_MILLISECONDS) }
-        if (read.point.era > before.point.era) {
-            if (before.point != StorePoint.NONE) returnedUntil = now.plusMilliseconds(EXPIRY_MILLISECONDS)
-            return
-        }
+        forgetEarly(now)
         before.entries.values.forEach { entry ->
             val wasReady = entry.state == BackendState.READY
             val hasLeft = entry.id !in read.entries && !hasExpired
@@ -45,7 +46,7 @@
 
     /** Returns [directory] with the departed servers as draining, if that is in force at [now]. */
     fun applyTo(directory: ServerDirectory, now: Timestamp): ServerDirectory {
-        if (!isInForce(now) || directory.entries.values.none { it.process in departures }) return directory
+        if (now >= returnedUntil || directory.entries.values.none { it.process in departures }) return directory
         val entries =
             directory.entries.mapValues { (_, entry) ->
                 if (entry.process in departures) entry.copy(state = BackendState.DRAINING) else entry
@@ -53,6 +54,10 @@
         return ServerDirectory(directory.point, entries)
     }
 
+    private fun forgetEarly(now: Timestamp) {
+        departures.values.removeIf { now >= it.plusMilliseconds(COPY_AGE_MILLISECONDS) }
+    }
+
     private companion object {
         /** Exceeds the seconds by which a copy is older than the store. */
         const val COPY_AGE_MILLISECONDS = 30_000L
--- a/src/main/kotlin/azuredale/freshness/StoreHistory.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreHistory.kt
@@ -24,6 +24,9 @@
     /** When the era was seen first, by this router or any other; it may have begun earlier. */
     private var seenAt = Timestamp.DISTANT_PAST
 
+    /** When this router first saw [era]. */
+    private var firstSeenAt = Timestamp.DISTANT_PAST
+
     /** The latest time at which the store answered nobody while the present era was not settled. */
     private var awayAt = Timestamp.DISTANT_PAST
 
@@ -41,6 +44,7 @@
         if (seen <= era) return false
         isFirstEra = isFirstAnswer
         era = seen
+        firstSeenAt = now
         seenAt = if (isFirstEra && isFirstStart(now)) Timestamp.DISTANT_PAST else now
         awayAt = Timestamp.DISTANT_PAST
         return true
@@ -62,6 +66,9 @@
         if (age > 0) seenAt = maxOf(awayAt, minOf(seenAt, now.plusMicroseconds(-age)))
     }
 
+    /** Whether a table of the era [read] that was proven at [provenAt] was proven in the present era. */
+    fun isProofOfEra(read: StoreEra, provenAt: Timestamp): Boolean = read == era && provenAt > firstSeenAt
+
     /** Records that the present era is known to be settled. */
     fun recordSettled() {
         seenAt = Timestamp.DISTANT_PAST
--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -149,13 +149,20 @@
      */
     fun adoptDirectory(read: ServerDirectory, sentAt: Timestamp, outageUntil: Timestamp?): ServerDirectory? {
         if (read.point < lastReadDirectory.point) return null
-        val isNewEra = read.point.era > lastReadDirectory.point.era && lastReadDirectory !== ServerDirectory.EMPTY
+        val isNewEra =
+            read.point.era > lastReadDirectory.point.era &&
+                lastReadDirectory !== ServerDirectory.EMPTY &&
+                !history.isProofOfEra(read.point.era, directoryProof.at)
         val returnedAt = outageUntil ?: sentAt.takeIf { isNewEra }
         if (returnedAt != null && lastReadDirectory !== ServerDirectory.EMPTY) {
             val connectedAt = returnedAt.plusMilliseconds(bounds.contactMilliseconds - DRAIN_MARGIN_MILLISECONDS)
             retainedUntil = minOf(sentAt.plusMilliseconds(RETENTION_MILLISECONDS), connectedAt)
         }
-        departedServers.record(lastReadDirectory, read, hasExpired = sentAt < retainedUntil, sentAt)
+        if (isNewEra) {
+            departedServers.recordReturn(sentAt)
+        } else {
+            departedServers.record(lastReadDirectory, read, hasExpired = sentAt < retainedUntil, sentAt)
+        }
         val before = directory
         lastReadDirectory = read
         val usable = departedServers.applyTo(read, sentAt)
--- a/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
@@ -94,6 +94,28 @@
 
     @Nested
     inner class LateReaders {
+        @Test
+        fun `retain no server that leaves long after a return`() = fleet {
+            // Guards against a router whose read failed at the return and that takes a later read for the first after it.
+            register("first", "1", port = 81)
+            register("second", "1", port = 82)
+            run(milliseconds = 1_000)
+            val copy = copy()
+            nodes[2].isStoreAway = true
+            restore(copy)
+            run(milliseconds = 2_000)
+            nodes[2].isStoreAway = false
+            run(milliseconds = 20_000)
+            remove(StoreKey.SERVERS + "second")
+            run(milliseconds = 2_000)
+            val retaining =
+                nodes.filter { node ->
+                    node.view.directory.entries.keys
+                        .any { it.name == "second" }
+                }
+            assertEquals(emptyList(), retaining.map { it.index }, "routers that use a server that left drain-ms ago")
+        }
+
         @Test
         fun `do not store a quarantined part again that was released after a return`() = fleet {
             // Guards against a router that was cut off and takes what was removed in the new era for lost.
