Read the directory again when missing servers are no longer retained

After a return, missing servers are retained for 2.2 s. A router that did not read by itself kept them until the servers that had departed before were no longer left out, 5 s after the return.

Before: the case of ReturnCoincidencesSpec.Directory fails (2 of 3 routers after 3.5 s). After: it passes.

--- a/src/main/kotlin/azuredale/freshness/DepartedServers.kt
+++ b/src/main/kotlin/azuredale/freshness/DepartedServers.kt
@@ -15,9 +15,6 @@
     private val departures = LinkedHashMap<ServerProcess, Timestamp>()
     private var returnedUntil = Timestamp.DISTANT_PAST
 
-    /** Whether servers are still regarded as departed, whatever the store shows. */
-    fun isInForce(now: Timestamp): Boolean = now < returnedUntil
-
     /** Records that the store has returned from a copy, as a read sent at [now] shows. */
     fun recordReturn(now: Timestamp) {
         forgetEarly(now)
--- a/src/main/kotlin/azuredale/freshness/StoreView.kt
+++ b/src/main/kotlin/azuredale/freshness/StoreView.kt
@@ -173,9 +173,8 @@
 
     /** Whether missing or departed servers are no longer retained, so that the directory should be read again. */
     fun isRetentionOver(now: Timestamp): Boolean = now >= retainedUntil &&
-        !departedServers.isInForce(now) &&
         directory !== lastReadDirectory &&
-        directory.digest != lastReadDirectory.digest
+        directory.digest != departedServers.applyTo(lastReadDirectory, now).digest
 
     private fun withRetained(read: ServerDirectory, before: ServerDirectory): ServerDirectory {
         val addresses = read.entries.values.mapTo(HashSet()) { it.address }
--- a/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
@@ -92,6 +92,27 @@
         }
     }
 
+    @Nested
+    inner class Directory {
+        @Test
+        fun `retains a missing server for no more than 2,2 s at any router`() = fleet {
+            // Guards against routers that do not read themselves and keep servers that have left for 5 s.
+            register("first", "1", port = 81)
+            run(milliseconds = 1_000)
+            val copy = copy()
+            register("second", "1", port = 82)
+            run(milliseconds = 1_000)
+            restore(copy)
+            run(milliseconds = 3_500)
+            val retaining =
+                nodes.filter { node ->
+                    node.view.directory.entries.keys
+                        .any { it.name == "second" }
+                }
+            assertEquals(emptyList(), retaining.map { it.index }, "routers that use a server that has left")
+        }
+    }
+
     @Nested
     inner class LateReaders {
         @Test
