End the retention of evacuations by what was proven, not by time

Domains of earlier eras stay evacuated until the era is settled, at a router that reads nothing in between by time alone: if the store was away again after the operators had written, servers of the domain were used. And at a router that the store had rejected at the return, whose own era never settles, they stayed evacuated after the operators had ended it. Now the retention ends with a table that was proven in the present era, read here or reported, and a proof of the catalog by another router settles the era here as well.

Before: 2 of 2 cases of ReturnCoincidencesSpec.EvacuatedDomains fail. After: 2 of 2; EvacuationsSpec and EvacuationExchangeSpec pass.

--- a/src/main/kotlin/azuredale/freshness/Evacuations.kt
+++ b/src/main/kotlin/azuredale/freshness/Evacuations.kt
@@ -62,7 +62,7 @@
      *
      * A later table contains all that was confirmed before the proof of an earlier one, so proofs of either hold for
      * the later one. A store that has returned from an older copy may have lost evacuations, so domains of earlier eras
-     * stay evacuated until the present era [isSettled].
+     * stay evacuated until a table is adopted that was read after the present era [isSettled].
      */
     fun adopt(read: EvacuationTable, at: Timestamp, isSettled: Boolean) {
         if (boundMilliseconds == null) return
--- a/src/main/kotlin/azuredale/peers/EvacuationExchange.kt
+++ b/src/main/kotlin/azuredale/peers/EvacuationExchange.kt
@@ -27,11 +27,11 @@
     }
 
     /** Applies the table in [report], which was created after [createdAfter], if that is known. */
-    fun apply(report: PeerReport, createdAfter: Timestamp?, now: Timestamp) {
+    fun apply(report: PeerReport, createdAfter: Timestamp?) {
         val entry = report.evacuations ?: return
         val isProven = createdAfter != null && entry.age >= 0
         val provenAt = if (isProven) createdAfter.plusMicroseconds(-entry.age) else Timestamp.DISTANT_PAST
         val table = EvacuationTable(entry.point.toPoint(), entry.domains.mapTo(HashSet(), ::FailureDomain))
-        evacuations.adopt(table, provenAt, view.history.isSettled(now))
+        evacuations.adopt(table, provenAt, isSettled = view.history.isProofOfEra(table.point.era, provenAt))
     }
 }
--- a/src/main/kotlin/azuredale/peers/ProofExchange.kt
+++ b/src/main/kotlin/azuredale/peers/ProofExchange.kt
@@ -40,14 +40,12 @@
                 directory.isLater(report)
         if (isCatalogOld || isDirectoryOld) callbacks.onOutdated(isCatalogOld, isDirectoryOld)
         quarantine.apply(report, createdAfter, now)
-        evacuations.apply(report, createdAfter, now)
+        evacuations.apply(report, createdAfter)
         if (createdAfter == null) return
         if (report.catalog.age >= 0) {
-            view.confirmCatalog(
-                mark,
-                createdAfter.plusMicroseconds(-report.catalog.age),
-                RouterId(report.sender.router),
-            )
+            val provenAt = createdAfter.plusMicroseconds(-report.catalog.age)
+            view.confirmCatalog(mark, provenAt, RouterId(report.sender.router))
+            if (view.history.isProofOfEra(mark.point.era, provenAt)) view.history.recordSettled()
         }
         if (report.directory.age >= 0) {
             view.confirmDirectory(
--- a/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/ReturnCoincidencesSpec.kt
@@ -2,6 +2,7 @@
 
 import azuredale.directory.BackendState
 import azuredale.gateway.FleetBounds
+import azuredale.identity.FailureDomain
 import azuredale.identity.PoolId
 import azuredale.identity.SoftwareVersion
 import azuredale.platform.StoreKey
@@ -10,6 +11,7 @@
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 /** Events that fall together with a return of the store from an older copy. */
@@ -254,4 +256,54 @@
             assertTrue(decision != ResumptionDecision.GoOn(SoftwareVersion("1")), "$decision")
         }
     }
+
+    @Nested
+    inner class EvacuatedDomains {
+        private val domain = FailureDomain("domain-1")
+        private val bounds =
+            FleetBounds(evacuationBoundMilliseconds = 5_000, configurationBoundMilliseconds = 2_000)
+
+        /** Whether a router uses the domain in 5 s without the store, from [writtenAgain] milliseconds after its return. */
+        private fun isLifted(away: Int, writtenAgain: Int): Boolean {
+            var isLifted = false
+            fleet(bounds = bounds) {
+                val copy = copy()
+                put(StoreKey.EVACUATIONS + domain.name, "")
+                run(milliseconds = 1_000)
+                assertTrue(nodes.all { it.view.evacuations.isEvacuated(domain) })
+                restore(copy, away)
+                run(writtenAgain)
+                put(StoreKey.EVACUATIONS + domain.name, "")
+                isAway = true
+                repeat(250) {
+                    run(milliseconds = 20)
+                    isLifted = isLifted || nodes.any { !it.view.evacuations.isEvacuated(domain) }
+                }
+            }
+            return isLifted
+        }
+
+        @Test
+        fun `stay evacuated if the store is away again soon after they were written again`() {
+            // Guards against a table read before the era was settled that lifts evacuations once it is settled.
+            assertFalse(isLifted(away = 100, writtenAgain = 2_800))
+        }
+
+        @Test
+        fun `are used again at a router that the store rejected at the return`() = fleet(bounds = bounds) {
+            // Guards against a router for which the era is never settled, since others read the store for it.
+            put(StoreKey.EVACUATIONS + domain.name, "")
+            run(milliseconds = 1_000)
+            val copy = copy()
+            nodes[2].isStoreAway = true
+            restore(copy)
+            run(milliseconds = 8_000)
+            nodes[2].isStoreAway = false
+            run(milliseconds = 2_000)
+            remove(StoreKey.EVACUATIONS + domain.name)
+            run(milliseconds = 30_000)
+            val evacuating = nodes.filter { it.view.evacuations.isEvacuated(domain) }
+            assertEquals(emptyList(), evacuating.map { it.index }, "routers that use no server of the domain")
+        }
+    }
 }
