--- a/src/main/kotlin/azuredale/peers/PeerTable.kt
+++ b/src/main/kotlin/azuredale/peers/PeerTable.kt
@@ -25,14 +25,18 @@
     val alive: List<Peer> get() = peers.values.filter { it.isAlive }
 
     private var lastRemovalAt = Timestamp.DISTANT_PAST
+    private var hasKnownOthers = false
 
     /**
      * Whether every router that was known at [knownAt], or has been since, has been heard from since [since].
      *
-     * A router that has been removed for its silence may still run and only be out of reach.
+     * A router that has been removed for its silence may still run and only be out of reach. A router that has known
+     * others and knows none any more cannot tell.
      */
-    fun haveAllReported(knownAt: Timestamp, since: Timestamp): Boolean =
-        lastRemovalAt <= knownAt && peers.values.all { it.lastHeardAt >= since }
+    fun haveAllReported(knownAt: Timestamp, since: Timestamp): Boolean {
+        if (peers.isEmpty() && hasKnownOthers) return false
+        return lastRemovalAt <= knownAt && peers.values.all { it.lastHeardAt >= since }
+    }
 
     /** The router named [router], or null if it is unknown. */
     fun find(router: RouterId): Peer? = peers[router]
@@ -40,6 +44,7 @@
     /** Adds [router], or updates the address of a known router that is not alive; returns whether the router is new. */
     fun add(router: RouterId, address: NetworkAddress, now: Timestamp): Boolean {
         if (router == self) return false
+        hasKnownOthers = true
         val known = peers[router]
         val isNew = known == null
         if (known == null) {
--- a/src/test/kotlin/azuredale/freshness/OutOfStepRouterSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/OutOfStepRouterSpec.kt
@@ -129,4 +129,23 @@
         assertEquals(goesOnAt("1"), router.resume("request", pool))
         assertIs<ResumptionDecision.Refuse>(router.resume("unknown", pool))
     }
+
+    @Test
+    fun `a router that is left alone joins no stream of a router that starts again beyond a cut`() {
+        // Guards against a router that has forgotten all others and counts as the whole fleet.
+        start()
+        fleet.nodes.drop(1).forEach { it.isPaused = true }
+        fleet.run(milliseconds = 120_000)
+        router.isCut = true
+        router.isStoreAway = true
+        fleet.run(milliseconds = 3_000)
+        fleet.restart(1..3)
+        fleet.run(milliseconds = 3_000)
+        register("second", "2", port = 82)
+        fleet.run(milliseconds = 5_000)
+        val starter = fleet.nodes[1]
+        assertNull(starter.resumption.beginning(pool), "streams begin at all versions")
+        starter.resumption.recordBegin("request", pool, SoftwareVersion("2"), fleet.now)
+        assertIs<ResumptionDecision.Refuse>(router.resume("request", pool))
+    }
 }
