Read the directory before a stream of unknown origin is taken up, if it may be older than the stream

If no server of the old version is ready, streams begin at the new one without waiting for other routers. A router that was cut off or stood still for less than 1.7 s had a directory that counted as proven, had heard no report of the mixed pool, and took such a stream up at a draining server of the old version.

A router that has not heard from all others within the last 0.3 s, and whose directory was proven earlier than that, now reads the directory first, one read for all streams that wait; if that fails it refuses what no other router knows. In calm fleets whose routers report to each other directly there are no further reads.

Before: 2 new cases of OutOfStepRouterSpec fail (GoOn(version=1)).

--- a/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
+++ b/src/main/kotlin/azuredale/gateway/FleetCoordination.kt
@@ -36,7 +36,9 @@
 import azuredale.time.Timestamp
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 
 /**
@@ -64,6 +66,7 @@
     private var noticeableMilliseconds: Double? = null
     private val clockJumps = ClockJumpDetector(clock, wallClock)
     private var clockJumpedAt = Timestamp.DISTANT_PAST
+    private var directoryRead: Job? = null
 
     /** Identifies this process of the router among earlier ones. */
     val incarnation = Incarnation(clock().microseconds)
@@ -310,7 +313,7 @@
         val peers = { exchange.peers.all }
         val originExchange = OriginExchange(origins, peers, dependencies.sendDatagram, dependencies.timer, clock)
         val notes = VersionNoteKeeper(versions, dependencies.versionNotes, clock, scope, ::rank, log)
-        return StreamResumption(versions, origins, originExchange, notes, log, clock, ::isInStep)
+        return StreamResumption(versions, origins, originExchange, notes, log, clock, ::isInStep, ::catchUp)
     }
 
     /**
@@ -330,6 +333,32 @@
             exchange.peers.haveAllReported(knownAt = view.directoryProof.at, since = maxOf(since, clockJumpedAt))
     }
 
+    /**
+     * As [isInStep], and reads the directory if it may be older than a stream that has broken by now.
+     *
+     * When all servers of a pool are replaced at once, streams begin at the new version without waiting for other
+     * routers; those that hear from each other know of it with the next report.
+     */
+    private suspend fun catchUp(): Boolean {
+        if (!isInStep()) return false
+        val since = maxOf(clock().plusMilliseconds(-RECENT_MILLISECONDS), clockJumpedAt)
+        val isRecent = { view.directoryProof.at >= since }
+        if (isRecent() || exchange.peers.haveAllReported(knownAt = view.directoryProof.at, since)) return true
+        withTimeoutOrNull(RECENT_MILLISECONDS) { readDirectoryOnce() }
+        return isRecent()
+    }
+
+    /** Reads the directory, or waits for such a read that is in progress. */
+    private suspend fun readDirectoryOnce() {
+        val read =
+            directoryRead?.takeIf { it.isActive }
+                ?: scope.launch(start = CoroutineStart.UNDISPATCHED) { poller.readDirectory() }.also {
+                    directoryRead =
+                        it
+                }
+        read.join()
+    }
+
     private fun rank(): Int = exchange.rank()
 
     private fun coldServers(onWarm: (ServerId) -> Unit) = ColdServers(
@@ -350,5 +379,8 @@
     private companion object {
         /** For pools without a declared cache size; plain services cache no prompts. */
         const val DEFAULT_CACHE_TOKENS = 0L
+
+        /** Several periods of reports in a mesh, and less than a stream takes to begin, break and be taken up again. */
+        const val RECENT_MILLISECONDS = 300L
     }
 }
--- a/src/main/kotlin/azuredale/resumption/StreamResumption.kt
+++ b/src/main/kotlin/azuredale/resumption/StreamResumption.kt
@@ -24,6 +24,7 @@
  * the version that began it; if that is unknown, only while its pool has had no other version.
  *
  * @param isInStep whether this router knows of each version at which another router may have begun a stream by now.
+ * @param catchUp does the same, and first reads the directory again if a stream may have begun since it was proven.
  */
 internal class StreamResumption(
     private val versions: PoolVersions,
@@ -33,6 +34,7 @@
     private val log: EventLog,
     private val clock: Clock,
     private val isInStep: () -> Boolean,
+    private val catchUp: suspend () -> Boolean,
 ) {
     /** Whether [bytes] are a message about streams. */
     fun isMessage(bytes: ByteArray): Boolean = OriginCodec.isOriginMessage(bytes)
@@ -96,7 +98,8 @@
 
     /** Whether the servers of [pool] have had one version for as long as streams last. */
     private suspend fun isAlwaysAlike(pool: PoolId): Boolean {
-        if (versions.isMixed(pool) || versions.observedSince == null || !isInStep()) return false
+        if (versions.isMixed(pool) || versions.observedSince == null || !catchUp()) return false
+        if (versions.isMixed(pool)) return false
         if (clock() >= versions.settledAt()) return true
         val isNoted = notes.isNoted(pool) ?: return false
         if (isNoted) mixed(versions.noteFound(pool, clock(), clock()), clock())
--- a/src/test/kotlin/azuredale/freshness/OutOfStepRouterSpec.kt
+++ b/src/test/kotlin/azuredale/freshness/OutOfStepRouterSpec.kt
@@ -19,10 +19,10 @@
 
     private fun goesOnAt(version: String) = ResumptionDecision.GoOn(SoftwareVersion(version))
 
-    private fun register(name: String, version: String, port: Int) = fleet.put(
+    private fun register(name: String, version: String, port: Int, state: String = "ready") = fleet.put(
         StoreKey.SERVERS + name,
         """{"service":"s","address":"10.1.0.1:$port","zone":"domain-1","version":"$version","slots":8,""" +
-            """"state":"ready","cold-left-ms":0,"sequence":1}""",
+            """"state":"$state","cold-left-ms":0,"sequence":1}""",
     )
 
     /** All routers have known the pool's first version for as long as streams last. */
@@ -130,6 +130,35 @@
         assertIs<ResumptionDecision.Refuse>(router.resume("unknown", pool))
     }
 
+    /** All servers are replaced at once: a stream begins at the second version without waiting for other routers. */
+    private fun replaceAllServers(runMilliseconds: Int) {
+        register("second", "2", port = 82)
+        register("first", "1", port = 81, state = "draining")
+        fleet.run(runMilliseconds)
+        assertNull(other.resumption.beginning(pool), "streams begin at all versions")
+        other.resumption.recordBegin("request", pool, SoftwareVersion("2"), fleet.now)
+    }
+
+    @Test
+    fun `a router that has just been cut off joins no stream when all servers are replaced at once`() {
+        // Guards against a directory that is proven within the bound, but is older than the stream.
+        start()
+        router.isCut = true
+        router.isStoreAway = true
+        replaceAllServers(runMilliseconds = 1_000)
+        assertJoinsNoStream()
+    }
+
+    @Test
+    fun `a router that has stood still for a second joins no stream when all servers are replaced at once`() {
+        // Guards against the first request after a short pause.
+        start()
+        router.isPaused = true
+        replaceAllServers(runMilliseconds = 1_000)
+        router.isPaused = false
+        assertJoinsNoStream()
+    }
+
     @Test
     fun `a router that is left alone joins no stream of a router that starts again beyond a cut`() {
         // Guards against a router that has forgotten all others and counts as the whole fleet.
--- a/src/test/kotlin/azuredale/resumption/ResumptionFleet.kt
+++ b/src/test/kotlin/azuredale/resumption/ResumptionFleet.kt
@@ -46,7 +46,7 @@
         val exchange =
             OriginExchange(origins, { peersOf(index) }, { to, bytes -> deliver(index, to, bytes) }, ::timer, { now })
         private val keeper = VersionNoteKeeper(versions, notes, { now }, scope, { index }, LOG)
-        val resumption = StreamResumption(versions, origins, exchange, keeper, LOG, { now }, { isInStep })
+        val resumption = StreamResumption(versions, origins, exchange, keeper, LOG, { now }, { isInStep }, { isInStep })
         var isAlive = true
         var isInStep = true
 
