--- a/review/drills/store_returns.py
+++ b/src/test/drills/store_returns.py
@@ -1,6 +1,6 @@
 """Real routers on a store that returns from older copies, with kills, stops and changes at random (rule CONFIG).
 
-    python3 review/drills/store_returns.py --seed 1 --count 5 --jar target/azuredale-0.1.0-SNAPSHOT.jar --runs DIRECTORY
+    python3 src/test/drills/store_returns.py --seed 1 --count 5 --jar target/azuredale-0.1.0-SNAPSHOT.jar --runs DIRECTORY
 
 Prints one line a seed and exits with 1 on a violation; logs of such a seed stay in DIRECTORY. --slot keeps the addresses of
 drills that run at the same time apart. A seed fixes what is drawn, not the schedule of the processes.
